--- /dev/null
+++ b/internal/upstream/wire/wire.go
@@ -0,0 +1,189 @@
+// Package wire holds the messages, paths and headers that engines and plain services speak with an
+// entry instance. docs/UPSTREAMS.md is the contract in words; the stand-ins and the clients share this.
+package wire
+
+import (
+	"github.com/cespare/xxhash/v2"
+)
+
+// Headers on calls to upstreams and, for the first group, on callers' requests.
+const (
+	HeaderRequestID      = "X-Request-Id"
+	HeaderWorkspace      = "X-Workspace"
+	HeaderPriority       = "X-Priority"         // -10 (low) to 10 (high)
+	HeaderTimeout        = "X-Request-Timeout"  // a duration, as in 1500ms
+	HeaderDeadline       = "X-Request-Deadline" // an instant, RFC 3339
+	HeaderIdempotent     = "X-Idempotent"       // "true" or "false"
+	HeaderIdempotencyKey = "Idempotency-Key"
+
+	HeaderAttempt     = "X-Attempt"       // counts dispatches of one request, from 1
+	HeaderRemaining   = "X-Remaining-Ms"  // milliseconds left for the request
+	HeaderReservation = "X-Reservation"   // id of the memory reservation that the request uses
+	HeaderResume      = "X-Resume-Offset" // first token that the entry still needs
+	HeaderNotStarted  = "X-Not-Started"   // "true" on a refusal: the upstream did not start
+	HeaderBootID      = "X-Boot-Id"       // changes whenever the upstream starts anew
+	HeaderRun         = "X-Run"           // to callers: no, yes or unknown
+	HeaderReplayed    = "X-Replayed"      // to callers: the recorded outcome of an earlier run
+)
+
+// Paths of an engine. IDs in paths are URL-escaped.
+const (
+	PathCompletions  = "/v1/completions"
+	PathCancel       = "/v1/cancel/{id}" // POST, idempotent
+	PathLoad         = "/v1/load"
+	PathCacheEvents  = "/v1/cache/events" // GET ?from=SEQ
+	PathReservations = "/v1/reservations"
+	PathReservation  = "/v1/reservations/{id}" // DELETE, idempotent
+	PathOrders       = "/v1/orders"
+	PathState        = "/v1/state"
+	PathKVExport     = "/v1/kv/export"
+	PathKVImport     = "/v1/kv/import"
+	PathPing         = "/v1/ping"
+)
+
+// BytesPerToken is the rough size of a token in prompt bytes, by which both sides count prompts.
+const BytesPerToken = 4
+
+// Tokens is the number of tokens of a prompt of n bytes.
+func Tokens(n int) int { return (n + BytesPerToken - 1) / BytesPerToken }
+
+// BlockTokens is the size of a prefix-cache block.
+const BlockTokens = 1024
+
+// Blocks gives the chained hashes of the prompt's whole blocks: two prompts share the first n hashes
+// just when they share the first n*BlockTokens tokens.
+func Blocks(prompt []byte) []uint64 {
+	const size = BlockTokens * BytesPerToken
+	hashes := make([]uint64, 0, len(prompt)/size)
+	var chain xxhash.Digest
+	chain.Reset()
+	for len(prompt) >= size {
+		_, _ = chain.Write(prompt[:size])
+		hashes = append(hashes, chain.Sum64())
+		prompt = prompt[size:]
+	}
+	return hashes
+}
+
+// Completion is the body of a completions request, from callers and to engines.
+type Completion struct {
+	Model     string `json:"model"`
+	Adapter   string `json:"adapter,omitempty"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream,omitempty"`
+}
+
+// Part is one event of a completion stream: data: {json}. Offset is the index of its first token in the
+// whole answer. The last part has a FinishReason and is the end mark; data: [DONE] follows it.
+type Part struct {
+	ID           string `json:"id"`
+	Offset       int    `json:"offset"`
+	Tokens       int    `json:"tokens"`
+	Text         string `json:"text"`
+	FinishReason string `json:"finish_reason,omitempty"` // "stop" or "length"; "error" ends a failed stream
+	Error        string `json:"error,omitempty"`
+}
+
+// Whole is the answer to a completions request without stream.
+type Whole struct {
+	ID           string `json:"id"`
+	Model        string `json:"model"`
+	Text         string `json:"text"`
+	Tokens       int    `json:"tokens"`
+	FinishReason string `json:"finish_reason"`
+}
+
+// DoneMark is the data of the event after the last part.
+const DoneMark = "[DONE]"
+
+// Load is an engine's lagging load report.
+type Load struct {
+	BootID       string `json:"boot_id"`
+	Seq          uint64 `json:"seq"`    // grows with each report
+	AgeMs        int64  `json:"age_ms"` // how old the figures are
+	Cold         bool   `json:"cold"`
+	ColdLimit    int    `json:"cold_limit"` // requests at once that it bears while cold
+	Running      int    `json:"running"`
+	Queued       int    `json:"queued"`
+	QueuedTokens int64  `json:"queued_tokens"` // prompt tokens not yet computed
+	MemoryUsed   int64  `json:"memory_used"`   // tokens of KV cache held by work and reservations
+	MemoryTotal  int64  `json:"memory_total"`
+	PrefillRate  int64  `json:"prefill_rate"` // prompt tokens a second
+	Leaving      bool   `json:"leaving"`
+}
+
+// CacheEvent tells of one prefix block that entered or left the engine's cache.
+type CacheEvent struct {
+	Seq  uint64 `json:"seq"`
+	Hash uint64 `json:"hash"`
+	Drop bool   `json:"drop,omitempty"`
+}
+
+// CacheEvents answers PathCacheEvents. First is the oldest sequence number still kept: a reader that
+// asked for an older one has a gap.
+type CacheEvents struct {
+	BootID string       `json:"boot_id"`
+	First  uint64       `json:"first"`
+	Next   uint64       `json:"next"`
+	Events []CacheEvent `json:"events"`
+}
+
+// Reservation is memory held on one engine for one request or one exported KV cache.
+type Reservation struct {
+	ID          string `json:"id"`
+	Holder      string `json:"holder"`      // instance
+	Incarnation string `json:"incarnation"` // of the holder
+	Tokens      int64  `json:"tokens"`
+	TTLMs       int64  `json:"ttl_ms"` // in a request: time to live; in a list: time left; 0 where the engine has no expiry
+	AgeMs       int64  `json:"age_ms,omitempty"`
+	DeadlineMs  int64  `json:"deadline_ms"` // milliseconds until the request it serves has to be over, from its creation
+}
+
+// Reservations answers GET PathReservations.
+type Reservations struct {
+	BootID       string        `json:"boot_id"`
+	Reservations []Reservation `json:"reservations"`
+}
+
+// Order tells an engine to change what it serves.
+type Order struct {
+	ID      string `json:"id"`    // operation id: an order seen before is not carried out again
+	Fence   uint64 `json:"fence"` // fencing number; older than the highest seen is refused where the engine checks
+	Kind    string `json:"kind"`  // load, unload, role
+	Model   string `json:"model,omitempty"`
+	Version string `json:"version,omitempty"`
+	Adapter string `json:"adapter,omitempty"`
+	Role    string `json:"role,omitempty"` // any, long
+}
+
+// OrderStatus is the state of an order: accepted, running, done or failed.
+type OrderStatus struct {
+	ID     string `json:"id"`
+	Fence  uint64 `json:"fence"`
+	State  string `json:"state"`
+	Detail string `json:"detail,omitempty"`
+}
+
+// Loaded is one model version in an engine's memory.
+type Loaded struct {
+	Model    string   `json:"model"`
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters,omitempty"`
+}
+
+// EngineState answers GET PathState.
+type EngineState struct {
+	BootID       string        `json:"boot_id"`
+	Role         string        `json:"role"`
+	Loaded       []Loaded      `json:"loaded"`
+	HighestFence uint64        `json:"highest_fence"`
+	LastOrder    string        `json:"last_order"`
+	Orders       []OrderStatus `json:"orders"` // the latest ones
+}
+
+// Refusal is the body of an upstream's error answer.
+type Refusal struct {
+	Error      string `json:"error"`
+	NotStarted bool   `json:"not_started"`
+}
