--- /dev/null
+++ b/internal/standin/engine/counters.go
@@ -0,0 +1,46 @@
+package engine
+
+import (
+	"maps"
+	"time"
+)
+
+// Counters is what a test wants to know of an engine; they survive its restarts.
+type Counters struct {
+	Runs            map[string]int `json:"runs"` // dispatches that started, by request id
+	Resumes         int            `json:"resumes"`
+	Completed       int            `json:"completed"`
+	Cancelled       int            `json:"cancelled"` // by order or because the connection closed
+	Refused         int            `json:"refused"`   // as not started
+	Collapses       int            `json:"collapses"` // falls under more load than it bears cold
+	MaxInFlightCold int            `json:"max_in_flight_cold"`
+	OrdersRun       int            `json:"orders_run"`
+	StaleRefused    int            `json:"stale_refused"` // orders refused for their old fencing number
+	StaleRun        int            `json:"stale_run"`     // orders carried out after one with a higher number came
+	RepeatedOrders  int            `json:"repeated_orders"`
+
+	InFlight       int   `json:"in_flight"`
+	Cold           bool  `json:"cold"`
+	ReservedTokens int64 `json:"reserved_tokens"` // held by reservations now
+	OverdueTokens  int64 `json:"overdue_tokens"`  // held by reservations whose deadline has passed
+	HeldTokens     int64 `json:"held_tokens"`     // held by jobs and reservations now
+}
+
+func newCounters() Counters { return Counters{Runs: map[string]int{}} }
+
+// Counters gives the counts so far.
+func (e *Engine) Counters() Counters {
+	var c Counters
+	e.locked(func(now time.Duration) {
+		c = e.counters
+		c.Runs = maps.Clone(c.Runs)
+		c.InFlight, c.Cold, c.HeldTokens = len(e.jobs), e.warmth.cold, e.held()
+		for _, r := range e.reservations {
+			c.ReservedTokens += r.Tokens
+			if r.overdue(now) {
+				c.OverdueTokens += r.Tokens
+			}
+		}
+	})
+	return c
+}
--- a/internal/upstream/wire/wire.go
+++ b/internal/upstream/wire/wire.go
@@ -20,6 +20,7 @@
 	HeaderRemaining   = "X-Remaining-Ms"  // milliseconds left for the request
 	HeaderReservation = "X-Reservation"   // id of the memory reservation that the request uses
 	HeaderResume      = "X-Resume-Offset" // first token that the entry still needs
+	HeaderGroup       = "X-Group"         // reservations on other engines for the same request: id@ip:port, comma-separated
 	HeaderNotStarted  = "X-Not-Started"   // "true" on a refusal: the upstream did not start
 	HeaderBootID      = "X-Boot-Id"       // changes whenever the upstream starts anew
 	HeaderRun         = "X-Run"           // to callers: no, yes or unknown
@@ -187,3 +188,28 @@
 	Error      string `json:"error"`
 	NotStarted bool   `json:"not_started"`
 }
+
+// KVExport asks an engine to keep a copy of a cached prefix for transfer. The copy counts as a
+// reservation with the export's id until that is released or expires.
+type KVExport struct {
+	ID          string   `json:"id"`
+	Holder      string   `json:"holder"`
+	Incarnation string   `json:"incarnation"`
+	Blocks      []uint64 `json:"blocks"`
+	TTLMs       int64    `json:"ttl_ms"`
+	DeadlineMs  int64    `json:"deadline_ms"`
+}
+
+// KVExported answers PathKVExport: how much of the prefix the engine had.
+type KVExported struct {
+	ID     string `json:"id"`
+	Blocks int    `json:"blocks"`
+	Tokens int64  `json:"tokens"`
+}
+
+// KVImport asks an engine to fetch an export from another engine into its prefix cache.
+type KVImport struct {
+	ID     string   `json:"id"`   // of the export
+	Addr   string   `json:"addr"` // of the engine that exported
+	Blocks []uint64 `json:"blocks"`
+}
