--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,158 @@
+// Package keeper builds the immutable fleet.View out of configuration, instance list and what engines say
+// of themselves, and publishes it through an atomic pointer. Writers take a lock; readers never do.
+package keeper
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+)
+
+// Served is what an engine says that it serves.
+type Served struct {
+	Models []string // sorted
+	Long   bool     // its role puts it in a long lane
+}
+
+// Keeper holds the current View.
+type Keeper struct {
+	view atomic.Pointer[fleet.View]
+
+	mu      sync.Mutex
+	version uint64                      // guarded by mu: of config
+	config  api.Config                  // guarded by mu
+	list    wire.InstanceList           // guarded by mu
+	served  map[fleet.UpstreamID]Served // guarded by mu
+	leaving map[fleet.UpstreamID]bool   // guarded by mu: signs other than the instance list
+	changed func(old, new *fleet.View)  // called under mu after each publication; may be nil
+}
+
+// New gives a Keeper with an empty View. changed is called in order after each new View.
+func New(changed func(old, new *fleet.View)) *Keeper {
+	k := &Keeper{
+		served:  map[fleet.UpstreamID]Served{},
+		leaving: map[fleet.UpstreamID]bool{},
+		changed: changed,
+	}
+	k.view.Store(fleet.NewView(0, api.Config{}, 0, nil, nil))
+	return k
+}
+
+// View gives the current picture; never nil.
+func (k *Keeper) View() *fleet.View { return k.view.Load() }
+
+// SetConfig puts a configuration in force if its version is higher than the one in force, and tells
+// whether it did. A lower version is a stale read or a late message: taking it would revert an accepted
+// configuration.
+func (k *Keeper) SetConfig(version uint64, cfg api.Config) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if version <= k.version {
+		return false
+	}
+	k.version, k.config = version, cfg
+	k.publish()
+	return true
+}
+
+// SetInstances takes a newer instance list, and tells whether it was newer.
+func (k *Keeper) SetInstances(list wire.InstanceList) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if list.Version <= k.list.Version {
+		return false
+	}
+	k.list = list
+	k.publish()
+	return true
+}
+
+// SetServed takes what an engine says that it serves.
+func (k *Keeper) SetServed(id fleet.UpstreamID, s Served) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if old, ok := k.served[id]; ok && slices.Equal(old.Models, s.Models) && old.Long == s.Long {
+		return
+	}
+	k.served[id] = s
+	k.publish()
+}
+
+// SetLeaving marks an upstream as leaving by a sign other than the instance list (its own answer, a
+// peer). The mark stands until the list no longer names the upstream.
+func (k *Keeper) SetLeaving(id fleet.UpstreamID) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.leaving[id] {
+		return
+	}
+	k.leaving[id] = true
+	k.publish()
+}
+
+// publish builds and stores a View; mu is held.
+func (k *Keeper) publish() {
+	var instances []*fleet.Instance
+	var upstreams []*fleet.Upstream
+	for _, i := range k.list.Instances {
+		if i.Kind == wire.KindEntry {
+			instances = append(instances, instance(i))
+			continue
+		}
+		upstreams = append(upstreams, k.upstream(i))
+	}
+	k.forget(upstreams)
+	old := k.view.Load()
+	v := fleet.NewView(k.version, k.config, k.list.Version, instances, upstreams)
+	k.view.Store(v)
+	if k.changed != nil {
+		k.changed(old, v)
+	}
+}
+
+// forget drops what is known of upstreams that the list no longer names.
+func (k *Keeper) forget(upstreams []*fleet.Upstream) {
+	listed := make(map[fleet.UpstreamID]bool, len(upstreams))
+	for _, u := range upstreams {
+		listed[u.ID] = true
+	}
+	for id := range k.served {
+		if !listed[id] {
+			delete(k.served, id)
+		}
+	}
+	for id := range k.leaving {
+		if !listed[id] {
+			delete(k.leaving, id)
+		}
+	}
+}
+
+func instance(i wire.Instance) *fleet.Instance {
+	return &fleet.Instance{
+		ID: fleet.InstanceID(i.ID), PeerAddr: i.Peer,
+		Domain: fleet.DomainID(i.Domain), Region: fleet.RegionID(i.Region),
+		Leaving: i.State == wire.StateLeaving,
+	}
+}
+
+func (k *Keeper) upstream(i wire.Instance) *fleet.Upstream {
+	id := fleet.UpstreamID(i.ID)
+	u := &fleet.Upstream{
+		ID: id, Addr: i.Addr,
+		Domain: fleet.DomainID(i.Domain), Region: fleet.RegionID(i.Region),
+		Service: i.Service, Fencing: i.Fencing, Memory: i.Memory,
+		Models:  k.served[id].Models,
+		Long:    k.served[id].Long,
+		Leaving: i.State == wire.StateLeaving || k.leaving[id],
+		Out:     slices.Contains(k.config.DomainsOut, i.Domain),
+	}
+	if i.Kind == wire.KindService {
+		u.Kind = fleet.Service
+	}
+	return u
+}
--- /dev/null
+++ b/internal/node/assemble.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/dig"
+
+	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/entry"
+	"github.com/damaskshelf/damaskshelf/internal/entry/command"
+	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
+	"github.com/damaskshelf/damaskshelf/internal/entry/intake"
+	"github.com/damaskshelf/damaskshelf/internal/entry/query"
+	"github.com/damaskshelf/damaskshelf/internal/explain"
+	"github.com/damaskshelf/damaskshelf/internal/fault"
+	"github.com/damaskshelf/damaskshelf/internal/follow"
+	"github.com/damaskshelf/damaskshelf/internal/keeper"
+	"github.com/damaskshelf/damaskshelf/internal/metrics"
+	"github.com/damaskshelf/damaskshelf/internal/observe"
+	platformclient "github.com/damaskshelf/damaskshelf/internal/platform/client"
+	"github.com/damaskshelf/damaskshelf/internal/route"
+	"github.com/damaskshelf/damaskshelf/internal/upstream"
+)
+
+// idSource makes unique ids of requests and writes.
+type idSource func() string
+
+// assemble provides every part and hands the resolved ones to use.
+func assemble(s api.Settings, o Options, use func(parts)) error {
+	c := dig.New()
+	provides := []any{
+		func() api.Settings { return s },
+		func() hclog.Logger { return o.Log.Named(s.Instance) },
+		func() idSource { return o.NewID },
+		func() *gate.Gate { return &gate.Gate{} },
+		metrics.New,
+		explain.New,
+		newPlatform,
+		newKeeper,
+		newFollower,
+		upstream.New,
+		newRouter,
+		newObserver,
+		newQueries,
+		newCommands,
+		newCallers,
+		newOperators,
+	}
+	for _, p := range provides {
+		if err := c.Provide(p); err != nil {
+			return err
+		}
+	}
+	return c.Invoke(use)
+}
+
+func newPlatform(s api.Settings) *platformclient.Client {
+	return platformclient.New(platformclient.Addresses{
+		Objects: s.Platform.Objects, Instances: s.Platform.Instances, Weights: s.Platform.Weights,
+	})
+}
+
+func newKeeper() *keeper.Keeper { return keeper.New(nil) }
+
+func newFollower(s api.Settings, p *platformclient.Client, k *keeper.Keeper, log hclog.Logger) *follow.Follower {
+	return follow.New(p, p, k, time.Duration(s.Intervals.InstanceList), log)
+}
+
+func newRouter(k *keeper.Keeper, rec *explain.Recorder) *route.Router { return route.New(k.View, rec) }
+
+func newObserver(s api.Settings, c *upstream.Client, k *keeper.Keeper, r *route.Router, log hclog.Logger) *observe.Observer {
+	return observe.New(c, k.View, sink{Router: r, keeper: k}, time.Duration(s.Intervals.LoadReport), log)
+}
+
+func bounds(s api.Settings) intake.Bounds {
+	return intake.Bounds{
+		DefaultTimeout: time.Duration(s.Limits.DefaultTimeout),
+		MaxTimeout:     time.Duration(s.Limits.MaxTimeout),
+	}
+}
+
+func newQueries(s api.Settings, r *route.Router, c *upstream.Client, rec *explain.Recorder,
+	m *metrics.Registry, g *gate.Gate, log hclog.Logger, id idSource) *query.Handler {
+	return query.New(query.Deps{
+		Router: r, Client: c, Explain: rec, Metrics: m, Gate: g, Log: log, Bounds: bounds(s),
+		MaxTokens: s.Limits.MaxCompletionToken, StreamGap: time.Duration(s.Intervals.StreamGap), NewID: id,
+	})
+}
+
+func newCommands(s api.Settings, r *route.Router, c *upstream.Client, m *metrics.Registry, g *gate.Gate,
+	log hclog.Logger, id idSource) *command.Handler {
+	return command.New(command.Deps{
+		Router: r, Client: c, Metrics: m, Gate: g, Log: log, Bounds: bounds(s), NewID: id,
+	})
+}
+
+func newCallers(s api.Settings, q *query.Handler, cmd *command.Handler, g *gate.Gate, k *keeper.Keeper,
+	m *metrics.Registry, log hclog.Logger, id idSource) *entry.Server {
+	return entry.New(entry.Deps{
+		Queries: q, Commands: cmd, Gate: g, Metrics: m, Limits: s.Limits, Log: log, NewID: id,
+		Ready: func() error { return readiness(k) },
+	})
+}
+
+// readiness says why the instance can't serve: without a configuration it could bring work to a failure
+// domain that operators have taken out.
+func readiness(k *keeper.Keeper) error {
+	v := k.View()
+	if v.ConfigVersion == 0 {
+		return fault.New(fault.NotReady, "no configuration yet")
+	}
+	if v.ListVersion == 0 {
+		return fault.New(fault.NotReady, "no instance list yet")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,162 @@
+// Package node assembles one entry instance out of its parts and runs it. The daemon, the demo and tests
+// all use this assembly.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/dig"
+
+	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/entry"
+	"github.com/damaskshelf/damaskshelf/internal/entry/command"
+	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
+	"github.com/damaskshelf/damaskshelf/internal/entry/query"
+	"github.com/damaskshelf/damaskshelf/internal/follow"
+	"github.com/damaskshelf/damaskshelf/internal/keeper"
+	"github.com/damaskshelf/damaskshelf/internal/metrics"
+	"github.com/damaskshelf/damaskshelf/internal/observe"
+	platformclient "github.com/damaskshelf/damaskshelf/internal/platform/client"
+	"github.com/damaskshelf/damaskshelf/internal/upstream"
+)
+
+// Node is one entry instance.
+type Node struct {
+	parts parts
+
+	work context.Context // of everything that runs beside requests
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+	once sync.Once
+	err  error // of the stop
+}
+
+// parts are what the container resolves for a Node.
+type parts struct {
+	dig.In
+
+	Settings  api.Settings
+	Log       hclog.Logger
+	Keeper    *keeper.Keeper
+	Follower  *follow.Follower
+	Observer  *observe.Observer
+	Client    *upstream.Client
+	Platform  *platformclient.Client
+	Gate      *gate.Gate
+	Queries   *query.Handler
+	Commands  *command.Handler
+	Callers   *entry.Server
+	Operators *operators
+	Metrics   *metrics.Registry
+}
+
+// Options vary the assembly for tests and demonstrations.
+type Options struct {
+	Log   hclog.Logger
+	NewID func() string // request and write ids; nil: random UUIDs
+}
+
+// New assembles an instance. It opens no connection and binds no address.
+func New(s api.Settings, o Options) (*Node, error) {
+	if o.NewID == nil {
+		o.NewID = uuid.NewString
+	}
+	if o.Log == nil {
+		o.Log = hclog.NewNullLogger()
+	}
+	n := &Node{}
+	if err := assemble(s, o, func(p parts) { n.parts = p }); err != nil {
+		return nil, fmt.Errorf("assemble instance %s: %w", s.Instance, err)
+	}
+	n.work, n.stop = context.WithCancel(context.Background())
+	return n, nil
+}
+
+// Start binds the listeners and begins to serve. Readiness follows once a configuration is in force.
+func (n *Node) Start() error {
+	p := n.parts
+	if err := p.Callers.Listen(p.Settings.Listen.Callers); err != nil {
+		return err
+	}
+	if err := p.Operators.listen(p.Settings.Listen.Operators); err != nil {
+		return errors.Join(err, p.Callers.Shutdown(context.Background()))
+	}
+	n.run(func(context.Context) { p.Callers.Serve() })
+	n.run(func(context.Context) { p.Operators.serve() })
+	n.run(p.Follower.Config)
+	n.run(p.Follower.Instances)
+	n.run(p.Observer.Run)
+	p.Log.Info("started", "instance", p.Settings.Instance, "region", p.Settings.Region,
+		"failure_domain", p.Settings.FailureDomain, "callers", n.CallersAddr(), "operators", n.OperatorsAddr())
+	return nil
+}
+
+func (n *Node) run(f func(ctx context.Context)) {
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		f(n.work)
+	}()
+}
+
+// CallersAddr is where callers connect.
+func (n *Node) CallersAddr() string { return n.parts.Callers.Addr() }
+
+// OperatorsAddr is where operators connect.
+func (n *Node) OperatorsAddr() string { return n.parts.Operators.addr() }
+
+// ConfigVersion is the version of the configuration in force on this instance.
+func (n *Node) ConfigVersion() uint64 { return n.parts.Keeper.View().ConfigVersion }
+
+// abortWait bounds the wait for requests that were aborted at the stop's limit.
+const abortWait = 5 * time.Second
+
+// Stop is the planned stop: not ready; serve on for the balancer's lag; refuse new requests; let those in
+// flight end in their own time; close. At the stop's limit the rest end with an explicit error. Calling it
+// again waits for the first call's end.
+func (n *Node) Stop() error {
+	n.once.Do(func() { n.err = n.stopOnce() })
+	return n.err
+}
+
+func (n *Node) stopOnce() error {
+	p := n.parts
+	limit, cancel := context.WithTimeout(context.Background(), time.Duration(p.Settings.Intervals.StopTimeout))
+	defer cancel()
+	p.Log.Info("stopping", "in_flight", p.Gate.InFlight())
+	p.Gate.Unready()
+	sleep(limit, time.Duration(p.Settings.Intervals.BalancerLag))
+	p.Gate.Refuse()
+	var errs []error
+	if err := p.Gate.Drained(limit); err != nil {
+		errs = append(errs, fmt.Errorf("%d requests cut off at the stop's limit: %w", p.Gate.InFlight(), err))
+		p.Queries.Abort()
+		p.Commands.Abort()
+	}
+	last, cancelLast := context.WithTimeout(context.Background(), abortWait)
+	defer cancelLast()
+	errs = append(errs, p.Callers.Shutdown(last), p.Operators.shutdown(last))
+	p.Queries.Wait()
+	n.stop()
+	n.wg.Wait()
+	p.Client.Close()
+	p.Platform.Close()
+	err := errors.Join(errs...)
+	p.Log.Info("stopped", "error", err)
+	return err
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/node/sink.go
@@ -0,0 +1,29 @@
+package node
+
+import (
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/keeper"
+	"github.com/damaskshelf/damaskshelf/internal/observe"
+	"github.com/damaskshelf/damaskshelf/internal/route"
+	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
+)
+
+// roleLong is the role that puts an engine in a long lane.
+const roleLong = "long"
+
+// sink hands engines' reports to the router and what they serve to the keeper.
+type sink struct {
+	*route.Router
+	keeper *keeper.Keeper
+}
+
+var _ observe.Sink = sink{}
+
+// OnState takes what an engine serves.
+func (s sink) OnState(u *fleet.Upstream, st wire.EngineState) {
+	served := keeper.Served{Long: st.Role == roleLong}
+	for _, l := range st.Loaded {
+		served.Models = append(served.Models, l.Model)
+	}
+	s.keeper.SetServed(u.ID, served)
+}
--- /dev/null
+++ b/internal/observe/observe.go
@@ -0,0 +1,139 @@
+// Package observe reads what engines report: load, cache events, and what they serve. Reports lag; the
+// age of each is passed on with it.
+package observe
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/upstream"
+	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
+)
+
+// Sink takes the reports. Its methods are called from one goroutine an upstream.
+type Sink interface {
+	OnLoad(u *fleet.Upstream, l wire.Load, at time.Time)
+	OnCache(u *fleet.Upstream, e wire.CacheEvents)
+	OnState(u *fleet.Upstream, s wire.EngineState)
+	OnSilent(u *fleet.Upstream, err error)
+}
+
+// stateEvery is the number of load reports to one reading of what an engine serves.
+const stateEvery = 5
+
+// Observer polls each engine in view.
+type Observer struct {
+	client   *upstream.Client
+	sink     Sink
+	log      hclog.Logger
+	interval time.Duration
+	view     func() *fleet.View
+
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	running map[fleet.UpstreamID]context.CancelFunc // guarded by mu
+}
+
+// New gives an Observer that starts polling with Run.
+func New(client *upstream.Client, view func() *fleet.View, sink Sink, interval time.Duration, log hclog.Logger) *Observer {
+	return &Observer{
+		client: client, sink: sink, log: log.Named("observe"), interval: interval, view: view,
+		running: map[fleet.UpstreamID]context.CancelFunc{},
+	}
+}
+
+// Run follows the view until ctx ends: one poller for each engine in it.
+func (o *Observer) Run(ctx context.Context) {
+	defer o.wg.Wait()
+	tick := time.NewTicker(o.interval)
+	defer tick.Stop()
+	for {
+		o.follow(ctx, o.view())
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// follow starts pollers of new engines and stops those of engines that are gone or moved.
+func (o *Observer) follow(ctx context.Context, v *fleet.View) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for id, stop := range o.running {
+		if v.Upstream(id) == nil {
+			stop()
+			delete(o.running, id)
+		}
+	}
+	for _, u := range v.Upstreams {
+		if u.Kind != fleet.Engine || o.running[u.ID] != nil {
+			continue
+		}
+		pollCtx, stop := context.WithCancel(ctx)
+		o.running[u.ID] = stop
+		o.wg.Add(1)
+		go o.poll(pollCtx, u.ID)
+	}
+}
+
+func (o *Observer) poll(ctx context.Context, id fleet.UpstreamID) {
+	defer o.wg.Done()
+	var next uint64
+	tick := time.NewTicker(o.interval)
+	defer tick.Stop()
+	for round := 0; ; round++ {
+		u := o.view().Upstream(id)
+		if u == nil {
+			return
+		}
+		next = o.once(ctx, u, round%stateEvery == 0, next)
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// once makes one round of calls and gives the cache event to read from next.
+func (o *Observer) once(ctx context.Context, u *fleet.Upstream, state bool, next uint64) uint64 {
+	if state {
+		s, err := o.client.State(ctx, u.Addr)
+		if err != nil {
+			o.failed(ctx, u, err)
+			return next
+		}
+		slices.SortFunc(s.Loaded, func(a, b wire.Loaded) int { return strings.Compare(a.Model, b.Model) })
+		o.sink.OnState(u, s)
+	}
+	asked := time.Now()
+	l, err := o.client.Load(ctx, u.Addr)
+	if err != nil {
+		o.failed(ctx, u, err)
+		return next
+	}
+	o.sink.OnLoad(u, l, asked.Add(-time.Duration(l.AgeMs)*time.Millisecond))
+	e, err := o.client.CacheEvents(ctx, u.Addr, next)
+	if err != nil {
+		o.failed(ctx, u, err)
+		return next
+	}
+	o.sink.OnCache(u, e)
+	return e.Next
+}
+
+func (o *Observer) failed(ctx context.Context, u *fleet.Upstream, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	o.log.Debug("report missing", "upstream", u.ID, "error", err)
+	o.sink.OnSilent(u, err)
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,140 @@
+// Package upstream calls engines and plain services: completions streams, plain-service calls, and the
+// small calls of an engine's API. It owns its connections, because three promises hang on them: whether a
+// byte of a request was sent (run: no), how long one may be silent, and that a dead one is not used again.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	dialTimeout = time.Second
+	maxIdle     = 5 * time.Second // an idle connection is not used again after it
+	maxAge      = time.Minute     // no connection is used for a new request after it
+	maxIdleHost = 64              // idle connections kept to one upstream
+	bufferSize  = 16 << 10
+)
+
+// conn is one connection to an upstream, used by one request at a time.
+type conn struct {
+	net.Conn
+	addr     string
+	created  time.Time
+	lastUsed time.Time
+	reader   *bufio.Reader
+	writer   *bufio.Writer
+	sent     atomic.Int64 // bytes handed to the system by the current request
+	broken   atomic.Bool  // not to be used again
+}
+
+// Write counts what the system took. A failed write may have sent some of it.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent.Add(int64(n))
+	return n, err
+}
+
+// pool keeps idle connections by address.
+type pool struct {
+	now func() time.Time
+
+	mu     sync.Mutex
+	idle   map[string][]*conn   // guarded by mu; the latest used last
+	dead   map[string]time.Time // guarded by mu: connections created before it are condemned
+	closed bool                 // guarded by mu
+}
+
+func newPool() *pool {
+	return &pool{now: time.Now, idle: map[string][]*conn{}, dead: map[string]time.Time{}}
+}
+
+// get gives an idle connection or dials. reused tells which.
+func (p *pool) get(ctx context.Context, addr string) (c *conn, reused bool, err error) {
+	if c := p.takeIdle(addr); c != nil {
+		c.sent.Store(0)
+		return c, true, nil
+	}
+	c, err = p.dial(ctx, addr)
+	return c, false, err
+}
+
+func (p *pool) dial(ctx context.Context, addr string) (*conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	created := p.now()
+	raw, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: raw, addr: addr, created: created}
+	c.reader = bufio.NewReaderSize(raw, bufferSize)
+	c.writer = bufio.NewWriterSize(c, bufferSize)
+	return c, nil
+}
+
+func (p *pool) takeIdle(addr string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for {
+		list := p.idle[addr]
+		if len(list) == 0 {
+			return nil
+		}
+		c := list[len(list)-1]
+		p.idle[addr] = list[:len(list)-1]
+		if p.usable(c) {
+			return c
+		}
+		_ = c.Close()
+	}
+}
+
+// usable tells whether c may carry another request; mu is held.
+func (p *pool) usable(c *conn) bool {
+	now := p.now()
+	return !c.broken.Load() && c.created.After(p.dead[c.addr]) &&
+		now.Sub(c.created) < maxAge && now.Sub(c.lastUsed) < maxIdle
+}
+
+// put takes back a connection whose exchange ended whole; others are closed by their user.
+func (p *pool) put(c *conn) {
+	c.lastUsed = p.now()
+	_ = c.SetDeadline(time.Time{})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || !p.usable(c) || len(p.idle[c.addr]) >= maxIdleHost {
+		_ = c.Close()
+		return
+	}
+	p.idle[c.addr] = append(p.idle[c.addr], c)
+}
+
+// condemn bars every connection to addr that exists now from further use. Something between the two ends
+// that lost track of one open connection has usually lost the others too, and each of them would cost a
+// request its gap timeout. New connections are dialled after now and are not barred.
+func (p *pool) condemn(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dead[addr] = p.now()
+	for _, c := range p.idle[addr] {
+		_ = c.Close()
+	}
+	delete(p.idle, addr)
+}
+
+// close closes the idle connections; connections in use are closed when they come back.
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, list := range p.idle {
+		for _, c := range list {
+			_ = c.Close()
+		}
+	}
+	p.idle = map[string][]*conn{}
+}
