Add the operators' API and damaskctl's verbs

Cause: operators need to propose, confirm and stop a plan and to see status before anything executes. Change: internal/operate (routes, bearer token compared as hashes in constant time, one place from fault to answer) with command and query apart; api.Change, Plan, Status; Intent's validation with field paths; internal/settle, conditional writes whose outcome is known; damaskctl's verbs on google/subcommands. A plan is confirmed just when the configuration in force names it: the conditional update of config/current is the only write of a confirmation, so nothing can say confirmed that is not in force.

Seen to fail first, by switching the guard off: without the version check the second of two racing operators drains a second failure domain (200 instead of 409); without the write id a lost answer fails an effective confirmation; without the sent mark another's write on top reads as a certain refusal; without the token check the status is open.

Ruled out: settling a lost answer by reading back alone. A delayed write can arrive after the read; the test shows platform.Settle saying conflict for a write that would still take effect. Sending the same conditional write again closes it. Partial: the planner is not in yet, a plan has words and no steps.

--- /dev/null
+++ b/api/plan.go
@@ -0,0 +1,108 @@
+package api
+
+import "fmt"
+
+// Change is what an operator asks for: a new intent, or a failure domain taken out or brought back.
+// Exactly one of Intent, Drain and Restore is set.
+type Change struct {
+	Intent  *Intent `json:"intent,omitempty"`
+	Drain   string  `json:"drain,omitempty"`   // failure domain to take out
+	Restore string  `json:"restore,omitempty"` // failure domain to bring back
+	Force   bool    `json:"force,omitempty"`   // accept a plan that breaks a floor; the plan shows what breaks
+}
+
+// Validate checks that the change asks for exactly one thing and that its intent is well formed.
+func (c *Change) Validate() error {
+	set := 0
+	for _, is := range []bool{c.Intent != nil, c.Drain != "", c.Restore != ""} {
+		if is {
+			set++
+		}
+	}
+	if set != 1 {
+		return badField("(top level)", fmt.Sprintf("%d changes", set), "exactly one of intent, drain and restore")
+	}
+	if c.Intent != nil {
+		return c.Intent.Validate()
+	}
+	if name := c.Drain + c.Restore; !validName(name) {
+		return badField("failure domain", fmt.Sprintf("%q", name), nameRule)
+	}
+	return nil
+}
+
+// PlanState is where a plan stands.
+type PlanState string
+
+// The states of a plan. The stored object is proposed or stopped; a plan is confirmed just when the
+// configuration in force names it. Only a confirmed plan that was not stopped is worked off.
+const (
+	PlanProposed  PlanState = "proposed"
+	PlanConfirmed PlanState = "confirmed"
+	PlanStopped   PlanState = "stopped" // by an operator, half way
+)
+
+// Plan is what a change would do. It is the value of the object plans/ID.
+type Plan struct {
+	ID      string      `json:"id"`
+	State   PlanState   `json:"state"`
+	Change  Change      `json:"change"`
+	Base    Base        `json:"base"`
+	After   Config      `json:"after"` // configuration that a confirmation writes
+	Steps   []Step      `json:"steps,omitempty"`
+	Target  []Placement `json:"target,omitempty"` // what every usable engine has loaded at the end, sorted by upstream
+	Summary []string    `json:"summary"`          // what changes, in words
+	Hurt    []string    `json:"hurt,omitempty"`   // who is hurt and how, in words
+	Cost    Cost        `json:"cost"`
+	Forced  bool        `json:"forced,omitempty"` // breaks a floor, accepted by the operator
+}
+
+// Base holds the versions that a plan was made from.
+type Base struct {
+	Config uint64 `json:"config"` // version of config/current; 0: there was none
+}
+
+// Cost is what carrying out a plan takes.
+type Cost struct {
+	Loads      int   `json:"loads"`
+	Unloads    int   `json:"unloads"`
+	Gigabytes  int64 `json:"weight_store_gb"`       // transferred from the weight store
+	MinSeconds int64 `json:"min_seconds,omitempty"` // least time that the weight store's rate allows
+}
+
+// Kinds of steps; an engine's orders have the same kinds.
+const (
+	StepLoad   = "load"
+	StepUnload = "unload"
+)
+
+// Step is one change on one engine. Steps of a stage may run in any order, except that an engine works
+// its own off in the order given; a stage starts when the one before it is known to be done.
+type Step struct {
+	Stage    int    `json:"stage"` // from 1
+	Upstream string `json:"upstream"`
+	Kind     string `json:"kind"`
+	Model    string `json:"model"`
+	Version  string `json:"version"`
+	Adapter  string `json:"adapter,omitempty"`
+	Gigabyte int64  `json:"weight_gb,omitempty"`
+}
+
+// Placement is what one engine has loaded.
+type Placement struct {
+	Upstream string   `json:"upstream"`
+	Loaded   []Loaded `json:"loaded,omitempty"` // sorted by model, then version
+}
+
+// Loaded is one model version with its adapters.
+type Loaded struct {
+	Model    string   `json:"model"`
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters,omitempty"` // sorted
+}
+
+// Confirmed answers a confirmation that took effect.
+type Confirmed struct {
+	Plan    string `json:"plan"`
+	Version uint64 `json:"config_version"` // that the confirmation made
+}
--- /dev/null
+++ b/cmd/damaskctl/plan.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/google/subcommands"
+	"github.com/valyala/fasthttp"
+
+	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/operate"
+)
+
+type planVerb struct {
+	target
+	file  string
+	force bool
+}
+
+func (*planVerb) Name() string     { return "plan" }
+func (*planVerb) Synopsis() string { return "show what an intent would change; nothing is changed" }
+func (*planVerb) Usage() string {
+	return `damaskctl plan -f INTENT.json [-force] [-addr IP:PORT] [-token-file FILE] [-o json]
+Makes a plan from the intent and keeps it. 'damaskctl confirm PLAN' carries it out.
+-force accepts a plan that takes a model below its floor; the plan says which.
+`
+}
+
+func (v *planVerb) SetFlags(f *flag.FlagSet) {
+	v.setFlags(f)
+	f.StringVar(&v.file, "f", "", "intent `file`")
+	f.BoolVar(&v.force, "force", false, "accept a plan that breaks a floor")
+}
+
+func (v *planVerb) Execute(_ context.Context, f *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	e := envOf(args)
+	if !v.usage(e, f, 0) {
+		return exitUsage
+	}
+	data, err := os.ReadFile(v.file)
+	if err != nil {
+		fmt.Fprintf(e.err, "-f: %v\n", err)
+		return exitUsage
+	}
+	intent, err := api.ParseIntent(data)
+	if err != nil {
+		fmt.Fprintf(e.err, "%s: %v\n", v.file, err)
+		return exitUsage
+	}
+	return v.propose(e, api.Change{Intent: &intent, Force: v.force})
+}
+
+// propose asks for a plan of the change and prints it.
+func (t *target) propose(e environment, change api.Change) subcommands.ExitStatus {
+	var p api.Plan
+	if err := t.call(fasthttp.MethodPost, operate.PathPlans, change, &p); err != nil {
+		return exit(e, err)
+	}
+	t.print(e, p, func(w io.Writer) { printPlan(w, p) })
+	return exitDone
+}
+
+func printPlan(w io.Writer, p api.Plan) {
+	fmt.Fprintf(w, "plan %s (%s), made from configuration version %d\n", p.ID, p.State, p.Base.Config)
+	for _, line := range p.Summary {
+		fmt.Fprintf(w, "  %s\n", line)
+	}
+	for _, line := range p.Hurt {
+		fmt.Fprintf(w, "  hurt: %s\n", line)
+	}
+	for _, s := range p.Steps {
+		fmt.Fprintf(w, "  stage %d: %s %s\n", s.Stage, s.Upstream, describeStep(s))
+	}
+	if c := p.Cost; c.Loads+c.Unloads > 0 {
+		fmt.Fprintf(w, "  cost: %d loads, %d unloads, %d GB from the weight store, at least %d s\n",
+			c.Loads, c.Unloads, c.Gigabytes, c.MinSeconds)
+	}
+	if p.Forced {
+		fmt.Fprintln(w, "  FORCED: this plan breaks what a plan otherwise keeps")
+	}
+	if p.State == api.PlanProposed {
+		fmt.Fprintf(w, "nothing has changed; to carry it out: damaskctl confirm %s\n", p.ID)
+	}
+}
+
+func describeStep(s api.Step) string {
+	what := s.Model + "@" + s.Version
+	if s.Adapter != "" {
+		what += " adapter " + s.Adapter
+	}
+	if s.Gigabyte > 0 {
+		return fmt.Sprintf("%s %s (%d GB)", s.Kind, what, s.Gigabyte)
+	}
+	return s.Kind + " " + what
+}
--- /dev/null
+++ b/cmd/damaskctl/status.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/google/subcommands"
+	"github.com/valyala/fasthttp"
+
+	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/operate"
+)
+
+type statusVerb struct{ target }
+
+func (*statusVerb) Name() string     { return "status" }
+func (*statusVerb) Synopsis() string { return "show what one instance knows of the fleet" }
+func (*statusVerb) Usage() string {
+	return `damaskctl status [-addr IP:PORT] [-token-file FILE] [-o json]
+Shows the configuration in force, the plan that made it and how far it is worked off, failure domains
+taken out, and how many upstreams serve each model. It answers while the platform's store is down.
+`
+}
+
+func (v *statusVerb) SetFlags(f *flag.FlagSet) { v.setFlags(f) }
+
+func (v *statusVerb) Execute(_ context.Context, f *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	e := envOf(args)
+	if !v.usage(e, f, 0) {
+		return exitUsage
+	}
+	var s api.Status
+	if err := v.call(fasthttp.MethodGet, operate.PathStatus, nil, &s); err != nil {
+		return exit(e, err)
+	}
+	v.print(e, s, func(w io.Writer) { printStatus(w, s) })
+	return exitDone
+}
+
+func printStatus(w io.Writer, s api.Status) {
+	fmt.Fprintf(w, "instance       %s\n", s.Instance)
+	fmt.Fprintf(w, "configuration  version %d", s.ConfigVersion)
+	if s.Plan != "" {
+		fmt.Fprintf(w, ", made by plan %s", s.Plan)
+	}
+	if s.PlanState != "" {
+		fmt.Fprintf(w, " (%s)", s.PlanState)
+	}
+	fmt.Fprintln(w)
+	if s.InForce != nil {
+		fmt.Fprintf(w, "in force       version %d on %d of %d instances\n", s.InForce.Version, s.InForce.Have, s.InForce.Of)
+	}
+	if p := s.Progress; p != nil {
+		fmt.Fprintf(w, "progress       %d of %d steps, stage %d of %d\n", p.Done, p.Steps, p.Stage, p.Of)
+	}
+	fmt.Fprintf(w, "upstreams      %d live, %d leaving, %d out\n", s.Upstreams.Live, s.Upstreams.Leaving, s.Upstreams.Out)
+	if len(s.DomainsOut) > 0 {
+		fmt.Fprintf(w, "out            %s\n", strings.Join(s.DomainsOut, ", "))
+	}
+	for _, m := range s.Models {
+		fmt.Fprintf(w, "model          %s: %d serving, %d wanted, floor %d\n", m.Name, m.Serving, m.Wanted, m.Floor)
+	}
+	for _, m := range s.Services {
+		fmt.Fprintf(w, "service        %s: %d serving\n", m.Name, m.Serving)
+	}
+	for _, n := range s.Notes {
+		fmt.Fprintf(w, "note           %s\n", n)
+	}
+}
--- /dev/null
+++ b/cmd/damaskctl/version.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"runtime/debug"
+
+	"github.com/google/subcommands"
+)
+
+type versionVerb struct{}
+
+func (*versionVerb) Name() string     { return "version" }
+func (*versionVerb) Synopsis() string { return "show the version of this program" }
+func (*versionVerb) Usage() string    { return "damaskctl version\n" }
+
+func (*versionVerb) SetFlags(*flag.FlagSet) {}
+
+func (*versionVerb) Execute(_ context.Context, _ *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	e := envOf(args)
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		fmt.Fprintln(e.err, "this program carries no build information")
+		return exitFailed
+	}
+	revision := "unknown"
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			revision = s.Value
+		}
+	}
+	fmt.Fprintf(e.out, "damaskctl %s, revision %s, %s\n", info.Main.Version, revision, info.GoVersion)
+	return exitDone
+}
--- /dev/null
+++ b/internal/operate/operate_test.go
@@ -0,0 +1,244 @@
+package operate_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/fasthttp/router"
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/operate"
+	"github.com/damaskshelf/damaskshelf/internal/platform"
+	"github.com/damaskshelf/damaskshelf/internal/platform/memory"
+	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+)
+
+// side is an operators' side under test, with its client.
+type side struct {
+	t      *testing.T
+	store  platform.Store
+	view   atomic.Pointer[fleet.View]
+	client *fasthttp.Client
+	log    strings.Builder
+}
+
+const token = "s3cret-token"
+
+func newSide(t *testing.T, store platform.Store) *side {
+	s := &side{t: t, store: store}
+	s.view.Store(newView(api.Config{}, 0))
+	ids := 0
+	r := router.New()
+	operate.Register(r, operate.Deps{
+		Instance: "entry-1", Store: store, View: s.view.Load, Token: token,
+		Log: hclog.New(&hclog.LoggerOptions{Output: &s.log, DisableTime: true}),
+		NewID: func() string {
+			ids++
+			return fmt.Sprintf("id-%d", ids)
+		},
+		InForce: func(version uint64) (int, int) { return int(version), 9 },
+		Explain: func(id fleet.RequestID) ([]string, bool) { return []string{"pick engine-1"}, id == "r1" },
+	})
+	ln := fasthttputil.NewInmemoryListener()
+	server := &fasthttp.Server{Handler: r.Handler, Logger: hclog.NewNullLogger().StandardLogger(&hclog.StandardLoggerOptions{})}
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = server.Shutdown() })
+	s.client = &fasthttp.Client{Dial: func(string) (net.Conn, error) { return ln.Dial() }}
+	return s
+}
+
+// newView shows two engines with model m in each of three failure domains.
+func newView(cfg api.Config, version uint64) *fleet.View {
+	var ups []*fleet.Upstream
+	for i := range 6 {
+		ups = append(ups, &fleet.Upstream{
+			ID: fleet.UpstreamID(fmt.Sprintf("engine-%d", i)), Domain: fleet.DomainID([]string{"a", "b", "c"}[i%3]),
+			Models: []string{"m"}, Memory: 1000, Fencing: true,
+		})
+	}
+	return fleet.NewView(version, cfg, 1, nil, ups)
+}
+
+// call gives the status and decodes the answer into out.
+func (s *side) call(method, path string, body, out any) int {
+	return s.callAs("Bearer "+token, method, path, body, out)
+}
+
+func (s *side) callAs(auth, method, path string, body, out any) int {
+	s.t.Helper()
+	is := is.New(s.t)
+	var req fasthttp.Request
+	var resp fasthttp.Response
+	req.SetRequestURI("http://entry" + path)
+	req.Header.SetMethod(method)
+	req.Header.Set(fasthttp.HeaderAuthorization, auth)
+	if body != nil {
+		data, err := json.Marshal(body)
+		is.NoErr(err)
+		req.SetBody(data)
+	}
+	is.NoErr(s.client.Do(&req, &resp))
+	is.NoErr(json.Unmarshal(resp.Body(), out))
+	return resp.StatusCode()
+}
+
+func (s *side) propose(c api.Change) api.Plan {
+	s.t.Helper()
+	var p api.Plan
+	is.New(s.t).Equal(s.call("POST", operate.PathPlans, c, &p), 200)
+	return p
+}
+
+func confirmPath(p api.Plan) string { return "/v1/plans/" + p.ID + "/confirm" }
+
+func intent(replicas int) api.Change {
+	return api.Change{Intent: &api.Intent{Models: []api.Model{{Name: "m", Version: "1", Replicas: replicas, Floor: 1}}}}
+}
+
+func TestPlanChangesNothingAndConfirmPutsItInForce(t *testing.T) {
+	is := is.New(t)
+	s := newSide(t, memory.New())
+	p := s.propose(intent(4))
+	_, err := s.store.Get(context.Background(), platform.Key{Kind: "config", Name: "current"})
+	is.True(errors.Is(err, platform.ErrNotFound)) // nothing changed yet
+
+	var c api.Confirmed
+	is.Equal(s.call("POST", confirmPath(p), nil, &c), 200)
+	o, err := s.store.Get(context.Background(), platform.Key{Kind: "config", Name: "current"})
+	is.NoErr(err)
+	is.Equal(o.Version, c.Version)
+	var again api.Confirmed
+	is.Equal(s.call("POST", confirmPath(p), nil, &again), 200) // an operator's repeat does no harm
+	is.Equal(again, c)
+}
+
+// Two operators drain different failure domains at once, each from the same version: without the
+// condition both go out and the fleet is dead. The second sees a conflict that names what came first.
+func TestSecondOfTwoRacingOperatorsSeesAConflict(t *testing.T) {
+	is := is.New(t)
+	s := newSide(t, memory.New())
+	first, second := s.propose(api.Change{Drain: "a"}), s.propose(api.Change{Drain: "b"})
+	var c api.Confirmed
+	is.Equal(s.call("POST", confirmPath(second), nil, &c), 200)
+	var e operate.ErrorBody
+	is.Equal(s.call("POST", confirmPath(first), nil, &e), 409)
+	is.Equal(e.Error, "plan_conflict")
+	is.Equal(e.Run, "no")
+	is.True(strings.Contains(e.Detail, "failure domains out [b]"))
+}
+
+// An operator confirms; the store writes it, and its answer is lost. Without settling, the operator is
+// told that it failed while the whole fleet has it in force.
+func TestConfirmationWithLostAnswerIsAccepted(t *testing.T) {
+	is := is.New(t)
+	store := &loseOnce{Store: memory.New()}
+	s := newSide(t, store)
+	p := s.propose(intent(2))
+	store.armed.Store(true)
+	var c api.Confirmed
+	is.Equal(s.call("POST", confirmPath(p), nil, &c), 200)
+	is.Equal(c.Plan, p.ID)
+}
+
+type loseOnce struct {
+	*memory.Store
+	armed atomic.Bool
+}
+
+func (l *loseOnce) Put(ctx context.Context, w platform.Write) (uint64, error) {
+	v, err := l.Store.Put(ctx, w)
+	if l.armed.CompareAndSwap(true, false) {
+		return 0, errors.New("answer lost")
+	}
+	return v, err
+}
+
+func TestStoppedPlanCannotBeConfirmed(t *testing.T) {
+	is := is.New(t)
+	s := newSide(t, memory.New())
+	p := s.propose(intent(2))
+	is.Equal(s.call("POST", "/v1/plans/"+p.ID+"/stop", nil, &p), 200)
+	is.Equal(p.State, api.PlanStopped)
+	var e operate.ErrorBody
+	is.Equal(s.call("POST", confirmPath(p), nil, &e), 409)
+	is.Equal(e.Error, "plan_conflict")
+}
+
+// The token is asked on every path, a wrong one of any length is refused, and no log line has it.
+func TestTokenIsAskedAndNeverLogged(t *testing.T) {
+	s := newSide(t, memory.New())
+	for _, auth := range []string{"", "Bearer ", "Bearer wrong", token, "Bearer " + token + "x"} {
+		is := is.New(t)
+		var e operate.ErrorBody
+		is.Equal(s.callAs(auth, "GET", operate.PathStatus, nil, &e), 401)
+		is.Equal(e.Error, "unauthorized")
+		is.Equal(s.callAs(auth, "POST", operate.PathPlans, intent(1), &e), 401)
+	}
+	is.New(t).True(!strings.Contains(s.log.String(), token))
+}
+
+func TestBadChangesAreRefusedWithTheirPath(t *testing.T) {
+	s := newSide(t, memory.New())
+	cases := []struct {
+		body any
+		want string
+	}{
+		{map[string]any{"drian": "a"}, "drian"},
+		{api.Change{}, "exactly one of"},
+		{api.Change{Drain: "nowhere"}, "known: [a b c]"},
+		{api.Change{Restore: "a"}, "is not out"},
+		{api.Change{Intent: &api.Intent{Models: []api.Model{{Name: "m", Version: "1", Replicas: 1, Floor: 2}}}}, "models[0].floor"},
+		{api.Change{Intent: &api.Intent{Models: []api.Model{{Name: "m", Version: "1", Domains: []string{"x"}}}}}, "models[0].failure_domains[0]"},
+	}
+	for _, c := range cases {
+		is := is.New(t)
+		var e operate.ErrorBody
+		is.Equal(s.call("POST", operate.PathPlans, c.body, &e), 400)
+		is.Equal(e.Error, "bad_request")
+		is.True(strings.Contains(e.Detail, c.want)) // the detail names the field
+	}
+}
+
+// While the store is down a plan is refused as "not run", with a time to come back; status still answers.
+func TestStoreOutage(t *testing.T) {
+	is := is.New(t)
+	s := newSide(t, outage{})
+	var e operate.ErrorBody
+	is.Equal(s.call("POST", operate.PathPlans, intent(1), &e), 503)
+	is.Equal(e.Error, "store_unavailable")
+	is.Equal(e.Run, "no")
+	s.view.Store(newView(api.Config{Plan: "p9", Intent: *intent(4).Intent}, 7))
+	var status api.Status
+	is.Equal(s.call("GET", operate.PathStatus, nil, &status), 200)
+	is.Equal(status.ConfigVersion, uint64(7))
+	is.Equal(status.Models, []api.Serving{{Name: "m", Serving: 6, Wanted: 4, Floor: 1}})
+	is.Equal(*status.InForce, api.InForce{Version: 7, Have: 7, Of: 9})
+	is.True(strings.Contains(status.Notes[0], "p9"))
+}
+
+type outage struct{ platform.Store }
+
+func (outage) Get(context.Context, platform.Key) (o wire.Object, err error) {
+	return o, platform.ErrUnavailable
+}
+
+func TestExplainGivesTheKeptLines(t *testing.T) {
+	is := is.New(t)
+	s := newSide(t, memory.New())
+	var d struct{ Lines []string }
+	is.Equal(s.call("GET", "/v1/explain/r1", nil, &d), 200)
+	is.Equal(d.Lines, []string{"pick engine-1"})
+	var e operate.ErrorBody
+	is.Equal(s.call("GET", "/v1/explain/r2", nil, &e), 404)
+}
--- /dev/null
+++ b/internal/operate/query/status.go
@@ -0,0 +1,106 @@
+package query
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/fault"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+)
+
+// Status tells what this instance knows. It answers while the store is down, and says then what it
+// could not find out.
+func (s *Service) Status(rc *fasthttp.RequestCtx) (any, error) {
+	view := s.View()
+	version := view.ConfigVersion
+	if asked := string(rc.QueryArgs().Peek("version")); asked != "" {
+		n, err := strconv.ParseUint(asked, 10, 64)
+		if err != nil {
+			return nil, fault.New(fault.BadRequest, "version: %q is not allowed; allowed: a version number", asked)
+		}
+		version = n
+	}
+	status := api.Status{
+		Instance: string(s.Instance), ConfigVersion: view.ConfigVersion, ListVersion: view.ListVersion,
+		Plan: view.Config.Plan, DomainsOut: view.Config.DomainsOut,
+		Models: models(view), Upstreams: count(view), Services: services(view),
+	}
+	if s.InForce != nil {
+		have, of := s.InForce(version)
+		status.InForce = &api.InForce{Version: version, Have: have, Of: of}
+	}
+	s.addPlan(&status)
+	return status, nil
+}
+
+// addPlan adds what only the store knows.
+func (s *Service) addPlan(status *api.Status) {
+	if status.Plan == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	plan, err := s.plan(ctx, status.Plan)
+	if err != nil {
+		status.Notes = append(status.Notes, fmt.Sprintf("state of plan %s is not known: the object API could not be read", status.Plan))
+		return
+	}
+	status.PlanState = s.state(plan)
+}
+
+// models counts the engines that serve each model of the intent and take new work.
+func models(view *fleet.View) []api.Serving {
+	var all []api.Serving
+	for _, m := range view.Config.Intent.Models {
+		row := api.Serving{Name: m.Name, Wanted: m.Replicas, Floor: m.MinServing()}
+		row.Serving = taking(view.Engines(m.Name))
+		all = append(all, row)
+	}
+	slices.SortFunc(all, byName)
+	return all
+}
+
+func services(view *fleet.View) []api.Serving {
+	var all []api.Serving
+	for _, u := range view.Upstreams {
+		if u.Kind != fleet.Service || slices.ContainsFunc(all, func(r api.Serving) bool { return r.Name == u.Service }) {
+			continue
+		}
+		all = append(all, api.Serving{Name: u.Service, Serving: taking(view.Services(u.Service))})
+	}
+	slices.SortFunc(all, byName)
+	return all
+}
+
+func byName(a, b api.Serving) int { return strings.Compare(a.Name, b.Name) }
+
+func taking(upstreams []*fleet.Upstream) int {
+	n := 0
+	for _, u := range upstreams {
+		if u.Takes() {
+			n++
+		}
+	}
+	return n
+}
+
+func count(view *fleet.View) api.Upstreams {
+	var c api.Upstreams
+	for _, u := range view.Upstreams {
+		switch {
+		case u.Leaving:
+			c.Leaving++
+		case u.Out:
+			c.Out++
+		default:
+			c.Live++
+		}
+	}
+	return c
+}
