peer: heartbeats and configuration between instances over drpc

One service: Heartbeat exchanges digests, Pull fetches a configuration above a version. Configuration is packed once where it enters the fleet and relayed as it is. One kept connection an address for heartbeats, a new one for each pull; a deadline on every call, a connection that met it is dropped and the next call dials; kept connections are replaced after a minute; the server bounds connections, idle time, message size and each write.

Silent connection: with the heartbeat's deadline taken out TestASilentConnectionIsReplaced hangs until the test's timeout; with it one exchange is lost.

Ruled out: drpcpool, which neither bounds concurrent connections nor their age.

--- /dev/null
+++ b/internal/peer/conn.go
@@ -0,0 +1,61 @@
+package peer
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// boundedListener closes connections over its bound at once: waiting in the backlog they would look
+// like silent ones to their peer.
+type boundedListener struct {
+	net.Listener
+	open  atomic.Int64
+	bound int64
+}
+
+func newBoundedListener(l net.Listener, bound int64) *boundedListener {
+	return &boundedListener{Listener: l, bound: bound}
+}
+
+// Accept gives the next connection within the bound.
+func (l *boundedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= l.bound {
+			return &timedConn{Conn: c, closed: func() { l.open.Add(-1) }}, nil
+		}
+		l.open.Add(-1)
+		_ = c.Close()
+	}
+}
+
+// timedConn bounds each write. Without it a peer that stops reading holds the writer for good: the
+// send buffer fills, and no error ever comes from a connection whose other end has been lost.
+type timedConn struct {
+	net.Conn
+	once   sync.Once
+	closed func()
+}
+
+// Write implements net.Conn.
+func (c *timedConn) Write(b []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (c *timedConn) Close() error {
+	c.once.Do(func() {
+		if c.closed != nil {
+			c.closed()
+		}
+	})
+	return c.Conn.Close()
+}
