--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -113,7 +113,7 @@
 	e.reservations = map[string]*reservation{}
 	e.orders = newOrderBook(e.cfg)
 	e.warmth = warmth{cold: cold, since: e.nextJob}
-	e.report = wire.Load{BootID: e.boot, Cold: cold, ColdLimit: e.cfg.ColdLimit, MemoryTotal: e.cfg.Memory, PrefillRate: e.cfg.PrefillRate}
+	e.report = wire.Load{BootID: e.boot, Cold: cold, ColdLimit: e.cfg.ColdLimit, MemoryTotal: e.cfg.Memory, PrefillRate: e.wallRate()}
 	e.reported = e.now()
 }
 
@@ -122,6 +122,19 @@
 	return time.Duration(float64(time.Since(e.start)) * e.cfg.TimeScale)
 }
 
+// wall is the time on the wall in which d of the engine's time passes.
+func (e *Engine) wall(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / e.cfg.TimeScale)
+}
+
+// instant is the engine's time when so many milliseconds on the wall have passed; 0 for none.
+func (e *Engine) instant(ms int64, now time.Duration) time.Duration {
+	if ms <= 0 {
+		return 0
+	}
+	return now + time.Duration(float64(ms)*e.cfg.TimeScale)*time.Millisecond
+}
+
 // locked brings the engine up to now and calls f under its mutex.
 func (e *Engine) locked(f func(now time.Duration)) {
 	e.mu.Lock()
@@ -133,6 +146,7 @@
 
 func (e *Engine) advance(now time.Duration) {
 	e.expire(now)
+	e.endOverdue(now)
 	e.step(now)
 	e.carryOut(now)
 	e.refreshReport(now)
@@ -159,6 +173,9 @@
 	}
 }
 
+// wallRate is the prefill rate by the clock on the wall, as reports give it.
+func (e *Engine) wallRate() int64 { return int64(float64(e.cfg.PrefillRate) * e.cfg.TimeScale) }
+
 func (e *Engine) refreshReport(now time.Duration) {
 	if now-e.reported < e.cfg.ReportLag {
 		return
@@ -176,7 +193,7 @@
 	e.report = wire.Load{
 		BootID: e.boot, Seq: e.report.Seq + 1, Cold: e.warmth.cold, ColdLimit: e.cfg.ColdLimit,
 		Running: running, Queued: len(e.jobs) - running, QueuedTokens: int64(queuedTokens),
-		MemoryUsed: e.held(), MemoryTotal: e.cfg.Memory, PrefillRate: e.cfg.PrefillRate,
+		MemoryUsed: e.held(), MemoryTotal: e.cfg.Memory, PrefillRate: e.wallRate(),
 		Leaving: e.faults.On(faults.Leaving),
 	}
 }
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -71,7 +71,7 @@
 	var report wire.Load
 	e.locked(func(now time.Duration) {
 		report = e.report
-		report.AgeMs = (now - e.reported).Milliseconds()
+		report.AgeMs = e.wall(now - e.reported).Milliseconds()
 	})
 	serve.JSON(ctx, fasthttp.StatusOK, report)
 }
--- a/internal/standin/engine/job.go
+++ b/internal/standin/engine/job.go
@@ -26,6 +26,8 @@
 	offset      int // first token of the answer that is wanted
 	reservation string
 	need        int64 // memory in tokens beyond the reservation
+	remaining   int   // milliseconds that the request has left on arrival; 0: not told
+	deadline    time.Duration
 
 	running  bool
 	left     float64 // prompt tokens not yet computed
@@ -143,6 +145,16 @@
 	e.jobs = slices.DeleteFunc(e.jobs, (*job).over)
 }
 
+// endOverdue ends jobs whose request has no time left, so that work for a connection that went silent
+// doesn't hold memory for long.
+func (e *Engine) endOverdue(now time.Duration) {
+	for _, j := range slices.Clone(e.jobs) {
+		if j.deadline > 0 && now > j.deadline {
+			e.fail(j, "out of time")
+		}
+	}
+}
+
 func (e *Engine) failAll(reason string) {
 	for _, j := range slices.Clone(e.jobs) {
 		e.fail(j, reason)
--- a/internal/standin/engine/reservations.go
+++ b/internal/standin/engine/reservations.go
@@ -15,17 +15,11 @@
 type reservation struct {
 	wire.Reservation
 	created time.Duration
+	expires time.Duration // 0: never
+	over    time.Duration // its request has to be over then; 0: not known
 }
 
-func (r *reservation) age(now time.Duration) time.Duration { return now - r.created }
-
-func (r *reservation) left(now time.Duration) time.Duration {
-	return time.Duration(r.TTLMs)*time.Millisecond - r.age(now)
-}
-
-func (r *reservation) overdue(now time.Duration) bool {
-	return r.DeadlineMs > 0 && r.age(now) > time.Duration(r.DeadlineMs)*time.Millisecond
-}
+func (r *reservation) overdue(now time.Duration) bool { return r.over > 0 && now > r.over }
 
 // expire releases reservations whose time to live is over.
 func (e *Engine) expire(now time.Duration) {
@@ -33,7 +27,7 @@
 		return
 	}
 	for id, r := range e.reservations {
-		if r.TTLMs > 0 && r.left(now) <= 0 {
+		if r.expires > 0 && now >= r.expires {
 			e.release(id, "reservation expired")
 		}
 	}
@@ -49,10 +43,12 @@
 	}
 }
 
-// reserve holds memory; running work and older reservations come first, the prefix cache gives way.
+// reserve holds memory; running work and older reservations come first, the prefix cache gives way. Asked
+// again for the same, it renews the time to live.
 func (e *Engine) reserve(r wire.Reservation, now time.Duration) (status int) {
 	if old := e.reservations[r.ID]; old != nil {
 		if old.Holder == r.Holder && old.Incarnation == r.Incarnation && old.Tokens == r.Tokens {
+			old.expires = e.instant(r.TTLMs, now)
 			return fasthttp.StatusOK
 		}
 		return fasthttp.StatusConflict
@@ -60,7 +56,9 @@
 	if e.held()+r.Tokens > e.cfg.Memory {
 		return fasthttp.StatusServiceUnavailable
 	}
-	e.reservations[r.ID] = &reservation{Reservation: r, created: now}
+	e.reservations[r.ID] = &reservation{
+		Reservation: r, created: now, expires: e.instant(r.TTLMs, now), over: e.instant(r.DeadlineMs, now),
+	}
 	e.cache.shrink(e.cfg.Memory-e.held(), now)
 	return fasthttp.StatusCreated
 }
@@ -89,12 +87,10 @@
 		answer.BootID = e.boot
 		for _, r := range e.reservations {
 			row := r.Reservation
-			row.AgeMs = r.age(now).Milliseconds()
-			if row.TTLMs > 0 {
-				row.TTLMs = max(1, r.left(now).Milliseconds())
-			}
-			if e.cfg.NoExpiry {
-				row.TTLMs = 0
+			row.AgeMs = e.wall(now - r.created).Milliseconds()
+			row.TTLMs = 0
+			if r.expires > 0 && !e.cfg.NoExpiry {
+				row.TTLMs = max(1, e.wall(r.expires-now).Milliseconds())
 			}
 			answer.Reservations = append(answer.Reservations, row)
 		}
--- a/internal/standin/engine/submit.go
+++ b/internal/standin/engine/submit.go
@@ -65,10 +65,11 @@
 	}
 	j.id = string(ctx.Request.Header.Peek(wire.HeaderRequestID))
 	j.reservation = string(ctx.Request.Header.Peek(wire.HeaderReservation))
-	var errs [3]error
+	var errs [4]error
 	j.attempt, _, errs[0] = intHeader(ctx, wire.HeaderAttempt)
 	j.priority, _, errs[1] = intHeader(ctx, wire.HeaderPriority)
 	j.offset, _, errs[2] = intHeader(ctx, wire.HeaderResume)
+	j.remaining, _, errs[3] = intHeader(ctx, wire.HeaderRemaining)
 	for _, err := range errs {
 		if err != nil {
 			return nil, err
@@ -99,6 +100,7 @@
 		return &refusal{fasthttp.StatusServiceUnavailable, "overloaded while cold", true}
 	}
 	j.seq = e.nextJob
+	j.deadline = e.instant(int64(j.remaining), now)
 	e.nextJob++
 	e.jobs = append(e.jobs, j)
 	e.counters.Runs[j.id]++
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -125,7 +125,7 @@
 // Start serves one instance on addr.
 func Start(addr, id string, ledger *Ledger) (*Server, error) {
 	s := &Server{id: id, ledger: ledger, boot: uuid.NewString(), faults: faults.NewSet(faults.Kill, faults.Silent, faults.Cut,
-		faults.Hang, faults.Slow, faults.LoseAnswer, faults.RefuseStart, faults.RefuseEverything,
+		faults.Hang, faults.Slow, faults.LoseAnswer, faults.Leaving, faults.RefuseStart, faults.RefuseEverything,
 		faults.CrashBeforeRun, faults.CrashAfterRun)}
 	r := router.New()
 	r.POST(PathBookings, s.gate(s.book))
@@ -182,7 +182,7 @@
 			serve.Drop(ctx)
 			return
 		}
-		if s.faults.On(faults.RefuseStart) {
+		if s.faults.On(faults.RefuseStart) || s.faults.On(faults.Leaving) {
 			ctx.Response.Header.Set(wire.HeaderNotStarted, "true")
 			serve.JSON(ctx, fasthttp.StatusServiceUnavailable, wire.Refusal{Error: "busy", NotStarted: true})
 			return
