--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -136,8 +136,7 @@
 	var errs []error
 	if err := p.Gate.Drained(limit); err != nil {
 		errs = append(errs, fmt.Errorf("%d requests cut off at the stop's limit: %w", p.Gate.InFlight(), err))
-		p.Queries.Abort()
-		p.Commands.Abort()
+		n.Abort()
 	}
 	last, cancelLast := context.WithTimeout(context.Background(), abortWait)
 	defer cancelLast()
@@ -152,6 +151,12 @@
 	return err
 }
 
+// Abort ends every request in flight with an explicit error; for a second signal during Stop.
+func (n *Node) Abort() {
+	n.parts.Queries.Abort()
+	n.parts.Commands.Abort()
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
