Run the thin whole path end to end on loopback

Cause: three in-process instances took 10 s each to stop: a waiting watch of the object API can't be ended through the HTTP library. Change: the platform client tracks its connections and closes them on Close; internal/local starts stand-ins and instances, internal/caller checks answers; tests of a streamed prompt, a marked booking, a drain. Ruled out: shorter watches (more calls a second at the store, which counts each).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -111,6 +111,20 @@
 // OperatorsAddr is where operators connect.
 func (n *Node) OperatorsAddr() string { return n.parts.Operators.addr() }
 
+// PeersAddr is where other instances connect.
+func (n *Node) PeersAddr() string { return n.parts.Settings.Listen.Peers }
+
+// Serves tells whether this instance sees an engine for every model of the intent.
+func (n *Node) Serves(intent api.Intent) bool {
+	v := n.parts.Keeper.View()
+	for _, m := range intent.Models {
+		if len(v.Engines(m.Name)) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // ConfigVersion is the version of the configuration in force on this instance.
 func (n *Node) ConfigVersion() uint64 { return n.parts.Keeper.View().ConfigVersion }
 
@@ -143,14 +157,21 @@
 	errs = append(errs, p.Callers.Shutdown(last), p.Operators.shutdown(last))
 	p.Queries.Wait()
 	n.stop()
+	p.Platform.Close() // ends waiting watches
 	n.wg.Wait()
 	p.Client.Close()
-	p.Platform.Close()
 	err := errors.Join(errs...)
 	p.Log.Info("stopped", "error", err)
 	return err
 }
 
+// Kill stops without waiting for requests in flight; they end with an explicit error.
+func (n *Node) Kill() {
+	n.Abort()
+	n.parts.Settings.Intervals.BalancerLag = 0
+	_ = n.Stop()
+}
+
 // Abort ends every request in flight with an explicit error; for a second signal during Stop.
 func (n *Node) Abort() {
 	n.parts.Queries.Abort()
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,102 @@
+package node_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/caller"
+	"github.com/damaskshelf/damaskshelf/internal/local"
+	"github.com/damaskshelf/damaskshelf/internal/standin/answer"
+	"github.com/damaskshelf/damaskshelf/internal/standin/cluster"
+)
+
+const (
+	model   = "guide"
+	service = "bookdesk"
+)
+
+func start(t *testing.T, entries int) *local.Fleet {
+	t.Helper()
+	f, err := local.Start(local.Config{
+		Entries: entries,
+		Intent:  api.Intent{Models: []api.Model{{Name: model, Version: cluster.ModelVersion, Replicas: 3, Floor: 1}}},
+		Cluster: cluster.Config{
+			Domains: []string{"north", "mid", "south"}, Region: "plains", EnginesPerDomain: 1,
+			Models: []string{model}, Service: service, TimeScale: 20, Seed: 1,
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return f
+}
+
+// A prompt goes through each instance to an engine and back as a stream, whole and its own.
+func TestPromptsComeBackWholeAndTheirOwn(t *testing.T) {
+	f := start(t, 3)
+	c := caller.New()
+	defer c.Close()
+	var wg sync.WaitGroup
+	for i := range 60 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			is := is.New(t)
+			id := fmt.Sprint("prompt-", i)
+			r := c.Do(caller.Request{
+				Addr: f.Nodes[i%3].CallersAddr(), ID: id, Model: model, Timeout: 30 * time.Second,
+				Prompt: strings.Repeat("ice ", 1000*(1+i%4)), MaxTokens: 20 + i, Stream: i%2 == 0,
+			})
+			is.NoErr(r.Err)
+			is.Equal(r.Kind, "")
+			is.True(r.OK())
+			is.Equal(r.Run, "yes")
+			is.Equal(r.Text, answer.Answer(id, 20+i))
+		}()
+	}
+	wg.Wait()
+}
+
+// A booking marked as not idempotent runs once and its answer comes back.
+func TestMarkedBookingRunsOnce(t *testing.T) {
+	is := is.New(t)
+	f := start(t, 1)
+	c := caller.New()
+	defer c.Close()
+	r := c.Do(caller.Request{
+		Addr: f.Nodes[0].CallersAddr(), ID: "booking-1", Method: "POST", Path: "/services/" + service + "/bookings",
+		Body: `{"hut":"h1","day":"2027-01-05"}`, Idempotent: "false", Timeout: 10 * time.Second,
+	})
+	is.NoErr(r.Err)
+	is.Equal(r.Kind, "")
+	is.Equal(r.Run, "yes")
+	is.True(strings.Contains(r.Text, "h1"))
+	is.Equal(f.Cluster.Ledger.RunsByRequest()["booking-1"], 1)
+}
+
+// A confirmed change is in force on every instance: the domain taken out gets no new prompt.
+func TestConfirmedDrainIsSeenByEveryInstance(t *testing.T) {
+	is := is.New(t)
+	f := start(t, 3)
+	c := caller.New()
+	defer c.Close()
+	version, err := f.Apply(api.Change{Drain: "north"})
+	is.NoErr(err)
+	is.NoErr(f.WaitInForce(version, 10*time.Second))
+	before := len(f.Cluster.Engine("engine-north-0").Counters().Runs)
+	for i := range 12 {
+		r := c.Do(caller.Request{
+			Addr: f.Nodes[i%3].CallersAddr(), ID: fmt.Sprint("p", i), Model: model, Timeout: 30 * time.Second,
+			Prompt: "how thick is the ice?", MaxTokens: 5,
+		})
+		is.True(r.OK())
+	}
+	is.Equal(len(f.Cluster.Engine("engine-north-0").Counters().Runs), before)
+}
--- a/internal/platform/client/client.go
+++ b/internal/platform/client/client.go
@@ -30,6 +30,7 @@
 	instances string
 	weights   string
 	http      *fasthttp.Client
+	conns     *conns
 }
 
 // Addresses are the platform's, each IP and port.
@@ -41,11 +42,12 @@
 
 // New gives a client; it connects on first use.
 func New(a Addresses) *Client {
-	dial := func(addr string) (net.Conn, error) { return fasthttp.DialTimeout(addr, dialTimeout) }
+	open := &conns{open: map[*trackedConn]struct{}{}}
 	return &Client{
+		conns:   open,
 		objects: "http://" + a.Objects, instances: "http://" + a.Instances, weights: "http://" + a.Weights,
 		http: &fasthttp.Client{
-			Dial:                dial,
+			Dial:                open.dial,
 			MaxConnsPerHost:     64,
 			MaxIdleConnDuration: 10 * time.Second,
 			MaxConnDuration:     time.Minute,
@@ -62,8 +64,11 @@
 	_ platform.Instances = (*Client)(nil)
 )
 
-// Close drops the idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+// Close ends every call under way, waiting watches among them; later calls fail.
+func (c *Client) Close() {
+	c.conns.closeAll()
+	c.http.CloseIdleConnections()
+}
 
 type call struct {
 	method  string
