--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"runtime/debug"
 	"time"
 
 	"github.com/fasthttp/router"
@@ -94,6 +95,11 @@
 	r.MethodNotAllowed = func(ctx *fasthttp.RequestCtx) {
 		intake.Refuse(ctx, requestID(ctx, d.NewID), fault.New(fault.BadRequest, "method %s is not allowed on %s", ctx.Method(), ctx.Path()))
 	}
+	// A defect that one request meets must not end the requests of all others.
+	r.PanicHandler = func(ctx *fasthttp.RequestCtx, cause any) {
+		d.Log.Error("panic", "path", string(ctx.Path()), "cause", cause, "stack", string(debug.Stack()))
+		intake.Refuse(ctx, requestID(ctx, d.NewID), fault.Ran(fault.Internal, fault.RunUnknown, "defect; see the log"))
+	}
 	return r
 }
 
--- a/internal/entry/query/answer.go
+++ b/internal/entry/query/answer.go
@@ -44,6 +44,7 @@
 			if err := a.dispatch(); err != nil {
 				return wire.Part{}, err
 			}
+			continue // a dispatch that failed and may be followed by another leaves no stream
 		}
 		p, err := a.stream.Next(a.gap())
 		if err == nil && p.FinishReason == finishError {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -14,6 +14,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/local"
 	"github.com/damaskshelf/damaskshelf/internal/standin/answer"
 	"github.com/damaskshelf/damaskshelf/internal/standin/cluster"
+	"github.com/damaskshelf/damaskshelf/internal/standin/faults"
 )
 
 const (
@@ -100,3 +101,24 @@
 	}
 	is.Equal(len(f.Cluster.Engine("engine-north-0").Counters().Runs), before)
 }
+
+// A caller asks while an engine has just died. The instance list still names it, the dispatch to it fails
+// before a byte is sent, and the prompt goes to another engine. (A failed dispatch once left no stream and
+// the next read of it ended the whole instance.)
+func TestPromptGoesElsewhereWhenAnEngineIsDead(t *testing.T) {
+	is := is.New(t)
+	f := start(t, 1)
+	c := caller.New()
+	defer c.Close()
+	is.NoErr(f.Cluster.Switch("engine-north-0", faults.Kill, true, 0))
+	for i := range 12 {
+		id := fmt.Sprint("p", i)
+		r := c.Do(caller.Request{
+			Addr: f.Nodes[0].CallersAddr(), ID: id, Model: model, Timeout: 30 * time.Second,
+			Prompt: "how thick is the ice?", MaxTokens: 5, Stream: true,
+		})
+		is.NoErr(r.Err)
+		is.Equal(r.Kind, "")
+		is.Equal(r.Text, answer.Answer(id, 5))
+	}
+}
