Make plans from what engines say, judge failure domains, detect changed engines

Cause: a proposal had words only; a drain could take the last upstream of a booking service; a plan could be confirmed although the engines it was made for had changed. Change: proposals ask every engine for its state and load (32 at once; a silent one is taken as last seen and named), run decide/plan, and for failure domains decide/drain: what is lost, whether the rest carries the load of this moment, what would be refused. Dead ends are plan_rejected unless forced, and force is shown. A confirmation makes the plan again and refuses it where other steps come out, naming them. The planner now follows the engines' contract: one version of a model on an engine, a load replaces it, and an engine is not counted while a version is replaced.

Seen to fail first with the guard off: steps not compared, a changed engine is confirmed (200 for 409); dead ends not rejected, the last upstream of bookdesk goes. A fleet without any intent keeps what it was deployed with: a drain there plans no unloads.

--- a/internal/decide/plan/plan.go
+++ b/internal/decide/plan/plan.go
@@ -8,6 +8,7 @@
 package plan
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -112,6 +113,10 @@
 // ref names one model version.
 type ref struct{ model, version string }
 
+// loads is what one engine has loaded: the version of each model. An engine has one version of a model;
+// loading another replaces it (docs/UPSTREAMS.md).
+type loads map[string]string
+
 // size is what one model version takes.
 type size struct {
 	memory   int64
@@ -128,8 +133,8 @@
 	spread  map[string]int // by model: failure domains that every step keeps
 }
 
-// placement is what every usable engine has loaded, by its index in planner.engines.
-type placement []map[ref]bool
+// placement is what every engine has loaded, by its index in planner.engines.
+type placement []loads
 
 func newPlanner(in Input) *planner {
 	p := &planner{
@@ -178,42 +183,42 @@
 	return slices.ContainsFunc(loaded, func(l api.Loaded) bool { return l.Model == model })
 }
 
-// current is what the usable engines have loaded now.
+// current is what the engines have loaded now.
 func (p *planner) current() placement {
 	at := make(placement, len(p.engines))
 	for i := range p.engines {
-		at[i] = map[ref]bool{}
+		at[i] = loads{}
 		for _, l := range p.engines[i].Loaded {
-			at[i][ref{l.Model, l.Version}] = true
+			at[i][l.Model] = l.Version
 		}
 	}
 	return at
 }
 
-func (at placement) has(i int, model string) bool {
-	for r := range at[i] {
-		if r.model == model {
-			return true
-		}
+func (l loads) has(model string) bool {
+	_, ok := l[model]
+	return ok
+}
+
+// fits tells whether engine i with loaded has memory for r, in place of any other version of the model.
+func (p *planner) fits(i int, loaded loads, r ref) bool {
+	if p.engines[i].Memory == 0 {
+		return true
 	}
-	return false
+	return p.used(loaded, r.model)+p.sizes[r].memory <= p.engines[i].Memory
 }
 
-// used is the memory that an engine's model versions take.
-func (p *planner) used(loaded map[ref]bool) int64 {
+// used is the memory that an engine's models take, but for one.
+func (p *planner) used(loaded loads, but string) int64 {
 	total := int64(0)
-	for r := range loaded {
-		total += p.sizes[r].memory
+	for model, version := range loaded {
+		if model != but {
+			total += p.sizes[ref{model, version}].memory
+		}
 	}
 	return total
 }
 
-// fits tells whether engine i with loaded has memory for r as well.
-func (p *planner) fits(i int, loaded map[ref]bool, r ref) bool {
-	capacity := p.engines[i].Memory
-	return capacity == 0 || p.used(loaded)+p.sizes[r].memory <= capacity
-}
-
 // placements gives a target in the form that a plan keeps.
 func (p *planner) placements(target placement) []api.Placement {
 	var all []api.Placement
@@ -222,10 +227,9 @@
 			continue
 		}
 		row := api.Placement{Upstream: p.engines[i].ID}
-		for _, r := range sorted(target[i]) {
-			row.Loaded = append(row.Loaded, api.Loaded{
-				Model: r.model, Version: r.version, Adapters: p.adapters(r),
-			})
+		for _, model := range slices.Sorted(maps.Keys(target[i])) {
+			r := ref{model, target[i][model]}
+			row.Loaded = append(row.Loaded, api.Loaded{Model: r.model, Version: r.version, Adapters: p.adapters(r)})
 		}
 		all = append(all, row)
 	}
@@ -240,20 +244,3 @@
 	}
 	return slices.Sorted(slices.Values(m.Adapters))
 }
-
-// sorted lists a set by model, then version.
-func sorted(set map[ref]bool) []ref {
-	refs := make([]ref, 0, len(set))
-	for r := range set {
-		refs = append(refs, r)
-	}
-	slices.SortFunc(refs, compareRefs)
-	return refs
-}
-
-func compareRefs(a, b ref) int {
-	if c := strings.Compare(a.model, b.model); c != 0 {
-		return c
-	}
-	return strings.Compare(a.version, b.version)
-}
--- a/internal/decide/plan/stage.go
+++ b/internal/decide/plan/stage.go
@@ -29,9 +29,8 @@
 
 	// Of the stage being filled. left is what is surely served while it runs: what is loaded at its start
 	// and not unloaded in it.
-	left    placement
-	touched map[int]bool   // engines with steps in this stage
-	swapped map[string]int // by model: replicas lost in this stage
+	left placement
+	lost map[string]int // by model: replicas given up in this stage
 }
 
 // stage orders the steps. Each stage first loads whatever fits without unloading, and unloads models
@@ -62,8 +61,7 @@
 func (s *stager) begin() {
 	s.number++
 	s.left = clonePlacement(s.now)
-	s.touched = map[int]bool{}
-	s.swapped = map[string]int{}
+	s.lost = map[string]int{}
 }
 
 // end notes how many engines were surely serving while the stage ran.
@@ -76,21 +74,29 @@
 	}
 }
 
-// missing lists what engine i still has to load; extra what it has to unload.
-func (s *stager) missing(i int) []ref { return difference(s.target[i], s.now[i]) }
-func (s *stager) extra(i int) []ref   { return difference(s.now[i], s.target[i]) }
+// missing lists the model versions that engine i still has to load; extra the models that it has to
+// unload.
+func (s *stager) missing(i int) []ref {
+	var refs []ref
+	for _, model := range slices.Sorted(maps.Keys(s.target[i])) {
+		if version := s.target[i][model]; s.now[i][model] != version {
+			refs = append(refs, ref{model, version})
+		}
+	}
+	return refs
+}
 
-func difference(a, b map[ref]bool) []ref {
-	d := map[ref]bool{}
-	for r := range a {
-		if !b[r] {
-			d[r] = true
+func (s *stager) extra(i int) []ref {
+	var refs []ref
+	for _, model := range slices.Sorted(maps.Keys(s.now[i])) {
+		if !s.target[i].has(model) {
+			refs = append(refs, ref{model, s.now[i][model]})
 		}
 	}
-	return sorted(d)
+	return refs
 }
 
-// easy fills the stage with loads that fit and with unloads that nobody waits for.
+// easy fills the stage with loads that fit beside what is there, and with unloads that nobody waits for.
 func (s *stager) easy() bool {
 	pending := s.pending()
 	any := false
@@ -99,13 +105,13 @@
 			continue
 		}
 		for _, r := range s.missing(i) {
-			if s.fits(i, s.now[i], r) {
+			if !s.now[i].has(r.model) && s.fits(i, s.now[i], r) {
 				s.load(i, r)
 				any = true
 			}
 		}
 		for _, r := range s.extra(i) {
-			if !pending[r.model] && s.keeps(i, r) {
+			if !pending[r.model] && s.keeps(i, r.model) {
 				s.unload(i, r)
 				any = true
 			}
@@ -128,36 +134,70 @@
 	return models
 }
 
-// swap makes room on engines whose loads don't fit, as far as floors allow, and loads there in the same
-// stage; an engine works its steps off in order.
+// swap replaces versions in place, and makes room on engines whose loads don't fit, as far as floors
+// allow. What was made room for is loaded in the same stage; an engine works its steps off in order.
 func (s *stager) swap(floors bool) bool {
 	any := false
 	for i := range s.engines {
 		if !s.engines[i].Usable || len(s.missing(i)) == 0 {
 			continue
 		}
-		for _, r := range s.extra(i) {
-			if floors && !(s.keeps(i, r) && s.underShare(i, r)) {
-				continue
-			}
-			if !floors {
-				s.noteBroken(i, r)
-			}
-			s.unload(i, r)
-			any = true
+		moved := s.makeRoom(i, floors)
+		moved = s.loadAll(i, floors) || moved
+		any = any || moved
+		if moved && !floors {
+			return true // one engine at a time where floors are broken
 		}
-		for _, r := range s.missing(i) {
-			if s.touched[i] && s.fits(i, s.now[i], r) {
-				s.load(i, r)
-			}
+	}
+	return any
+}
+
+// makeRoom unloads what has to go from an engine on which a load does not fit.
+func (s *stager) makeRoom(i int, floors bool) bool {
+	any := false
+	for _, r := range s.extra(i) {
+		if s.fitsAll(i) || !s.mayLose(i, r, floors) {
+			continue
 		}
-		if any && !floors {
-			return true // one engine at a time where floors are broken
+		s.unload(i, r)
+		any = true
+	}
+	return any
+}
+
+func (s *stager) fitsAll(i int) bool {
+	for _, r := range s.missing(i) {
+		if !s.fits(i, s.now[i], r) {
+			return false
+		}
+	}
+	return true
+}
+
+// loadAll loads what is missing on an engine and fits. In place of another version it costs the engine
+// for the time of the stage: what it serves while the version is replaced is not promised.
+func (s *stager) loadAll(i int, floors bool) bool {
+	any := false
+	for _, r := range s.missing(i) {
+		if !s.fits(i, s.now[i], r) || (s.left[i].has(r.model) && !s.mayLose(i, r, floors)) {
+			continue
 		}
+		s.load(i, r)
+		any = true
 	}
 	return any
 }
 
+// mayLose tells whether engine i may go without the model for this stage, and notes a broken floor where
+// floors don't count.
+func (s *stager) mayLose(i int, r ref, floors bool) bool {
+	if floors {
+		return s.keeps(i, r.model) && s.underShare(r.model)
+	}
+	s.noteBroken(i, r.model)
+	return true
+}
+
 // forced goes on without floors where no order keeps them; the words say which were broken.
 func (s *stager) forced() bool {
 	if s.swap(false) {
@@ -168,7 +208,7 @@
 			continue
 		}
 		if extra := s.extra(i); len(extra) > 0 {
-			s.noteBroken(i, extra[0])
+			s.noteBroken(i, extra[0].model)
 			s.unload(i, extra[0])
 			return true
 		}
@@ -176,31 +216,34 @@
 	return false
 }
 
-func (s *stager) noteBroken(i int, r ref) {
-	if s.keeps(i, r) {
+func (s *stager) noteBroken(i int, model string) {
+	if s.keeps(i, model) {
 		return
 	}
-	line := fmt.Sprintf("no order of steps keeps model %s at its floor of %d while %s gives up version %s; add an engine or lower the floor",
-		r.model, s.floors[r.model], s.engines[i].ID, r.version)
+	line := fmt.Sprintf("no order of steps keeps model %s at its floor of %d while %s changes it; add an engine or lower the floor",
+		model, s.floors[model], s.engines[i].ID)
 	if !slices.Contains(s.out.broken, line) {
 		s.out.broken = append(s.out.broken, line)
 	}
 }
 
-// keeps tells whether a model stays at its floor and in its failure domains if engine i gives up r in
-// this stage.
-func (s *stager) keeps(i int, r ref) bool {
-	delete(s.left[i], r)
-	defer func() { s.left[i][r] = true }()
-	if s.left.has(i, r.model) {
-		return true // the engine goes on serving the model with another version
-	}
-	byDomain := s.byDomain(s.left, r.model)
+// keeps tells whether a model stays at its floor and in its failure domains if engine i goes without it
+// in this stage.
+func (s *stager) keeps(i int, model string) bool {
+	byDomain := s.byDomain(s.left, model)
 	engines := 0
 	for _, n := range byDomain {
 		engines += n
 	}
-	return engines >= s.floors[r.model] && len(byDomain) >= s.keptDomains(r.model)
+	if s.left[i].has(model) {
+		engines--
+		own := s.engines[i].Domain
+		byDomain[own]--
+		if byDomain[own] == 0 {
+			delete(byDomain, own)
+		}
+	}
+	return engines >= s.floors[model] && len(byDomain) >= s.keptDomains(model)
 }
 
 // keptDomains is in how many failure domains a model stays on the way: where it began, but no more than
@@ -209,28 +252,30 @@
 	return min(s.spread[model], len(s.byDomain(s.target, model)))
 }
 
-func (s *stager) underShare(i int, r ref) bool {
-	m := s.wanted[r.model]
-	if m == nil {
-		return true
-	}
-	return s.swapped[r.model] < max(1, m.Replicas/shareAtOnce)
+func (s *stager) underShare(model string) bool {
+	m := s.wanted[model]
+	return m == nil || s.lost[model] < max(1, m.Replicas/shareAtOnce)
 }
 
 func (s *stager) load(i int, r ref) {
-	s.now[i][r] = true
-	s.touched[i] = true
+	if s.left[i].has(r.model) {
+		s.lose(i, r.model)
+	}
+	s.now[i][r.model] = r.version
 	s.step(i, api.StepLoad, r, s.sizes[r].gigabyte)
 }
 
 func (s *stager) unload(i int, r ref) {
-	delete(s.now[i], r)
-	delete(s.left[i], r)
-	s.touched[i] = true
-	s.swapped[r.model]++
+	s.lose(i, r.model)
+	delete(s.now[i], r.model)
 	s.step(i, api.StepUnload, r, 0)
 }
 
+func (s *stager) lose(i int, model string) {
+	delete(s.left[i], model)
+	s.lost[model]++
+}
+
 func (s *stager) step(i int, kind string, r ref, gigabyte int64) {
 	s.out.steps = append(s.out.steps, api.Step{
 		Stage: s.number, Upstream: s.engines[i].ID, Kind: kind,
@@ -245,8 +290,8 @@
 		if !s.engines[i].Usable {
 			continue
 		}
-		for _, r := range sorted(s.target[i]) {
-			s.adapterSteps(i, r)
+		for _, model := range slices.Sorted(maps.Keys(s.target[i])) {
+			s.adapterSteps(i, ref{model, s.target[i][model]})
 		}
 	}
 }
--- a/internal/decide/plan/target.go
+++ b/internal/decide/plan/target.go
@@ -27,7 +27,7 @@
 func (p *planner) target(now placement) placement {
 	target := make(placement, len(p.engines))
 	for i := range target {
-		target[i] = map[ref]bool{}
+		target[i] = loads{}
 	}
 	for i := range p.engines {
 		if !p.engines[i].Usable {
@@ -47,7 +47,7 @@
 type candidate struct {
 	engine int
 	exact  bool // has the wanted version
-	beside bool // has memory for the wanted version beside what it has now
+	fresh  bool // has no version of the model, and memory for it beside what it has now
 	free   int64
 }
 
@@ -57,28 +57,27 @@
 	want := ref{m.Name, m.Version}
 	var holders []candidate
 	for i := range p.engines {
-		if p.allowed(i, m.Domains) && now.has(i, m.Name) && p.fits(i, target[i], want) {
-			holders = append(holders, candidate{engine: i, exact: now[i][want], beside: p.fits(i, now[i], want)})
+		if p.allowed(i, m.Domains) && now[i].has(m.Name) && p.fits(i, target[i], want) {
+			holders = append(holders, candidate{engine: i, exact: now[i][m.Name] == m.Version})
 		}
 	}
 	inPlace := 0
 	for count := p.serving(target, m.Name); count < m.Replicas; count++ {
 		best := p.best(target, m.Name, holders, func(c candidate) bool {
-			return c.exact || c.beside || inPlace < p.inPlaceLimit(m.Replicas, m.MinServing())
+			return c.exact || inPlace < p.inPlaceLimit(m.Replicas, m.MinServing())
 		})
 		if best < 0 {
 			return
 		}
-		if c := holders[best]; !c.exact && !c.beside {
+		if !holders[best].exact {
 			inPlace++
 		}
-		target[holders[best].engine][want] = true
+		target[holders[best].engine][m.Name] = m.Version
 		holders = slices.Delete(holders, best, best+1)
 	}
 }
 
-// inPlaceLimit is how many engines may swap an old version for the new one without ever holding both.
-// Where all replicas are needed at every step, one has to come up elsewhere first.
+// inPlaceLimit is how many engines may take the new version in place of the old one. Where all replicas are needed at every step, one has to come up elsewhere first.
 func (p *planner) inPlaceLimit(replicas, floor int) int {
 	if replicas > floor {
 		return replicas
@@ -93,17 +92,18 @@
 	want := ref{m.Name, m.Version}
 	var free []candidate
 	for i := range p.engines {
-		if p.allowed(i, m.Domains) && !target[i][want] && p.fits(i, target[i], want) {
+		if p.allowed(i, m.Domains) && !target[i].has(m.Name) && p.fits(i, target[i], want) {
 			free = append(free, candidate{
-				engine: i, exact: now[i][want], beside: p.fits(i, now[i], want),
-				free: p.engines[i].Memory - p.used(target[i]),
+				engine: i, exact: now[i][m.Name] == m.Version,
+				fresh: !now[i].has(m.Name) && p.fits(i, now[i], want),
+				free:  p.engines[i].Memory - p.used(target[i], ""),
 			})
 		}
 	}
 	for count := p.serving(target, m.Name); count < m.Replicas; count++ {
 		best := -1
 		if count+1 > p.inPlaceLimit(m.Replicas, m.MinServing()) {
-			best = p.best(target, m.Name, free, func(c candidate) bool { return c.exact || c.beside })
+			best = p.best(target, m.Name, free, func(c candidate) bool { return c.exact || c.fresh })
 		}
 		if best < 0 {
 			best = p.best(target, m.Name, free, nil)
@@ -111,33 +111,33 @@
 		if best < 0 {
 			return
 		}
-		target[free[best].engine][want] = true
+		target[free[best].engine][m.Name] = m.Version
 		free = slices.Delete(free, best, best+1)
 	}
-	p.spreadOut(target, m.Name, want, min(wantedDomains, m.Replicas), free)
+	p.spreadOut(target, want, min(wantedDomains, m.Replicas), free)
 }
 
 // spreadOut moves one replica to another failure domain if all of them stand in fewer than wanted.
-func (p *planner) spreadOut(target placement, model string, want ref, domains int, free []candidate) {
-	byDomain := p.byDomain(target, model)
+func (p *planner) spreadOut(target placement, want ref, domains int, free []candidate) {
+	byDomain := p.byDomain(target, want.model)
 	if len(byDomain) >= domains || len(byDomain) == 0 {
 		return
 	}
-	best := p.best(target, model, free, func(c candidate) bool { return byDomain[p.engines[c.engine].Domain] == 0 })
+	best := p.best(target, want.model, free, func(c candidate) bool { return byDomain[p.engines[c.engine].Domain] == 0 })
 	if best < 0 {
 		return
 	}
 	for i := len(p.engines) - 1; i >= 0; i-- {
-		if p.engines[i].Usable && target[i][want] {
-			delete(target[i], want)
+		if p.engines[i].Usable && target[i].has(want.model) {
+			delete(target[i], want.model)
 			break
 		}
 	}
-	target[free[best].engine][want] = true
+	target[free[best].engine][want.model] = want.version
 }
 
 // best gives the index of the candidate to take next: in the failure domain with the fewest replicas,
-// then with the wanted version, then with room beside what it has, then with the most free memory, then
+// then with the wanted version, then without having to unload anything first, then with the most free memory, then
 // by id. -1: none is allowed.
 func (p *planner) best(target placement, model string, candidates []candidate, allow func(candidate) bool) int {
 	byDomain := p.byDomain(target, model)
@@ -160,8 +160,8 @@
 		return da < db
 	case a.exact != b.exact:
 		return a.exact
-	case a.beside != b.beside:
-		return a.beside
+	case a.fresh != b.fresh:
+		return a.fresh
 	case a.free != b.free:
 		return a.free > b.free
 	default:
@@ -178,7 +178,7 @@
 func (p *planner) byDomain(at placement, model string) map[string]int {
 	counts := map[string]int{}
 	for i := range p.engines {
-		if p.engines[i].Usable && at.has(i, model) {
+		if p.engines[i].Usable && at[i].has(model) {
 			counts[p.engines[i].Domain]++
 		}
 	}
--- a/internal/decide/plan/words.go
+++ b/internal/decide/plan/words.go
@@ -71,9 +71,9 @@
 		if !p.engines[i].Usable {
 			continue
 		}
-		for r := range start[i] {
-			if m := p.wanted[r.model]; m == nil || m.Replicas == 0 {
-				names = append(names, r.model)
+		for model := range start[i] {
+			if m := p.wanted[model]; m == nil || m.Replicas == 0 {
+				names = append(names, model)
 			}
 		}
 	}
--- a/internal/operate/command/command.go
+++ b/internal/operate/command/command.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -36,11 +38,12 @@
 
 // Service makes the changes.
 type Service struct {
-	Store   platform.Store
-	View    func() *fleet.View
-	Log     hclog.Logger
-	NewID   func() string
-	Engines Engines
+	Store      platform.Store
+	View       func() *fleet.View
+	Log        hclog.Logger
+	NewID      func() string
+	Upstreams  Prober // nil: what the view shows is taken
+	WeightRate int64  // weight store's, in gigabytes an hour; 0: not known
 }
 
 // Propose makes a plan from an api.Change and keeps it; nothing else changes.
@@ -97,17 +100,55 @@
 	return api.Confirmed{Plan: id, Version: made}, nil
 }
 
-// holds tells whether a plan may still be confirmed.
-func (s *Service) holds(_ context.Context, plan api.Plan, current api.Config, version uint64) error {
-	if plan.State == api.PlanStopped {
-		return fault.New(fault.PlanConflict, "plan %s was stopped; make a new one from here", plan.ID)
+// holds tells whether a plan may still be confirmed: the configuration is the one it was made from, and
+// the engines are such that the same steps come out. A forced plan asks only for the first.
+func (s *Service) holds(ctx context.Context, p api.Plan, current api.Config, version uint64) error {
+	if p.State == api.PlanStopped {
+		return fault.New(fault.PlanConflict, "plan %s was stopped; make a new one from here", p.ID)
+	}
+	if version != p.Base.Config {
+		return conflict(p, current, version)
 	}
-	if version != plan.Base.Config {
-		return conflict(plan, current, version)
+	if p.Change.Force {
+		return nil
+	}
+	again := api.Plan{ID: p.ID, Change: p.Change, After: p.After}
+	if err := s.fill(ctx, &again, current, s.View()); err != nil {
+		return err
+	}
+	if !slices.Equal(p.Steps, again.Steps) {
+		return fault.New(fault.PlanConflict, "engines have changed since plan %s was made: %s; make a new plan",
+			p.ID, difference(p.Steps, again.Steps))
 	}
 	return nil
 }
 
+// difference says in words which steps differ.
+func difference(before, now []api.Step) string {
+	var lines []string
+	for _, s := range before {
+		if !slices.Contains(now, s) {
+			lines = append(lines, "no longer "+describe(s))
+		}
+	}
+	for _, s := range now {
+		if !slices.Contains(before, s) {
+			lines = append(lines, "now "+describe(s))
+		}
+	}
+	if len(lines) > shownSteps {
+		lines = append(lines[:shownSteps], fmt.Sprintf("and %d more", len(lines)-shownSteps))
+	}
+	return strings.Join(lines, ", ")
+}
+
+// shownSteps bounds the steps that a conflict names.
+const shownSteps = 6
+
+func describe(s api.Step) string {
+	return fmt.Sprintf("%s %s@%s on %s in stage %d", s.Kind, s.Model, s.Version, s.Upstream, s.Stage)
+}
+
 // lost turns a failed write of the configuration into the operator's answer.
 func (s *Service) lost(ctx context.Context, plan api.Plan, err error) error {
 	if !fault.Is(err, fault.PlanConflict) {
--- a/internal/operate/command/propose.go
+++ b/internal/operate/command/propose.go
@@ -6,14 +6,14 @@
 	"slices"
 
 	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/decide/drain"
+	"github.com/damaskshelf/damaskshelf/internal/decide/plan"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 )
 
-// Engines gives what each engine of the fleet has loaded now.
-type Engines func(ctx context.Context, v *fleet.View) ([]api.Placement, error)
-
-// make works out the plan of a change from the current configuration.
+// make works out the plan of a change from the current configuration and from what engines say that they
+// have loaded.
 func (s *Service) make(ctx context.Context, change api.Change) (api.Plan, error) {
 	current, version, err := s.config(ctx)
 	if err != nil {
@@ -23,13 +23,67 @@
 	if err := validate(change, current, view); err != nil {
 		return api.Plan{}, fault.New(fault.BadRequest, "%v", err)
 	}
-	plan := api.Plan{
+	p := api.Plan{
 		ID: s.NewID(), State: api.PlanProposed, Change: change, Base: api.Base{Config: version},
 		After: apply(change, current),
 	}
-	plan.After.Plan = plan.ID
-	plan.Summary = summary(change, current)
-	return plan, nil
+	p.After.Plan = p.ID
+	return p, s.fill(ctx, &p, current, view)
+}
+
+// fill adds steps, words and cost to a plan, or gives the reason why it is rejected.
+func (s *Service) fill(ctx context.Context, p *api.Plan, current api.Config, view *fleet.View) error {
+	probes := s.survey(ctx, view, current.Intent)
+	if p.Change.Intent != nil {
+		p.Summary = compare(current.Intent, *p.Change.Intent)
+	} else if err := s.assess(p, probes); err != nil {
+		return err
+	}
+	if p.Change.Intent != nil || len(p.After.Intent.Models) > 0 {
+		if err := s.place(p, current, probes); err != nil {
+			return err
+		}
+	}
+	for _, probe := range probes {
+		if probe.silent {
+			p.Hurt = append(p.Hurt, fmt.Sprintf("engine %s did not answer; it is taken as last seen", probe.upstream.ID))
+		}
+	}
+	return nil
+}
+
+// assess judges a failure domain's change.
+func (s *Service) assess(p *api.Plan, probes []probe) error {
+	change := p.Change
+	r := drain.Assess(drain.Input{
+		Domain: change.Drain + change.Restore, Back: change.Restore != "",
+		Groups: groups(probes, p.After), Force: change.Force,
+	})
+	s.Log.Info("failure domain judged", "plan", p.ID, "failure_domain", change.Drain+change.Restore, "reason", string(r.Reason))
+	if r.Rejected != "" {
+		return fault.New(fault.PlanRejected, "%s; force it to accept that", r.Rejected)
+	}
+	p.Summary = r.Summary
+	p.Hurt = r.Hurt
+	p.Forced = r.Reason == drain.Forced
+	return nil
+}
+
+// place plans the engines. A fleet for which no intent was ever stated keeps what it was deployed with.
+func (s *Service) place(p *api.Plan, current api.Config, probes []probe) error {
+	r := plan.Make(plan.Input{
+		Before: current.Intent, After: p.After.Intent, Engines: engines(probes, p.After),
+		Rate: s.WeightRate, Force: p.Change.Force,
+	})
+	s.Log.Info("placement planned", "plan", p.ID, "reason", string(r.Reason), "steps", len(r.Steps))
+	if r.Rejected != "" {
+		return fault.New(fault.PlanRejected, "%s; force it to accept that", r.Rejected)
+	}
+	p.Steps, p.Target, p.Cost = r.Steps, r.Target, r.Cost
+	p.Summary = append(p.Summary, r.Summary...)
+	p.Hurt = append(p.Hurt, r.Hurt...)
+	p.Forced = p.Forced || r.Reason == plan.ForcedFloor
+	return nil
 }
 
 // validate checks a change against the fleet as it is.
@@ -78,17 +132,6 @@
 	return after
 }
 
-// summary says in words what a change does to the configuration.
-func summary(change api.Change, current api.Config) []string {
-	switch {
-	case change.Drain != "":
-		return []string{fmt.Sprintf("failure domain %s is taken out: no new work goes there", change.Drain)}
-	case change.Restore != "":
-		return []string{fmt.Sprintf("failure domain %s comes back; its upstreams count as cold", change.Restore)}
-	}
-	return compare(current.Intent, *change.Intent)
-}
-
 // compare says in words how one intent differs from another.
 func compare(before, after api.Intent) []string {
 	var lines []string
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -44,8 +44,10 @@
 	Explain func(id fleet.RequestID) ([]string, bool)
 	// InForce tells how many of the known instances have a configuration version in force; nil: unknown.
 	InForce func(version uint64) (have, of int)
-	// Engines gives what each engine has loaded; nil: taken from the View.
-	Engines command.Engines
+	// Upstreams asks engines what they have loaded and how busy they are; nil: taken from the View.
+	Upstreams command.Prober
+	// WeightRate is the weight store's rate in gigabytes an hour; 0: not known.
+	WeightRate int64
 }
 
 // ErrorBody is the body of every refusal and failure.
@@ -59,7 +61,8 @@
 func Register(r *router.Router, d Deps) {
 	s := &server{log: d.Log, token: sha256.Sum256([]byte(d.Token)), open: d.Token == ""}
 	commands := &command.Service{
-		Store: d.Store, View: d.View, Log: d.Log, NewID: d.NewID, Engines: d.Engines,
+		Store: d.Store, View: d.View, Log: d.Log, NewID: d.NewID,
+		Upstreams: d.Upstreams, WeightRate: d.WeightRate,
 	}
 	queries := &query.Service{
 		Instance: d.Instance, Store: d.Store, View: d.View, Explain: d.Explain, InForce: d.InForce,
