--- /dev/null
+++ b/internal/decide/pick/estimate.go
@@ -0,0 +1,114 @@
+package pick
+
+import (
+	"time"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/decide/cost"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+)
+
+// Query is one prompt's question for an engine.
+type Query struct {
+	Prompt   *cost.Prompt
+	Class    cost.Class
+	Now      decide.Instant
+	Rand     decide.Rand
+	Entries  int                // instances that send to the same engines, this one included
+	Exclude  []fleet.UpstreamID // engines that failed or refused this request before
+	Profile  *Profile
+	Estimate Estimate // of the candidate looked at last
+
+	space [lookMax]int // for the picker's answer, so that a decision allocates nothing
+}
+
+// Estimate is what a prompt may expect on one engine.
+type Estimate struct {
+	Cost  int           // prompt tokens that the engine has to compute
+	Wait  time.Duration // until it starts on them
+	First time.Duration // until the first token of the answer
+}
+
+const (
+	// defaultRate is taken for an engine that has not reported yet, in prompt tokens a second.
+	defaultRate = 20_000
+	// decay bounds for how long an engine is believed to have worked on since its report; an engine
+	// that fell silent would else look idle.
+	decay = time.Second
+	// stepTime is about one batch step: a prompt that arrives at a busy engine waits for its end.
+	stepTime = 20 * time.Millisecond
+)
+
+// Predict estimates the prompt's first token on the engine.
+func Predict(q *Query, c *Candidate) Estimate {
+	tokens := q.Prompt.On(c.Cache, q.Now)
+	rate, ahead := c.ahead(q)
+	wait := cost.Time(ahead, rate)
+	if ahead > 0 {
+		wait += stepTime
+	}
+	return Estimate{Cost: tokens, Wait: wait, First: wait + cost.Time(int64(tokens), rate)}
+}
+
+// ahead is the work, in prompt tokens, that the engine does before a prompt of the query's class.
+//
+// A report gives one figure for all classes. On a lane most of that is long prompts, which the engine
+// puts behind shorter ones; so there, for shorter ones, no more counts than the own dispatches that wait
+// suggest, which are a sample of everybody's.
+func (c *Candidate) ahead(q *Query) (rate, tokens int64) {
+	r := c.report.Load()
+	if r == nil {
+		own := c.sent.since(q.Now.Add(-StaleAfter), q.Now)
+		return defaultRate, q.scale(own.upTo(q.Class))
+	}
+	rate = r.Rate
+	if rate <= 0 {
+		rate = defaultRate
+	}
+	reported := r.QueuedTokens
+	if c.Lane && !q.Class.Lane() {
+		reported = min(reported, c.unbegun(q.Class)*int64(q.Entries))
+	}
+	own := c.sent.since(r.At, q.Now)
+	age := min(q.Now.Sub(r.At), decay)
+	done := int64(float64(rate) * age.Seconds())
+	return rate, max(reported+q.scale(own.upTo(q.Class))-done, 0)
+}
+
+// upTo sums the tokens of the classes that an engine works on before or beside class.
+func (s *Sent) upTo(class cost.Class) int64 {
+	var sum int64
+	for c := range class + 1 {
+		sum += s.Tokens[c]
+	}
+	if class.Lane() {
+		sum = 0
+		for _, t := range s.Tokens {
+			sum += t
+		}
+	}
+	return sum
+}
+
+// scale counts own dispatches up for those of the other instances, which see the same report and choose
+// alike, but not in step.
+func (q *Query) scale(own int64) int64 {
+	return int64(float64(own) * (1 + float64(q.Entries-1)*q.Profile.Others))
+}
+
+// Free is the KV cache that the engine has left for this instance, in tokens, by its report and the
+// dispatches since; negative where it is over.
+func (c *Candidate) Free(q *Query) int64 {
+	r := c.report.Load()
+	if r == nil {
+		return 0
+	}
+	own := c.sent.since(r.At, q.Now)
+	return r.MemoryTotal - r.MemoryUsed - q.scale(own.Memory)
+}
+
+// Fresh tells whether the engine's report is recent enough to go by.
+func (c *Candidate) Fresh(now decide.Instant) bool {
+	r := c.report.Load()
+	return r != nil && now.Sub(r.At) <= StaleAfter
+}
--- /dev/null
+++ b/internal/decide/pick/profile.go
@@ -0,0 +1,48 @@
+package pick
+
+import (
+	"time"
+
+	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/decide/cost"
+)
+
+// Profile is a setting of the routing policy. The two that users name differ in how they weigh the
+// slowdown of short prompts against the first-token time of long ones, and in nothing else.
+type Profile struct {
+	Name     string
+	Priority [cost.ClassCount]int           // passed to the engine, -10 to 10
+	Window   [cost.ClassCount]time.Duration // longest predicted wait on an engine; above it the prompt waits at the entry
+	Choices  int                            // random engines that a decision looks at
+	Affine   int                            // engines more, found by the prompt's prefix
+	Others   float64                        // how much of the other instances' dispatches own ones stand for, 0 to 1
+	Spill    time.Duration                  // what a lane must save a short prompt before it goes there
+	Headroom float64                        // lane capacity for each unit of measured long demand
+	LaneMax  float64                        // largest share of the engines that may be lanes
+}
+
+// ProfileOf gives the profile that the settings name. The values are measured: docs/design/routing.md.
+func ProfileOf(name string) Profile {
+	p := Profile{
+		Name:     api.ProfileShortFirst,
+		Priority: [cost.ClassCount]int{cost.Short: 6, cost.Medium: 3, cost.Long: -3, cost.Group: -3},
+		Window: [cost.ClassCount]time.Duration{
+			cost.Short: 300 * time.Millisecond, cost.Medium: time.Second,
+			cost.Long: 2 * time.Second, cost.Group: 2 * time.Second,
+		},
+		Choices:  4,
+		Affine:   2,
+		Others:   0.25,
+		Spill:    50 * time.Millisecond,
+		Headroom: 1.4,
+		LaneMax:  0.6,
+	}
+	if name == api.ProfileLongFirst {
+		p.Name = api.ProfileLongFirst
+		p.Priority = [cost.ClassCount]int{cost.Short: 6, cost.Medium: 0, cost.Long: 0, cost.Group: 0}
+		p.Spill = 200 * time.Millisecond
+		p.Headroom = 1.8
+		p.LaneMax = 0.75
+	}
+	return p
+}
