--- a/internal/decide/claim/claim.go
+++ b/internal/decide/claim/claim.go
@@ -32,6 +32,7 @@
 type Outcome struct {
 	Run         fault.Run `json:"run"`
 	Status      int       `json:"status"`
+	Fault       string    `json:"fault,omitempty"` // kind of the failure that the caller got; Body is its detail
 	ContentType string    `json:"content_type,omitempty"`
 	Body        []byte    `json:"body,omitempty"`
 	Dropped     bool      `json:"dropped,omitempty"` // the body was too large to keep
--- a/internal/decide/claim/claim_test.go
+++ b/internal/decide/claim/claim_test.go
@@ -79,7 +79,7 @@
 func TestLateRepeatCanNotSlipPastPruning(t *testing.T) {
 	is := is.New(t)
 	l := claim.DefaultLimits()
-	key := "01890a5d-ac96-774b-bcce-b302099a8057"
+	key := timedKey
 	issued, timed := claim.Issued(key)
 	is.True(timed)
 	first := op(claim.Claim, "t1")
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -43,6 +43,8 @@
 		newRouter,
 		newObserver,
 		newQueries,
+		newClaims,
+		newStoredClaims,
 		newCommands,
 		newCallers,
 		newOperators,
@@ -88,10 +90,10 @@
 	})
 }
 
-func newCommands(s api.Settings, r *route.Router, c *upstream.Client, m *metrics.Registry, g *gate.Gate,
-	log hclog.Logger, id idSource) *command.Handler {
+func newCommands(s api.Settings, r *route.Router, c *upstream.Client, cl command.Claims, m *metrics.Registry,
+	g *gate.Gate, log hclog.Logger, id idSource) *command.Handler {
 	return command.New(command.Deps{
-		Router: r, Client: c, Metrics: m, Gate: g, Log: log, Bounds: bounds(s), NewID: id,
+		Router: r, Client: c, Claims: cl, Metrics: m, Gate: g, Log: log, Bounds: bounds(s), NewID: id,
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"go.uber.org/dig"
 
 	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/claim"
 	"github.com/damaskshelf/damaskshelf/internal/entry"
 	"github.com/damaskshelf/damaskshelf/internal/entry/command"
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
@@ -51,6 +52,7 @@
 	Gate      *gate.Gate
 	Queries   *query.Handler
 	Commands  *command.Handler
+	Claims    *claim.Keeper
 	Callers   *entry.Server
 	Operators *operators
 	Metrics   *metrics.Registry
@@ -92,6 +94,7 @@
 	n.run(p.Follower.Config)
 	n.run(p.Follower.Instances)
 	n.run(p.Observer.Run)
+	n.run(sweepClaims(p.Settings, p.Claims, p.Keeper, p.Log))
 	p.Log.Info("started", "instance", p.Settings.Instance, "region", p.Settings.Region,
 		"failure_domain", p.Settings.FailureDomain, "callers", n.CallersAddr(), "operators", n.OperatorsAddr())
 	return nil
@@ -142,6 +145,8 @@
 	defer cancelLast()
 	errs = append(errs, p.Callers.Shutdown(last), p.Operators.shutdown(last))
 	p.Queries.Wait()
+	errs = append(errs, p.Claims.Flush(last))
+	p.Claims.Close()
 	n.stop()
 	n.wg.Wait()
 	p.Client.Close()
--- /dev/null
+++ b/internal/vtime/vtime.go
@@ -0,0 +1,67 @@
+// Package vtime runs events in virtual time, for tests and measurements of the pure core. Events of one
+// instant run in the order in which they were scheduled, so that a run repeats exactly.
+package vtime
+
+import (
+	"container/heap"
+	"math"
+	"time"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+)
+
+// Loop is a clock with its pending events. The zero value starts at instant 0. It belongs to one
+// goroutine.
+type Loop struct {
+	now   decide.Instant
+	seq   uint64
+	queue events
+}
+
+type event struct {
+	at  decide.Instant
+	seq uint64
+	run func()
+}
+
+type events []event
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].seq < q[j].seq)
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *events) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	*q = (*q)[:last]
+	return e
+}
+
+// Now is the virtual time.
+func (l *Loop) Now() decide.Instant { return l.now }
+
+// At schedules run for instant at, or for now if that is past.
+func (l *Loop) At(at decide.Instant, run func()) {
+	l.seq++
+	heap.Push(&l.queue, event{at: max(at, l.now), seq: l.seq, run: run})
+}
+
+// After schedules run for d from now.
+func (l *Loop) After(d time.Duration, run func()) { l.At(l.now.Add(d), run) }
+
+// RunUntil runs all events up to and including end, and sets the clock to end.
+func (l *Loop) RunUntil(end decide.Instant) {
+	for len(l.queue) > 0 && l.queue[0].at <= end {
+		e := heap.Pop(&l.queue).(event)
+		l.now = e.at
+		e.run()
+	}
+	l.now = end
+}
+
+// Exponential draws the time to the next event of a Poisson process with the given events a second.
+func Exponential(r decide.Rand, rate float64) time.Duration {
+	return time.Duration(-math.Log(1-decide.Float(r)) / rate * float64(time.Second))
+}
