--- /dev/null
+++ b/internal/standin/instances/instances_test.go
@@ -0,0 +1,88 @@
+package instances_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
+
+	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/standin/caller"
+	"github.com/damaskshelf/damaskshelf/internal/standin/faults"
+	"github.com/damaskshelf/damaskshelf/internal/standin/instances"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
+}
+
+func start(t *testing.T, lag time.Duration) *instances.Server {
+	t.Helper()
+	s, err := instances.Start("127.0.0.1:0", lag)
+	is.New(t).NoErr(err)
+	t.Cleanup(s.Close)
+	return s
+}
+
+func read(t *testing.T, s *instances.Server) wire.InstanceList {
+	t.Helper()
+	is := is.New(t)
+	r := caller.Call{Method: fasthttp.MethodGet, Path: wire.PathInstances}.Do(s.Addr())
+	is.NoErr(r.Err)
+	is.Equal(r.Status, fasthttp.StatusOK)
+	var list wire.InstanceList
+	is.NoErr(json.Unmarshal(r.Body, &list))
+	return list
+}
+
+// states gives the rows as "id state".
+func states(list wire.InstanceList) []string {
+	rows := []string{}
+	for _, i := range list.Instances {
+		rows = append(rows, i.ID+" "+i.State)
+	}
+	return rows
+}
+
+func TestRowsComeChangeAndGo(t *testing.T) {
+	is := is.New(t)
+	s := start(t, 0)
+	is.Equal(states(read(t, s)), []string{})
+	s.Register(wire.Instance{ID: "b", Kind: wire.KindEngine})
+	s.Register(wire.Instance{ID: "a", Kind: wire.KindEntry})
+	before := read(t, s)
+	is.Equal(states(before), []string{"a live", "b live"})
+	s.SetLeaving("b")
+	is.Equal(states(read(t, s)), []string{"a live", "b leaving"})
+	s.Register(wire.Instance{ID: "b", Kind: wire.KindEngine}) // replaced by a new one of that name
+	s.Remove("a")
+	after := read(t, s)
+	is.Equal(states(after), []string{"b live"})
+	is.Equal(after.Version, before.Version+3)
+	is.Equal(s.Reads(), uint64(4))
+}
+
+// An instance is gone, and readers are still shown it until the lag is over.
+func TestReadersSeeChangesAfterTheLag(t *testing.T) {
+	is := is.New(t)
+	s := start(t, time.Hour)
+	s.Register(wire.Instance{ID: "a"})
+	is.Equal(states(read(t, s)), []string{})
+	is.Equal(states(s.List()), []string{"a live"}) // the truth
+	s.SetLag(0)
+	is.Equal(states(read(t, s)), []string{"a live"})
+}
+
+func TestLagFaultFreezesTheList(t *testing.T) {
+	is := is.New(t)
+	s := start(t, 0)
+	s.Register(wire.Instance{ID: "a"})
+	is.NoErr(s.Switch(faults.Lag, true, 0))
+	s.Remove("a")
+	is.Equal(states(read(t, s)), []string{"a live"})
+	is.NoErr(s.Switch(faults.Lag, false, 0))
+	is.Equal(states(read(t, s)), []string{})
+}
--- /dev/null
+++ b/internal/standin/objects/objects_test.go
@@ -0,0 +1,174 @@
+package objects_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
+
+	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/standin/caller"
+	"github.com/damaskshelf/damaskshelf/internal/standin/faults"
+	"github.com/damaskshelf/damaskshelf/internal/standin/objects"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
+}
+
+const path = "/objects/config/main"
+
+func start(t *testing.T) *objects.Server {
+	t.Helper()
+	s, err := objects.Start("127.0.0.1:0", objects.NewStore(objects.DefaultHistory))
+	is.New(t).NoErr(err)
+	t.Cleanup(s.Close)
+	return s
+}
+
+func put(path, value, ifVersion, writeID string) caller.Call {
+	c := caller.Call{Method: fasthttp.MethodPut, Path: path, Body: []byte(value)}.With(wire.HeaderWriteID, writeID)
+	if ifVersion != "" {
+		c = c.With(wire.HeaderIfVersion, ifVersion)
+	}
+	return c
+}
+
+func get(path string) caller.Call { return caller.Call{Method: fasthttp.MethodGet, Path: path} }
+
+func decoded[T any](t *testing.T, r *caller.Result) T {
+	t.Helper()
+	is := is.New(t)
+	is.NoErr(r.Err)
+	var v T
+	is.NoErr(json.Unmarshal(r.Body, &v))
+	return v
+}
+
+func TestHTTP(t *testing.T) {
+	large := `"` + strings.Repeat("x", objects.MaxValue) + `"`
+	largest := `"` + strings.Repeat("x", objects.MaxValue-2) + `"`
+	cases := []struct {
+		name   string
+		call   caller.Call
+		status int
+		body   string // checked when not empty
+	}{
+		{"absent", get(path), 404, `{"current":0,"write_id":""}`},
+		{"create", put(path, `{"a":1}`, "0", "w1"), 200, `{"version":1}`},
+		{"create twice", put(path, `{"a":1}`, "0", "w2"), 409, `{"current":1,"write_id":"w1"}`},
+		{"read", get(path), 200, `{"kind":"config","name":"main","version":1,"write_id":"w1","value":{"a":1}}`},
+		{"list", get("/objects/config"), 200, `{"version":1,"objects":[{"kind":"config","name":"main","version":1,"write_id":"w1","value":{"a":1}}]}`},
+		{"other kind", get("/objects/lease"), 200, `{"version":1,"objects":[]}`},
+		{"update", put(path, `2`, "1", "w3"), 200, `{"version":2}`},
+		{"not JSON", put(path, `{`, "", "w4"), 400, ""},
+		{"bad condition", put(path, `1`, "x", "w4"), 400, ""},
+		{"largest", put("/objects/config/big", largest, "", "w4"), 200, `{"version":3}`},
+		{"too large", put("/objects/config/big", large, "", "w5"), 413, ""},
+		{"escaped name", put("/objects/config/a%2Fb", `1`, "", "w5"), 200, `{"version":4}`},
+		{"read escaped name", get("/objects/config/a%2Fb"), 200, `{"kind":"config","name":"a/b","version":4,"write_id":"w5","value":1}`},
+		{"watch without change", get("/objects/config?watch=4&timeout_ms=1"), 200, `{"version":4,"objects":[]}`},
+		{"bad watch", get("/objects/config?watch=x"), 400, ""},
+		{"watch of another store", get("/objects/config?watch=9"), 200, `{"version":4,"objects":[],"too_old":true}`},
+		{"delete", caller.Call{Method: "DELETE", Path: path}.With(wire.HeaderWriteID, "d1"), 200, `{"version":5}`},
+		{"delete again", caller.Call{Method: "DELETE", Path: path}, 200, `{"version":5}`},
+		{"conditional delete of an absent one", caller.Call{Method: "DELETE", Path: path}.With(wire.HeaderIfVersion, "2"), 409, `{"current":0,"write_id":"d1"}`},
+		{"deleted", get(path), 404, `{"current":0,"write_id":"d1"}`},
+		{"watch of the delete", get("/objects/config?watch=4"), 200, `{"version":5,"objects":[],"deleted":["main"]}`},
+	}
+	s := start(t)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			r := c.call.Do(s.Addr())
+			is.NoErr(r.Err)
+			is.Equal(r.Status, c.status)
+			if c.body != "" {
+				is.Equal(string(r.Body), c.body)
+			}
+		})
+	}
+	is.New(t).Equal(s.Counts(), objects.Counts{Reads: 6, Writes: 11, Watches: 4})
+}
+
+func TestWatchEndsWithTheChange(t *testing.T) {
+	is := is.New(t)
+	s := start(t)
+	got := make(chan *caller.Result, 1)
+	go func() { got <- get("/objects/config?watch=0&timeout_ms=20000").Do(s.Addr()) }()
+	for s.Counts().Watches == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(put("/objects/lease/x", `1`, "", "").Do(s.Addr()).Status, 200) // of another kind
+	is.Equal(put(path, `1`, "", "w").Do(s.Addr()).Status, 200)
+	list := decoded[wire.List](t, <-got)
+	is.Equal(list.Version, uint64(2))
+	is.Equal(list.Objects[0].Name, "main")
+}
+
+// Two operators change one object at the same time: of all writes on one version just one takes effect.
+func TestOneOfRacingWritesTakesEffect(t *testing.T) {
+	is := is.New(t)
+	s := start(t)
+	const writers = 8
+	statuses := make([]int, writers)
+	var done sync.WaitGroup
+	for n := range writers {
+		done.Go(func() { statuses[n] = put(path, `1`, "0", fmt.Sprint(n)).Do(s.Addr()).Status })
+	}
+	done.Wait()
+	count := map[int]int{}
+	for _, status := range statuses {
+		count[status]++
+	}
+	is.Equal(count, map[int]int{200: 1, 409: writers - 1})
+}
+
+// A writer gets no answer though its write took effect; it finds its own write id when it reads.
+func TestAnswerLostAfterTheWrite(t *testing.T) {
+	is := is.New(t)
+	s := start(t)
+	is.NoErr(s.Switch(faults.LoseAnswer, true, 0))
+	r := put(path, `1`, "0", "mine").Do(s.Addr())
+	is.Equal(r.Status, 0)
+	is.True(r.Err != nil)
+	is.Equal(decoded[wire.Object](t, get(path).Do(s.Addr())).WriteID, "mine")
+}
+
+func TestStaleReads(t *testing.T) {
+	is := is.New(t)
+	s := start(t)
+	is.Equal(put(path, `1`, "", "").Do(s.Addr()).Status, 200)
+	is.NoErr(s.Switch(faults.StaleReads, true, 0))
+	is.Equal(put(path, `2`, "1", "").Do(s.Addr()).Status, 200) // writes see the truth
+	is.Equal(string(decoded[wire.Object](t, get(path).Do(s.Addr())).Value), `1`)
+	is.NoErr(s.Switch(faults.StaleReads, false, 0))
+	is.Equal(string(decoded[wire.Object](t, get(path).Do(s.Addr())).Value), `2`)
+}
+
+func TestOutages(t *testing.T) {
+	is := is.New(t)
+	s := start(t)
+	is.NoErr(s.Switch(faults.Kill, true, 0))
+	is.Equal(get(path).Do(s.Addr()).Status, 0)
+	is.NoErr(s.Switch(faults.Kill, false, 0))
+	is.Equal(get(path).Do(s.Addr()).Status, 404)
+
+	is.NoErr(s.Switch(faults.RefuseEverything, true, 0))
+	is.Equal(get(path).Do(s.Addr()).Status, 503)
+	is.NoErr(s.Switch(faults.RefuseEverything, false, 0))
+
+	is.NoErr(s.Switch(faults.Hang, true, 0))
+	hung := get(path)
+	hung.Guard = 100 * time.Millisecond
+	is.Equal(hung.Do(s.Addr()).Status, 0)
+	is.NoErr(s.Switch(faults.Hang, false, 0))
+	is.Equal(get(path).Do(s.Addr()).Status, 404)
+	is.True(s.Switch(faults.Cold, true, 0) != nil) // no fault of a store
+}
--- /dev/null
+++ b/internal/standin/objects/store_test.go
@@ -0,0 +1,91 @@
+package objects_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/standin/objects"
+)
+
+func version(v uint64) *uint64 { return &v }
+
+func TestConditionalWrites(t *testing.T) {
+	is := is.New(t)
+	s := objects.NewStore(objects.DefaultHistory)
+	first, conflict := s.Put("config", "a", version(0), "w1", []byte(`1`))
+	is.True(conflict == nil)
+
+	_, conflict = s.Put("config", "a", version(0), "w2", []byte(`2`)) // it is there
+	is.Equal(conflict, &wire.Conflict{Current: first.Version, WriteID: "w1"})
+	_, conflict = s.Put("config", "a", version(first.Version+1), "w2", []byte(`2`))
+	is.Equal(conflict, &wire.Conflict{Current: first.Version, WriteID: "w1"})
+
+	second, conflict := s.Put("config", "a", version(first.Version), "w2", []byte(`2`))
+	is.True(conflict == nil)
+	is.True(second.Version > first.Version)
+	third, conflict := s.Put("config", "a", nil, "w3", []byte(`3`)) // unconditional
+	is.True(conflict == nil)
+	o, found := s.Get("config", "a")
+	is.True(found)
+	is.Equal(o, wire.Object{Kind: "config", Name: "a", Version: third.Version, WriteID: "w3", Value: []byte(`3`)})
+}
+
+func TestDeleteLeavesATombstone(t *testing.T) {
+	is := is.New(t)
+	s := objects.NewStore(objects.DefaultHistory)
+	put, _ := s.Put("config", "a", nil, "w1", []byte(`1`))
+	_, conflict := s.Delete("config", "a", version(put.Version+1), "d1")
+	is.Equal(conflict, &wire.Conflict{Current: put.Version, WriteID: "w1"})
+	gone, conflict := s.Delete("config", "a", version(put.Version), "d1")
+	is.True(conflict == nil)
+
+	o, found := s.Get("config", "a")
+	is.True(!found)
+	is.Equal(o.WriteID, "d1") // the deleter finds its own write
+	_, conflict = s.Put("config", "a", version(put.Version), "w2", []byte(`2`))
+	is.Equal(conflict, &wire.Conflict{Current: 0, WriteID: "d1"})
+	list, _ := s.Changes("config", put.Version)
+	is.Equal(list.Deleted, []string{"a"})
+	again, conflict := s.Put("config", "a", version(0), "w2", []byte(`2`))
+	is.True(conflict == nil)
+	is.True(again.Version > gone.Version)
+}
+
+func TestChangesShowTheLatestStateOnceAndOneKindOnly(t *testing.T) {
+	is := is.New(t)
+	s := objects.NewStore(objects.DefaultHistory)
+	start := s.Version()
+	_, _ = s.Put("config", "b", nil, "", []byte(`1`))
+	_, _ = s.Put("lease", "x", nil, "", []byte(`1`))
+	_, _ = s.Put("config", "a", nil, "", []byte(`1`))
+	_, _ = s.Put("config", "b", nil, "", []byte(`2`))
+	list, _ := s.Changes("config", start)
+	is.Equal(list.Version, s.Version())
+	is.Equal(len(list.Objects), 2)
+	is.Equal(list.Objects[0].Name, "a")
+	is.Equal(string(list.Objects[1].Value), `2`)
+	list, changed := s.Changes("config", s.Version())
+	is.Equal(len(list.Objects), 0)
+	_, _ = s.Put("config", "c", nil, "", []byte(`1`))
+	<-changed
+}
+
+func TestChangesBeforeTheHistoryAreTooOld(t *testing.T) {
+	is := is.New(t)
+	const kept = 4
+	s := objects.NewStore(kept)
+	for n := range 2 * kept {
+		_, _ = s.Put("config", fmt.Sprint(n), nil, "", []byte(`1`))
+	}
+	last := s.Version()
+	list, _ := s.Changes("config", last-kept)
+	is.True(!list.TooOld)
+	is.Equal(len(list.Objects), kept)
+	list, _ = s.Changes("config", last-kept-1)
+	is.True(list.TooOld)
+	list, _ = s.Changes("config", last+1) // of another store
+	is.True(list.TooOld)
+}
--- a/internal/standin/serve/serve.go
+++ b/internal/standin/serve/serve.go
@@ -16,6 +16,7 @@
 
 const (
 	maxBody       = 64 << 20
+	idleWorker    = 100 * time.Millisecond // also how long the library's goroutines outlive the listener
 	listenRetries = 20
 	listenPause   = 50 * time.Millisecond
 )
@@ -57,7 +58,7 @@
 	s.ln = ln
 	server := &fasthttp.Server{
 		Handler: s.handler, MaxRequestBodySize: maxBody, NoDefaultServerHeader: true,
-		Logger: discard{}, CloseOnShutdown: true,
+		Logger: discard{}, CloseOnShutdown: true, MaxIdleWorkerDuration: idleWorker,
 	}
 	s.running.Add(1)
 	go func() {
