--- a/internal/standin/engine/counters.go
+++ b/internal/standin/engine/counters.go
@@ -9,6 +9,7 @@
 type Counters struct {
 	Runs            map[string]int `json:"runs"` // dispatches that started, by request id
 	Resumes         int            `json:"resumes"`
+	CachedTokens    int64          `json:"cached_tokens"` // prompt tokens that did not have to be computed
 	Completed       int            `json:"completed"`
 	Cancelled       int            `json:"cancelled"` // by order or because the connection closed
 	Refused         int            `json:"refused"`   // as not started
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -27,6 +27,8 @@
 	stop   chan struct{}
 	ended  sync.WaitGroup
 
+	closing sync.Once
+
 	mu           sync.Mutex
 	boot         string
 	last         time.Duration // of the last step
@@ -80,8 +82,10 @@
 	return e.boot
 }
 
-// Close stops the engine.
-func (e *Engine) Close() {
+// Close stops the engine. It may be called again.
+func (e *Engine) Close() { e.closing.Do(e.close) }
+
+func (e *Engine) close() {
 	_ = e.faults.Switch(faults.Hang, false, 0)
 	e.locked(func(time.Duration) { e.failAll("engine stopped") })
 	e.http.Close()
--- a/internal/standin/engine/job.go
+++ b/internal/standin/engine/job.go
@@ -80,6 +80,7 @@
 		j.running = true
 		running++
 		hits := e.cache.hits(j.blocks)
+		e.counters.CachedTokens += int64(hits) * wire.BlockTokens
 		j.left = max(1, float64(j.prompt+j.offset-hits*wire.BlockTokens))
 		e.cache.add(j.blocks[:hits], now)
 		e.cache.shrink(e.cfg.Memory-e.held(), now)
--- a/internal/standin/engine/kv.go
+++ b/internal/standin/engine/kv.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"strings"
 	"time"
 
@@ -15,8 +16,12 @@
 // peerTimeout bounds an engine's call to another engine.
 const peerTimeout = 2 * time.Second
 
-// peers is the client between engines. Its connections close after a short idle time.
-var peers = fasthttp.Client{MaxIdleConnDuration: time.Second, NoDefaultUserAgentHeader: true}
+// peers is the client between engines. It dials IP numbers, which need no resolver.
+var peers = fasthttp.Client{
+	Dial:                     func(addr string) (net.Conn, error) { return net.DialTimeout("tcp", addr, peerTimeout) },
+	MaxIdleConnDuration:      100 * time.Millisecond,
+	NoDefaultUserAgentHeader: true,
+}
 
 // reservationsAt lists the reservations of the engine at addr.
 func reservationsAt(addr string) ([]wire.Reservation, error) {
