Ask engines what they have loaded before planning in the assembled instance

Cause: plan_conflict at the first confirm in two of four runs of ./internal/node: the plan was made from the view before all engines had been asked, so it loaded what was loaded already, and confirm rightly saw a change. Change: operate.Deps.Upstreams is the instance's client, as the operators' side means it to be. Ruled out: confirming again on conflict (an operator would confirm a plan that nobody read).

--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -63,14 +63,15 @@
 			return err
 		}
 	}
+	// A fresh instance sees no engine until it has read the instance list; a plan made before would be empty.
+	if err := f.waitServing(callTime); err != nil {
+		return err
+	}
 	version, err := f.Apply(api.Change{Intent: &f.cfg.Intent})
 	if err != nil {
 		return fmt.Errorf("confirm the intent: %w", err)
 	}
-	if err := f.WaitInForce(version, callTime); err != nil {
-		return err
-	}
-	return f.waitServing(callTime)
+	return f.WaitInForce(version, callTime)
 }
 
 // waitServing waits until a prompt to every model can be routed on every instance.
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -17,6 +17,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
 	"github.com/damaskshelf/damaskshelf/internal/operate"
 	platformclient "github.com/damaskshelf/damaskshelf/internal/platform/client"
+	"github.com/damaskshelf/damaskshelf/internal/upstream"
 )
 
 // Limits of the operators' listener.
@@ -35,17 +36,18 @@
 	served   chan error
 }
 
-func newOperators(s api.Settings, p *platformclient.Client, k *keeper.Keeper, rec *explain.Recorder,
+func newOperators(s api.Settings, p *platformclient.Client, c *upstream.Client, k *keeper.Keeper, rec *explain.Recorder,
 	m *metrics.Registry, log hclog.Logger, id idSource) *operators {
 	r := router.New()
 	operate.Register(r, operate.Deps{
-		Instance: fleet.InstanceID(s.Instance),
-		Store:    p,
-		View:     k.View,
-		Log:      log.Named("operate"),
-		NewID:    id,
-		Token:    s.OperatorToken,
-		Explain:  explainer(rec),
+		Instance:  fleet.InstanceID(s.Instance),
+		Store:     p,
+		View:      k.View,
+		Log:       log.Named("operate"),
+		NewID:     id,
+		Token:     s.OperatorToken,
+		Upstreams: c,
+		Explain:   explainer(rec),
 	})
 	r.GET("/metrics", func(ctx *fasthttp.RequestCtx) { ctx.SetBody(m.Text()) })
 	return &operators{
