--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -29,6 +29,8 @@
 	Headers map[string]string
 	Body    []byte
 	Guard   time.Duration // bound of the whole call; DefaultGuard when zero
+	// Decode reads one event of a stream; nil: an engine's part.
+	Decode func(data []byte) (wire.Part, error)
 	// OnPart is called for each part of a stream as it arrives; false closes the connection.
 	OnPart func(wire.Part) bool
 }
@@ -41,6 +43,7 @@
 	Parts     []wire.Part
 	Done      bool          // the end mark's follower, [DONE], arrived
 	FirstPart time.Duration // from the start of the call
+	Connected bool          // the connection was opened
 	Err       error         // of the connection
 }
 
@@ -145,7 +148,7 @@
 func (c Call) DoOver(conn net.Conn) *Result {
 	started := time.Now()
 	_ = conn.SetDeadline(started.Add(c.guard()))
-	r := &Result{Header: map[string]string{}}
+	r := &Result{Header: map[string]string{}, Connected: true}
 	req := c.request(conn.RemoteAddr().String())
 	defer fasthttp.ReleaseRequest(req)
 	if _, err := req.WriteTo(conn); err != nil {
@@ -166,13 +169,22 @@
 	switch {
 	case body == nil: // as of status 204
 	case bytes.HasPrefix(resp.Header.ContentType(), []byte("text/event-stream")):
-		r.readStream(body, c.OnPart, started, conn)
+		r.readStream(body, c, started, conn)
 	default:
 		r.Body, r.Err = io.ReadAll(body)
 	}
 	return r
 }
 
+func (c Call) decode(data []byte) (wire.Part, error) {
+	if c.Decode != nil {
+		return c.Decode(data)
+	}
+	var p wire.Part
+	err := json.Unmarshal(data, &p)
+	return p, err
+}
+
 func (c Call) request(host string) *fasthttp.Request {
 	req := fasthttp.AcquireRequest()
 	req.Header.SetMethod(fasthttp.MethodPost)
@@ -191,7 +203,7 @@
 	return req
 }
 
-func (r *Result) readStream(body io.Reader, onPart func(wire.Part) bool, started time.Time, conn net.Conn) {
+func (r *Result) readStream(body io.Reader, c Call, started time.Time, conn net.Conn) {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(make([]byte, 0, readBuffer), readBuffer)
 	for lines.Scan() {
@@ -203,8 +215,8 @@
 			r.Done = true
 			continue
 		}
-		var p wire.Part
-		if err := json.Unmarshal(data, &p); err != nil {
+		p, err := c.decode(data)
+		if err != nil {
 			r.Err = fmt.Errorf("event %q: %w", data, err)
 			return
 		}
@@ -212,7 +224,7 @@
 			r.FirstPart = time.Since(started)
 		}
 		r.Parts = append(r.Parts, p)
-		if onPart != nil && !onPart(p) {
+		if c.OnPart != nil && !c.OnPart(p) {
 			_ = conn.Close()
 			return
 		}
--- /dev/null
+++ b/test/e2e/e2e_test.go
@@ -0,0 +1,186 @@
+// Package e2e_test runs the daemon and the stand-ins as processes of their own and checks what callers and
+// upstreams saw against the promises, with faults under load.
+package e2e_test
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/damaskshelf/damaskshelf/internal/standin/cluster"
+	"github.com/damaskshelf/damaskshelf/internal/standin/faults"
+)
+
+const (
+	before  = 500 * time.Millisecond // load before a fault
+	during  = 2 * time.Second        // load during it
+	shown   = 10                     // violations shown of one test
+	engineN = "engine-north-ice-0"
+	engineM = "engine-mid-ice-0"
+)
+
+// all requests have to be answered whole.
+func all(*outcome) bool { return false }
+
+// run loads the fleet, plays the story, and checks that no promise was broken: of no outcome, and no
+// request that may not fail did. In the end the fleet serves as before and no engine holds memory.
+func run(t *testing.T, f *fleet, mayFail func(*outcome) bool, story func()) {
+	t.Helper()
+	c := f.startCrowd()
+	time.Sleep(before)
+	story()
+	outcomes := c.stop()
+	f.awaitService()
+	f.await("engines are idle and hold no memory", f.idle)
+	saw := f.counters()
+	violations, failed := 0, 0
+	for _, o := range outcomes {
+		err := check(o, saw)
+		if err == nil && !o.whole() {
+			failed++
+			if !mayFail(o) {
+				t.Errorf("failed: %v", o)
+				violations++
+			}
+		}
+		if err != nil {
+			t.Errorf("%v: %v", err, o)
+			violations++
+		}
+		if violations >= shown {
+			t.Fatal("and maybe more")
+		}
+	}
+	t.Logf("%d requests, %d failed", len(outcomes), failed)
+	is.New(t).True(len(outcomes) > 0)
+}
+
+// idle tells whether all engines that run are without work and memory in use.
+func (f *fleet) idle() bool {
+	for _, e := range f.counters().Engines {
+		if e.InFlight != 0 || e.HeldTokens != 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// upstreamFaults are faults of one upstream or of the platform under load.
+var upstreamFaults = []struct {
+	name    string
+	targets []string
+	fault   faults.Fault
+	mayFail func(*outcome) bool
+}{
+	// Nothing is wrong; every request is answered whole.
+	{"none", nil, "", all},
+
+	// An engine sends parts twice, out of order, late or of another request's answer. Callers see none of
+	// that: entry instances take only the part that comes next and fetch what is missing elsewhere.
+	{"duplicate parts", []string{engineN}, faults.DuplicateParts, all},
+	{"reordered parts", []string{engineN}, faults.ReorderedParts, all},
+	{"late parts", []string{engineN}, faults.LateParts, all},
+	{"foreign parts", []string{engineN}, faults.ForeignParts, all},
+
+	// An engine's streams end early as if they were whole. Callers get the rest from another engine.
+	{"no end mark", []string{engineN}, faults.NoEndMark, all},
+
+	// Two engines do the work and lose the answers with their connections; prompts may run again.
+	{"lost answers", []string{engineN, engineM}, faults.LoseAnswer, all},
+
+	// All connections to two engines and a service break in mid-answer. Prompts go on elsewhere; a booking
+	// that was sent is of unknown outcome and is not sent again.
+	{"cut connections", []string{engineN, engineM, "bookdesk-0"}, faults.Cut, sentBooking},
+
+	// All connections open to an engine go silent for good while new ones work.
+	{"silent connections", []string{engineN, engineM}, faults.Silent, all},
+
+	// An engine dies under load and comes back cold.
+	{"engine killed", []string{engineN}, faults.Kill, all},
+
+	// An engine is leaving: it refuses new work and finishes what it has.
+	{"engine leaving", []string{engineN}, faults.Leaving, all},
+
+	// A service instance refuses bookings that it did not start; another one takes them.
+	{"service refuses", []string{"bookdesk-0"}, faults.RefuseStart, all},
+
+	// A service instance runs bookings and loses the answers, or dies before or after the run. The outcome
+	// is unknown to the caller, and no booking runs twice.
+	{"service loses answers", []string{"bookdesk-0", "bookdesk-1"}, faults.LoseAnswer, sentBooking},
+	{"service dies before the run", []string{"bookdesk-0"}, faults.CrashBeforeRun, sentBooking},
+	{"service dies after the run", []string{"bookdesk-0"}, faults.CrashAfterRun, sentBooking},
+
+	// The object API refuses, hangs or loses answers to writes; prompts, reads and bookings without a key
+	// don't need it.
+	{"store down", []string{cluster.TargetObjects}, faults.Kill, all},
+	{"store hangs", []string{cluster.TargetObjects}, faults.Hang, all},
+
+	// The instance list is down or stands still.
+	{"instance list down", []string{cluster.TargetInstances}, faults.Kill, all},
+	{"instance list stands still", []string{cluster.TargetInstances}, faults.Lag, all},
+}
+
+// sentBooking lets bookings fail whose outcome the caller is told to be unknown.
+func sentBooking(o *outcome) bool { return o.kind == "booking" && o.explicit() && !o.notRun() }
+
+func TestFaultsOfUpstreamsAndPlatform(t *testing.T) {
+	for _, c := range upstreamFaults {
+		t.Run(c.name, func(t *testing.T) {
+			f := start(t)
+			run(t, f, c.mayFail, func() {
+				for _, target := range c.targets {
+					f.fault(target, c.fault, true)
+				}
+				time.Sleep(during)
+				for _, target := range c.targets {
+					f.fault(target, c.fault, false)
+				}
+				time.Sleep(before)
+			})
+		})
+	}
+}
+
+// Operators replace an entry instance under load. It says that it is not ready, serves what the balancer
+// still sends, finishes what it has and ends; a new one takes its place. No caller sees any of it.
+func TestGracefulStop(t *testing.T) {
+	f := start(t)
+	run(t, f, all, func() {
+		old := f.entries[0]
+		f.signal(old, syscall.SIGTERM)
+		is.New(t).Equal(f.awaitExit(old), 0)
+		f.unlist(old.row.ID)
+		f.awaitReady(f.startEntry("entry-new", old.row.Domain))
+		time.Sleep(before)
+	})
+}
+
+// An entry instance dies under load and is replaced. Its own callers lose their connections; no other
+// request fails, no booking runs twice, and no engine keeps memory for the dead one.
+func TestKilledEntry(t *testing.T) {
+	f := start(t)
+	old := f.entries[0]
+	through := func(o *outcome) bool { return o.entry == old.row.ID && (o.unreached() || o.Err != nil) }
+	run(t, f, through, func() {
+		old.kill()
+		f.unlist(old.row.ID)
+		f.awaitReady(f.startEntry("entry-new", old.row.Domain))
+		time.Sleep(before)
+	})
+}
+
+// An entry instance is paused under load and goes on, believing that no time has passed. Its own callers
+// may get a failure; no other request fails.
+func TestPausedEntry(t *testing.T) {
+	f := start(t)
+	paused := f.entries[0]
+	through := func(o *outcome) bool { return o.entry == paused.row.ID && (o.explicit() || o.Err != nil) }
+	run(t, f, through, func() {
+		f.signal(paused, syscall.SIGSTOP)
+		time.Sleep(during)
+		f.signal(paused, syscall.SIGCONT)
+		time.Sleep(before)
+	})
+}
