--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"go.uber.org/dig"
 
 	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/claim"
 	"github.com/damaskshelf/damaskshelf/internal/entry"
 	"github.com/damaskshelf/damaskshelf/internal/entry/command"
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
@@ -51,6 +52,7 @@
 	Gate      *gate.Gate
 	Queries   *query.Handler
 	Commands  *command.Handler
+	Claims    *claim.Keeper
 	Callers   *entry.Server
 	Operators *operators
 	Metrics   *metrics.Registry
@@ -92,6 +94,7 @@
 	n.run(p.Follower.Config)
 	n.run(p.Follower.Instances)
 	n.run(p.Observer.Run)
+	n.run(sweepClaims(p.Settings, p.Claims, p.Keeper, p.Log))
 	p.Log.Info("started", "instance", p.Settings.Instance, "region", p.Settings.Region,
 		"failure_domain", p.Settings.FailureDomain, "callers", n.CallersAddr(), "operators", n.OperatorsAddr())
 	return nil
@@ -111,6 +114,20 @@
 // OperatorsAddr is where operators connect.
 func (n *Node) OperatorsAddr() string { return n.parts.Operators.addr() }
 
+// PeersAddr is where other instances connect.
+func (n *Node) PeersAddr() string { return n.parts.Settings.Listen.Peers }
+
+// Serves tells whether this instance sees an engine for every model of the intent.
+func (n *Node) Serves(intent api.Intent) bool {
+	v := n.parts.Keeper.View()
+	for _, m := range intent.Models {
+		if len(v.Engines(m.Name)) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // ConfigVersion is the version of the configuration in force on this instance.
 func (n *Node) ConfigVersion() uint64 { return n.parts.Keeper.View().ConfigVersion }
 
@@ -142,15 +159,24 @@
 	defer cancelLast()
 	errs = append(errs, p.Callers.Shutdown(last), p.Operators.shutdown(last))
 	p.Queries.Wait()
+	errs = append(errs, p.Claims.Flush(last))
+	p.Claims.Close()
 	n.stop()
+	p.Platform.Close() // ends waiting watches
 	n.wg.Wait()
 	p.Client.Close()
-	p.Platform.Close()
 	err := errors.Join(errs...)
 	p.Log.Info("stopped", "error", err)
 	return err
 }
 
+// Kill stops without waiting for requests in flight; they end with an explicit error.
+func (n *Node) Kill() {
+	n.Abort()
+	n.parts.Settings.Intervals.BalancerLag = 0
+	_ = n.Stop()
+}
+
 // Abort ends every request in flight with an explicit error; for a second signal during Stop.
 func (n *Node) Abort() {
 	n.parts.Queries.Abort()
