--- /dev/null
+++ b/internal/decide/relay/news.go
@@ -0,0 +1,117 @@
+package relay
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+)
+
+const (
+	// MaxSigns bounds the signs that an instance keeps and sends, newest first: the instance list and the
+	// upstreams' own answers tell the rest.
+	MaxSigns = 64
+	// SignTTL is how long a sign lives. It covers the lag of the instance list, which then tells by itself.
+	SignTTL = 30 * time.Second
+)
+
+// News is what spreads: the configuration and the signs. It is not safe for concurrent use.
+type News struct {
+	config Config
+	signs  []heldSign // sorted by upstream, then boot
+}
+
+type heldSign struct {
+	upstream fleet.UpstreamID
+	boot     string
+	born     decide.Instant
+}
+
+func (s heldSign) compare(t heldSign) int {
+	if c := strings.Compare(string(s.upstream), string(t.upstream)); c != 0 {
+		return c
+	}
+	return strings.Compare(s.boot, t.boot)
+}
+
+// Config is the configuration in force; version 0: none yet.
+func (n *News) Config() Config { return n.config }
+
+// Take puts c in force if its version is higher than the one in force.
+//
+// A configuration that reverts shows as a domain that takes work again after it was taken out. Stale
+// reads of the store, late answers, and peers that are behind all bring old versions; the object API
+// gives each accepted write a higher version, so taking only higher ones never goes back.
+func (n *News) Take(c Config) bool {
+	if c.Version <= n.config.Version || len(c.Packed) == 0 {
+		return false
+	}
+	n.config = c
+	return true
+}
+
+// Learn takes signs and tells whether any was new or younger than known.
+func (n *News) Learn(now decide.Instant, signs []Sign) bool {
+	changed := false
+	for _, s := range signs {
+		if s.Age >= SignTTL {
+			continue
+		}
+		changed = n.learn(heldSign{upstream: s.Upstream, boot: s.Boot, born: now.Add(-max(s.Age, 0))}) || changed
+	}
+	return changed
+}
+
+// learn tells whether the sign was unknown. A younger one of the same upstream renews it quietly: ages
+// only grow on their way, so that instances can't keep a sign alive among themselves.
+func (n *News) learn(s heldSign) bool {
+	i, found := slices.BinarySearchFunc(n.signs, s, heldSign.compare)
+	if found {
+		n.signs[i].born = max(n.signs[i].born, s.born)
+		return false
+	}
+	n.signs = slices.Insert(n.signs, i, s)
+	if len(n.signs) > MaxSigns {
+		n.dropOldest()
+	}
+	return true
+}
+
+func (n *News) dropOldest() {
+	oldest := 0
+	for i, s := range n.signs {
+		if s.born < n.signs[oldest].born {
+			oldest = i
+		}
+	}
+	n.signs = slices.Delete(n.signs, oldest, oldest+1)
+}
+
+// Expire drops the signs that have lived their time and tells whether there were any.
+func (n *News) Expire(now decide.Instant) bool {
+	before := len(n.signs)
+	n.signs = slices.DeleteFunc(n.signs, func(s heldSign) bool { return now.Sub(s.born) >= SignTTL })
+	return len(n.signs) != before
+}
+
+// Signs gives the signs that live, with their ages.
+func (n *News) Signs(now decide.Instant) []Sign {
+	if len(n.signs) == 0 {
+		return nil
+	}
+	out := make([]Sign, 0, len(n.signs))
+	for _, s := range n.signs {
+		out = append(out, Sign{Upstream: s.upstream, Boot: s.boot, Age: now.Sub(s.born)})
+	}
+	return out
+}
+
+// Left tells whether the signs say that this boot of the upstream is leaving. An upstream whose boot is
+// not known yet is held to any sign about it.
+func Left(signs []Sign, upstream fleet.UpstreamID, boot string) bool {
+	return slices.ContainsFunc(signs, func(s Sign) bool {
+		return s.Upstream == upstream && (s.Boot == "" || boot == "" || s.Boot == boot)
+	})
+}
