--- /dev/null
+++ b/internal/operate/command/propose.go
@@ -0,0 +1,167 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/decide/drain"
+	"github.com/damaskshelf/damaskshelf/internal/decide/plan"
+	"github.com/damaskshelf/damaskshelf/internal/fault"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+)
+
+// make works out the plan of a change from the current configuration and from what engines say that they
+// have loaded.
+func (s *Service) make(ctx context.Context, change api.Change) (api.Plan, error) {
+	current, version, err := s.config(ctx)
+	if err != nil {
+		return api.Plan{}, err
+	}
+	view := s.View()
+	if err := validate(change, current, view); err != nil {
+		return api.Plan{}, fault.New(fault.BadRequest, "%v", err)
+	}
+	p := api.Plan{
+		ID: s.NewID(), State: api.PlanProposed, Change: change, Base: api.Base{Config: version},
+		After: apply(change, current),
+	}
+	p.After.Plan = p.ID
+	return p, s.fill(ctx, &p, current, view)
+}
+
+// fill adds steps, words and cost to a plan, or gives the reason why it is rejected.
+func (s *Service) fill(ctx context.Context, p *api.Plan, current api.Config, view *fleet.View) error {
+	probes := s.survey(ctx, view, current.Intent)
+	if p.Change.Intent != nil {
+		p.Summary = compare(current.Intent, *p.Change.Intent)
+	} else if err := s.assess(p, probes); err != nil {
+		return err
+	}
+	if p.Change.Intent != nil || len(p.After.Intent.Models) > 0 {
+		if err := s.place(p, current, probes); err != nil {
+			return err
+		}
+	}
+	for _, probe := range probes {
+		if probe.silent {
+			p.Hurt = append(p.Hurt, fmt.Sprintf("engine %s did not answer; it is taken as last seen", probe.upstream.ID))
+		}
+	}
+	return nil
+}
+
+// assess judges a failure domain's change.
+func (s *Service) assess(p *api.Plan, probes []probe) error {
+	change := p.Change
+	r := drain.Assess(drain.Input{
+		Domain: change.Drain + change.Restore, Back: change.Restore != "",
+		Groups: groups(probes, p.After), Force: change.Force,
+	})
+	s.Log.Info("failure domain judged", "plan", p.ID, "failure_domain", change.Drain+change.Restore, "reason", string(r.Reason))
+	if r.Rejected != "" {
+		return fault.New(fault.PlanRejected, "%s; force it to accept that", r.Rejected)
+	}
+	p.Summary = r.Summary
+	p.Hurt = r.Hurt
+	p.Forced = r.Reason == drain.Forced
+	return nil
+}
+
+// place plans the engines. A fleet for which no intent was ever stated keeps what it was deployed with.
+func (s *Service) place(p *api.Plan, current api.Config, probes []probe) error {
+	r := plan.Make(plan.Input{
+		Before: current.Intent, After: p.After.Intent, Engines: engines(probes, p.After),
+		Rate: s.WeightRate, Force: p.Change.Force,
+	})
+	s.Log.Info("placement planned", "plan", p.ID, "reason", string(r.Reason), "steps", len(r.Steps))
+	if r.Rejected != "" {
+		return fault.New(fault.PlanRejected, "%s; force it to accept that", r.Rejected)
+	}
+	p.Steps, p.Target, p.Cost = r.Steps, r.Target, r.Cost
+	p.Summary = append(p.Summary, r.Summary...)
+	p.Hurt = append(p.Hurt, r.Hurt...)
+	p.Forced = p.Forced || r.Reason == plan.ForcedFloor
+	return nil
+}
+
+// validate checks a change against the fleet as it is.
+func validate(change api.Change, current api.Config, view *fleet.View) error {
+	domains := knownDomains(view)
+	if change.Intent != nil {
+		return change.Intent.ValidateDomains(domains)
+	}
+	out := slices.Contains(current.DomainsOut, change.Drain+change.Restore)
+	switch {
+	case change.Drain != "" && out:
+		return fmt.Errorf("failure domain %s is out already", change.Drain)
+	case change.Restore != "" && !out:
+		return fmt.Errorf("failure domain %s is not out", change.Restore)
+	case change.Drain != "" && !slices.Contains(domains, change.Drain):
+		return fmt.Errorf("failure domain %q is not known; known: %v", change.Drain, domains)
+	}
+	return nil
+}
+
+// knownDomains lists the failure domains that the view shows, sorted.
+func knownDomains(view *fleet.View) []string {
+	var domains []string
+	for _, u := range view.Upstreams {
+		domains = append(domains, string(u.Domain))
+	}
+	for _, i := range view.Instances {
+		domains = append(domains, string(i.Domain))
+	}
+	slices.Sort(domains)
+	return slices.Compact(domains)
+}
+
+// apply gives the configuration after a change.
+func apply(change api.Change, current api.Config) api.Config {
+	after := api.Config{Intent: current.Intent, DomainsOut: slices.Clone(current.DomainsOut)}
+	switch {
+	case change.Intent != nil:
+		after.Intent = *change.Intent
+	case change.Drain != "":
+		after.DomainsOut = append(after.DomainsOut, change.Drain)
+		slices.Sort(after.DomainsOut)
+	default:
+		after.DomainsOut = slices.DeleteFunc(after.DomainsOut, func(d string) bool { return d == change.Restore })
+	}
+	return after
+}
+
+// compare says in words how one intent differs from another.
+func compare(before, after api.Intent) []string {
+	var lines []string
+	for _, m := range after.Models {
+		i := slices.IndexFunc(before.Models, func(b api.Model) bool { return b.Name == m.Name })
+		if i < 0 {
+			lines = append(lines, fmt.Sprintf("model %s: new, version %s, %d replicas", m.Name, m.Version, m.Replicas))
+			continue
+		}
+		b := before.Models[i]
+		if b.Version != m.Version {
+			lines = append(lines, fmt.Sprintf("model %s: version %s becomes %s", m.Name, b.Version, m.Version))
+		}
+		if b.Replicas != m.Replicas {
+			lines = append(lines, fmt.Sprintf("model %s: %d replicas become %d", m.Name, b.Replicas, m.Replicas))
+		}
+		if b.MinServing() != m.MinServing() {
+			lines = append(lines, fmt.Sprintf("model %s: floor %d becomes %d", m.Name, b.MinServing(), m.MinServing()))
+		}
+	}
+	for _, b := range before.Models {
+		if !slices.ContainsFunc(after.Models, func(m api.Model) bool { return m.Name == b.Name }) {
+			lines = append(lines, fmt.Sprintf("model %s: no longer served", b.Name))
+		}
+	}
+	if !slices.Equal(before.Workspaces, after.Workspaces) {
+		lines = append(lines, fmt.Sprintf("workspaces: %d entries become %d", len(before.Workspaces), len(after.Workspaces)))
+	}
+	if len(lines) == 0 {
+		lines = append(lines, "nothing changes")
+	}
+	return lines
+}
