Measure the routing policy under virtual time

internal/bench drives the daemon's decisions (gate, pipeline, lanes, prefix index, reservations) against a batch-step model of engines that keeps to docs/UPSTREAMS.md: priority, then arrival; memory held back in order; reports renewed every 500 ms and read every 200 ms by each of 6 or 9 entries, cache events late and one in a hundred lost. Load 1.0 is the work, each repeated block computed once, that keeps 20 engines busy. cmd/damaskbench prints tables, varies one parameter of the profile, and draws plots.

A long prompt may be split over two engines, or a group be made larger, where the profile's SplitGain says that it pays; off in both profiles as yet.

--- /dev/null
+++ b/cmd/damaskbench/options.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/damaskshelf/damaskshelf/internal/bench"
+)
+
+// options are the flags that all experiments share.
+type options struct {
+	deployments string
+	entries     string
+	loads       string
+	policies    string
+	seeds       string
+	span        time.Duration
+	workers     int
+}
+
+func (o *options) flags(f *flag.FlagSet) {
+	f.StringVar(&o.deployments, "deployments", "coteau,asrq", "deployments")
+	f.StringVar(&o.entries, "entries", "6,9", "numbers of entry instances")
+	f.StringVar(&o.loads, "loads", "0.3,0.5,0.8,1.0,1.2", "offered loads, 1.0 = capacity")
+	f.StringVar(&o.policies, "policies", strings.Join(bench.Policies, ","), "policies")
+	f.StringVar(&o.seeds, "seeds", "1,2,3", "seeds; their figures are pooled")
+	f.DurationVar(&o.span, "span", 20*time.Minute, "virtual time of each run, one minute of warm-up included")
+	f.IntVar(&o.workers, "workers", 3, "runs at a time")
+}
+
+func deployment(name string) (*bench.Deployment, error) {
+	for _, d := range []*bench.Deployment{&bench.Coteau, &bench.ASRQ} {
+		if d.Name == name {
+			return d, nil
+		}
+	}
+	return nil, fmt.Errorf("deployment %q is not known; allowed: coteau, asrq", name)
+}
+
+func floats(list string) ([]float64, error) {
+	var all []float64
+	for _, s := range strings.Split(list, ",") {
+		v, err := strconv.ParseFloat(s, 64)
+		if err != nil {
+			return nil, fmt.Errorf("%q in %q: %w", s, list, err)
+		}
+		all = append(all, v)
+	}
+	return all, nil
+}
+
+func (o *options) seedList() ([]uint64, error) {
+	values, err := floats(o.seeds)
+	if err != nil {
+		return nil, err
+	}
+	seeds := make([]uint64, len(values))
+	for i, v := range values {
+		seeds[i] = uint64(v)
+	}
+	return seeds, nil
+}
+
+// configs gives the runs that the flags ask for, by deployment, entries, load and policy.
+func (o *options) configs() ([]bench.Config, error) {
+	entries, err := floats(o.entries)
+	if err != nil {
+		return nil, err
+	}
+	loads, err := floats(o.loads)
+	if err != nil {
+		return nil, err
+	}
+	var all []bench.Config
+	for _, name := range strings.Split(o.deployments, ",") {
+		d, err := deployment(name)
+		if err != nil {
+			return nil, err
+		}
+		for _, n := range entries {
+			for _, load := range loads {
+				for _, policy := range strings.Split(o.policies, ",") {
+					all = append(all, bench.Config{Deployment: d, Entries: int(n), Load: load, Span: o.span, Policy: policy})
+				}
+			}
+		}
+	}
+	return all, nil
+}
+
+// study runs what the flags ask for.
+func (o *options) study() ([]bench.Point, error) {
+	configs, err := o.configs()
+	if err != nil {
+		return nil, err
+	}
+	seeds, err := o.seedList()
+	if err != nil {
+		return nil, err
+	}
+	return bench.Study(configs, seeds, o.workers), nil
+}
--- /dev/null
+++ b/cmd/damaskbench/plot.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/google/subcommands"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/damaskshelf/damaskshelf/internal/bench"
+	"github.com/damaskshelf/damaskshelf/internal/decide/cost"
+)
+
+// plotCommand draws the first-token time over the load, one line a policy.
+type plotCommand struct {
+	options
+	out string
+}
+
+func (*plotCommand) Name() string     { return "plot" }
+func (*plotCommand) Synopsis() string { return "draw first-token times over the load, as SVG" }
+func (*plotCommand) Usage() string    { return "damaskbench plot [-out DIRECTORY] [flags]\n" }
+
+func (p *plotCommand) SetFlags(f *flag.FlagSet) {
+	p.flags(f)
+	f.StringVar(&p.out, "out", "docs/plots", "directory of the plots")
+}
+
+func (p *plotCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	points, err := p.study()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	if err := p.draw(points); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// curve is one line of a plot.
+type curve struct {
+	name   string
+	points plotter.XYs
+}
+
+func (p *plotCommand) draw(points []bench.Point) error {
+	for _, class := range []cost.Class{cost.Short, cost.Medium, cost.Long, cost.Group} {
+		figures := map[string][]curve{}
+		var order []string
+		for i := range points {
+			c := points[i].Config
+			name := fmt.Sprintf("%s-%d-%s", c.Deployment.Name, c.Entries, class)
+			if figures[name] == nil {
+				order = append(order, name)
+			}
+			first := points[i].With.Class[class].Quantile(0.95)
+			figures[name] = extend(figures[name], c.Policy, c.Load, first)
+		}
+		for _, name := range order {
+			if err := p.save(name, class, figures[name]); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func extend(curves []curve, policy string, load float64, first time.Duration) []curve {
+	if first == 0 {
+		return curves // no request of the class had a first token
+	}
+	xy := plotter.XY{X: load, Y: first.Seconds()}
+	for i := range curves {
+		if curves[i].name == policy {
+			curves[i].points = append(curves[i].points, xy)
+			return curves
+		}
+	}
+	return append(curves, curve{policy, plotter.XYs{xy}})
+}
+
+func (p *plotCommand) save(name string, class cost.Class, curves []curve) error {
+	chart := plot.New()
+	chart.Title.Text = fmt.Sprintf("%s prompts: p95 of the first token", class)
+	chart.X.Label.Text = "load (1.0 = capacity)"
+	chart.Y.Label.Text = "seconds"
+	chart.Y.Scale = plot.LogScale{}
+	chart.Y.Tick.Marker = plot.LogTicks{Prec: -1}
+	chart.Legend.Top, chart.Legend.Left = true, true
+	var lines []any
+	for _, c := range curves {
+		lines = append(lines, c.name, c.points)
+	}
+	if err := plotutil.AddLinePoints(chart, lines...); err != nil {
+		return fmt.Errorf("plot %s: %w", name, err)
+	}
+	path := filepath.Join(p.out, name+".svg")
+	if err := chart.Save(14*vg.Centimeter, 9*vg.Centimeter, path); err != nil {
+		return fmt.Errorf("plot %s: %w", name, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/damaskbench/table.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/damaskshelf/damaskshelf/internal/bench"
+	"github.com/damaskshelf/damaskshelf/internal/decide/cost"
+)
+
+// tableCommand prints the tables of docs/MEASURES.md.
+type tableCommand struct{ options }
+
+func (*tableCommand) Name() string { return "table" }
+func (*tableCommand) Synopsis() string {
+	return "print first-token times, slowdown, refusals and goodput"
+}
+func (*tableCommand) Usage() string { return "damaskbench table [flags]\n" }
+
+func (t *tableCommand) SetFlags(f *flag.FlagSet) { t.flags(f) }
+
+func (t *tableCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	points, err := t.study()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	write(os.Stdout, points)
+	return subcommands.ExitSuccess
+}
+
+const header = `| load | policy | short p50/p95/p99 | medium | long | group | all over 100k p95 | slowdown of short, medium p95 | refused, late % | goodput k tokens/s (answers/s) |
+|---|---|---|---|---|---|---|---|---|---|
+`
+
+// write prints a table for each deployment and number of entries.
+func write(out io.Writer, points []bench.Point) {
+	last := ""
+	for i := range points {
+		p := &points[i]
+		title := fmt.Sprintf("%s, %d entries", p.Config.Deployment.Name, p.Config.Entries)
+		if title != last {
+			fmt.Fprintf(out, "\n### %s\n\nFirst token in seconds.\n\n%s", title, header)
+			last = title
+		}
+		row(out, p)
+		if i+1 == len(points) || !sameArrivals(&points[i+1].Config, &p.Config) {
+			boundRow(out, p)
+		}
+	}
+}
+
+func sameArrivals(a, b *bench.Config) bool {
+	return a.Deployment == b.Deployment && a.Entries == b.Entries && a.Load == b.Load
+}
+
+func row(out io.Writer, p *bench.Point) {
+	fmt.Fprintf(out, "| %.1f | %s |", p.Config.Load, p.Config.Policy)
+	for c := range p.With.Class {
+		fmt.Fprintf(out, " %s |", quantiles(&p.With.Class[c]))
+	}
+	fmt.Fprintf(out, " %.2f |", overLong(&p.With.Class).Seconds())
+	fmt.Fprintf(out, " %.2f, %.2f |", bench.Slowdown(p.With, p.Alone, cost.Short, 0.95), bench.Slowdown(p.With, p.Alone, cost.Medium, 0.95))
+	all, refused, late := 0, 0, 0
+	for c := range p.With.Class {
+		f := &p.With.Class[c]
+		all, refused, late = all+f.Requests, refused+f.Refused, late+f.Late
+	}
+	fmt.Fprintf(out, " %.1f, %.1f | %.0f (%.1f) |\n", percent(refused, all), percent(late, all), p.With.Goodput/1000, p.With.Answered)
+}
+
+func boundRow(out io.Writer, p *bench.Point) {
+	fmt.Fprintf(out, "| %.1f | *alone* |", p.Config.Load)
+	for c := range p.Bound {
+		fmt.Fprintf(out, " %s |", quantiles(&p.Bound[c]))
+	}
+	fmt.Fprintf(out, " %.2f | 1.00, 1.00 | | |\n", overLong(&p.Bound).Seconds())
+}
+
+func quantiles(f *bench.ClassFigures) string {
+	if len(f.First) == 0 {
+		return "none"
+	}
+	return fmt.Sprintf("%.2f/%.2f/%.2f", f.Quantile(0.5).Seconds(), f.Quantile(0.95).Seconds(), f.Quantile(0.99).Seconds())
+}
+
+// overLong is the p95 of all prompts over 100k tokens, whether one engine holds them or a group.
+func overLong(classes *[cost.ClassCount]bench.ClassFigures) time.Duration {
+	all := bench.ClassFigures{}
+	all.Add(&classes[cost.Long])
+	all.Add(&classes[cost.Group])
+	return all.Quantile(0.95)
+}
+
+func percent(part, all int) float64 { return 100 * float64(part) / float64(max(all, 1)) }
--- /dev/null
+++ b/cmd/damaskbench/vary.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/damaskshelf/damaskshelf/internal/bench"
+	"github.com/damaskshelf/damaskshelf/internal/decide/cost"
+	"github.com/damaskshelf/damaskshelf/internal/decide/pick"
+)
+
+// vary measures the policy with one parameter of its profile changed.
+type vary struct {
+	options
+	name   string
+	values string
+	base   string
+}
+
+// parameters are the profile's fields that can be varied.
+var parameters = map[string]func(p *pick.Profile, v float64){
+	"choices":    func(p *pick.Profile, v float64) { p.Choices = int(v) },
+	"affine":     func(p *pick.Profile, v float64) { p.Affine = int(v) },
+	"others":     func(p *pick.Profile, v float64) { p.Others = v },
+	"spill-ms":   func(p *pick.Profile, v float64) { p.Spill = time.Duration(v) * time.Millisecond },
+	"headroom":   func(p *pick.Profile, v float64) { p.Headroom = v },
+	"split-gain": func(p *pick.Profile, v float64) { p.SplitGain = v },
+	"lane-max":   func(p *pick.Profile, v float64) { p.LaneMax = v },
+	"window-ms":  func(p *pick.Profile, v float64) { p.Window[cost.Short] = time.Duration(v) * time.Millisecond },
+	"medium-ms":  func(p *pick.Profile, v float64) { p.Window[cost.Medium] = time.Duration(v) * time.Millisecond },
+	"lane-ms": func(p *pick.Profile, v float64) {
+		p.Window[cost.Long] = time.Duration(v) * time.Millisecond
+		p.Window[cost.Group] = p.Window[cost.Long]
+	},
+	"medium-prio": func(p *pick.Profile, v float64) { p.Priority[cost.Medium] = int(v) },
+	"long-prio":   func(p *pick.Profile, v float64) { p.Priority[cost.Long] = int(v); p.Priority[cost.Group] = int(v) },
+}
+
+func (*vary) Name() string     { return "vary" }
+func (*vary) Synopsis() string { return "measure with one parameter of the profile changed" }
+func (*vary) Usage() string    { return "damaskbench vary -name PARAMETER -values A,B [flags]\n" }
+
+func (v *vary) SetFlags(f *flag.FlagSet) {
+	v.flags(f)
+	f.StringVar(&v.name, "name", "choices", "parameter of the profile")
+	f.StringVar(&v.base, "base", "", "other parameters changed in all runs, as in choices=8,spill-ms=200")
+	f.StringVar(&v.values, "values", "2,4,8", "its values")
+}
+
+func (v *vary) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if err := v.run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	return subcommands.ExitSuccess
+}
+
+// rebase changes the profile by -base.
+func (v *vary) rebase(p *pick.Profile) error {
+	if v.base == "" {
+		return nil
+	}
+	for _, change := range strings.Split(v.base, ",") {
+		name, text, _ := strings.Cut(change, "=")
+		value, err := strconv.ParseFloat(text, 64)
+		if err != nil || parameters[name] == nil {
+			return fmt.Errorf("change %q is not NAME=NUMBER of a known parameter", change)
+		}
+		parameters[name](p, value)
+	}
+	return nil
+}
+
+func (v *vary) run() error {
+	set := parameters[v.name]
+	if set == nil {
+		return fmt.Errorf("parameter %q is not known", v.name)
+	}
+	values, err := floats(v.values)
+	if err != nil {
+		return err
+	}
+	v.policies = bench.PolicyDamaskshelf
+	configs, err := v.configs()
+	if err != nil {
+		return err
+	}
+	seeds, err := v.seedList()
+	if err != nil {
+		return err
+	}
+	var varied []bench.Config
+	for _, c := range configs {
+		for _, value := range values {
+			p := pick.ProfileOf(c.Deployment.Profile)
+			if err := v.rebase(&p); err != nil {
+				return err
+			}
+			set(&p, value)
+			c.Profile = &p
+			varied = append(varied, c)
+		}
+	}
+	points := bench.Study(varied, seeds, v.workers)
+	for i := range points {
+		points[i].Config.Policy = fmt.Sprintf("%s %g", v.name, values[i%len(values)])
+	}
+	write(os.Stdout, points)
+	return nil
+}
--- /dev/null
+++ b/internal/bench/entry.go
@@ -0,0 +1,181 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/decide/admit"
+	"github.com/damaskshelf/damaskshelf/internal/decide/cost"
+	"github.com/damaskshelf/damaskshelf/internal/decide/lane"
+	"github.com/damaskshelf/damaskshelf/internal/decide/pick"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+)
+
+// policy decides for one entry.
+type policy interface {
+	offer(r *request)
+	reserved(r *request, granted bool)
+	ended(r *request)
+	// wake is called when a report came in.
+	wake()
+}
+
+// entry is one entry instance: its own view of the engines and its own policy.
+type entry struct {
+	sim    *sim
+	number int
+	rng    *rand.Rand
+	views  []*pick.Engine
+	byView map[*pick.Engine]*engine
+	policy policy
+}
+
+func newEntry(s *sim, number int) *entry {
+	e := &entry{
+		sim: s, number: number, rng: rand.New(rand.NewPCG(s.config.Seed, uint64(1000+number))),
+		byView: map[*pick.Engine]*engine{},
+	}
+	for i, eng := range s.engines {
+		v := pick.NewEngine(eng.id, cost.NewTable(eng.model.Memory))
+		e.views = append(e.views, v)
+		e.byView[v] = eng
+		phase := time.Duration(decide.Float(e.rng) * float64(reportPoll))
+		s.clock.after(phase, func() { e.poll(i) })
+	}
+	e.policy = s.config.policy(e)
+	return e
+}
+
+// poll reads one engine's report and cache events.
+func (e *entry) poll(i int) {
+	now, eng, view := e.sim.clock.now, e.sim.engines[i], e.views[i]
+	l := eng.report
+	l.AgeMs = now.Sub(eng.reported).Milliseconds()
+	view.Tell(pick.ReportOf(&l, now))
+	if !e.sim.config.NoCache {
+		view.Cache.Apply(eng.cacheEvents(view.Cache.Next()), now)
+	}
+	e.policy.wake()
+	e.sim.clock.after(reportPoll, func() { e.poll(i) })
+}
+
+// gated is the policy under test: the daemon's gate and pipeline.
+type gated struct {
+	e       *entry
+	profile pick.Profile
+	gate    *admit.Gate
+	pool    *pick.Pool
+	demand  lane.Demand
+	sizer   lane.Sizer
+	order   []fleet.UpstreamID
+	lanes   int
+	waiting map[*admit.Request]*request
+	out     []admit.Decision
+	number  int
+}
+
+func newGated(e *entry, profile pick.Profile, pipeline *pick.Pipeline) *gated {
+	g := &gated{e: e, profile: profile, waiting: map[*admit.Request]*request{}}
+	g.gate = admit.NewGate(&g.profile, pipeline, queueLength)
+	g.sizer = lane.Sizer{Headroom: profile.Headroom, Min: g.leastLanes(), MaxShare: profile.LaneMax}
+	var upstreams []*fleet.Upstream
+	for i, eng := range e.sim.engines {
+		domains := e.sim.config.Deployment.Domains
+		upstreams = append(upstreams, &fleet.Upstream{ID: eng.id, Domain: fleet.DomainID(domains[i%len(domains)])})
+	}
+	g.order = lane.Order("model", upstreams)
+	g.resize()
+	return g
+}
+
+// leastLanes is enough engines for the longest prompt; none where the profile has no lanes.
+func (g *gated) leastLanes() int {
+	if g.profile.LaneMax == 0 {
+		return 0
+	}
+	return maxPrompt/int(g.e.sim.model().Memory) + 1
+}
+
+// resize sizes the lanes from the demand that this entry has seen, as often as the daemon does.
+func (g *gated) resize() {
+	now := g.e.sim.clock.now
+	fleetDemand := g.demand.Engines(now) * float64(g.e.sim.config.Entries)
+	size, _ := g.sizer.Size(fleetDemand, len(g.order), now)
+	if g.pool == nil || size != g.lanes {
+		g.lanes = size
+		g.pool = pick.NewPool(g.e.views, g.order[:size], g.e.sim.model().Memory)
+	}
+	g.e.sim.clock.after(resizeEvery, g.resize)
+}
+
+func (g *gated) world() *admit.World {
+	return &admit.World{Pool: g.pool, Entries: g.e.sim.config.Entries, Now: g.e.sim.clock.now, Rand: g.e.rng}
+}
+
+func (g *gated) offer(r *request) {
+	g.number++
+	r.gated = r.gate(g.number*100 + g.e.number)
+	r.priority = g.profile.Priority[r.class]
+	if r.class.Lane() {
+		g.demand.Add(laneWork(&r.prompt, r.class, g.e.sim.model(), r.gated.Decode), g.e.sim.clock.now)
+	}
+	g.waiting[r.gated] = r
+	w := g.world()
+	d, ok := g.gate.Direct(r.gated, w)
+	if !ok {
+		d = g.gate.Offer(r.gated, w)
+	}
+	g.carry(d)
+}
+
+func (g *gated) carry(d admit.Decision) {
+	r := g.waiting[d.Request]
+	switch d.Verb {
+	case admit.Queued:
+	case admit.Refuse:
+		r.refusal = d.Reason
+		r.finish(refused)
+	case admit.Dispatch:
+		r.sent = []sentPart{{d.Choice.Engine, int64(d.Choice.Estimate.Cost)}}
+		r.dispatch(g.e.byView[d.Choice.Engine], false)
+	case admit.Reserve:
+		r.reserve(d.Plan.Parts)
+	}
+}
+
+func (g *gated) reserved(r *request, granted bool) {
+	plan := pick.Plan{Parts: r.parts}
+	d := g.gate.Reserved(r.gated, &plan, granted, g.world())
+	if !granted {
+		r.group, r.parts = nil, nil
+		g.carry(d)
+		return
+	}
+	for _, p := range r.parts {
+		r.sent = append(r.sent, sentPart{p.Engine, p.Tokens})
+	}
+	if len(r.parts) == 1 {
+		r.dispatch(g.e.byView[r.parts[0].Engine], true)
+		return
+	}
+	r.dispatchGroup()
+}
+
+func (g *gated) ended(r *request) {
+	g.gate.Cancel(r.gated.ID)
+	delete(g.waiting, r.gated)
+	g.wake()
+}
+
+func (g *gated) wake() {
+	if g.gate.Waiting(cost.Short)+g.gate.Waiting(cost.Medium)+g.gate.Waiting(cost.Long) == 0 {
+		return
+	}
+	decisions := g.gate.Wake(g.world(), g.out[:0])
+	g.out = nil // carrying a decision out may wake the gate again
+	for _, d := range decisions {
+		g.carry(d)
+	}
+	g.out = decisions
+}
--- /dev/null
+++ b/internal/bench/result.go
@@ -0,0 +1,131 @@
+package bench
+
+import (
+	"slices"
+	"time"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/decide/cost"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+)
+
+// ClassFigures are one length class's figures of a run. Requests are counted by their arrival after the
+// warm-up; those whose time was not over when the run ended are left out.
+type ClassFigures struct {
+	Requests int
+	InTime   int
+	Refused  int
+	Late     int
+	First    []time.Duration // first token, of requests that had one, sorted
+}
+
+// Quantile gives the q-quantile of the first-token time.
+func (f *ClassFigures) Quantile(q float64) time.Duration { return quantile(f.First, q) }
+
+// Result is a run's figures.
+type Result struct {
+	Class       [cost.ClassCount]ClassFigures
+	Goodput     float64 // prompt tokens a second of requests answered in time
+	Answered    float64 // requests a second answered in time
+	Busy        float64 // share of the engines' time in batch steps
+	MemoryMost  float64 // highest share of an engine's memory that was held
+	MemoryWaits int     // unreserved prompts that found no memory at their engine
+	Refusals    map[decide.Reason]int
+	Workspaces  map[fleet.WorkspaceID]Served
+}
+
+// Served is a workspace's requests and how many of them were answered in time.
+type Served struct {
+	Requests, InTime int
+}
+
+func (s *sim) result(end decide.Instant) *Result {
+	res := &Result{Refusals: map[decide.Reason]int{}, Workspaces: map[fleet.WorkspaceID]Served{}}
+	var tokens, answered float64
+	for _, r := range s.requests {
+		if r.at.Sub(0) < warmUp || end.Before(r.deadline) {
+			continue
+		}
+		f := &res.Class[r.class]
+		f.Requests++
+		served := res.Workspaces[r.workspace]
+		served.Requests++
+		switch r.outcome {
+		case inTime:
+			f.InTime++
+			served.InTime++
+			answered++
+			tokens += float64(r.prompt.Tokens)
+		case refused:
+			f.Refused++
+			res.Refusals[r.refusal]++
+		default:
+			f.Late++
+		}
+		res.Workspaces[r.workspace] = served
+		if r.first != 0 {
+			f.First = append(f.First, r.first.Sub(r.at))
+		}
+	}
+	for c := range res.Class {
+		slices.Sort(res.Class[c].First)
+	}
+	span := (end.Sub(0) - warmUp).Seconds()
+	res.Goodput, res.Answered = tokens/span, answered/span
+	for _, e := range s.engines {
+		res.Busy += e.worked.Seconds() / end.Sub(0).Seconds() / float64(len(s.engines))
+		res.MemoryMost = max(res.MemoryMost, float64(e.most)/float64(e.model.Memory))
+	}
+	res.MemoryWaits = s.memoryWaits
+	return res
+}
+
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
+
+// Merge pools the figures of runs that differ in their seed only.
+func Merge(runs []*Result) *Result {
+	sum := &Result{Refusals: map[decide.Reason]int{}, Workspaces: map[fleet.WorkspaceID]Served{}}
+	n := float64(len(runs))
+	for _, r := range runs {
+		for c := range r.Class {
+			sum.Class[c].Add(&r.Class[c])
+		}
+		sum.Goodput += r.Goodput / n
+		sum.Answered += r.Answered / n
+		sum.Busy += r.Busy / n
+		sum.MemoryMost = max(sum.MemoryMost, r.MemoryMost)
+		sum.MemoryWaits += r.MemoryWaits
+		for reason, count := range r.Refusals {
+			sum.Refusals[reason] += count
+		}
+		for name, served := range r.Workspaces {
+			s := sum.Workspaces[name]
+			sum.Workspaces[name] = Served{s.Requests + served.Requests, s.InTime + served.InTime}
+		}
+	}
+	return sum
+}
+
+// Add pools another run's figures, or another class's, into f.
+func (f *ClassFigures) Add(g *ClassFigures) {
+	f.Requests += g.Requests
+	f.InTime += g.InTime
+	f.Refused += g.Refused
+	f.Late += g.Late
+	f.First = append(f.First, g.First...)
+	slices.Sort(f.First)
+}
+
+// Slowdown is the quantile of a class's first-token time against that of the same prompts alone.
+func Slowdown(with, alone *Result, class cost.Class, q float64) float64 {
+	base := alone.Class[class].Quantile(q)
+	if base == 0 {
+		return 0
+	}
+	return float64(with.Class[class].Quantile(q)) / float64(base)
+}
--- /dev/null
+++ b/internal/bench/run.go
@@ -0,0 +1,119 @@
+package bench
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/decide/pick"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+)
+
+// Times of the model.
+const (
+	messageDelay  = time.Millisecond       // one way, entry to engine
+	reportRenewal = 500 * time.Millisecond // between two reports of an engine
+	reportPoll    = 200 * time.Millisecond // between an entry's two reads of an engine
+	resizeEvery   = time.Second
+	reserveWait   = time.Second // of a group for one engine's memory
+	queueLength   = 512         // the daemon's default
+	lostEvery     = 100         // one cache event in so many is lost
+	warmUp        = time.Minute // left out of all figures
+)
+
+// Names of the policies.
+const (
+	PolicyDamaskshelf = "damaskshelf"
+	PolicySharedPool  = "shared-pool"
+	PolicyLeastLoaded = "least-loaded"
+	PolicyRoundRobin  = "round-robin"
+)
+
+// Policies lists all of them, the one under test first.
+var Policies = []string{PolicyDamaskshelf, PolicySharedPool, PolicyLeastLoaded, PolicyRoundRobin}
+
+// Config is one run.
+type Config struct {
+	Deployment  *Deployment
+	Entries     int
+	Load        float64       // 1.0: the offered work keeps all engines busy
+	Span        time.Duration // of arrivals, warm-up included
+	Seed        uint64
+	Policy      string
+	Profile     *pick.Profile // nil: the deployment's
+	WithoutLong bool          // the same short prompts alone
+	NoCache     bool          // entries learn nothing of prefixes
+}
+
+func (c *Config) profile() pick.Profile {
+	if c.Profile != nil {
+		return *c.Profile
+	}
+	return pick.ProfileOf(c.Deployment.Profile)
+}
+
+func (c *Config) policy(e *entry) policy {
+	switch c.Policy {
+	case PolicyDamaskshelf:
+		return newGated(e, c.profile(), pick.Default())
+	case PolicySharedPool:
+		p := c.profile()
+		p.LaneMax, p.SplitGain = 0, 0
+		clear(p.Priority[:])
+		return newGated(e, p, pick.Default())
+	case PolicyLeastLoaded:
+		return newDirect(e, LeastLoaded())
+	default:
+		return newDirect(e, RoundRobin())
+	}
+}
+
+// sim is one run under way.
+type sim struct {
+	config      Config
+	clock       clock
+	engines     []*engine
+	byID        map[fleet.UpstreamID]*engine
+	entries     []*entry
+	requests    []*request
+	memoryWaits int // unreserved prompts that found no memory at their engine
+}
+
+func (s *sim) model() *EngineModel { return &s.engines[0].model }
+
+// Run carries a run out and gives its figures.
+func Run(c Config) *Result {
+	w := newWorkload(c.Deployment, DefaultEngine, c.Entries, c.Seed)
+	return simulate(c, w.make(c.Load, c.Span))
+}
+
+func simulate(c Config, arrivals []arrival) *Result {
+	s := newSim(c)
+	for i := range arrivals {
+		a := &arrivals[i]
+		if c.WithoutLong && a.class.Lane() {
+			continue
+		}
+		r := &request{arrival: a, sim: s, entry: s.entries[a.entry]}
+		s.requests = append(s.requests, r)
+		s.clock.after(a.at.Sub(0), func() { r.entry.policy.offer(r) })
+		s.clock.after(a.deadline.Sub(0), r.timeout)
+	}
+	end := decide.Instant(0).Add(c.Span)
+	s.clock.run(end)
+	return s.result(end)
+}
+
+func newSim(c Config) *sim {
+	s := &sim{config: c, byID: map[fleet.UpstreamID]*engine{}}
+	for i := range c.Deployment.Engines {
+		e := newEngine(fleet.UpstreamID(fmt.Sprintf("engine-%02d", i)), DefaultEngine, &s.clock)
+		s.engines = append(s.engines, e)
+		s.byID[e.id] = e
+		s.clock.after(reportRenewal*time.Duration(i)/time.Duration(c.Deployment.Engines), e.renew)
+	}
+	for i := range c.Entries {
+		s.entries = append(s.entries, newEntry(s, i))
+	}
+	return s
+}
--- a/internal/decide/pick/engine.go
+++ b/internal/decide/pick/engine.go
@@ -10,6 +10,7 @@
 package pick
 
 import (
+	"cmp"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -110,12 +111,7 @@
 func NewPool(engines []*Engine, lanes []fleet.UpstreamID, memory int64) *Pool {
 	p := &Pool{Memory: memory}
 	sorted := slices.Clone(engines)
-	slices.SortFunc(sorted, func(a, b *Engine) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(sorted, func(a, b *Engine) int { return cmp.Compare(a.ID, b.ID) })
 	for _, e := range sorted {
 		c := Candidate{Engine: e, Lane: slices.Contains(lanes, e.ID)}
 		p.All = append(p.All, c)
--- a/internal/decide/pick/estimate.go
+++ b/internal/decide/pick/estimate.go
@@ -53,8 +53,8 @@
 // ahead is the work, in prompt tokens, that the engine does before a prompt of the query's class.
 //
 // A report gives one figure for all classes. On a lane most of that is long prompts, which the engine
-// puts behind shorter ones; so there, for shorter ones, no more counts than the own dispatches that wait
-// suggest, which are a sample of everybody's.
+// puts behind prompts of higher priority; for those no more counts there than the own dispatches that
+// wait suggest, which are a sample of everybody's.
 func (c *Candidate) ahead(q *Query) (rate, tokens int64) {
 	r := c.report.Load()
 	if r == nil {
--- a/internal/decide/pick/parts.go
+++ b/internal/decide/pick/parts.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -34,7 +35,8 @@
 // Reasons of a plan for long prompts besides those of a choice.
 const (
 	Single  decide.Reason = "one_engine"
-	Grouped decide.Reason = "engine_group"
+	Grouped decide.Reason = "engine_group" // no engine has room for all of it
+	Split   decide.Reason = "split"        // two engines are through so much earlier than one
 )
 
 // offer is what one engine can give a long prompt.
@@ -59,15 +61,49 @@
 			best = i
 		}
 	}
-	if best >= 0 {
-		o := offers[best]
-		return Plan{
-			Parts:    []Part{{o.engine, need}},
-			Estimate: Estimate{q.Prompt.Tokens, o.wait, o.first},
-			Reason:   Single,
+	if best < 0 {
+		return planGroup(q, offers, need)
+	}
+	o := offers[best]
+	single := Plan{
+		Parts:    []Part{{o.engine, need}},
+		Estimate: Estimate{q.Prompt.Tokens, o.wait, o.first},
+		Reason:   Single,
+	}
+	if split := planSplit(q, offers, need); split.better(q, &single) {
+		return split
+	}
+	return single
+}
+
+// better tells whether the first token comes so much earlier than by the other plan, which needs fewer
+// engines, that what engines lose by splitting is worth it.
+func (p *Plan) better(q *Query, other *Plan) bool {
+	gain := q.Profile.SplitGain
+	return gain > 0 && len(p.Parts) > 0 && float64(p.Estimate.First) <= gain*float64(other.Estimate.First)
+}
+
+// planSplit cuts a prompt that one engine could hold over the two engines that would be through first.
+func planSplit(q *Query, offers []offer, need int64) Plan {
+	if q.Profile.SplitGain <= 0 {
+		return Plan{}
+	}
+	half := (need + 1) / 2
+	var pair []offer
+	for _, o := range offers {
+		if o.free < half {
+			continue
 		}
+		pair = append(pair, o)
 	}
-	return planGroup(q, offers, need)
+	if len(pair) < 2 {
+		return Plan{}
+	}
+	slices.SortStableFunc(pair, func(a, b offer) int { return int(a.wait - b.wait) })
+	pair = pair[:2]
+	slices.SortStableFunc(pair, func(a, b offer) int { return cmp.Compare(b.free, a.free) })
+	parts := split(pair, need)
+	return Plan{Parts: parts, Estimate: groupEstimate(q, pair, parts), Reason: Split}
 }
 
 func collect(q *Query, pool []Candidate, gates []Filter) []offer {
@@ -84,28 +120,26 @@
 	return offers
 }
 
-// planGroup takes the engines with the most room until the prompt fits, each with an equal share where
+// planGroup takes the engines with the most room until the prompt fits, and one more while that pays, each with an equal share where
 // its room allows that, so that no member computes much longer than the others.
 func planGroup(q *Query, offers []offer, need int64) Plan {
-	slices.SortStableFunc(offers, func(a, b offer) int {
-		switch {
-		case a.free > b.free:
-			return -1
-		case a.free < b.free:
-			return 1
-		default:
-			return 0
-		}
-	})
+	slices.SortStableFunc(offers, func(a, b offer) int { return cmp.Compare(b.free, a.free) })
+	best := Plan{Reason: NoRoom}
 	for n := 2; n <= min(maxParts, len(offers)); n++ {
 		if offers[n-1].free < minPart {
 			break
 		}
-		if parts := split(offers[:n], need); parts != nil {
-			return Plan{Parts: parts, Estimate: groupEstimate(q, offers[:n], parts), Reason: Grouped}
+		parts := split(offers[:n], need)
+		if parts == nil {
+			continue
+		}
+		plan := Plan{Parts: parts, Estimate: groupEstimate(q, offers[:n], parts), Reason: Grouped}
+		if len(best.Parts) > 0 && !plan.better(q, &best) {
+			break
 		}
+		best = plan
 	}
-	return Plan{Reason: NoRoom}
+	return best
 }
 
 // split cuts need over the offers, sorted by room, from the smallest; nil where it does not fit.
@@ -120,12 +154,7 @@
 	if need > 0 {
 		return nil
 	}
-	slices.SortFunc(parts, func(a, b Part) int {
-		if a.Engine.ID < b.Engine.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(parts, func(a, b Part) int { return cmp.Compare(a.Engine.ID, b.Engine.ID) })
 	return parts
 }
 
--- a/internal/decide/pick/profile.go
+++ b/internal/decide/pick/profile.go
@@ -19,6 +19,9 @@
 	Spill    time.Duration                  // what a lane must save a short prompt before it goes there
 	Headroom float64                        // lane capacity for each unit of measured long demand
 	LaneMax  float64                        // largest share of the engines that may be lanes
+	// SplitGain is how much of one engine's first-token time two engines may at most need for a long
+	// prompt to be split over them, though one could hold it; 0: never.
+	SplitGain float64
 }
 
 // ProfileOf gives the profile that the settings name. The values are measured: docs/design/routing.md.
