--- a/internal/decide/pick/estimate.go
+++ b/internal/decide/pick/estimate.go
@@ -66,7 +66,7 @@
 		rate = defaultRate
 	}
 	reported := r.QueuedTokens
-	if c.Lane && !q.Class.Lane() {
+	if c.Lane && q.Profile.Priority[q.Class] > q.Profile.Priority[cost.Long] {
 		reported = min(reported, c.unbegun(q.Class)*int64(q.Entries))
 	}
 	own := c.sent.since(r.At, q.Now)
--- a/internal/decide/pick/pick_test.go
+++ b/internal/decide/pick/pick_test.go
@@ -176,6 +176,20 @@
 	is.Equal(len(pool.For(cost.Short)), 2)
 }
 
+// Medium prompts wait fifteen seconds behind a long one though other engines are free sooner. Order: the
+// profile gives them the long ones' priority; they are sent to a lane all the same. Cause: on lanes only
+// the shorter prompts' work was counted, whatever the priority.
+func TestLongWorkCountsWhereItIsNotOutranked(t *testing.T) {
+	is := is.New(t)
+	e := pick.NewEngine("e", nil)
+	e.Tell(&pick.Report{At: start, QueuedTokens: 300_000, MemoryTotal: memory, Rate: rate})
+	c := &pick.Candidate{Engine: e, Lane: true}
+	q := short(start)
+	is.Equal(pick.Predict(q, c).Wait, time.Duration(0)) // short stands before long
+	q.Profile.Priority[cost.Short] = q.Profile.Priority[cost.Long]
+	is.True(pick.Predict(q, c).Wait >= 15*time.Second)
+}
+
 // Whatever the engines have free, a plan covers the prompt's memory exactly, stays within each engine's
 // room, names each engine once and in their order; and there is one whenever a single engine has room.
 func TestPlansFitTheirEngines(t *testing.T) {
