--- a/internal/decide/pick/profile.go
+++ b/internal/decide/pick/profile.go
@@ -33,7 +33,7 @@
 			cost.Short: 300 * time.Millisecond, cost.Medium: time.Second,
 			cost.Long: 2 * time.Second, cost.Group: 2 * time.Second,
 		},
-		Choices:  4,
+		Choices:  8,
 		Affine:   2,
 		Others:   0.25,
 		Spill:    50 * time.Millisecond,
