Tell a long prompt from a dead connection before the first token

Change: engines send the head at once and a comment line at least every half second while they work; the gap timeout now holds in every phase. The HTTP library's own timeout error counts as silence. Ruled out: a probe alone (it tells that the engine lives, not that this connection does); a timeout scaled with the prompt (a million tokens would wait a minute on a dead connection).

--- a/internal/entry/query/answer.go
+++ b/internal/entry/query/answer.go
@@ -87,14 +87,9 @@
 	return true
 }
 
-// gap is how long the stream may be silent: until the deadline before the first token, a fixed time after.
-func (a *answer) gap() time.Duration {
-	left := a.left()
-	if a.offset == 0 {
-		return left
-	}
-	return min(left, a.h.streamGap)
-}
+// gap is how long the stream may be silent, the head of the answer included: an engine answers at once
+// and shows that it works (docs/UPSTREAMS.md).
+func (a *answer) gap() time.Duration { return min(a.left(), a.h.streamGap) }
 
 func (a *answer) left() time.Duration { return time.Until(a.prompt.meta.Deadline) }
 
@@ -118,7 +113,7 @@
 		RequestID: string(p.meta.ID), Workspace: string(p.meta.Workspace), Priority: p.meta.Priority,
 		Attempt: a.attempt, Remaining: a.left(), Reservation: grant.Reservation,
 		ResumeOffset: a.offset, Body: p.raw,
-	}, a.left())
+	}, a.gap())
 	if err != nil {
 		return a.failed(err)
 	}
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -22,9 +22,14 @@
 	err      string
 }
 
-// await waits until the job has more than the tokens up to from, or is over. It gives false, and cancels
-// the job, when the connection is gone.
-func (e *Engine) await(j *job, from int, gone <-chan struct{}) (progress, bool) {
+// workingEvery is the time between two comments on a stream without a new token, by the clock on the wall.
+const workingEvery = 500 * time.Millisecond
+
+// await waits until the job has more than the tokens up to from, or is over; working is called now and
+// then while it waits. It gives false, and cancels the job, when the connection is gone.
+func (e *Engine) await(j *job, from int, gone <-chan struct{}, working func() bool) (progress, bool) {
+	tick := time.NewTicker(workingEvery)
+	defer tick.Stop()
 	for {
 		var p progress
 		e.locked(func(time.Duration) { p = progress{from, j.offset + j.produced, j.finish, j.err} })
@@ -33,6 +38,12 @@
 		}
 		select {
 		case <-j.more:
+		case <-tick.C:
+			if working() {
+				continue
+			}
+			e.locked(func(time.Duration) { e.cancel(j) })
+			return p, false
 		case <-gone:
 			e.locked(func(time.Duration) { e.cancel(j) })
 			return p, false
@@ -45,7 +56,7 @@
 	gone := serve.Gone(ctx)
 	p, ok := progress{to: j.offset}, true
 	for p.finish == "" && ok {
-		p, ok = e.await(j, p.to, gone)
+		p, ok = e.await(j, p.to, gone, func() bool { return true })
 	}
 	e.faults.Hold(faults.SlowFirstByte, gone)
 	switch {
@@ -75,9 +86,13 @@
 func (e *Engine) writeParts(w *bufio.Writer, j *job, gone <-chan struct{}, conn net.Conn) bool {
 	mangle := mangler{faults: e.faults, id: j.id, max: j.max, first: j.offset}
 	p, ok := progress{to: j.offset}, true
+	working := func() bool { return e.faults.On(faults.LoseAnswer) || writeWorking(w) }
+	if !working() {
+		return false
+	}
 	first := true
 	for p.finish == "" {
-		if p, ok = e.await(j, p.to, gone); !ok {
+		if p, ok = e.await(j, p.to, gone, working); !ok {
 			return false
 		}
 		if first {
@@ -104,6 +119,13 @@
 	return err == nil && w.Flush() == nil
 }
 
+// writeWorking writes a comment: the head of the answer goes out at once, and a reader can tell a long
+// computation from a dead connection.
+func writeWorking(w *bufio.Writer) bool {
+	_, err := w.WriteString(": working\n\n")
+	return err == nil && w.Flush() == nil
+}
+
 func partOf(id string, p progress) wire.Part {
 	return wire.Part{
 		ID: id, Offset: p.from, Tokens: p.to - p.from, Text: answer.Range(id, p.from, p.to),
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -100,14 +100,20 @@
 // caller's context ended before.
 func (x *exchange) failed(ctx context.Context, err error, _ bool) error {
 	e := &CallError{Sent: x.conn.sent.Load() > 0, Cause: err}
-	var ne net.Error
-	e.Timeout = errors.As(err, &ne) && ne.Timeout() && ctx.Err() == nil
+	e.Timeout = timedOut(err) && ctx.Err() == nil
 	if ctx.Err() != nil {
 		e.Cause = fmt.Errorf("%w: %w", context.Cause(ctx), err)
 	}
 	return e
 }
 
+// timedOut tells whether err is a passed deadline of the connection; the HTTP library has an error of its
+// own for it, which is no net.Error.
+func timedOut(err error) bool {
+	var ne net.Error
+	return errors.Is(err, fasthttp.ErrTimeout) || (errors.As(err, &ne) && ne.Timeout())
+}
+
 // finish gives the connection back if the exchange ended whole, and closes it otherwise.
 func (x *exchange) finish(whole bool) {
 	detached := x.detach()
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -79,14 +79,19 @@
 
 var dataPrefix = []byte("data:")
 
-// Next gives the next part, waiting up to gap for it. io.EOF comes only after the stream's last event;
-// a stream that ends before it is an io.ErrUnexpectedEOF inside a *CallError.
+// Next gives the next part. The stream may be silent for gap: an engine that computes without a new token
+// writes a comment line now and then, so that silence means a dead connection and not a long prompt.
+// io.EOF comes only after the stream's last event; a stream that ends before it is an io.ErrUnexpectedEOF
+// inside a *CallError.
 func (s *Stream) Next(gap time.Duration) (wire.Part, error) {
-	_ = s.x.conn.SetReadDeadline(time.Now().Add(gap))
-	if s.ctx.Err() != nil { // the cancellation's own deadline may just have been overwritten
-		return wire.Part{}, s.x.failed(s.ctx, s.ctx.Err(), false)
-	}
-	for s.scanner.Scan() {
+	for {
+		_ = s.x.conn.SetReadDeadline(time.Now().Add(gap))
+		if s.ctx.Err() != nil { // the cancellation's own deadline may just have been overwritten
+			return wire.Part{}, s.x.failed(s.ctx, s.ctx.Err(), false)
+		}
+		if !s.scanner.Scan() {
+			break
+		}
 		data, ok := bytes.CutPrefix(s.scanner.Bytes(), dataPrefix)
 		if !ok {
 			continue // an empty line or another field of the event
