follow: carry out the relay's decisions; wire membership, configuration and trust into the instance

The thin follower polled the store and the list on every instance, at any fleet size, and knew nothing of peers. Now internal/follow is the shell of decide/relay: peers' listener, heartbeats, pulls, watchers' reads, the list at an interval that grows with its size. Requests are refused as stale_instance when the instance was paused or has heard neither a peer in another domain nor the store for 1.5 s; route asks it last, right before a grant. A configuration that this program can't read makes it not ready instead of serving on by the one before. A configuration that an instance wrote spreads from there as soon as the write's answer is back. An engine's own answer that it is leaving reaches all instances; the keeper now takes the set of leaving upstreams, so that a sign ends and does not hold an upstream's next boot.

The store's calls of one instance go through client.Budgeted: its cut by the number of listed instances, and backoff while the store is lost.

The trust bound is a constant (1.5 s); the heartbeat interval is shortened to a third of it where settings ask for more, since the promises of 2 s and 3 s hang on it.

--- a/internal/decide/member/member.go
+++ b/internal/decide/member/member.go
@@ -43,21 +43,23 @@
 
 // Defaults of Params.
 const (
-	DefaultFanout   = 6
-	DefaultInterval = 500 * time.Millisecond
-	// intervalsPerBound heartbeats to each peer fit in the bound: with six peers, all of them have to be
-	// lost before a reachable instance thinks that it was cut off.
+	DefaultFanout = 6
+	// DefaultBound keeps the promise that a leaving upstream gets no new work after two seconds, with half
+	// a second left for the news to reach the instances that this one heard last.
+	DefaultBound = 1500 * time.Millisecond
+	// intervalsPerBound heartbeats to each peer fit in the bound at least: with six peers, all of them have
+	// to be lost before a reachable instance thinks that it was cut off.
 	intervalsPerBound = 3
 	slowestPerBound   = 2
 	// missesAllowed heartbeats in a row may be lost before a peer counts as unreachable.
 	missesAllowed = 1
 )
 
-// NewParams gives the defaults around a heartbeat interval.
+// NewParams gives the defaults around a heartbeat interval, which is shortened to fit the bound.
 func NewParams(self fleet.Instance, interval time.Duration) Params {
-	bound := intervalsPerBound * interval
 	return Params{
-		Self: self, Fanout: DefaultFanout, Interval: interval, Bound: bound, Slowest: slowestPerBound * bound,
+		Self: self, Fanout: DefaultFanout, Interval: min(interval, DefaultBound/intervalsPerBound),
+		Bound: DefaultBound, Slowest: slowestPerBound * DefaultBound,
 	}
 }
 
--- a/internal/decide/storebudget/storebudget.go
+++ b/internal/decide/storebudget/storebudget.go
@@ -132,6 +132,9 @@
 	return Probe, 0
 }
 
+// Lost tells whether the store was unavailable at the last call.
+func (b *Budget) Lost() bool { return b.failures > 0 }
+
 // Failed takes that a call found the store unavailable. Calls that fail together count as one.
 func (b *Budget) Failed(now decide.Instant, r decide.Rand) {
 	if b.failures > 0 && !b.probing {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -27,17 +27,13 @@
 	config  api.Config                  // guarded by mu
 	list    wire.InstanceList           // guarded by mu
 	served  map[fleet.UpstreamID]Served // guarded by mu
-	leaving map[fleet.UpstreamID]bool   // guarded by mu: signs other than the instance list
+	leaving []fleet.UpstreamID          // guarded by mu: by signs other than the instance list
 	changed func(old, new *fleet.View)  // called under mu after each publication; may be nil
 }
 
 // New gives a Keeper with an empty View. changed is called in order after each new View.
 func New(changed func(old, new *fleet.View)) *Keeper {
-	k := &Keeper{
-		served:  map[fleet.UpstreamID]Served{},
-		leaving: map[fleet.UpstreamID]bool{},
-		changed: changed,
-	}
+	k := &Keeper{served: map[fleet.UpstreamID]Served{}, changed: changed}
 	k.view.Store(fleet.NewView(0, api.Config{}, 0, nil, nil))
 	return k
 }
@@ -82,15 +78,15 @@
 	k.publish()
 }
 
-// SetLeaving marks an upstream as leaving by a sign other than the instance list (its own answer, a
-// peer). The mark stands until the list no longer names the upstream.
-func (k *Keeper) SetLeaving(id fleet.UpstreamID) {
+// SetLeaving takes the upstreams that are leaving by signs other than the instance list (their own
+// answers, peers), in place of those that it took before.
+func (k *Keeper) SetLeaving(ids []fleet.UpstreamID) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.leaving[id] {
+	if slices.Equal(k.leaving, ids) {
 		return
 	}
-	k.leaving[id] = true
+	k.leaving = slices.Clone(ids)
 	k.publish()
 }
 
@@ -125,11 +121,6 @@
 			delete(k.served, id)
 		}
 	}
-	for id := range k.leaving {
-		if !listed[id] {
-			delete(k.leaving, id)
-		}
-	}
 }
 
 func instance(i wire.Instance) *fleet.Instance {
@@ -148,7 +139,7 @@
 		Service: i.Service, Fencing: i.Fencing, Memory: i.Memory,
 		Models:  k.served[id].Models,
 		Long:    k.served[id].Long,
-		Leaving: i.State == wire.StateLeaving || k.leaving[id],
+		Leaving: i.State == wire.StateLeaving || slices.Contains(k.leaving, id),
 		Out:     slices.Contains(k.config.DomainsOut, i.Domain),
 	}
 	if i.Kind == wire.KindService {
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -13,7 +13,6 @@
 	"github.com/damaskshelf/damaskshelf/internal/entry/intake"
 	"github.com/damaskshelf/damaskshelf/internal/entry/query"
 	"github.com/damaskshelf/damaskshelf/internal/explain"
-	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/follow"
 	"github.com/damaskshelf/damaskshelf/internal/keeper"
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
@@ -37,6 +36,7 @@
 		metrics.New,
 		explain.New,
 		newPlatform,
+		newStore,
 		newKeeper,
 		newFollower,
 		upstream.New,
@@ -65,14 +65,15 @@
 
 func newKeeper() *keeper.Keeper { return keeper.New(nil) }
 
-func newFollower(s api.Settings, p *platformclient.Client, k *keeper.Keeper, log hclog.Logger) *follow.Follower {
-	return follow.New(p, p, k, time.Duration(s.Intervals.InstanceList), log)
+func newRouter(k *keeper.Keeper, f *follow.Follower, rec *explain.Recorder) *route.Router {
+	r := route.New(k.View, rec)
+	r.Usable = f.Usable
+	return r
 }
 
-func newRouter(k *keeper.Keeper, rec *explain.Recorder) *route.Router { return route.New(k.View, rec) }
-
-func newObserver(s api.Settings, c *upstream.Client, k *keeper.Keeper, r *route.Router, log hclog.Logger) *observe.Observer {
-	return observe.New(c, k.View, sink{Router: r, keeper: k}, time.Duration(s.Intervals.LoadReport), log)
+func newObserver(s api.Settings, c *upstream.Client, k *keeper.Keeper, r *route.Router, f *follow.Follower,
+	log hclog.Logger) *observe.Observer {
+	return observe.New(c, k.View, sink{Router: r, keeper: k, follower: f}, time.Duration(s.Intervals.LoadReport), log)
 }
 
 func bounds(s api.Settings) intake.Bounds {
@@ -97,23 +98,10 @@
 	})
 }
 
-func newCallers(s api.Settings, q *query.Handler, cmd *command.Handler, g *gate.Gate, k *keeper.Keeper,
+func newCallers(s api.Settings, q *query.Handler, cmd *command.Handler, g *gate.Gate, f *follow.Follower,
 	m *metrics.Registry, log hclog.Logger, id idSource) *entry.Server {
 	return entry.New(entry.Deps{
 		Queries: q, Commands: cmd, Gate: g, Metrics: m, Limits: s.Limits, Log: log, NewID: id,
-		Ready: func() error { return readiness(k) },
+		Ready: f.Usable,
 	})
 }
-
-// readiness says why the instance can't serve: without a configuration it could bring work to a failure
-// domain that operators have taken out.
-func readiness(k *keeper.Keeper) error {
-	v := k.View()
-	if v.ConfigVersion == 0 {
-		return fault.New(fault.NotReady, "no configuration yet")
-	}
-	if v.ListVersion == 0 {
-		return fault.New(fault.NotReady, "no instance list yet")
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/node/follower.go
@@ -0,0 +1,32 @@
+package node
+
+import (
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/decide/storebudget"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/follow"
+	"github.com/damaskshelf/damaskshelf/internal/keeper"
+	"github.com/damaskshelf/damaskshelf/internal/platform"
+	platformclient "github.com/damaskshelf/damaskshelf/internal/platform/client"
+)
+
+// newStore gives the object API within this instance's cut of the fleet's rates.
+func newStore(p *platformclient.Client, k *keeper.Keeper) platform.Store {
+	count := func() int { return len(k.View().Instances) }
+	return platformclient.NewBudgeted(p, storebudget.DefaultLimits, count)
+}
+
+func newFollower(s api.Settings, p *platformclient.Client, store platform.Store, k *keeper.Keeper,
+	log hclog.Logger) (*follow.Follower, error) {
+	return follow.New(follow.Deps{
+		Self: fleet.Instance{
+			ID: fleet.InstanceID(s.Instance), Domain: fleet.DomainID(s.FailureDomain), Region: fleet.RegionID(s.Region),
+		},
+		Store: store, Instances: p, Keeper: k, Log: log,
+		ListEvery: time.Duration(s.Intervals.InstanceList), Heartbeat: time.Duration(s.Intervals.Heartbeat),
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,20 +83,22 @@
 // Start binds the listeners and begins to serve. Readiness follows once a configuration is in force.
 func (n *Node) Start() error {
 	p := n.parts
-	if err := p.Callers.Listen(p.Settings.Listen.Callers); err != nil {
+	if err := p.Follower.Listen(p.Settings.Listen.Peers); err != nil {
 		return err
 	}
+	if err := p.Callers.Listen(p.Settings.Listen.Callers); err != nil {
+		return errors.Join(err, p.Follower.Close())
+	}
 	if err := p.Operators.listen(p.Settings.Listen.Operators); err != nil {
-		return errors.Join(err, p.Callers.Shutdown(context.Background()))
+		return errors.Join(err, p.Callers.Shutdown(context.Background()), p.Follower.Close())
 	}
 	n.run(func(context.Context) { p.Callers.Serve() })
 	n.run(func(context.Context) { p.Operators.serve() })
-	n.run(p.Follower.Config)
-	n.run(p.Follower.Instances)
+	n.run(p.Follower.Run)
 	n.run(p.Observer.Run)
 	n.run(sweepClaims(p.Settings, p.Claims, p.Keeper, p.Log))
 	p.Log.Info("started", "instance", p.Settings.Instance, "region", p.Settings.Region,
-		"failure_domain", p.Settings.FailureDomain, "callers", n.CallersAddr(), "operators", n.OperatorsAddr())
+		"failure_domain", p.Settings.FailureDomain, "callers", n.CallersAddr(), "operators", n.OperatorsAddr(), "peers", n.PeersAddr())
 	return nil
 }
 
@@ -115,7 +117,7 @@
 func (n *Node) OperatorsAddr() string { return n.parts.Operators.addr() }
 
 // PeersAddr is where other instances connect.
-func (n *Node) PeersAddr() string { return n.parts.Settings.Listen.Peers }
+func (n *Node) PeersAddr() string { return n.parts.Follower.Addr() }
 
 // Serves tells whether this instance sees an engine for every model of the intent.
 func (n *Node) Serves(intent api.Intent) bool {
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -13,10 +13,11 @@
 	"github.com/damaskshelf/damaskshelf/api"
 	"github.com/damaskshelf/damaskshelf/internal/explain"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/follow"
 	"github.com/damaskshelf/damaskshelf/internal/keeper"
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
 	"github.com/damaskshelf/damaskshelf/internal/operate"
-	platformclient "github.com/damaskshelf/damaskshelf/internal/platform/client"
+	"github.com/damaskshelf/damaskshelf/internal/platform"
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
 )
 
@@ -36,18 +37,19 @@
 	served   chan error
 }
 
-func newOperators(s api.Settings, p *platformclient.Client, c *upstream.Client, k *keeper.Keeper, rec *explain.Recorder,
+func newOperators(s api.Settings, p platform.Store, f *follow.Follower, c *upstream.Client, k *keeper.Keeper, rec *explain.Recorder,
 	m *metrics.Registry, log hclog.Logger, id idSource) *operators {
 	r := router.New()
 	operate.Register(r, operate.Deps{
 		Instance:  fleet.InstanceID(s.Instance),
-		Store:     p,
+		Store:     follow.Announce(p, f),
 		View:      k.View,
 		Log:       log.Named("operate"),
 		NewID:     id,
 		Token:     s.OperatorToken,
 		Upstreams: c,
 		Explain:   explainer(rec),
+		InForce:   f.InForce,
 	})
 	r.GET("/metrics", func(ctx *fasthttp.RequestCtx) { ctx.SetBody(m.Text()) })
 	return &operators{
--- a/internal/node/sink.go
+++ b/internal/node/sink.go
@@ -1,7 +1,10 @@
 package node
 
 import (
+	"time"
+
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/follow"
 	"github.com/damaskshelf/damaskshelf/internal/keeper"
 	"github.com/damaskshelf/damaskshelf/internal/observe"
 	"github.com/damaskshelf/damaskshelf/internal/route"
@@ -14,11 +17,18 @@
 // sink hands engines' reports to the router and what they serve to the keeper.
 type sink struct {
 	*route.Router
-	keeper *keeper.Keeper
+	keeper   *keeper.Keeper
+	follower *follow.Follower
 }
 
 var _ observe.Sink = sink{}
 
+// OnLoad takes an engine's load report, which also tells its boot and whether it is leaving.
+func (s sink) OnLoad(u *fleet.Upstream, l wire.Load, at time.Time) {
+	s.follower.OnLoad(u, l.BootID, l.Leaving)
+	s.Router.OnLoad(u, l, at)
+}
+
 // OnState takes what an engine serves.
 func (s sink) OnState(u *fleet.Upstream, st wire.EngineState) {
 	served := keeper.Served{Long: st.Role == roleLong}
--- /dev/null
+++ b/internal/platform/client/budget.go
@@ -0,0 +1,179 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/decide/storebudget"
+	"github.com/damaskshelf/damaskshelf/internal/platform"
+	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+)
+
+// longestWait is how long a call waits for the instance's cut before it is refused.
+const longestWait = time.Second
+
+// Budgeted is a store whose calls keep to this instance's cut of the fleet's rates. A call over the cut
+// waits a moment; while the store is lost, calls but for the probes fail at once with ErrUnavailable, and
+// nothing of them is sent.
+type Budgeted struct {
+	store     platform.Store
+	instances func() int
+	start     time.Time
+
+	mu     sync.Mutex
+	budget *storebudget.Budget // guarded by mu
+	rand   *rand.Rand          // guarded by mu
+	counts Counts              // guarded by mu
+}
+
+// Counts are the calls since the start.
+type Counts struct {
+	Reads   uint64 // watches among them
+	Writes  uint64
+	Refused uint64 // not sent
+	Failed  uint64 // sent, and found the store unavailable
+}
+
+var _ platform.Store = (*Budgeted)(nil)
+
+// NewBudgeted gives a budgeted store; instances tells how many share the limits.
+func NewBudgeted(s platform.Store, limits storebudget.Limits, instances func() int) *Budgeted {
+	return &Budgeted{
+		store: s, instances: instances, start: time.Now(),
+		budget: storebudget.New(0, limits, instances()),
+		rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+func (b *Budgeted) now() decide.Instant { return decide.Instant(time.Since(b.start)) }
+
+// Counts gives the calls since the start.
+func (b *Budgeted) Counts() Counts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.counts
+}
+
+// take waits for the right to one call.
+func (b *Budgeted) take(ctx context.Context, c storebudget.Call) error {
+	deadline := time.Now().Add(longestWait)
+	for {
+		reason, wait := b.ask(c)
+		switch reason {
+		case storebudget.Granted, storebudget.Probe:
+			return nil
+		case storebudget.OverBudget:
+			if time.Now().Add(wait).Before(deadline) && sleep(ctx, wait) {
+				continue
+			}
+		}
+		b.refused()
+		return fmt.Errorf("%w: %s, again in %s", platform.ErrUnavailable, reason, wait.Round(time.Millisecond))
+	}
+}
+
+func (b *Budgeted) ask(c storebudget.Call) (decide.Reason, time.Duration) {
+	n := b.instances()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	b.budget.Instances(now, n)
+	reason, wait := b.budget.Take(now, c)
+	if reason == storebudget.Granted || reason == storebudget.Probe {
+		if c == storebudget.Write {
+			b.counts.Writes++
+		} else {
+			b.counts.Reads++
+		}
+	}
+	return reason, wait
+}
+
+func (b *Budgeted) refused() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.counts.Refused++
+}
+
+// done takes a call's outcome. An answer of any kind shows that the store is there; a caller that gave
+// up shows nothing, and frees the probe as a failure would.
+func (b *Budgeted) done(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var conflict *platform.ConflictError
+	if err == nil || errors.As(err, &conflict) || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrTooOld) {
+		b.budget.Succeeded(b.now())
+		return
+	}
+	if errors.Is(err, context.Canceled) && !b.budget.Lost() {
+		return
+	}
+	b.counts.Failed++
+	b.budget.Failed(b.now(), b.rand)
+}
+
+// Get implements platform.Store.
+func (b *Budgeted) Get(ctx context.Context, key platform.Key) (wire.Object, error) {
+	if err := b.take(ctx, storebudget.Read); err != nil {
+		return wire.Object{}, err
+	}
+	o, err := b.store.Get(ctx, key)
+	b.done(err)
+	return o, err
+}
+
+// List implements platform.Store.
+func (b *Budgeted) List(ctx context.Context, kind string) (wire.List, error) {
+	if err := b.take(ctx, storebudget.Read); err != nil {
+		return wire.List{}, err
+	}
+	l, err := b.store.List(ctx, kind)
+	b.done(err)
+	return l, err
+}
+
+// Watch implements platform.Store.
+func (b *Budgeted) Watch(ctx context.Context, kind string, version uint64, wait time.Duration) (wire.List, error) {
+	if err := b.take(ctx, storebudget.Read); err != nil {
+		return wire.List{}, err
+	}
+	l, err := b.store.Watch(ctx, kind, version, wait)
+	b.done(err)
+	return l, err
+}
+
+// Put implements platform.Store.
+func (b *Budgeted) Put(ctx context.Context, w platform.Write) (uint64, error) {
+	if err := b.take(ctx, storebudget.Write); err != nil {
+		return 0, err
+	}
+	version, err := b.store.Put(ctx, w)
+	b.done(err)
+	return version, err
+}
+
+// Delete implements platform.Store.
+func (b *Budgeted) Delete(ctx context.Context, key platform.Key, ifVersion uint64) error {
+	if err := b.take(ctx, storebudget.Write); err != nil {
+		return err
+	}
+	err := b.store.Delete(ctx, key, ifVersion)
+	b.done(err)
+	return err
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -83,6 +83,10 @@
 
 // Router chooses upstreams.
 type Router struct {
+	// Usable gives nil, or why this instance may not send new work now; nil: it always may. It is asked
+	// last, right before the grant: a request may have waited.
+	Usable func() error
+
 	view    func() *fleet.View
 	explain *explain.Recorder
 	loads   sync.Map // fleet.UpstreamID to *load
@@ -119,6 +123,11 @@
 		return nil, err
 	}
 	u, reason := r.choose(all)
+	if r.Usable != nil {
+		if err := r.Usable(); err != nil {
+			return nil, err
+		}
+	}
 	l := r.load(u.ID)
 	l.own.Add(1)
 	r.explain.Record("route", string(q.ID), reason,
