--- /dev/null
+++ b/internal/platform/client/budget_test.go
@@ -0,0 +1,89 @@
+package client_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide/storebudget"
+	"github.com/damaskshelf/damaskshelf/internal/platform"
+	"github.com/damaskshelf/damaskshelf/internal/platform/client"
+	"github.com/damaskshelf/damaskshelf/internal/platform/memory"
+	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+)
+
+// lost is a store that can be out of service and counts the calls that reach it.
+type lost struct {
+	platform.Store
+	mu    sync.Mutex
+	down  bool
+	calls int
+}
+
+func (l *lost) Get(ctx context.Context, key platform.Key) (wire.Object, error) {
+	l.mu.Lock()
+	l.calls++
+	down := l.down
+	l.mu.Unlock()
+	if down {
+		return wire.Object{}, errors.New("connection reset")
+	}
+	return l.Store.Get(ctx, key)
+}
+
+func (l *lost) set(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+// The store goes down while callers keep asking. Their calls must fail at once and say that nothing was
+// sent, instead of each waiting for a timeout, and only probes may go out.
+func TestCallsFailAtOnceWhileTheStoreIsLost(t *testing.T) {
+	is := is.New(t)
+	ctx, key := context.Background(), platform.Key{Kind: "k", Name: "n"}
+	s := &lost{Store: memory.New()}
+	b := client.NewBudgeted(s, storebudget.DefaultLimits, func() int { return 1 })
+	_, err := b.Get(ctx, key)
+	is.True(errors.Is(err, platform.ErrNotFound))
+	s.set(true)
+	unavailable := 0
+	for range 500 {
+		if _, err := b.Get(ctx, key); errors.Is(err, platform.ErrUnavailable) {
+			unavailable++
+		}
+	}
+	is.True(unavailable > 400)
+	is.Equal(unavailable, int(b.Counts().Refused))
+	is.Equal(s.calls, 501-unavailable) // what was refused was not sent
+	s.set(false)
+	for {
+		_, err := b.Get(ctx, key)
+		if errors.Is(err, platform.ErrNotFound) {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	is.True(b.Counts().Failed > 0)
+}
+
+// A conflict or an absent object is an answer: it must not look like an outage.
+func TestAnswersAreNoOutage(t *testing.T) {
+	is := is.New(t)
+	ctx, key := context.Background(), platform.Key{Kind: "k", Name: "n"}
+	b := client.NewBudgeted(memory.New(), storebudget.DefaultLimits, func() int { return 1 })
+	_, err := b.Put(ctx, platform.Write{Key: key, WriteID: "w", Value: []byte(`1`)})
+	is.NoErr(err)
+	for range 20 {
+		_, err := b.Put(ctx, platform.Write{Key: key, WriteID: "w", Value: []byte(`1`)})
+		var conflict *platform.ConflictError
+		is.True(errors.As(err, &conflict))
+		is.True(errors.Is(b.Delete(ctx, platform.Key{Kind: "k", Name: "none"}, 1), platform.ErrNotFound))
+	}
+	is.Equal(b.Counts().Failed, uint64(0))
+	is.Equal(b.Counts().Refused, uint64(0))
+}
--- a/internal/platform/client/client.go
+++ b/internal/platform/client/client.go
@@ -52,6 +52,8 @@
 			MaxIdleConnDuration: 10 * time.Second,
 			MaxConnDuration:     time.Minute,
 			MaxResponseBodySize: maxAnswer,
+			// The library would turn an escaped slash of a name back into one, and ask for another path.
+			DisablePathNormalizing: true,
 			// A write is never sent twice by the library: its outcome is settled by reading back.
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
@@ -190,6 +192,10 @@
 		return err
 	}
 	_, err = writeAnswer(key, a)
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) && conflict.Current == 0 {
+		return platform.ErrNotFound
+	}
 	return err
 }
 
