--- a/internal/vtime/vtime.go
+++ b/internal/vtime/vtime.go
@@ -51,14 +51,23 @@
 // After schedules run for d from now.
 func (l *Loop) After(d time.Duration, run func()) { l.At(l.now.Add(d), run) }
 
+// Step runs the next event if it is due by end, and tells whether it was; without one it sets the clock
+// to end.
+func (l *Loop) Step(end decide.Instant) bool {
+	if len(l.queue) == 0 || l.queue[0].at > end {
+		l.now = end
+		return false
+	}
+	e := heap.Pop(&l.queue).(event)
+	l.now = e.at
+	e.run()
+	return true
+}
+
 // RunUntil runs all events up to and including end, and sets the clock to end.
 func (l *Loop) RunUntil(end decide.Instant) {
-	for len(l.queue) > 0 && l.queue[0].at <= end {
-		e := heap.Pop(&l.queue).(event)
-		l.now = e.at
-		e.run()
+	for l.Step(end) {
 	}
-	l.now = end
 }
 
 // Exponential draws the time to the next event of a Poisson process with the given events a second.
