--- a/internal/decide/pick/pick_test.go
+++ b/internal/decide/pick/pick_test.go
@@ -227,6 +227,24 @@
 	})
 }
 
+func TestLongPromptIsSplitWhereThatPays(t *testing.T) {
+	is := is.New(t)
+	engines := fleetOf(3)
+	q := short(start)
+	q.Prompt, q.Class = &cost.Prompt{Tokens: 300_000, Answer: 100}, cost.Long
+	pool := pick.NewPool(engines, nil, memory)
+	is.Equal(pick.PlanLong(q, pool.All, nil).Reason, pick.Single) // not in this profile
+
+	*q.Profile = pick.ProfileOf(api.ProfileLongFirst)
+	plan := pick.PlanLong(q, pool.All, nil)
+	is.Equal(plan.Reason, pick.Split)
+	is.Equal(plan.Parts[0].Tokens, plan.Parts[1].Tokens)
+	for _, e := range engines[1:] {
+		e.Tell(&pick.Report{At: start, QueuedTokens: 200_000, MemoryTotal: memory, Rate: rate})
+	}
+	is.Equal(pick.PlanLong(q, pool.All, nil).Reason, pick.Single) // the second engine has 10 s to do
+}
+
 func TestPickAllocatesNothing(t *testing.T) {
 	is := is.New(t)
 	for _, n := range []int{20, 400, 2000} {
--- a/internal/decide/pick/profile.go
+++ b/internal/decide/pick/profile.go
@@ -45,7 +45,8 @@
 		p.Priority = [cost.ClassCount]int{cost.Short: 6, cost.Medium: 0, cost.Long: 0, cost.Group: 0}
 		p.Spill = 200 * time.Millisecond
 		p.Headroom = 1.8
-		p.LaneMax = 0.75
+		p.LaneMax = 0.6
+		p.SplitGain = 0.9
 	}
 	return p
 }
