Drive the bench by vtime; wait while the caller's gate is shut

A prompt for which only the caller's gates (cold limits) or memory stand in the way waits instead of being refused; an engine that has not reported counts at the default rate in wait estimates.

--- a/internal/bench/baseline.go
+++ b/internal/bench/baseline.go
@@ -45,7 +45,7 @@
 
 func (d *direct) query(r *request) *pick.Query {
 	return &pick.Query{
-		Prompt: &r.prompt, Class: r.class, Now: d.e.sim.clock.now, Rand: d.e.rng,
+		Prompt: &r.prompt, Class: r.class, Now: d.e.sim.clock.Now(), Rand: d.e.rng,
 		Entries: d.e.sim.config.Entries, Profile: &d.profile,
 	}
 }
@@ -91,7 +91,7 @@
 		r.dispatchGroup()
 		return
 	}
-	d.e.sim.clock.after(reserveWait/2, func() {
+	d.e.sim.clock.After(reserveWait/2, func() {
 		if !r.over() {
 			d.group(r)
 		}
--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -19,7 +19,7 @@
 	s.entries = []*entry{{sim: s, policy: &direct{}}}
 	return e, func(tokens, priority int) *request {
 		r := &request{
-			arrival: &arrival{at: s.clock.now, prompt: cost.Prompt{Tokens: tokens, Answer: 10}, answer: 10},
+			arrival: &arrival{at: s.clock.Now(), prompt: cost.Prompt{Tokens: tokens, Answer: 10}, answer: 10},
 			sim:     s, entry: s.entries[0], priority: priority,
 		}
 		r.dispatch(e, false)
@@ -31,9 +31,9 @@
 	is := is.New(t)
 	e, submit := alone()
 	long := submit(100_000, 0)
-	e.clock.run(e.clock.now.Add(time.Second))
+	e.clock.RunUntil(e.clock.Now().Add(time.Second))
 	short := submit(2_000, 5)
-	e.clock.run(e.clock.now.Add(time.Minute))
+	e.clock.RunUntil(e.clock.Now().Add(time.Minute))
 	is.True(short.first.Sub(short.at) < 200*time.Millisecond)
 	is.True(long.first.Sub(long.at) > DefaultEngine.prefillTime(100_000))
 	is.Equal(long.outcome, inTime)
@@ -44,15 +44,15 @@
 	is := is.New(t)
 	e, submit := alone()
 	first, second := submit(300_000, 0), submit(300_000, 0)
-	e.clock.run(e.clock.now.Add(5 * time.Second))
+	e.clock.RunUntil(e.clock.Now().Add(5 * time.Second))
 	is.Equal(e.load().Queued, 1) // the second waits for memory
 	is.True(!e.reserve(second, 200_000))
 	first.outcome = late
 	e.cancel(first)
 	is.Equal(e.held, int64(0)) // a cancelled one frees it at once
-	e.clock.run(e.clock.now.Add(100 * time.Millisecond))
+	e.clock.RunUntil(e.clock.Now().Add(100 * time.Millisecond))
 	is.Equal(e.load().Running, 1) // and the other begins with the next step
-	e.clock.run(e.clock.now.Add(time.Minute))
+	e.clock.RunUntil(e.clock.Now().Add(time.Minute))
 	is.Equal(second.outcome, inTime)
 	is.True(e.most <= DefaultEngine.Memory)
 }
@@ -64,7 +64,7 @@
 	ask := func() time.Duration {
 		r := submit(9_000, 0)
 		r.prompt.Blocks = blocks
-		e.clock.run(e.clock.now.Add(10 * time.Second))
+		e.clock.RunUntil(e.clock.Now().Add(10 * time.Second))
 		return r.first.Sub(r.at)
 	}
 	cold := ask()
--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -7,6 +7,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
+	"github.com/damaskshelf/damaskshelf/internal/vtime"
 )
 
 // EngineModel is the service-time model of an engine: batch steps, each with up to Chunk prompt tokens by
@@ -61,7 +62,7 @@
 type engine struct {
 	id       fleet.UpstreamID
 	model    EngineModel
-	clock    *clock
+	clock    *vtime.Loop
 	jobs     []*job // by priority, then arrival
 	held     int64  // memory of running jobs and reservations
 	reserved map[*request]int64
@@ -77,7 +78,7 @@
 	events   int // cache events published then
 }
 
-func newEngine(id fleet.UpstreamID, model EngineModel, c *clock) *engine {
+func newEngine(id fleet.UpstreamID, model EngineModel, c *vtime.Loop) *engine {
 	return &engine{id: id, model: model, clock: c, reserved: map[*request]int64{}, cache: newBlockCache(), boot: "boot-" + string(id)}
 }
 
@@ -166,7 +167,7 @@
 		time.Duration(float64(computed)/float64(e.model.Compute)*float64(time.Second))
 	e.busy = true
 	e.worked += d
-	e.clock.after(d, e.step)
+	e.clock.After(d, e.step)
 }
 
 // start lets waiting jobs begin while there is memory. One that does not fit holds back those behind it.
@@ -250,8 +251,8 @@
 
 // renew takes the report that entries read until the next one.
 func (e *engine) renew() {
-	e.report, e.reported, e.events = e.load(), e.clock.now, len(e.cache.log)
-	e.clock.after(reportRenewal, e.renew)
+	e.report, e.reported, e.events = e.load(), e.clock.Now(), len(e.cache.log)
+	e.clock.After(reportRenewal, e.renew)
 }
 
 // cacheEvents gives the published events from a sequence number on. One in lostEvery is lost.
--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -41,7 +41,7 @@
 		e.views = append(e.views, v)
 		e.byView[v] = eng
 		phase := time.Duration(decide.Float(e.rng) * float64(reportPoll))
-		s.clock.after(phase, func() { e.poll(i) })
+		s.clock.After(phase, func() { e.poll(i) })
 	}
 	e.policy = s.config.policy(e)
 	return e
@@ -49,7 +49,7 @@
 
 // poll reads one engine's report and cache events.
 func (e *entry) poll(i int) {
-	now, eng, view := e.sim.clock.now, e.sim.engines[i], e.views[i]
+	now, eng, view := e.sim.clock.Now(), e.sim.engines[i], e.views[i]
 	l := eng.report
 	l.AgeMs = now.Sub(eng.reported).Milliseconds()
 	view.Tell(pick.ReportOf(&l, now))
@@ -57,7 +57,7 @@
 		view.Cache.Apply(eng.cacheEvents(view.Cache.Next()), now)
 	}
 	e.policy.wake()
-	e.sim.clock.after(reportPoll, func() { e.poll(i) })
+	e.sim.clock.After(reportPoll, func() { e.poll(i) })
 }
 
 // gated is the policy under test: the daemon's gate and pipeline.
@@ -99,18 +99,18 @@
 
 // resize sizes the lanes from the demand that this entry has seen, as often as the daemon does.
 func (g *gated) resize() {
-	now := g.e.sim.clock.now
+	now := g.e.sim.clock.Now()
 	fleetDemand := g.demand.Engines(now) * float64(g.e.sim.config.Entries)
 	size, _ := g.sizer.Size(fleetDemand, len(g.order), now)
 	if g.pool == nil || size != g.lanes {
 		g.lanes = size
 		g.pool = pick.NewPool(g.e.views, g.order[:size], g.e.sim.model().Memory)
 	}
-	g.e.sim.clock.after(resizeEvery, g.resize)
+	g.e.sim.clock.After(resizeEvery, g.resize)
 }
 
 func (g *gated) world() *admit.World {
-	return &admit.World{Pool: g.pool, Entries: g.e.sim.config.Entries, Now: g.e.sim.clock.now, Rand: g.e.rng}
+	return &admit.World{Pool: g.pool, Entries: g.e.sim.config.Entries, Now: g.e.sim.clock.Now(), Rand: g.e.rng}
 }
 
 func (g *gated) offer(r *request) {
@@ -118,7 +118,7 @@
 	r.gated = r.gate(g.number*100 + g.e.number)
 	r.priority = g.profile.Priority[r.class]
 	if r.class.Lane() {
-		g.demand.Add(laneWork(&r.prompt, r.class, g.e.sim.model(), r.gated.Decode), g.e.sim.clock.now)
+		g.demand.Add(laneWork(&r.prompt, r.class, g.e.sim.model(), r.gated.Decode), g.e.sim.clock.Now())
 	}
 	g.waiting[r.gated] = r
 	w := g.world()
--- a/internal/bench/request.go
+++ b/internal/bench/request.go
@@ -55,7 +55,7 @@
 		need = 0
 	}
 	j := &job{req: r, priority: r.priority, tokens: r.prompt.Tokens, answer: r.answer, need: need}
-	r.sim.clock.after(messageDelay, func() {
+	r.sim.clock.After(messageDelay, func() {
 		if r.over() {
 			return
 		}
@@ -78,7 +78,7 @@
 			r.lead = j
 		}
 		e := r.sim.byID[p.Engine.ID]
-		r.sim.clock.after(messageDelay, func() {
+		r.sim.clock.After(messageDelay, func() {
 			if !r.over() {
 				e.submit(j)
 			}
@@ -91,16 +91,16 @@
 	switch {
 	case r.over():
 	case j.over:
-		r.sim.clock.after(messageDelay, func() { r.finish(inTime) })
+		r.sim.clock.After(messageDelay, func() { r.finish(inTime) })
 	case j.member:
 		if r.waitFor--; r.waitFor > 0 {
 			return
 		}
 		r.lead.member = false
 		r.sim.byID[r.parts[0].Engine.ID].kick()
-		r.sim.clock.after(messageDelay, r.firstToken)
+		r.sim.clock.After(messageDelay, r.firstToken)
 	default:
-		r.sim.clock.after(messageDelay, r.firstToken)
+		r.sim.clock.After(messageDelay, r.firstToken)
 	}
 }
 
@@ -108,7 +108,7 @@
 	if r.over() || r.first != 0 {
 		return
 	}
-	r.first = r.sim.clock.now
+	r.first = r.sim.clock.Now()
 	r.began()
 }
 
@@ -125,7 +125,7 @@
 	if r.over() {
 		return
 	}
-	r.outcome, r.ended = o, r.sim.clock.now
+	r.outcome, r.ended = o, r.sim.clock.Now()
 	r.began()
 	if r.group != nil {
 		r.carry(r.group.End())
@@ -139,7 +139,7 @@
 		return
 	}
 	r.finish(late)
-	r.sim.clock.after(messageDelay, func() {
+	r.sim.clock.After(messageDelay, func() {
 		for _, e := range r.sim.engines {
 			e.cancel(r)
 		}
@@ -154,7 +154,7 @@
 		list = append(list, reserve.Part{ID: fmt.Sprint(i), Upstream: p.Engine.ID, Tokens: p.Tokens})
 	}
 	r.group = reserve.New(list, reserveWait, r.deadline.Add(reserve.Grace))
-	r.carry(r.group.Start(r.sim.clock.now))
+	r.carry(r.group.Start(r.sim.clock.Now()))
 }
 
 // carry carries out a group's effects.
@@ -163,9 +163,9 @@
 	for _, f := range effects {
 		switch f.Verb {
 		case reserve.Ask:
-			r.sim.clock.after(f.After+messageDelay, func() { r.ask(g, f.Part) })
+			r.sim.clock.After(f.After+messageDelay, func() { r.ask(g, f.Part) })
 		case reserve.Release:
-			r.sim.clock.after(f.After+messageDelay, func() {
+			r.sim.clock.After(f.After+messageDelay, func() {
 				r.sim.byID[g.Part(f.Part).Upstream].release(r)
 				r.carryFor(g, g.Released(f.Part))
 			})
@@ -189,11 +189,11 @@
 func (r *request) ask(g *reserve.Group, part int) {
 	p := g.Part(part)
 	granted := !r.over() && r.sim.byID[p.Upstream].reserve(r, p.Tokens)
-	r.sim.clock.after(messageDelay, func() {
+	r.sim.clock.After(messageDelay, func() {
 		if granted {
 			r.carryFor(g, g.Granted(part))
 		} else {
-			r.carryFor(g, g.Refused(part, r.sim.clock.now))
+			r.carryFor(g, g.Refused(part, r.sim.clock.Now()))
 		}
 	})
 }
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -1,3 +1,7 @@
+// Package bench measures the routing policy under virtual time: the real decisions, driven through the
+// types that the daemon uses, against a service-time model of engines, with lagging reports, several
+// entries that each see a part, and fixed seeds. It is no network simulator: every message takes one fixed
+// delay and none is lost.
 package bench
 
 import (
@@ -7,6 +11,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/decide/pick"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/vtime"
 )
 
 // Times of the model.
@@ -71,7 +76,7 @@
 // sim is one run under way.
 type sim struct {
 	config      Config
-	clock       clock
+	clock       vtime.Loop
 	engines     []*engine
 	byID        map[fleet.UpstreamID]*engine
 	entries     []*entry
@@ -96,11 +101,11 @@
 		}
 		r := &request{arrival: a, sim: s, entry: s.entries[a.entry]}
 		s.requests = append(s.requests, r)
-		s.clock.after(a.at.Sub(0), func() { r.entry.policy.offer(r) })
-		s.clock.after(a.deadline.Sub(0), r.timeout)
+		s.clock.After(a.at.Sub(0), func() { r.entry.policy.offer(r) })
+		s.clock.After(a.deadline.Sub(0), r.timeout)
 	}
 	end := decide.Instant(0).Add(c.Span)
-	s.clock.run(end)
+	s.clock.RunUntil(end)
 	return s.result(end)
 }
 
@@ -110,7 +115,7 @@
 		e := newEngine(fleet.UpstreamID(fmt.Sprintf("engine-%02d", i)), DefaultEngine, &s.clock)
 		s.engines = append(s.engines, e)
 		s.byID[e.id] = e
-		s.clock.after(reportRenewal*time.Duration(i)/time.Duration(c.Deployment.Engines), e.renew)
+		s.clock.After(reportRenewal*time.Duration(i)/time.Duration(c.Deployment.Engines), e.renew)
 	}
 	for i := range c.Entries {
 		s.entries = append(s.entries, newEntry(s, i))
--- a/internal/decide/admit/gate.go
+++ b/internal/decide/admit/gate.go
@@ -103,10 +103,10 @@
 func (g *Gate) choose(r *Request, w *World, candidates []pick.Candidate) Decision {
 	choice := g.pipeline.Pick(&r.query, candidates)
 	switch {
-	case choice.Engine == nil && choice.Reason == pick.NoRoom:
-		return Decision{Verb: Queued, Request: r, Reason: WaitsForMemory}
-	case choice.Engine == nil:
-		return refuse(r, fault.NoUpstream, choice.Reason, 0)
+	case choice.Engine == nil && choice.Reason == pick.NoEngine:
+		return refuse(r, fault.NoUpstream, NothingThere, 0)
+	case choice.Engine == nil: // no room now, or the caller's gate is shut for now
+		return Decision{Verb: Queued, Request: r, Reason: choice.Reason}
 	case w.Now.Add(choice.Estimate.First-choice.Estimate.Wait+r.Decode).Sub(r.Deadline) > 0:
 		return refuse(r, fault.Infeasible, TooLate, 0)
 	case choice.Estimate.Wait > g.profile.Window[r.Class]:
@@ -206,9 +206,7 @@
 func (g *Gate) service(r *Request, w *World) time.Duration {
 	rate, members := int64(0), int64(1)
 	for _, c := range w.Pool.For(r.Class) {
-		if report := c.Report(); report != nil {
-			rate = max(rate, report.Rate)
-		}
+		rate = max(rate, c.Rate())
 	}
 	if r.Class == cost.Group && w.Pool.Memory > 0 {
 		members = 1 + r.Prompt.Memory()/w.Pool.Memory
@@ -220,9 +218,7 @@
 func capacity(w *World, class cost.Class) float64 {
 	var sum int64
 	for _, c := range w.Pool.For(class) {
-		if report := c.Report(); report != nil {
-			sum += report.Rate
-		}
+		sum += c.Rate()
 	}
 	return float64(sum) / float64(max(w.Entries, 1))
 }
@@ -320,6 +316,9 @@
 	return g.admit(q, r, q.wait(r), WaitsForMemory)
 }
 
+// Latest is the instant after which a waiting request can't finish in its time any more.
+func (r *Request) Latest() decide.Instant { return r.latest }
+
 // Cancel takes a waiting request out, as its caller has left; false where it does not wait.
 func (g *Gate) Cancel(id fleet.RequestID) bool {
 	for i := range g.queues {
--- a/internal/decide/pick/engine.go
+++ b/internal/decide/pick/engine.go
@@ -112,8 +112,12 @@
 	p := &Pool{Memory: memory}
 	sorted := slices.Clone(engines)
 	slices.SortFunc(sorted, func(a, b *Engine) int { return cmp.Compare(a.ID, b.ID) })
+	isLane := make(map[fleet.UpstreamID]bool, len(lanes))
+	for _, id := range lanes {
+		isLane[id] = true
+	}
 	for _, e := range sorted {
-		c := Candidate{Engine: e, Lane: slices.Contains(lanes, e.ID)}
+		c := Candidate{Engine: e, Lane: isLane[e.ID]}
 		p.All = append(p.All, c)
 		if c.Lane {
 			p.Lanes = append(p.Lanes, c)
--- a/internal/decide/pick/estimate.go
+++ b/internal/decide/pick/estimate.go
@@ -56,14 +56,10 @@
 // puts behind prompts of higher priority; for those no more counts there than the own dispatches that
 // wait suggest, which are a sample of everybody's.
 func (c *Candidate) ahead(q *Query) (rate, tokens int64) {
-	r := c.report.Load()
+	r, rate := c.report.Load(), c.Rate()
 	if r == nil {
 		own := c.sent.since(q.Now.Add(-StaleAfter), q.Now)
-		return defaultRate, q.scale(own.upTo(q.Class))
-	}
-	rate = r.Rate
-	if rate <= 0 {
-		rate = defaultRate
+		return rate, q.scale(own.upTo(q.Class))
 	}
 	reported := r.QueuedTokens
 	if c.Lane && q.Profile.Priority[q.Class] > q.Profile.Priority[cost.Long] {
@@ -75,6 +71,14 @@
 	return rate, max(reported+q.scale(own.upTo(q.Class))-done, 0)
 }
 
+// Rate is the engine's prompt tokens a second, by its report.
+func (e *Engine) Rate() int64 {
+	if r := e.report.Load(); r != nil && r.Rate > 0 {
+		return r.Rate
+	}
+	return defaultRate
+}
+
 // upTo sums the tokens of the classes that an engine works on before or beside class.
 func (s *Sent) upTo(class cost.Class) int64 {
 	var sum int64
--- a/internal/decide/pick/pick.go
+++ b/internal/decide/pick/pick.go
@@ -87,8 +87,8 @@
 func (p *Pipeline) look(q *Query, c *Candidate, best *Choice) {
 	for _, filters := range [...][]Filter{p.Gates, p.Filters} {
 		if why, ok := keep(filters, q, c); !ok {
-			if best.Engine == nil {
-				best.Reason = why
+			if best.Reason == NoEngine {
+				best.Reason = why // an engine that may have room later tells more than one tried before
 			}
 			return
 		}
