decide/stream: put answers together, find silent connections

Cause: swapped parts cost a resume each, a silent connection cost the whole stream_gap (and before the first part the whole deadline) and was not probed.

Change: Assembly delivers a part only if it names the request and begins at the first token needed; parts ahead of a hole are held. Watch probes over a new connection after a short silence and condemns only after a long one with an upstream that answers; both follow the stream's usual pace, and before the first part the expected time.

Ruled out: condemning on the first answered probe, which takes a stalled engine for a dead connection (TestStallIsNoSilence).

--- /dev/null
+++ b/internal/decide/stream/stream_test.go
@@ -0,0 +1,194 @@
+package stream_test
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide/stream"
+	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
+)
+
+// part is tokens from..to-1 of answer a; finish marks the end.
+func part(from, to int, finish string) wire.Part {
+	p := wire.Part{ID: "a", Offset: from, Tokens: to - from, FinishReason: finish}
+	for i := from; i < to; i++ {
+		p.Text += fmt.Sprint(i, " ")
+	}
+	return p
+}
+
+func TestDrops(t *testing.T) {
+	foreign, empty := part(4, 6, ""), wire.Part{ID: "a", Offset: 4, Text: "x"}
+	foreign.ID = "b"
+	rows := []struct {
+		name    string
+		attempt int
+		p       wire.Part
+		drop    stream.Drop
+		next    int
+	}{
+		{"next", 2, part(4, 6, ""), stream.Kept, 6},
+		{"foreign", 2, foreign, stream.Foreign, 4},
+		{"of an earlier dispatch", 1, part(4, 6, ""), stream.Late, 4},
+		{"doubled", 2, part(2, 4, ""), stream.Doubled, 4},
+		{"overlapping", 2, part(3, 5, ""), stream.Overlap, 4},
+		{"ahead", 2, part(5, 6, ""), stream.Ahead, 4},
+		{"text without tokens", 2, empty, stream.Malformed, 4},
+		{"negative", 2, wire.Part{ID: "a", Offset: -1, Tokens: 1}, stream.Malformed, 4},
+		{"end mark without tokens", 2, part(4, 4, "stop"), stream.Kept, 4},
+		{"doubled end mark of the past", 2, part(3, 3, "stop"), stream.Doubled, 4},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			a := stream.NewAssembly("a")
+			a.Dispatched(1)
+			_, drop := a.Add(1, part(0, 4, ""))
+			is.Equal(drop, stream.Kept)
+			a.Dispatched(2)
+			out, drop := a.Add(row.attempt, row.p)
+			is.Equal(drop, row.drop)
+			is.Equal(len(out) > 0, drop == stream.Kept)
+			is.Equal(a.Next(), row.next)
+			is.Equal(a.Ended(), row.drop == stream.Kept && row.p.FinishReason != "")
+			is.True(drop.String() != "")
+		})
+	}
+}
+
+// Two parts change places on the way. Dropping the first to come would cost a resume; it is held until the
+// other one fills the hole.
+func TestSwappedPartsAreDeliveredInOrder(t *testing.T) {
+	is := is.New(t)
+	a := stream.NewAssembly("a")
+	a.Dispatched(1)
+	out, _ := a.Add(1, part(2, 4, "stop"))
+	is.Equal(len(out), 0)
+	is.True(a.Hole())
+	is.True(!a.Ended()) // an end mark behind a hole ends nothing
+	out, _ = a.Add(1, part(0, 2, ""))
+	is.Equal(out, []wire.Part{part(0, 2, ""), part(2, 4, "stop")})
+	is.True(a.Ended())
+	_, drop := a.Add(1, part(4, 5, ""))
+	is.Equal(drop, stream.AfterEnd)
+}
+
+func TestHeldPartsAreBounded(t *testing.T) {
+	is := is.New(t)
+	a := stream.NewAssembly("a")
+	a.Dispatched(1)
+	overflow := 0
+	for i := range 100 {
+		if _, drop := a.Add(1, part(i+1, i+2, "")); drop == stream.Overflow {
+			overflow++
+		}
+	}
+	is.Equal(overflow, 36)
+	a.Dispatched(2) // what was held of a dispatch that failed is not mixed with the next one's
+	is.True(!a.Hole())
+}
+
+// Engines double, swap, delay and cut parts, mix in those of others, and end without a mark. Whatever
+// comes, the caller reads a beginning of its own answer, each token once; and with the end mark, all of it.
+func TestAnyArrivalGivesAPrefix(t *testing.T) {
+	for name, value := range map[string]string{"rapid.seed": "13", "rapid.checks": "2000"} {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		length := rapid.IntRange(1, 12).Draw(t, "length")
+		whole := part(0, length, "").Text
+		a := stream.NewAssembly("a")
+		var got strings.Builder
+		for attempt := 1; attempt <= 4 && !a.Ended(); attempt++ {
+			a.Dispatched(attempt)
+			for _, m := range mangled(t, a.Next(), length, attempt) {
+				out, _ := a.Add(m.attempt, m.p)
+				for _, p := range out {
+					got.WriteString(p.Text)
+				}
+			}
+		}
+		if !strings.HasPrefix(whole, got.String()) {
+			t.Fatalf("delivered %q of %q", got.String(), whole)
+		}
+		if a.Ended() && got.String() != whole {
+			t.Fatalf("ended with %q of %q", got.String(), whole)
+		}
+	})
+}
+
+type arrival struct {
+	attempt int
+	p       wire.Part
+}
+
+// mangled is a dispatch's stream from token from on, as faults leave it.
+func mangled(t *rapid.T, from, length, attempt int) []arrival {
+	var all []arrival
+	for at := from; at < length; {
+		to := min(length, at+rapid.IntRange(1, 3).Draw(t, "tokens"))
+		finish := ""
+		if to == length {
+			finish = "stop"
+		}
+		all = append(all, arrival{attempt, part(at, to, finish)})
+		at = to
+	}
+	for range rapid.IntRange(0, 4).Draw(t, "faults") {
+		if len(all) == 0 {
+			break
+		}
+		i := rapid.IntRange(0, len(all)-1).Draw(t, "at")
+		j := rapid.IntRange(0, len(all)-1).Draw(t, "to")
+		switch rapid.SampledFrom([]string{"swap", "double", "lose", "cut", "foreign", "late"}).Draw(t, "fault") {
+		case "swap":
+			all[i], all[j] = all[j], all[i]
+		case "double":
+			all = slices.Insert(all, j, all[i])
+		case "lose":
+			all = slices.Delete(all, i, i+1)
+		case "cut":
+			all = all[:i]
+		case "foreign":
+			all[i].p.ID = "b"
+		case "late":
+			all[i].attempt--
+		}
+	}
+	return all
+}
+
+func FuzzAssembly(f *testing.F) {
+	f.Add("a", 0, 2, "x", "", "a", 2, 1, "y", "stop")
+	f.Add("a", 2, 1, "y", "stop", "a", 0, 2, "x", "")
+	f.Add("b", -1, 1<<62, "", "error", "a", 1<<62, 1<<62, "", "stop")
+	f.Fuzz(func(t *testing.T, id1 string, o1, n1 int, t1, f1, id2 string, o2, n2 int, t2, f2 string) {
+		a := stream.NewAssembly("a")
+		a.Dispatched(1)
+		next := 0
+		for _, p := range []wire.Part{
+			{ID: id1, Offset: o1, Tokens: n1, Text: t1, FinishReason: f1},
+			{ID: id2, Offset: o2, Tokens: n2, Text: t2, FinishReason: f2},
+			{ID: id1, Offset: o1, Tokens: n1, Text: t1, FinishReason: f1},
+		} {
+			out, _ := a.Add(1, p)
+			for _, d := range out {
+				if d.ID != "a" || d.Offset != next || d.Tokens < 0 {
+					t.Fatalf("delivered %+v, needed token %d", d, next)
+				}
+				next += d.Tokens
+			}
+			if next != a.Next() {
+				t.Fatalf("next is %d after %d delivered tokens", a.Next(), next)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/decide/stream/watch_test.go
@@ -0,0 +1,152 @@
+package stream_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/decide/stream"
+	"github.com/damaskshelf/damaskshelf/internal/vtime"
+)
+
+const gap = 2 * time.Second
+
+func instant(d time.Duration) decide.Instant { return decide.Instant(d) }
+
+// The steps from silence to what follows, with an upstream that answers probes and one that doesn't.
+func TestStepsOfSilence(t *testing.T) {
+	for _, answers := range []bool{true, false} {
+		is := is.New(t)
+		w := stream.NewWatch(stream.NewParams(gap), 0, 0, instant(time.Minute))
+		for i := 1; i <= 50; i++ {
+			w.OnBytes(instant(time.Duration(i) * 50 * time.Millisecond))
+		}
+		silent := instant(2500 * time.Millisecond)
+		probes := 0
+		for now := w.Until(); ; now = w.Until() {
+			action, reason := w.OnTime(now)
+			for action == stream.Probe {
+				probes++
+				is.Equal(reason, stream.ReasonProbe)
+				now = now.Add(probeWait)
+				action, reason = w.OnProbe(answers, now)
+			}
+			if action == stream.Wait {
+				continue
+			}
+			is.Equal(now.Sub(silent) >= gap/2, true) // a short silence is never the end
+			is.Equal(now.Sub(silent) <= gap, true)
+			want := map[bool]stream.Action{true: stream.Resume, false: stream.Elsewhere}[answers]
+			is.Equal(action, want)
+			is.True(reason == stream.ReasonCondemned || reason == stream.ReasonDead)
+			is.Equal(probes == 1, answers) // an answered probe is enough; one that is not is repeated
+			break
+		}
+	}
+}
+
+const probeWait = 100 * time.Millisecond
+
+// An engine stalls for a moment because another prompt came in. The probe is answered and then the next
+// part comes: the stream goes on, and the next silence is judged anew.
+func TestStallIsNoSilence(t *testing.T) {
+	is := is.New(t)
+	w := stream.NewWatch(stream.NewParams(gap), 0, 0, instant(time.Minute))
+	w.OnBytes(instant(100 * time.Millisecond))
+	w.OnBytes(instant(150 * time.Millisecond))
+	action, _ := w.OnTime(w.Until())
+	is.Equal(action, stream.Probe)
+	w.OnBytes(instant(900 * time.Millisecond)) // before the probe's result
+	action, _ = w.OnProbe(true, instant(910*time.Millisecond))
+	is.Equal(action, stream.Wait)
+	action, _ = w.OnTime(w.Until())
+	is.Equal(action, stream.Probe) // the old answer does not condemn
+}
+
+func TestDeadlineEndsTheWait(t *testing.T) {
+	is := is.New(t)
+	w := stream.NewWatch(stream.NewParams(gap), 10*time.Second, 0, instant(3*time.Second))
+	is.True(w.Until() <= instant(1500*time.Millisecond)) // half of the time is kept for another dispatch
+	action, reason := w.OnTime(instant(3 * time.Second))
+	is.Equal(action, stream.Overdue)
+	is.Equal(reason, stream.ReasonOverdue)
+}
+
+// silence runs one stream whose connection goes silent for good at a drawn moment, and gives the time from
+// then to the first new byte over another one.
+func silence(r *rand.Rand, prefill time.Duration, decoding bool) time.Duration {
+	var loop vtime.Loop
+	const (
+		probe    = 2 * time.Millisecond
+		between  = 45 * time.Millisecond
+		resumeBy = 150 * time.Millisecond // first part of the resumed stream: its prefix is cached
+	)
+	w := stream.NewWatch(stream.NewParams(gap), prefill, 0, instant(5*time.Minute))
+	silentAt := instant(time.Duration(r.Float64() * float64(prefill)))
+	if decoding {
+		silentAt = instant(prefill + time.Second + time.Duration(r.Float64()*float64(10*time.Second)))
+		for at := instant(prefill); at < silentAt; at = at.Add(between/2 + time.Duration(r.Int64N(int64(between)))) {
+			loop.At(at, func() { w.OnBytes(loop.Now()) })
+		}
+	}
+	var found decide.Instant
+	var act func(stream.Action)
+	wake := func() {
+		at := w.Until()
+		loop.At(at, func() {
+			if found == 0 && loop.Now() >= w.Until() {
+				a, _ := w.OnTime(loop.Now())
+				act(a)
+			}
+		})
+	}
+	act = func(a stream.Action) {
+		switch a {
+		case stream.Probe:
+			loop.After(probe, func() {
+				next, _ := w.OnProbe(true, loop.Now())
+				act(next)
+			})
+		case stream.Resume, stream.Elsewhere:
+			found = loop.Now()
+		default:
+			wake()
+		}
+	}
+	loop.At(silentAt, wake)
+	loop.RunUntil(instant(5 * time.Minute))
+	return found.Sub(silentAt) + resumeBy
+}
+
+// A connection goes silent for good while new ones work. The caller sees its answer stop until the entry
+// finds out and resumes; the bounds are the measured times, which repeat exactly.
+func TestTimeFromSilenceToNewByte(t *testing.T) {
+	rows := []struct {
+		name     string
+		prefill  time.Duration
+		decoding bool
+		p50, p99 time.Duration
+	}{
+		{"decoding", time.Second, true, 1200 * time.Millisecond, 1250 * time.Millisecond},
+		{"prefill of 0.3 s", 300 * time.Millisecond, false, 4200 * time.Millisecond, 4200 * time.Millisecond},
+		{"prefill of 2 s", 2 * time.Second, false, 8 * time.Second, 8200 * time.Millisecond},
+		{"prefill of 20 s", 20 * time.Second, false, 75 * time.Second, 81 * time.Second},
+	}
+	for _, row := range rows {
+		r := rand.New(rand.NewPCG(21, 21))
+		var all []time.Duration
+		for range 400 {
+			all = append(all, silence(r, row.prefill, row.decoding))
+		}
+		slices.Sort(all)
+		p50, p99 := all[len(all)/2], all[len(all)*99/100]
+		t.Logf("%-17s silence to first new byte: p50 %v p99 %v", row.name, p50, p99)
+		if p50 > row.p50 || p99 > row.p99 {
+			t.Errorf("%s: over the bounds of %v and %v", row.name, row.p50, row.p99)
+		}
+	}
+}
