--- a/internal/decide/member/member.go
+++ b/internal/decide/member/member.go
@@ -7,6 +7,8 @@
 package member
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/decide"
@@ -79,7 +81,7 @@
 type Members struct {
 	params     Params
 	version    uint64
-	all        []fleet.Instance // of the list, without self
+	all        []fleet.Instance // of the list, without self, sorted by id
 	peers      []*Peer
 	alone      bool // the list shows nobody else
 	foreign    bool // some peer is in another failure domain
@@ -101,6 +103,7 @@
 			m.all = append(m.all, i)
 		}
 	}
+	slices.SortFunc(m.all, func(a, b fleet.Instance) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	m.choose(now)
 	return ListTaken
 }
@@ -139,12 +142,13 @@
 
 // Find gives the instance with that id in the list, whether it is a peer or not.
 func (m *Members) Find(id fleet.InstanceID) (fleet.Instance, bool) {
-	for i := range m.all {
-		if m.all[i].ID == id {
-			return m.all[i], true
-		}
+	i, found := slices.BinarySearchFunc(m.all, id, func(c fleet.Instance, id fleet.InstanceID) int {
+		return strings.Compare(string(c.ID), string(id))
+	})
+	if !found {
+		return fleet.Instance{}, false
 	}
-	return fleet.Instance{}, false
+	return m.all[i], true
 }
 
 // Others gives the instances of the list but self; shared, not to be changed.
