Rename the stand-ins' test client, let crowds use replaced instances

Two packages were called caller; the raw one, which holds a connection a call, is internal/standin/rawhttp now.

--- a/internal/standin/cluster/cluster_test.go
+++ b/internal/standin/cluster/cluster_test.go
@@ -9,9 +9,9 @@
 	"go.uber.org/goleak"
 
 	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
-	"github.com/damaskshelf/damaskshelf/internal/standin/caller"
 	"github.com/damaskshelf/damaskshelf/internal/standin/cluster"
 	"github.com/damaskshelf/damaskshelf/internal/standin/faults"
+	"github.com/damaskshelf/damaskshelf/internal/standin/rawhttp"
 	upstream "github.com/damaskshelf/damaskshelf/internal/upstream/wire"
 )
 
@@ -44,7 +44,7 @@
 	}
 	is.Equal(domains, map[string]int{"engine north-ice": 2, "engine mid-ice": 2, "service north-ice": 2, "service mid-ice": 1})
 	for _, model := range []string{"guide", "lake"} {
-		r := caller.Completion("r-"+model, upstream.Completion{Model: model, MaxTokens: 5, Stream: true}).Do(addrs.Engines["engine-mid-ice-1"])
+		r := rawhttp.Completion("r-"+model, upstream.Completion{Model: model, MaxTokens: 5, Stream: true}).Do(addrs.Engines["engine-mid-ice-1"])
 		is.NoErr(r.CheckStream("r-"+model, 5))
 	}
 	is.Equal(c.Counters().Engines["engine-mid-ice-1"].Runs, map[string]int{"r-guide": 1, "r-lake": 1})
@@ -59,26 +59,26 @@
 	post := func(path string, body any) int {
 		data, err := json.Marshal(body)
 		is.NoErr(err)
-		return caller.Call{Path: path, Body: data}.Do(control.Addr()).Status
+		return rawhttp.Call{Path: path, Body: data}.Do(control.Addr()).Status
 	}
 	const target = "engine-north-ice-0"
 	is.Equal(post(cluster.PathFault, cluster.FaultCall{Target: target, Fault: faults.Leaving, On: true}), 204)
-	is.Equal(caller.Completion("r", upstream.Completion{Model: "guide"}).Do(c.Engine(target).Addr()).Status, 503)
+	is.Equal(rawhttp.Completion("r", upstream.Completion{Model: "guide"}).Do(c.Engine(target).Addr()).Status, 503)
 	is.Equal(post(cluster.PathFault, cluster.FaultCall{Target: target, Fault: faults.Leaving}), 204)
-	is.Equal(caller.Completion("r", upstream.Completion{Model: "guide"}).Do(c.Engine(target).Addr()).Status, 200)
+	is.Equal(rawhttp.Completion("r", upstream.Completion{Model: "guide"}).Do(c.Engine(target).Addr()).Status, 200)
 	is.Equal(post(cluster.PathFault, cluster.FaultCall{Target: "nobody", Fault: faults.Leaving, On: true}), 400)
 	is.Equal(post(cluster.PathFault, cluster.FaultCall{Target: target, Fault: "earthquake", On: true}), 400)
 
 	entry := wire.Instance{ID: "entry-1", Kind: wire.KindEntry, Addr: "127.0.0.1:1", State: wire.StateLeaving}
 	is.Equal(post(cluster.PathInstances, entry), 204)
-	listed := caller.Call{Method: fasthttp.MethodGet, Path: cluster.PathInstances}.Do(control.Addr())
+	listed := rawhttp.Call{Method: fasthttp.MethodGet, Path: cluster.PathInstances}.Do(control.Addr())
 	var list wire.InstanceList
 	is.NoErr(json.Unmarshal(listed.Body, &list))
 	is.Equal(list.Instances[len(list.Instances)-1], entry)
-	is.Equal(caller.Call{Method: fasthttp.MethodDelete, Path: "/instances/entry-1"}.Do(control.Addr()).Status, 204)
+	is.Equal(rawhttp.Call{Method: fasthttp.MethodDelete, Path: "/instances/entry-1"}.Do(control.Addr()).Status, 204)
 	is.Equal(len(c.Instances.List().Instances), len(list.Instances)-1)
 
-	counted := caller.Call{Method: fasthttp.MethodGet, Path: cluster.PathCounters}.Do(control.Addr())
+	counted := rawhttp.Call{Method: fasthttp.MethodGet, Path: cluster.PathCounters}.Do(control.Addr())
 	var counters cluster.Counters
 	is.NoErr(json.Unmarshal(counted.Body, &counters))
 	is.Equal(counters.Engines[target].Runs, map[string]int{"r": 1})
--- a/internal/standin/engine/completions_test.go
+++ b/internal/standin/engine/completions_test.go
@@ -8,8 +8,8 @@
 	"github.com/matryer/is"
 
 	"github.com/damaskshelf/damaskshelf/internal/standin/answer"
-	"github.com/damaskshelf/damaskshelf/internal/standin/caller"
 	"github.com/damaskshelf/damaskshelf/internal/standin/engine"
+	"github.com/damaskshelf/damaskshelf/internal/standin/rawhttp"
 	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
 )
 
@@ -31,7 +31,7 @@
 func TestWholeAnswer(t *testing.T) {
 	is := is.New(t)
 	e := start(t, engine.Config{})
-	call := caller.Completion("r1", wire.Completion{Model: model, Prompt: "x", MaxTokens: 7})
+	call := rawhttp.Completion("r1", wire.Completion{Model: model, Prompt: "x", MaxTokens: 7})
 	whole := ask[wire.Whole](t, e, call)
 	is.Equal(whole, wire.Whole{ID: "r1", Model: model, Text: answer.Answer("r1", 7), Tokens: 7, FinishReason: "length"})
 	rest := ask[wire.Whole](t, e, call.With(wire.HeaderResume, "5"))
@@ -40,17 +40,17 @@
 
 func TestRefusals(t *testing.T) {
 	e := start(t, engine.Config{Memory: 5000, Models: []wire.Loaded{{Model: model, Version: "v1", Adapters: []string{"ice"}}}})
-	with := func(c wire.Completion) caller.Call { return caller.Completion("r1", c) }
+	with := func(c wire.Completion) rawhttp.Call { return rawhttp.Completion("r1", c) }
 	cases := []struct {
 		name   string
-		call   caller.Call
+		call   rawhttp.Call
 		status int
 	}{
 		{"adapter that is loaded", with(wire.Completion{Model: model, Adapter: "ice"}), 200},
 		{"adapter that is not", with(wire.Completion{Model: model, Adapter: "lake"}), 404},
 		{"model that is not loaded", with(wire.Completion{Model: "other"}), 404},
-		{"malformed", caller.Call{Path: wire.PathCompletions, Body: []byte("{")}, 400},
-		{"no request id", caller.Completion("", wire.Completion{Model: model}), 400},
+		{"malformed", rawhttp.Call{Path: wire.PathCompletions, Body: []byte("{")}, 400},
+		{"no request id", rawhttp.Completion("", wire.Completion{Model: model}), 400},
 		{"bad priority", with(wire.Completion{Model: model}).With(wire.HeaderPriority, "high"), 400},
 		{"negative length", with(wire.Completion{Model: model, MaxTokens: -1}), 400},
 		{"offset behind the end", with(wire.Completion{Model: model, MaxTokens: 4}).With(wire.HeaderResume, "5"), 400},
@@ -85,7 +85,7 @@
 	is.Equal(r.Status, 503)
 	is.Equal(r.Header[wire.HeaderNotStarted], "true")
 	is.Equal(e.Counters().Refused, 1)
-	is.Equal(caller.Call{Path: "/v1/cancel/r1"}.Do(e.Addr()).Status, 204)
+	is.Equal(rawhttp.Call{Path: "/v1/cancel/r1"}.Do(e.Addr()).Status, 204)
 	is.Equal((<-running).Finish(), "error")
 }
 
@@ -131,7 +131,7 @@
 	e := start(t, engine.Config{DecodeInterval: time.Hour})
 	one := begin(t, e, streamed("r/1", 10, 1000).With(wire.HeaderAttempt, "1"))
 	two := begin(t, e, streamed("r/1", 10, 1000).With(wire.HeaderAttempt, "2"))
-	cancel := caller.Call{Path: "/v1/cancel/r%2F1"}
+	cancel := rawhttp.Call{Path: "/v1/cancel/r%2F1"}
 	is.Equal(cancel.With(wire.HeaderAttempt, "1").Do(e.Addr()).Status, 204)
 	is.Equal((<-one).Finish(), "error")
 	is.Equal(e.Counters().InFlight, 1)
--- a/internal/standin/engine/control_test.go
+++ b/internal/standin/engine/control_test.go
@@ -6,27 +6,27 @@
 
 	"github.com/matryer/is"
 
-	"github.com/damaskshelf/damaskshelf/internal/standin/caller"
 	"github.com/damaskshelf/damaskshelf/internal/standin/engine"
 	"github.com/damaskshelf/damaskshelf/internal/standin/faults"
+	"github.com/damaskshelf/damaskshelf/internal/standin/rawhttp"
 	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
 )
 
-func reserve(id string, tokens, ttlMs int64) caller.Call {
+func reserve(id string, tokens, ttlMs int64) rawhttp.Call {
 	return post(wire.PathReservations, wire.Reservation{
 		ID: id, Holder: "entry-1", Incarnation: "i1", Tokens: tokens, TTLMs: ttlMs, DeadlineMs: 60_000,
 	})
 }
 
-func release(id string) caller.Call {
-	return caller.Call{Method: "DELETE", Path: wire.PathReservations + "/" + id}
+func release(id string) rawhttp.Call {
+	return rawhttp.Call{Method: "DELETE", Path: wire.PathReservations + "/" + id}
 }
 
 func TestReservations(t *testing.T) {
 	e := start(t, engine.Config{Memory: 1000})
 	cases := []struct {
 		name   string
-		call   caller.Call
+		call   rawhttp.Call
 		status int
 		held   int64
 	}{
@@ -106,7 +106,7 @@
 	is.Equal(lead.Counters().Runs["r1"], 1)
 }
 
-func order(id string, fence uint64, kind, version, adapter string) caller.Call {
+func order(id string, fence uint64, kind, version, adapter string) rawhttp.Call {
 	return post(wire.PathOrders, wire.Order{ID: id, Fence: fence, Kind: kind, Model: "lake", Version: version, Adapter: adapter})
 }
 
@@ -114,7 +114,7 @@
 	e := start(t, engine.Config{Models: []wire.Loaded{}, Fencing: true, LoadTime: time.Second})
 	cases := []struct {
 		name   string
-		call   caller.Call
+		call   rawhttp.Call
 		status int
 		last   string // order carried out last
 		loaded []wire.Loaded
--- a/internal/standin/engine/faults_test.go
+++ b/internal/standin/engine/faults_test.go
@@ -10,9 +10,9 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskshelf/damaskshelf/internal/standin/answer"
-	"github.com/damaskshelf/damaskshelf/internal/standin/caller"
 	"github.com/damaskshelf/damaskshelf/internal/standin/engine"
 	"github.com/damaskshelf/damaskshelf/internal/standin/faults"
+	"github.com/damaskshelf/damaskshelf/internal/standin/rawhttp"
 	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
 )
 
@@ -35,7 +35,7 @@
 			is.NoErr(r.Err)
 			is.True(r.Done)
 			is.True(r.CheckStream("r1", 40) != nil) // the fault shows
-			sorted := &caller.Result{Parts: own(r.Parts, "r1")}
+			sorted := &rawhttp.Result{Parts: own(r.Parts, "r1")}
 			is.Equal(sorted.Text(), answer.Answer("r1", 40))
 		})
 	}
@@ -61,7 +61,7 @@
 		is := is.New(t)
 		e := start(t, engine.Config{})
 		is.NoErr(e.Switch(faults.LoseAnswer, true, 0))
-		r := caller.Completion("r1", wire.Completion{Model: model, MaxTokens: 10, Stream: stream}).Do(e.Addr())
+		r := rawhttp.Completion("r1", wire.Completion{Model: model, MaxTokens: 10, Stream: stream}).Do(e.Addr())
 		is.True(r.Err != nil)
 		is.Equal(len(r.Parts)+len(r.Body), 0)
 		c := e.Counters()
@@ -99,7 +99,7 @@
 	next := last.Offset + last.Tokens
 	resumed := streamed("r1", 10, next+10).With(wire.HeaderResume, jsonInt(next)).With(wire.HeaderAttempt, "2").Do(e.Addr())
 	is.Equal(r.Text()+resumed.Text(), answer.Answer("r1", next+10))
-	is.Equal(caller.Call{Path: "/v1/cancel/r1"}.Do(e.Addr()).Status, 204)
+	is.Equal(rawhttp.Call{Path: "/v1/cancel/r1"}.Do(e.Addr()).Status, 204)
 	is.True(nothingHeld(e)())
 }
 
--- a/internal/standin/engine/helpers_test.go
+++ b/internal/standin/engine/helpers_test.go
@@ -10,8 +10,8 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/goleak"
 
-	"github.com/damaskshelf/damaskshelf/internal/standin/caller"
 	"github.com/damaskshelf/damaskshelf/internal/standin/engine"
+	"github.com/damaskshelf/damaskshelf/internal/standin/rawhttp"
 	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
 )
 
@@ -43,12 +43,12 @@
 // prompt is a text of so many tokens.
 func prompt(tokens int) string { return strings.Repeat("abc ", tokens) }
 
-func streamed(id string, promptTokens, answerTokens int) caller.Call {
-	return caller.Completion(id, wire.Completion{Model: model, Prompt: prompt(promptTokens), MaxTokens: answerTokens, Stream: true})
+func streamed(id string, promptTokens, answerTokens int) rawhttp.Call {
+	return rawhttp.Completion(id, wire.Completion{Model: model, Prompt: prompt(promptTokens), MaxTokens: answerTokens, Stream: true})
 }
 
 // begin makes the call in the background and waits for its first part.
-func begin(t *testing.T, e *engine.Engine, c caller.Call) <-chan *caller.Result {
+func begin(t *testing.T, e *engine.Engine, c rawhttp.Call) <-chan *rawhttp.Result {
 	t.Helper()
 	first := make(chan struct{}, 1)
 	c.OnPart = func(wire.Part) bool {
@@ -58,7 +58,7 @@
 		}
 		return true
 	}
-	done := make(chan *caller.Result, 1)
+	done := make(chan *rawhttp.Result, 1)
 	go func() { done <- c.Do(e.Addr()) }()
 	select {
 	case <-first:
@@ -68,18 +68,18 @@
 	return done
 }
 
-func post(path string, body any) caller.Call {
+func post(path string, body any) rawhttp.Call {
 	data, err := json.Marshal(body)
 	if err != nil {
 		panic(err) // wire messages encode
 	}
-	return caller.Call{Path: path, Body: data}
+	return rawhttp.Call{Path: path, Body: data}
 }
 
-func get(path string) caller.Call { return caller.Call{Method: fasthttp.MethodGet, Path: path} }
+func get(path string) rawhttp.Call { return rawhttp.Call{Method: fasthttp.MethodGet, Path: path} }
 
 // ask makes the call and decodes its answer.
-func ask[T any](t *testing.T, e *engine.Engine, c caller.Call) T {
+func ask[T any](t *testing.T, e *engine.Engine, c rawhttp.Call) T {
 	t.Helper()
 	is := is.New(t)
 	r := c.Do(e.Addr())
--- a/internal/standin/instances/instances_test.go
+++ b/internal/standin/instances/instances_test.go
@@ -10,9 +10,9 @@
 	"go.uber.org/goleak"
 
 	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
-	"github.com/damaskshelf/damaskshelf/internal/standin/caller"
 	"github.com/damaskshelf/damaskshelf/internal/standin/faults"
 	"github.com/damaskshelf/damaskshelf/internal/standin/instances"
+	"github.com/damaskshelf/damaskshelf/internal/standin/rawhttp"
 )
 
 func TestMain(m *testing.M) {
@@ -30,7 +30,7 @@
 func read(t *testing.T, s *instances.Server) wire.InstanceList {
 	t.Helper()
 	is := is.New(t)
-	r := caller.Call{Method: fasthttp.MethodGet, Path: wire.PathInstances}.Do(s.Addr())
+	r := rawhttp.Call{Method: fasthttp.MethodGet, Path: wire.PathInstances}.Do(s.Addr())
 	is.NoErr(r.Err)
 	is.Equal(r.Status, fasthttp.StatusOK)
 	var list wire.InstanceList
--- a/internal/standin/objects/objects_test.go
+++ b/internal/standin/objects/objects_test.go
@@ -13,9 +13,9 @@
 	"go.uber.org/goleak"
 
 	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
-	"github.com/damaskshelf/damaskshelf/internal/standin/caller"
 	"github.com/damaskshelf/damaskshelf/internal/standin/faults"
 	"github.com/damaskshelf/damaskshelf/internal/standin/objects"
+	"github.com/damaskshelf/damaskshelf/internal/standin/rawhttp"
 )
 
 func TestMain(m *testing.M) {
@@ -32,17 +32,17 @@
 	return s
 }
 
-func put(path, value, ifVersion, writeID string) caller.Call {
-	c := caller.Call{Method: fasthttp.MethodPut, Path: path, Body: []byte(value)}.With(wire.HeaderWriteID, writeID)
+func put(path, value, ifVersion, writeID string) rawhttp.Call {
+	c := rawhttp.Call{Method: fasthttp.MethodPut, Path: path, Body: []byte(value)}.With(wire.HeaderWriteID, writeID)
 	if ifVersion != "" {
 		c = c.With(wire.HeaderIfVersion, ifVersion)
 	}
 	return c
 }
 
-func get(path string) caller.Call { return caller.Call{Method: fasthttp.MethodGet, Path: path} }
+func get(path string) rawhttp.Call { return rawhttp.Call{Method: fasthttp.MethodGet, Path: path} }
 
-func decoded[T any](t *testing.T, r *caller.Result) T {
+func decoded[T any](t *testing.T, r *rawhttp.Result) T {
 	t.Helper()
 	is := is.New(t)
 	is.NoErr(r.Err)
@@ -56,7 +56,7 @@
 	largest := `"` + strings.Repeat("x", objects.MaxValue-2) + `"`
 	cases := []struct {
 		name   string
-		call   caller.Call
+		call   rawhttp.Call
 		status int
 		body   string // checked when not empty
 	}{
@@ -76,9 +76,9 @@
 		{"watch without change", get("/objects/config?watch=4&timeout_ms=1"), 200, `{"version":4,"objects":[]}`},
 		{"bad watch", get("/objects/config?watch=x"), 400, ""},
 		{"watch of another store", get("/objects/config?watch=9"), 200, `{"version":4,"objects":[],"too_old":true}`},
-		{"delete", caller.Call{Method: "DELETE", Path: path}.With(wire.HeaderWriteID, "d1"), 200, `{"version":5}`},
-		{"delete again", caller.Call{Method: "DELETE", Path: path}, 200, `{"version":5}`},
-		{"conditional delete of an absent one", caller.Call{Method: "DELETE", Path: path}.With(wire.HeaderIfVersion, "2"), 409, `{"current":0,"write_id":"d1"}`},
+		{"delete", rawhttp.Call{Method: "DELETE", Path: path}.With(wire.HeaderWriteID, "d1"), 200, `{"version":5}`},
+		{"delete again", rawhttp.Call{Method: "DELETE", Path: path}, 200, `{"version":5}`},
+		{"conditional delete of an absent one", rawhttp.Call{Method: "DELETE", Path: path}.With(wire.HeaderIfVersion, "2"), 409, `{"current":0,"write_id":"d1"}`},
 		{"deleted", get(path), 404, `{"current":0,"write_id":"d1"}`},
 		{"watch of the delete", get("/objects/config?watch=4"), 200, `{"version":5,"objects":[],"deleted":["main"]}`},
 	}
@@ -100,7 +100,7 @@
 func TestWatchEndsWithTheChange(t *testing.T) {
 	is := is.New(t)
 	s := start(t)
-	got := make(chan *caller.Result, 1)
+	got := make(chan *rawhttp.Result, 1)
 	go func() { got <- get("/objects/config?watch=0&timeout_ms=20000").Do(s.Addr()) }()
 	for s.Counts().Watches == 0 {
 		time.Sleep(time.Millisecond)
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/rawhttp/rawhttp.go
@@ -1,6 +1,7 @@
-// Package caller is a test's client of completions and plain calls. It opens one connection for each call,
-// so that a test decides when that ends, and reports all that arrived instead of judging it.
-package caller
+// Package rawhttp is a test's client of engines, plain services, the platform and entry instances. It opens
+// one connection for each call, so that a test decides when that ends, and reports all that arrived, down to
+// single parts and headers, instead of judging it.
+package rawhttp
 
 import (
 	"bufio"
--- a/internal/standin/serve/serve_test.go
+++ b/internal/standin/serve/serve_test.go
@@ -12,7 +12,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/goleak"
 
-	"github.com/damaskshelf/damaskshelf/internal/standin/caller"
+	"github.com/damaskshelf/damaskshelf/internal/standin/rawhttp"
 	"github.com/damaskshelf/damaskshelf/internal/standin/serve"
 )
 
@@ -48,7 +48,7 @@
 
 func hello(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("hello") }
 
-var get = caller.Call{Method: fasthttp.MethodGet, Path: "/"}
+var get = rawhttp.Call{Method: fasthttp.MethodGet, Path: "/"}
 
 // A caller waits on a connection that something between the ends has lost track of. Nothing arrives on it
 // any more, neither data nor an end, while a new connection works at once.
@@ -145,7 +145,7 @@
 	for n := range body {
 		body[n] = byte(n % 251)
 	}
-	r := caller.Call{Path: "/", Body: body}.Do(s.Addr())
+	r := rawhttp.Call{Path: "/", Body: body}.Do(s.Addr())
 	is.NoErr(r.Err)
 	is.True(bytes.Equal(r.Body, body))
 }
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -8,8 +8,8 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/goleak"
 
-	"github.com/damaskshelf/damaskshelf/internal/standin/caller"
 	"github.com/damaskshelf/damaskshelf/internal/standin/faults"
+	"github.com/damaskshelf/damaskshelf/internal/standin/rawhttp"
 	"github.com/damaskshelf/damaskshelf/internal/standin/service"
 	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
 )
@@ -27,15 +27,15 @@
 	return s, ledger
 }
 
-func booking(id, key string) caller.Call {
-	c := caller.Call{Path: service.PathBookings, Body: []byte(`{"hut":"north","day":"monday"}`)}
+func booking(id, key string) rawhttp.Call {
+	c := rawhttp.Call{Path: service.PathBookings, Body: []byte(`{"hut":"north","day":"monday"}`)}
 	return c.With(wire.HeaderRequestID, id).With(wire.HeaderIdempotencyKey, key)
 }
 
 func TestBookings(t *testing.T) {
 	is := is.New(t)
 	s, ledger := start(t)
-	free := caller.Call{Method: fasthttp.MethodGet, Path: service.PathAvailability + "?hut=north&day=monday"}
+	free := rawhttp.Call{Method: fasthttp.MethodGet, Path: service.PathAvailability + "?hut=north&day=monday"}
 	is.Equal(string(free.Do(s.Addr()).Body), `{"hut":"north","day":"monday","free":true}`)
 	r := booking("r1", "k1").Do(s.Addr())
 	is.Equal(r.Status, 201)
@@ -43,7 +43,7 @@
 	is.True(r.Header[wire.HeaderBootID] != "")
 	is.Equal(string(free.Do(s.Addr()).Body), `{"hut":"north","day":"monday","free":false}`)
 	is.Equal(len(ledger.Executions()), 3)
-	is.Equal(caller.Call{Path: service.PathBookings, Body: []byte(`{}`)}.Do(s.Addr()).Status, 400)
+	is.Equal(rawhttp.Call{Path: service.PathBookings, Body: []byte(`{}`)}.Do(s.Addr()).Status, 400)
 }
 
 // The same booking reaches the service twice: a double booking that a test must be able to see.
@@ -97,7 +97,7 @@
 func TestBootIDChangesWithARestart(t *testing.T) {
 	is := is.New(t)
 	s, _ := start(t)
-	ping := caller.Call{Method: fasthttp.MethodGet, Path: wire.PathPing}
+	ping := rawhttp.Call{Method: fasthttp.MethodGet, Path: wire.PathPing}
 	before := ping.Do(s.Addr()).Header[wire.HeaderBootID]
 	is.NoErr(s.Switch(faults.Kill, true, 0))
 	is.NoErr(s.Switch(faults.Kill, false, 0))
--- a/internal/standin/weights/weights_test.go
+++ b/internal/standin/weights/weights_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
-	"github.com/damaskshelf/damaskshelf/internal/standin/caller"
+	"github.com/damaskshelf/damaskshelf/internal/standin/rawhttp"
 	"github.com/damaskshelf/damaskshelf/internal/standin/weights"
 )
 
@@ -40,8 +40,8 @@
 	s, err := weights.Start("127.0.0.1:0", 0.001, 10)
 	is.NoErr(err)
 	defer s.Close()
-	take := func(query string) *caller.Result {
-		return caller.Call{Path: "/weights/guide/v1" + query}.Do(s.Addr())
+	take := func(query string) *rawhttp.Result {
+		return rawhttp.Call{Path: "/weights/guide/v1" + query}.Do(s.Addr())
 	}
 	is.Equal(take("?gb=10").Status, 204)
 	refused := take("?gb=1")
--- a/test/e2e/crowd_test.go
+++ b/test/e2e/crowd_test.go
@@ -12,8 +12,8 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskshelf/damaskshelf/internal/standin/answer"
-	"github.com/damaskshelf/damaskshelf/internal/standin/caller"
 	"github.com/damaskshelf/damaskshelf/internal/standin/cluster"
+	"github.com/damaskshelf/damaskshelf/internal/standin/rawhttp"
 	"github.com/damaskshelf/damaskshelf/internal/standin/service"
 	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
 )
@@ -62,25 +62,25 @@
 }
 
 // prompt makes a caller's prompt; every id has its own text, of so many tokens.
-func prompt(id string, tokens, answerTokens int, stream bool) caller.Call {
+func prompt(id string, tokens, answerTokens int, stream bool) rawhttp.Call {
 	text := (id + " ") + strings.Repeat("ice ", tokens)
-	c := caller.Completion(id, wire.Completion{Model: model, Prompt: text[:tokens*wire.BytesPerToken], MaxTokens: answerTokens, Stream: stream})
+	c := rawhttp.Completion(id, wire.Completion{Model: model, Prompt: text[:tokens*wire.BytesPerToken], MaxTokens: answerTokens, Stream: stream})
 	c.Decode = decoder()
 	return timed(c)
 }
 
-func booking(id string) caller.Call {
+func booking(id string) rawhttp.Call {
 	body := fmt.Sprintf(`{"hut":"hut","day":%q}`, id)
-	return timed(caller.Call{Path: "/services/" + bookdesk + service.PathBookings, Body: []byte(body)}).
+	return timed(rawhttp.Call{Path: "/services/" + bookdesk + service.PathBookings, Body: []byte(body)}).
 		With(wire.HeaderRequestID, id).With(wire.HeaderIdempotent, "false")
 }
 
-func read() caller.Call {
+func read() rawhttp.Call {
 	path := "/services/" + bookdesk + service.PathAvailability + "?hut=hut&day=monday"
-	return timed(caller.Call{Method: fasthttp.MethodGet, Path: path}).With(wire.HeaderRequestID, newID("read"))
+	return timed(rawhttp.Call{Method: fasthttp.MethodGet, Path: path}).With(wire.HeaderRequestID, newID("read"))
 }
 
-func timed(c caller.Call) caller.Call {
+func timed(c rawhttp.Call) rawhttp.Call {
 	c.Guard = requestTimeout + grace
 	return c.With(wire.HeaderTimeout, requestTimeout.String())
 }
@@ -93,7 +93,7 @@
 	tokens int // of the answer
 	stream bool
 	took   time.Duration
-	*caller.Result
+	*rawhttp.Result
 }
 
 // whole tells whether the caller got all that it asked for.
@@ -153,7 +153,6 @@
 
 func (c *crowd) goOn(seed uint64, once func(*rand.Rand, *entry)) {
 	r := rand.New(rand.NewPCG(seed, 1))
-	entries := c.f.entries
 	c.callers.Go(func() {
 		for {
 			select {
@@ -161,7 +160,7 @@
 				return
 			case <-time.After(pause):
 			}
-			if e := pick(r, entries); e != nil {
+			if e := pick(r, c.f.started()); e != nil {
 				once(r, e)
 			}
 		}
@@ -202,7 +201,7 @@
 	c.record(o, e, read().With(wire.HeaderRequestID, o.id))
 }
 
-func (c *crowd) record(o *outcome, e *entry, call caller.Call) {
+func (c *crowd) record(o *outcome, e *entry, call rawhttp.Call) {
 	began := time.Now()
 	o.entry = e.row.ID
 	o.Result = call.Do(e.row.Addr)
@@ -260,7 +259,7 @@
 	if o.explicit() && len(parts) > 0 {
 		parts = parts[:len(parts)-1]
 	}
-	if err := (&caller.Result{Parts: parts}).CheckPrefix(o.id); err != nil {
+	if err := (&rawhttp.Result{Parts: parts}).CheckPrefix(o.id); err != nil {
 		return err
 	}
 	if o.Status == fasthttp.StatusOK && o.Err == nil && !o.explicit() {
--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -148,7 +148,7 @@
 func TestGracefulStop(t *testing.T) {
 	f := start(t)
 	run(t, f, all, func() {
-		old := f.entries[0]
+		old := f.started()[0]
 		f.signal(old, syscall.SIGTERM)
 		is.New(t).Equal(f.awaitExit(old), 0)
 		f.unlist(old.row.ID)
@@ -161,7 +161,7 @@
 // request fails, no booking runs twice, and no engine keeps memory for the dead one.
 func TestKilledEntry(t *testing.T) {
 	f := start(t)
-	old := f.entries[0]
+	old := f.started()[0]
 	through := func(o *outcome) bool { return o.entry == old.row.ID && (o.unreached() || o.Err != nil) }
 	run(t, f, through, func() {
 		old.kill()
@@ -175,7 +175,7 @@
 // may get a failure; no other request fails.
 func TestPausedEntry(t *testing.T) {
 	f := start(t)
-	paused := f.entries[0]
+	paused := f.started()[0]
 	through := func(o *outcome) bool { return o.entry == paused.row.ID && (o.explicit() || o.Err != nil) }
 	run(t, f, through, func() {
 		f.signal(paused, syscall.SIGSTOP)
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -9,6 +9,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -19,10 +21,10 @@
 
 	"github.com/damaskshelf/damaskshelf/api"
 	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
-	"github.com/damaskshelf/damaskshelf/internal/standin/caller"
 	"github.com/damaskshelf/damaskshelf/internal/standin/cluster"
 	"github.com/damaskshelf/damaskshelf/internal/standin/engine"
 	"github.com/damaskshelf/damaskshelf/internal/standin/faults"
+	"github.com/damaskshelf/damaskshelf/internal/standin/rawhttp"
 )
 
 // The shape of every fleet here.
@@ -63,10 +65,12 @@
 
 // fleet is the stand-ins' process and the entry instances' processes of one test.
 type fleet struct {
-	t       *testing.T
-	dir     string
-	addrs   cluster.Addrs
-	entries []*entry
+	t     *testing.T
+	dir   string
+	addrs cluster.Addrs
+
+	mu      sync.Mutex
+	entries []*entry // guarded by mu; in the order they were started
 }
 
 // entry is one entry instance.
@@ -91,7 +95,7 @@
 	for n, domain := range domains {
 		f.startEntry(fmt.Sprintf("entry-%d", n), domain)
 	}
-	for _, e := range f.entries {
+	for _, e := range f.started() {
 		f.awaitReady(e)
 	}
 	f.awaitService()
@@ -129,11 +133,11 @@
 func (f *fleet) putConfig(cfg api.Config) {
 	data, err := json.Marshal(cfg)
 	is.New(f.t).NoErr(err)
-	f.must(caller.Call{Method: fasthttp.MethodPut, Path: "/objects/config/current", Body: data}.Do(f.addrs.Objects))
+	f.must(rawhttp.Call{Method: fasthttp.MethodPut, Path: "/objects/config/current", Body: data}.Do(f.addrs.Objects))
 }
 
 // must ends the test if the call failed.
-func (f *fleet) must(r *caller.Result) *caller.Result {
+func (f *fleet) must(r *rawhttp.Result) *rawhttp.Result {
 	f.t.Helper()
 	if r.Err != nil || r.Status < 200 || r.Status > 299 {
 		f.t.Fatalf("status %d, body %s, error %v", r.Status, r.Body, r.Err)
@@ -176,11 +180,20 @@
 		f.showLog(id)
 	})
 	f.list(e.row)
+	f.mu.Lock()
 	f.entries = append(f.entries, e)
+	f.mu.Unlock()
 	go e.balance()
 	return e
 }
 
+// started lists the entry instances started so far, those that ended included.
+func (f *fleet) started() []*entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.entries)
+}
+
 // freeAddr gives an address whose port is below those that the system gives to outgoing connections, so
 // that no other connection takes it before the process binds it.
 func freeAddr(t *testing.T) string {
@@ -229,7 +242,7 @@
 			return
 		case <-time.After(poll):
 		}
-		check := caller.Call{Method: fasthttp.MethodGet, Path: "/readyz", Guard: 2 * time.Second}
+		check := rawhttp.Call{Method: fasthttp.MethodGet, Path: "/readyz", Guard: 2 * time.Second}
 		e.ready.Store(check.Do(e.row.Addr).Status == fasthttp.StatusOK)
 	}
 }
@@ -242,7 +255,7 @@
 // awaitService waits until every ready entry instance answers a prompt and a read.
 func (f *fleet) awaitService() {
 	f.t.Helper()
-	for _, e := range f.entries {
+	for _, e := range f.started() {
 		if !e.ready.Load() {
 			continue
 		}
@@ -286,7 +299,7 @@
 	f.t.Helper()
 	data, err := json.Marshal(body)
 	is.New(f.t).NoErr(err)
-	f.must(caller.Call{Path: path, Body: data}.Do(f.addrs.Control))
+	f.must(rawhttp.Call{Path: path, Body: data}.Do(f.addrs.Control))
 }
 
 // list puts or replaces a row of the platform's instance list.
@@ -294,7 +307,7 @@
 
 // unlist takes a row off the platform's instance list.
 func (f *fleet) unlist(id string) {
-	f.must(caller.Call{Method: fasthttp.MethodDelete, Path: cluster.PathInstances + "/" + id}.Do(f.addrs.Control))
+	f.must(rawhttp.Call{Method: fasthttp.MethodDelete, Path: cluster.PathInstances + "/" + id}.Do(f.addrs.Control))
 }
 
 // fault turns a stand-in's fault on or off.
@@ -306,7 +319,7 @@
 // counters gives what the stand-ins saw.
 func (f *fleet) counters() cluster.Counters {
 	f.t.Helper()
-	r := f.must(caller.Call{Method: fasthttp.MethodGet, Path: cluster.PathCounters}.Do(f.addrs.Control))
+	r := f.must(rawhttp.Call{Method: fasthttp.MethodGet, Path: cluster.PathCounters}.Do(f.addrs.Control))
 	var c cluster.Counters
 	is.New(f.t).NoErr(json.Unmarshal(r.Body, &c))
 	return c
