--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -3,7 +3,6 @@
 package e2e_test
 
 import (
-	"syscall"
 	"testing"
 	"time"
 
@@ -100,6 +99,10 @@
 	// An engine dies under load and comes back cold.
 	{"engine killed", []string{engineN}, faults.Kill, all},
 
+	// An engine turns cold without a word and falls over under what it bore before; its work goes on
+	// elsewhere.
+	{"engine turns cold", []string{engineN}, faults.Cold, all},
+
 	// An engine is leaving: it refuses new work and finishes what it has.
 	{"engine leaving", []string{engineN}, faults.Leaving, all},
 
@@ -142,45 +145,3 @@
 		})
 	}
 }
-
-// Operators replace an entry instance under load. It says that it is not ready, serves what the balancer
-// still sends, finishes what it has and ends; a new one takes its place. No caller sees any of it.
-func TestGracefulStop(t *testing.T) {
-	f := start(t)
-	run(t, f, all, func() {
-		old := f.started()[0]
-		f.signal(old, syscall.SIGTERM)
-		is.New(t).Equal(f.awaitExit(old), 0)
-		f.unlist(old.row.ID)
-		f.awaitReady(f.startEntry("entry-new", old.row.Domain))
-		time.Sleep(before)
-	})
-}
-
-// An entry instance dies under load and is replaced. Its own callers lose their connections; no other
-// request fails, no booking runs twice, and no engine keeps memory for the dead one.
-func TestKilledEntry(t *testing.T) {
-	f := start(t)
-	old := f.started()[0]
-	through := func(o *outcome) bool { return o.entry == old.row.ID && (o.unreached() || o.Err != nil) }
-	run(t, f, through, func() {
-		old.kill()
-		f.unlist(old.row.ID)
-		f.awaitReady(f.startEntry("entry-new", old.row.Domain))
-		time.Sleep(before)
-	})
-}
-
-// An entry instance is paused under load and goes on, believing that no time has passed. Its own callers
-// may get a failure; no other request fails.
-func TestPausedEntry(t *testing.T) {
-	f := start(t)
-	paused := f.started()[0]
-	through := func(o *outcome) bool { return o.entry == paused.row.ID && (o.explicit() || o.Err != nil) }
-	run(t, f, through, func() {
-		f.signal(paused, syscall.SIGSTOP)
-		time.Sleep(during)
-		f.signal(paused, syscall.SIGCONT)
-		time.Sleep(before)
-	})
-}
--- /dev/null
+++ b/test/e2e/entries_test.go
@@ -0,0 +1,148 @@
+package e2e_test
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/damaskshelf/damaskshelf/internal/standin/cluster"
+	"github.com/damaskshelf/damaskshelf/internal/standin/faults"
+	"github.com/damaskshelf/damaskshelf/internal/standin/rawhttp"
+	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
+)
+
+// background makes a call whose result is taken later.
+func background(call rawhttp.Call, e *entry) <-chan *rawhttp.Result {
+	done := make(chan *rawhttp.Result, 1)
+	go func() { done <- call.Do(e.row.Addr) }()
+	return done
+}
+
+// Operators replace an entry instance under load. It says that it is not ready, serves what the balancer
+// still sends, finishes what it has, long answers and slow bookings too, and ends; a new one takes its
+// place. No caller sees any of it.
+func TestGracefulStop(t *testing.T) {
+	is := is.New(t)
+	f := start(t)
+	old := f.started()[0]
+	run(t, f, all, func() {
+		long, id := 3000, newID("long") // some three seconds
+		answer := background(prompt(id, 100, long, true), old)
+		slow := booking(newID("slow"))
+		slow.Path = "/services/" + bookdesk + "/slow?ms=2000"
+		booked := background(slow, old)
+		f.await("both run", func() bool {
+			saw := f.counters()
+			return runs(id, saw) > 0 && runs(slow.Headers[wire.HeaderRequestID], saw) > 0
+		})
+		f.signal(old, syscall.SIGTERM)
+		is.NoErr((<-answer).CheckStream(id, long))
+		is.Equal((<-booked).Status, 201)
+		is.Equal(f.awaitExit(old), 0)
+		f.unlist(old.row.ID)
+		f.awaitReady(f.startEntry("entry-new", old.row.Domain))
+		time.Sleep(before)
+	})
+}
+
+// An entry instance dies under load and is replaced. Its own callers lose their connections; no other
+// request fails, no booking runs twice, and no engine keeps memory for the dead one.
+func TestKilledEntry(t *testing.T) {
+	f := start(t)
+	old := f.started()[0]
+	through := func(o *outcome) bool { return o.entry == old.row.ID && (o.unreached() || o.Err != nil) }
+	run(t, f, through, func() {
+		old.kill()
+		f.unlist(old.row.ID)
+		f.awaitReady(f.startEntry("entry-new", old.row.Domain))
+		time.Sleep(during)
+	})
+}
+
+// An entry instance is paused under load and goes on, believing that no time has passed. Its own callers
+// may get a failure; no other request fails.
+func TestPausedEntry(t *testing.T) {
+	f := start(t)
+	paused := f.started()[0]
+	through := func(o *outcome) bool { return o.entry == paused.row.ID && (o.explicit() || o.Err != nil) }
+	run(t, f, through, func() {
+		f.signal(paused, syscall.SIGSTOP)
+		time.Sleep(during)
+		f.signal(paused, syscall.SIGCONT)
+		time.Sleep(before)
+	})
+}
+
+// A whole failure domain is lost at once: its entry instance, its engines and its service instance. The
+// instance list shows them all as live. Callers of the others see nothing but bookings of unknown outcome.
+// Then all comes back.
+func TestLostDomain(t *testing.T) {
+	f := start(t)
+	lost := f.started()[0]
+	targets := []string{"engine-north-ice-0", "engine-north-ice-1", "bookdesk-0"}
+	mayFail := func(o *outcome) bool {
+		return o.entry == lost.row.ID && (o.unreached() || o.Err != nil) || sentBooking(o)
+	}
+	run(t, f, mayFail, func() {
+		lost.kill()
+		for _, target := range targets {
+			f.fault(target, faults.Kill, true)
+		}
+		time.Sleep(during)
+		for _, target := range targets {
+			f.fault(target, faults.Kill, false)
+		}
+		f.awaitReady(f.startEntry("entry-new", lost.row.Domain))
+		time.Sleep(before)
+	})
+}
+
+// Callers go away while they wait for their first token, or in the middle of a stream. Engines stop that
+// work and hold no memory for it.
+func TestCallersGoAway(t *testing.T) {
+	is := is.New(t)
+	f := start(t)
+	const callers, endless = 12, 16_000 // tokens, of more seconds than the guard of one call
+	results := make([]<-chan *rawhttp.Result, callers)
+	for n := range callers {
+		call := prompt(newID("leaver"), 100, endless, true)
+		parts := 0
+		call.OnPart = func(wire.Part) bool { parts++; return parts < 5 }
+		if n%2 == 0 {
+			call = prompt(newID("leaver"), 300_000, endless, true)
+			call.Guard = 300 * time.Millisecond // goes away before the first token
+		}
+		results[n] = background(call, f.started()[n%len(domains)])
+	}
+	for _, r := range results {
+		is.True(!(<-r).Done)
+	}
+	f.await("engines are idle and hold no memory", f.idle)
+	completed := 0
+	for _, e := range f.counters().Engines {
+		completed += e.Completed
+	}
+	is.True(completed <= len(domains)*10) // the probes of the start, none of the leavers
+	f.awaitService()
+}
+
+// A new entry instance starts while the object API is down. It learns the configuration from its peers and
+// serves; it does not bring work to a failure domain that operators have taken out.
+func TestNewEntryDuringStoreOutage(t *testing.T) {
+	is := is.New(t)
+	f := start(t)
+	f.drain(domains[0], f.started()[1])
+	time.Sleep(drainLag)
+	f.fault(cluster.TargetObjects, faults.Kill, true)
+	fresh := f.startEntry("entry-new", domains[1])
+	f.awaitReady(fresh)
+	was := f.domainRuns(domains[0])
+	for range 30 {
+		id := newID("prompt")
+		is.NoErr(prompt(id, 100, 20, true).Do(fresh.row.Addr).CheckStream(id, 20))
+	}
+	is.Equal(f.domainRuns(domains[0]), was)
+	f.fault(cluster.TargetObjects, faults.Kill, false)
+}
