End watches of stale reads when reads are fresh again

A watch that began while reads were stale waited out its whole time on the stale state afterwards, so that instances seemed to take a change 10 s late. The fault was the stand-in's.

--- a/internal/standin/objects/objects.go
+++ b/internal/standin/objects/objects.go
@@ -88,7 +88,10 @@
 func (s *Server) setStale(on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stale = nil
+	if s.stale != nil {
+		s.stale.wake() // watches of the stale state go on with the true one
+		s.stale = nil
+	}
 	if on {
 		s.stale = s.store.Clone()
 	}
--- a/internal/standin/objects/objects_test.go
+++ b/internal/standin/objects/objects_test.go
@@ -152,6 +152,24 @@
 	is.Equal(string(decoded[wire.Object](t, get(path).Do(s.Addr())).Value), `2`)
 }
 
+// Reads are stale while a change is made; a watch that waits then must not miss the change once they are
+// fresh again.
+func TestWatchGoesOnAfterStaleReads(t *testing.T) {
+	is := is.New(t)
+	s := start(t)
+	is.NoErr(s.Switch(faults.StaleReads, true, 0))
+	got := make(chan *rawhttp.Result, 1)
+	go func() { got <- get("/objects/config?watch=0&timeout_ms=20000").Do(s.Addr()) }()
+	for s.Counts().Watches == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(put(path, `1`, "", "w").Do(s.Addr()).Status, 200)
+	time.Sleep(50 * time.Millisecond) // long enough that a watch of the true state would have answered
+	is.Equal(len(got), 0)
+	is.NoErr(s.Switch(faults.StaleReads, false, 0))
+	is.Equal(decoded[wire.List](t, <-got).Version, uint64(1))
+}
+
 func TestOutages(t *testing.T) {
 	is := is.New(t)
 	s := start(t)
--- a/internal/standin/objects/store.go
+++ b/internal/standin/objects/store.go
@@ -103,10 +103,22 @@
 		s.forgotten = s.history[over-1].version
 		s.history = slices.Delete(s.history, 0, over)
 	}
+	s.signal()
+}
+
+// signal ends the waits for a change; mu is held.
+func (s *Store) signal() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// wake ends the waits for a change without one.
+func (s *Store) wake() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.signal()
+}
+
 // List gives all objects of a kind, sorted by name.
 func (s *Store) List(kind string) wire.List {
 	s.mu.Lock()
--- a/test/e2e/domains_test.go
+++ b/test/e2e/domains_test.go
@@ -186,17 +186,29 @@
 	is.NoErr(json.Unmarshal(accepted.Body, &done))
 	f.awaitInForce(done.Version)
 
+	last := f.propose(api.Change{Restore: f.out(done.Plan, first, second)}, entries[2])
 	f.fault(cluster.TargetObjects, faults.StaleReads, true)
-	next := f.change(api.Change{Intent: &api.Intent{Models: []api.Model{{Name: model, Version: cluster.ModelVersion, Replicas: 1}}}}, entries[2])
+	is.NoErr(json.Unmarshal(f.must(confirm(last, entries[2])).Body, &done))
 	time.Sleep(before)
 	f.fault(cluster.TargetObjects, faults.StaleReads, false)
-	f.awaitInForce(next)
+	f.awaitInForce(done.Version)
 	close(stop)
 	for range entries {
 		is.Equal(<-reverted, "")
 	}
 }
 
+// out is the failure domain that the accepted one of the plans took out.
+func (f *fleet) out(accepted string, plans ...api.Plan) string {
+	for _, p := range plans {
+		if p.ID == accepted {
+			return p.Change.Drain
+		}
+	}
+	f.t.Fatalf("plan %s is none of those proposed", accepted)
+	return ""
+}
+
 // settled confirms a plan until the answer is certain.
 func (f *fleet) settled(plan api.Plan, e *entry) (r *rawhttp.Result) {
 	f.await("the confirmation is settled", func() bool {
--- a/test/e2e/engines_test.go
+++ b/test/e2e/engines_test.go
@@ -67,8 +67,10 @@
 	f.await("engines are idle and hold no memory", f.idle)
 }
 
-// keyed is a booking with an idempotency key, under an id of its own.
-func keyed(key string) rawhttp.Call { return booking(newID("keyed")).With(wire.HeaderIdempotencyKey, key) }
+// keyed is a booking with an idempotency key, under a request id of its own.
+func keyed(key string) rawhttp.Call {
+	return booking(key).With(wire.HeaderRequestID, newID("keyed")).With(wire.HeaderIdempotencyKey, key)
+}
 
 // Guides confirm rentals with a key, and ask again through another entry instance until they are certain,
 // while services lose answers, the object API loses answers and stands still, and an entry instance dies. No
