Work plans off under leases

Cause: a confirmed plan has to become orders, safely with two holders, paused holders, lost answers, late orders, engines of both sorts and a store that fails in the middle. Change: internal/execute. Engines are cut into 64 shards; rendezvous finds the owner, the shard's lease carries the orders, progress stands in the lease's own object. A stage begins when every shard with steps has recorded the one before. Loads are sent after a grant of the weight store. A done plan stays the reference and costs the store nothing; engines that deviate are put right.

Ruled out: counting others by model name alone; an engine already brought to its version has to count. Not proved: an order later than the longest delay, or one that an engine took before a newer fence, can take a model below its floor until it is mended.

--- a/api/plan.go
+++ b/api/plan.go
@@ -44,17 +44,18 @@
 
 // Plan is what a change would do. It is the value of the object plans/ID.
 type Plan struct {
-	ID      string      `json:"id"`
-	State   PlanState   `json:"state"`
-	Change  Change      `json:"change"`
-	Base    Base        `json:"base"`
-	After   Config      `json:"after"` // configuration that a confirmation writes
-	Steps   []Step      `json:"steps,omitempty"`
-	Target  []Placement `json:"target,omitempty"` // what every usable engine has loaded at the end, sorted by upstream
-	Summary []string    `json:"summary"`          // what changes, in words
-	Hurt    []string    `json:"hurt,omitempty"`   // who is hurt and how, in words
-	Cost    Cost        `json:"cost"`
-	Forced  bool        `json:"forced,omitempty"` // breaks a floor, accepted by the operator
+	ID      string         `json:"id"`
+	State   PlanState      `json:"state"`
+	Change  Change         `json:"change"`
+	Base    Base           `json:"base"`
+	After   Config         `json:"after"` // configuration that a confirmation writes
+	Steps   []Step         `json:"steps,omitempty"`
+	Target  []Placement    `json:"target,omitempty"` // what every usable engine has loaded at the end, sorted by upstream
+	Floors  map[string]int `json:"floors,omitempty"` // by model: engines that serve at every step
+	Summary []string       `json:"summary"`          // what changes, in words
+	Hurt    []string       `json:"hurt,omitempty"`   // who is hurt and how, in words
+	Cost    Cost           `json:"cost"`
+	Forced  bool           `json:"forced,omitempty"` // breaks a floor, accepted by the operator
 }
 
 // Base holds the versions that a plan was made from.
@@ -101,6 +102,15 @@
 	Adapters []string `json:"adapters,omitempty"` // sorted
 }
 
+// Stages is the number of the plan's last stage; 0 for a plan without steps.
+func (p *Plan) Stages() int {
+	last := 0
+	for _, s := range p.Steps {
+		last = max(last, s.Stage)
+	}
+	return last
+}
+
 // Confirmed answers a confirmation that took effect.
 type Confirmed struct {
 	Plan    string `json:"plan"`
--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -181,6 +181,9 @@
 // Settled tells whether orders of earlier holders have all arrived by now.
 func (l *Lease) Settled(now decide.Instant) bool { return l.held && !now.Before(l.settled) }
 
+// Renounce ends the holding on this side only. The next write gets a new fence.
+func (l *Lease) Renounce() { l.held = false }
+
 // Released notes that the lease was given back in that version.
 func (l *Lease) Released(version uint64, now decide.Instant) {
 	l.held, l.doubt = false, false
--- a/internal/decide/order/difference.go
+++ b/internal/decide/order/difference.go
@@ -10,16 +10,46 @@
 // difference gives the next step that the engine's state does not show, and whether it mends something
 // that was in place before.
 func difference(in Input) (step api.Step, repair, found bool) {
-	if in.Whole != nil {
+	if in.Verify {
 		step, found = deviation(in)
 		return step, true, found
 	}
-	for i, s := range in.Due {
-		if !superseded(in.Due[i+1:], s) && !satisfied(in.State, s) {
+	for i, s := range in.Steps {
+		if superseded(in.Steps[i+1:], s) || satisfied(in.State, s) {
+			continue
+		}
+		if s.Stage <= in.Stage {
 			return s, false, true
 		}
+		break
+	}
+	step, found = lost(in)
+	return step, true, found
+}
+
+// lost gives a model that the engine should serve in some version and does not: it rebooted, or a late
+// order took the model away. Mending that early takes nothing from anybody, and other engines' steps may
+// wait for it at their floors.
+func lost(in Input) (api.Step, bool) {
+	for _, w := range in.Target.Loaded {
+		if loadedAs(in.State, w.Model) == nil && !waitsForRoom(in, w.Model) {
+			return api.Step{Upstream: in.Target.Upstream, Kind: api.StepLoad, Model: w.Model, Version: w.Version}, true
+		}
+	}
+	return api.Step{}, false
+}
+
+// waitsForRoom tells whether a model's load comes after an unload that is still to be done, which makes
+// room for it.
+func waitsForRoom(in Input, model string) bool {
+	room := false
+	for _, s := range in.Steps {
+		if s.Kind == api.StepLoad && s.Model == model {
+			return room
+		}
+		room = room || (s.Kind == api.StepUnload && s.Adapter == "" && !satisfied(in.State, s))
 	}
-	return api.Step{}, false, false
+	return false
 }
 
 // superseded tells whether a later step is about the same model or adapter.
@@ -55,13 +85,13 @@
 func deviation(in Input) (api.Step, bool) {
 	var steps []api.Step
 	for _, l := range in.State.Loaded {
-		steps = append(steps, tooMuch(*in.Whole, l)...)
+		steps = append(steps, tooMuch(in.Target, l)...)
 	}
-	for _, w := range in.Whole.Loaded {
+	for _, w := range in.Target.Loaded {
 		steps = append(steps, missing(w, in.State)...)
 	}
 	for i := range steps {
-		steps[i].Upstream = in.Whole.Upstream
+		steps[i].Upstream = in.Target.Upstream
 	}
 	if len(steps) == 0 {
 		return api.Step{}, false
--- a/internal/decide/order/order.go
+++ b/internal/decide/order/order.go
@@ -60,17 +60,23 @@
 	Plan    string
 	Fencing bool // refuses orders with an old fencing number
 	State   wire.EngineState
-	Due     []api.Step     // this engine's steps of all stages up to the current one, in order
-	Whole   *api.Placement // all steps are done: the state must be just this; nil: not compared
+	Steps   []api.Step    // the plan's steps for this engine, in order
+	Stage   int           // steps up to this stage are due
+	Verify  bool          // all stages are done: the state must be just Target
+	Target  api.Placement // at the end of the plan
 	Lease   Lease
 	Issued  Issued
 	Now     decide.Instant
+	Floors  map[string]int // by model: engines that serve at every step
+	Models  map[string]Service
+	Forced  bool // the plan may break floors
+}
 
-	// A model may be taken from the engine only while Others have it: engines that serve it now and are
-	// not being changed themselves.
-	Others map[string]int
-	Floors map[string]int
-	Forced bool // the plan may break floors
+// Service is how a model is served now, as far as the instance knows.
+type Service struct {
+	Serving int  // engines that take new work and have the model in any version
+	Stable  int  // those of them that won't be changed before the next stage
+	First   bool // of the engines that deviate in it, this one is the first by id
 }
 
 // Decision is what to do about the engine now.
@@ -138,8 +144,16 @@
 
 // blocked tells whether a step would take its model below the floor as things stand now. The plan's order
 // of steps keeps floors by itself; this catches engines that were lost since the plan was made.
+//
+// Reboots and late orders of an older plan may have left so many engines wrong that mending any of them
+// breaks the floor. They are mended one at a time then, or the plan would never be carried out.
 func (in *Input) blocked(s api.Step) bool {
-	return !in.Forced && takes(s, in.State) && in.Others[s.Model] < in.Floors[s.Model]
+	floor, m := in.Floors[s.Model], in.Models[s.Model]
+	if in.Forced || !takes(s, in.State) || m.Stable >= floor {
+		return false
+	}
+	mends := in.Verify || s.Stage < in.Stage
+	return !mends || !m.First || m.Serving < floor
 }
 
 // takes tells whether an order takes a model out of service, for good or while it is replaced.
--- a/internal/decide/plan/plan.go
+++ b/internal/decide/plan/plan.go
@@ -54,6 +54,7 @@
 	Rejected string // why, in words
 	Steps    []api.Step
 	Target   []api.Placement
+	Floors   map[string]int // by model: engines that serve at every step
 	Cost     api.Cost
 	Summary  []string
 	Hurt     []string
@@ -63,7 +64,7 @@
 func Make(in Input) Result {
 	p := newPlanner(in)
 	target := p.settleTarget()
-	r := Result{Target: p.placements(target)}
+	r := Result{Target: p.placements(target), Floors: p.floors}
 	short := p.shortages(target)
 	broken := p.brokenFloors(target)
 	staged := p.stage(target)
--- /dev/null
+++ b/internal/execute/execute.go
@@ -0,0 +1,337 @@
+// Package execute works confirmed plans off: the shell of decide/lease and decide/order.
+//
+// Engines are cut into shards. Who works on a shard is found by rendezvous over the live instances, which
+// is only a saving: orders are given under the shard's lease, with its fence. How far a shard is stands in
+// the lease's own object, so that a holder which lost the lease can't record progress. A stage begins when
+// every shard with steps has recorded the one before it.
+//
+// A plan that is done stays the reference: engines are read on, more slowly, and one that differs from its
+// target (it rebooted, or a late order of an older plan reached it) is put right.
+package execute
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/decide/lease"
+	"github.com/damaskshelf/damaskshelf/internal/decide/order"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/platform"
+	"github.com/damaskshelf/damaskshelf/internal/rendezvous"
+	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
+)
+
+// Engines gives orders to engines and reads their state.
+type Engines interface {
+	State(ctx context.Context, addr string) (wire.EngineState, error)
+	Order(ctx context.Context, addr string, o wire.Order) (wire.OrderStatus, error)
+}
+
+// Weights asks the weight store for transfer budget. It gives the time to wait where there is none.
+type Weights interface {
+	Take(ctx context.Context, model, version string, gigabytes int64) (wait time.Duration, err error)
+}
+
+// Recorder logs one placement decision. It is safe for concurrent use.
+type Recorder interface {
+	Record(kind, subject string, reason decide.Reason, fields ...any)
+}
+
+// Config holds the executor's times. The zero value takes the defaults.
+type Config struct {
+	Lease  lease.Config
+	Tick   time.Duration // between two looks while a plan is worked off
+	Idle   time.Duration // between two looks at engines while none is
+	AtOnce int           // shards, and engines of a shard, worked on at the same time
+}
+
+// Defaults of Config.
+const (
+	DefaultTTL        = 15 * time.Second
+	DefaultMargin     = time.Second
+	DefaultOrderDelay = 5 * time.Second
+	DefaultTick       = 500 * time.Millisecond
+	DefaultIdle       = 5 * time.Second
+	DefaultAtOnce     = 16
+)
+
+func (c Config) withDefaults() Config {
+	orDefault(&c.Lease.TTL, DefaultTTL)
+	orDefault(&c.Lease.Margin, DefaultMargin)
+	orDefault(&c.Lease.OrderDelay, DefaultOrderDelay)
+	orDefault(&c.Tick, DefaultTick)
+	orDefault(&c.Idle, DefaultIdle)
+	orDefault(&c.AtOnce, DefaultAtOnce)
+	return c
+}
+
+func orDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Deps is what an executor needs.
+type Deps struct {
+	Instance    fleet.InstanceID
+	Incarnation string // of this start of the instance
+	Store       platform.Store
+	Engines     Engines
+	Weights     Weights // nil: loads ask nobody
+	View        func() *fleet.View
+	// Loaded gives the versions that an engine was last seen to have; nil: not known.
+	Loaded func(id fleet.UpstreamID) (versions map[string]string, seen bool)
+	Ready  func() bool // false: what the instance knows may be old; nil: always ready
+	Now    func() decide.Instant
+	NewID  func() string
+	Log    hclog.Logger
+	Record Recorder
+	Config Config
+}
+
+// Executor works plans off. Tick must not be called concurrently with itself.
+type Executor struct {
+	Deps
+	self   string
+	shards map[int]*shard
+
+	job      *job
+	finished bool // every shard has recorded the whole of job
+	stopped  bool // job
+	last     records
+	wait     atomic.Int64 // decide.Instant until which the weight store has no budget
+}
+
+// New gives an executor at rest.
+func New(d Deps) *Executor {
+	d.Config = d.Config.withDefaults()
+	d.Log = d.Log.Named("execute")
+	return &Executor{Deps: d, self: string(d.Instance) + "/" + d.Incarnation, shards: map[int]*shard{}}
+}
+
+// Run works until ctx ends, then gives its leases back.
+func (x *Executor) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := x.Config.Idle
+		if x.Tick(ctx) {
+			pause = x.Config.Tick
+		}
+		// A plan that is confirmed during a long pause is noticed within a tick.
+		seen := x.View().Config.Plan
+		for waited := time.Duration(0); waited < pause && ctx.Err() == nil && x.View().Config.Plan == seen; waited += x.Config.Tick {
+			sleep(ctx, min(x.Config.Tick, pause))
+		}
+	}
+	last, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	x.Release(last)
+}
+
+const releaseTimeout = 2 * time.Second
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// Tick looks once at everything this instance owns and does what is due. It tells whether there is more
+// to do soon.
+func (x *Executor) Tick(ctx context.Context) bool {
+	if x.Ready != nil && !x.Ready() {
+		return false
+	}
+	view := x.View()
+	if err := x.follow(ctx, view); err != nil {
+		x.Log.Warn("plan not read", "plan", view.Config.Plan, "error", err)
+		return true
+	}
+	if x.job == nil || x.stopped {
+		return false
+	}
+	mine := x.owned(view)
+	x.finished = x.finished || !x.job.touches(mine)
+	if !x.finished {
+		if err := x.read(ctx); err != nil {
+			x.Log.Warn("progress not read", "error", err)
+			return true
+		}
+	}
+	if x.stopped {
+		return false
+	}
+	busy := !x.finished
+	stage := x.job.stage(x.last)
+	if x.finished {
+		stage = x.job.verify() + 1
+	}
+	return x.workAll(ctx, view, mine, stage) || busy
+}
+
+// workAll works on the shards side by side: a silent engine must not hold up the renewal of other shards'
+// leases.
+func (x *Executor) workAll(ctx context.Context, view *fleet.View, mine []int, stage int) bool {
+	r := x.round(view, stage)
+	var busy atomic.Bool
+	each(x.Config.AtOnce, mine, func(n int) {
+		if x.work(ctx, r, x.shards[n]) {
+			busy.Store(true)
+		}
+	})
+	return busy.Load()
+}
+
+// round is one look at the fleet.
+type round struct {
+	view   *fleet.View
+	stage  int
+	models map[string]order.Service
+	first  map[string]string // by model: the first engine that has to be changed
+}
+
+func (x *Executor) round(view *fleet.View, stage int) *round {
+	r := &round{view: view, stage: stage}
+	r.models, r.first = x.job.services(view, x.loaded, stage)
+	return r
+}
+
+// loaded gives what an engine was last seen to have. Where no version is known, the view's models count
+// without one, and so as not yet changed.
+func (x *Executor) loaded(u *fleet.Upstream) map[string]string {
+	if x.Loaded != nil {
+		if l, seen := x.Loaded(u.ID); seen {
+			return l
+		}
+	}
+	l := make(map[string]string, len(u.Models))
+	for _, m := range u.Models {
+		l[m] = ""
+	}
+	return l
+}
+
+// each calls f for every item, at most limit at the same time; with a limit of one in this goroutine.
+func each[T any](limit int, items []T, f func(T)) {
+	if limit == 1 {
+		for _, item := range items {
+			f(item)
+		}
+		return
+	}
+	var group errgroup.Group
+	group.SetLimit(limit)
+	for _, item := range items {
+		group.Go(func() error {
+			f(item)
+			return nil
+		})
+	}
+	_ = group.Wait() // f gives no error
+}
+
+// follow takes up the plan of the configuration in force.
+func (x *Executor) follow(ctx context.Context, view *fleet.View) error {
+	id := view.Config.Plan
+	if x.job != nil && x.job.plan.ID == id {
+		return nil
+	}
+	x.job, x.finished, x.stopped = nil, false, false
+	if id == "" {
+		return nil
+	}
+	o, err := x.Store.Get(ctx, platform.Key{Kind: "plans", Name: id})
+	if err != nil {
+		return err
+	}
+	var p api.Plan
+	if err := json.Unmarshal(o.Value, &p); err != nil {
+		return fmt.Errorf("decode plan: %w", err)
+	}
+	x.job = newJob(p)
+	x.stopped = p.State == api.PlanStopped
+	for _, s := range x.shards {
+		s.adopt()
+	}
+	x.Log.Info("plan taken up", "plan", id, "steps", len(p.Steps), "stages", x.job.stages, "stopped", x.stopped)
+	return nil
+}
+
+// read lists the shards' records.
+func (x *Executor) read(ctx context.Context) error {
+	l, err := x.Store.List(ctx, Kind)
+	if err != nil {
+		return err
+	}
+	r, err := decodeRecords(l)
+	if err != nil {
+		return err
+	}
+	x.last = r
+	id := x.job.plan.ID
+	if r.stopped == id {
+		x.stopped = true
+		x.Log.Info("plan stopped", "plan", id)
+	}
+	if x.job.stage(r) > x.job.verify() {
+		x.finished = true
+		x.Log.Info("plan done", "plan", id)
+	}
+	return nil
+}
+
+// owned lists the shards that this instance works on: those with engines whose owner it is.
+func (x *Executor) owned(view *fleet.View) []int {
+	var members []string
+	for _, i := range view.Instances {
+		if !i.Leaving {
+			members = append(members, string(i.ID))
+		}
+	}
+	used := map[int]bool{}
+	for _, u := range view.Upstreams {
+		if u.Kind == fleet.Engine {
+			used[ShardOf(string(u.ID))] = true
+		}
+	}
+	var mine []int
+	for n := range Shards {
+		if used[n] && rendezvous.Owner(shardName(n), members) == string(x.Instance) {
+			mine = append(mine, n)
+			x.addShard(n)
+		}
+	}
+	return mine
+}
+
+func (x *Executor) addShard(n int) {
+	if x.shards[n] == nil {
+		x.shards[n] = &shard{number: n, lease: lease.New(x.Config.Lease, x.self), engines: map[fleet.UpstreamID]*engine{}}
+	}
+}
+
+// Release gives back the leases that are held, so that another instance need not wait them out.
+func (x *Executor) Release(ctx context.Context) {
+	each(x.Config.AtOnce, slices.Sorted(maps.Keys(x.shards)), func(n int) {
+		s := x.shards[n]
+		if !s.lease.Valid(x.Now()) {
+			return
+		}
+		if err := x.release(ctx, s); err != nil {
+			x.Log.Warn("lease not given back", "shard", shardName(n), "error", err)
+		}
+	})
+}
--- a/internal/operate/command/propose.go
+++ b/internal/operate/command/propose.go
@@ -79,7 +79,7 @@
 	if r.Rejected != "" {
 		return fault.New(fault.PlanRejected, "%s; force it to accept that", r.Rejected)
 	}
-	p.Steps, p.Target, p.Cost = r.Steps, r.Target, r.Cost
+	p.Steps, p.Target, p.Floors, p.Cost = r.Steps, r.Target, r.Floors, r.Cost
 	p.Summary = append(p.Summary, r.Summary...)
 	p.Hurt = append(p.Hurt, r.Hurt...)
 	p.Forced = p.Forced || r.Reason == plan.ForcedFloor
