--- a/cmd/damaskctl/plan.go
+++ b/cmd/damaskctl/plan.go
@@ -75,8 +75,11 @@
 		fmt.Fprintf(w, "  stage %d: %s %s\n", s.Stage, s.Upstream, describeStep(s))
 	}
 	if c := p.Cost; c.Loads+c.Unloads > 0 {
-		fmt.Fprintf(w, "  cost: %d loads, %d unloads, %d GB from the weight store, at least %d s\n",
-			c.Loads, c.Unloads, c.Gigabytes, c.MinSeconds)
+		fmt.Fprintf(w, "  cost: %d loads, %d unloads, %d GB from the weight store", c.Loads, c.Unloads, c.Gigabytes)
+		if c.MinSeconds > 0 {
+			fmt.Fprintf(w, ", at least %d s", c.MinSeconds)
+		}
+		fmt.Fprintln(w)
 	}
 	if p.Forced {
 		fmt.Fprintln(w, "  FORCED: this plan breaks what a plan otherwise keeps")
--- a/internal/execute/execute.go
+++ b/internal/execute/execute.go
@@ -90,14 +90,13 @@
 	Engines     Engines
 	Weights     Weights // nil: loads ask nobody
 	View        func() *fleet.View
-	// Loaded gives the versions that an engine was last seen to have; nil: not known.
-	Loaded func(id fleet.UpstreamID) (versions map[string]string, seen bool)
-	Ready  func() bool // false: what the instance knows may be old; nil: always ready
-	Now    func() decide.Instant
-	NewID  func() string
-	Log    hclog.Logger
-	Record Recorder
-	Config Config
+	Seen        *Seen       // what engines were last seen to have; nil: not known
+	Ready       func() bool // false: what the instance knows may be old; nil: always ready
+	Now         func() decide.Instant
+	NewID       func() string
+	Log         hclog.Logger
+	Record      Recorder
+	Config      Config
 }
 
 // Executor works plans off. Tick must not be called concurrently with itself.
@@ -156,6 +155,9 @@
 		return false
 	}
 	view := x.View()
+	if x.Seen != nil {
+		x.Seen.keep(view)
+	}
 	if err := x.follow(ctx, view); err != nil {
 		x.Log.Warn("plan not read", "plan", view.Config.Plan, "error", err)
 		return true
@@ -212,8 +214,8 @@
 // loaded gives what an engine was last seen to have. Where no version is known, the view's models count
 // without one, and so as not yet changed.
 func (x *Executor) loaded(u *fleet.Upstream) map[string]string {
-	if x.Loaded != nil {
-		if l, seen := x.Loaded(u.ID); seen {
+	if x.Seen != nil {
+		if l, seen := x.Seen.Versions(u.ID); seen {
 			return l
 		}
 	}
--- a/internal/execute/execute_test.go
+++ b/internal/execute/execute_test.go
@@ -50,7 +50,7 @@
 			rapid.SampledFrom(w.engines).Draw(w.t, "reboot").reboot()
 		}
 		party := rapid.SampledFrom(w.parties).Draw(w.t, "party")
-		party.executor.Tick(context.Background())
+		party.tick()
 		if w.one(w.chaos.release) {
 			party.executor.Release(context.Background())
 		}
@@ -85,7 +85,7 @@
 	for step, same := 0, 0; same < quiet; step++ {
 		w.advance(time.Second)
 		for _, party := range w.parties {
-			party.executor.Tick(context.Background())
+			party.tick()
 		}
 		same++
 		if wrong := w.deviation(p); wrong != "" || len(w.flying) > 0 {
@@ -208,7 +208,7 @@
 			t.Fatal(err)
 		}
 		for _, party := range w.parties {
-			party.executor.Tick(context.Background())
+			party.tick()
 		}
 		orders := w.orders()
 		w.run(30, nothing)
@@ -241,13 +241,13 @@
 		w.detain = leaseConfig.OrderDelay - time.Millisecond
 		for len(w.flying) == 0 {
 			w.advance(100 * time.Millisecond)
-			a.executor.Tick(context.Background())
+			a.tick()
 		}
 		w.detain = 0
 		a.executor.Release(context.Background())
 		for range 100 {
 			w.advance(time.Duration(rapid.IntRange(10, 300).Draw(t, "ms")) * time.Millisecond)
-			b.executor.Tick(context.Background())
+			b.tick()
 			w.sound()
 		}
 		w.settle(p)
@@ -288,7 +288,7 @@
 		for range 20 {
 			w.advance(5 * time.Second)
 			for _, party := range w.parties {
-				if party.executor.Tick(context.Background()) {
+				if party.tick() {
 					t.Fatalf("%s has more to do although the plan is done", party.name)
 				}
 			}
--- a/internal/execute/world_test.go
+++ b/internal/execute/world_test.go
@@ -79,6 +79,7 @@
 	executor *execute.Executor
 	config   api.Config
 	version  uint64 // of config
+	seen     *execute.Seen
 	snapshot wire.List
 }
 
@@ -91,9 +92,9 @@
 		})
 	}
 	for _, name := range []string{"a", "b"} {
-		p := &party{w: w, name: name, offset: decide.Instant(rapid.Int64Range(0, 1e12).Draw(t, "offset"))}
+		p := &party{w: w, name: name, seen: execute.NewSeen(), offset: decide.Instant(rapid.Int64Range(0, 1e12).Draw(t, "offset"))}
 		p.executor = execute.New(execute.Deps{
-			Instance: fleet.InstanceID(name), Incarnation: "1", Store: p, Engines: p, Weights: p, View: p.view, Loaded: w.loaded,
+			Instance: fleet.InstanceID(name), Incarnation: "1", Store: p, Engines: p, Weights: p, View: p.view, Seen: p.seen,
 			Now: func() decide.Instant { return w.now + p.offset }, NewID: w.newID,
 			Log: hclog.NewNullLogger(), Record: discard{}, Config: execute.Config{Lease: leaseConfig, AtOnce: 1},
 		})
@@ -127,6 +128,14 @@
 	}
 }
 
+// tick lets the executor look, with what it has observed of the engines until now.
+func (p *party) tick() bool {
+	for _, e := range p.w.engines {
+		p.seen.Put(fleet.UpstreamID(e.id), e.state().Loaded)
+	}
+	return p.executor.Tick(context.Background())
+}
+
 // learn puts a plan's configuration in force on the party's side.
 func (p *party) learn(next api.Plan) {
 	p.config = next.After
@@ -248,10 +257,6 @@
 	return w.engines[slices.IndexFunc(w.engines, func(e *fakeEngine) bool { return e.id == id })]
 }
 
-func (w *world) loaded(id fleet.UpstreamID) (map[string]string, bool) {
-	return w.engine(string(id)).loaded, true
-}
-
 // view shows the engines as they are, and the party as the only instance: both own everything.
 func (p *party) view() *fleet.View {
 	var ups []*fleet.Upstream
@@ -283,7 +288,7 @@
 	p.w.nested = true
 	for range 6 {
 		p.w.advance(3 * time.Second)
-		p.other().executor.Tick(context.Background())
+		p.other().tick()
 	}
 	p.w.nested = false
 }
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/execute"
 	"github.com/damaskshelf/damaskshelf/internal/node"
 	platform "github.com/damaskshelf/damaskshelf/internal/platform/wire"
 	"github.com/damaskshelf/damaskshelf/internal/standin/cluster"
@@ -33,6 +34,7 @@
 	Log     hclog.Logger // nil: none
 	NewID   func() string
 	Tune    func(*api.Settings) // changes each instance's settings; may be nil
+	Execute execute.Config      // times of the executors; zero values: the defaults
 }
 
 // Fleet is a running local fleet.
@@ -113,7 +115,7 @@
 	if err := s.Validate(); err != nil {
 		return nil, err
 	}
-	n, err := node.New(s, node.Options{Log: f.cfg.Log, NewID: f.cfg.NewID})
+	n, err := node.New(s, node.Options{Log: f.cfg.Log, NewID: f.cfg.NewID, Execute: f.cfg.Execute})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -12,6 +12,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
 	"github.com/damaskshelf/damaskshelf/internal/entry/intake"
 	"github.com/damaskshelf/damaskshelf/internal/entry/query"
+	"github.com/damaskshelf/damaskshelf/internal/execute"
 	"github.com/damaskshelf/damaskshelf/internal/explain"
 	"github.com/damaskshelf/damaskshelf/internal/follow"
 	"github.com/damaskshelf/damaskshelf/internal/keeper"
@@ -41,6 +42,9 @@
 		newFollower,
 		upstream.New,
 		newRouter,
+		func() execute.Config { return o.Execute },
+		execute.NewSeen,
+		newExecutor,
 		newObserver,
 		newQueries,
 		newClaims,
@@ -72,8 +76,8 @@
 }
 
 func newObserver(s api.Settings, c *upstream.Client, k *keeper.Keeper, r *route.Router, f *follow.Follower,
-	log hclog.Logger) *observe.Observer {
-	return observe.New(c, k.View, sink{Router: r, keeper: k, follower: f}, time.Duration(s.Intervals.LoadReport), log)
+	seen *execute.Seen, log hclog.Logger) *observe.Observer {
+	return observe.New(c, k.View, sink{Router: r, keeper: k, follower: f, seen: seen}, time.Duration(s.Intervals.LoadReport), log)
 }
 
 func bounds(s api.Settings) intake.Bounds {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/entry/command"
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
 	"github.com/damaskshelf/damaskshelf/internal/entry/query"
+	"github.com/damaskshelf/damaskshelf/internal/execute"
 	"github.com/damaskshelf/damaskshelf/internal/follow"
 	"github.com/damaskshelf/damaskshelf/internal/keeper"
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
@@ -55,6 +56,7 @@
 	Claims    *claim.Keeper
 	Callers   *entry.Server
 	Operators *operators
+	Executor  *executor
 	Metrics   *metrics.Registry
 }
 
@@ -62,6 +64,8 @@
 type Options struct {
 	Log   hclog.Logger
 	NewID func() string // request and write ids; nil: random UUIDs
+
+	Execute execute.Config // times of the executor; zero values: its defaults
 }
 
 // New assembles an instance. It opens no connection and binds no address.
@@ -97,6 +101,7 @@
 	n.run(p.Follower.Run)
 	n.run(p.Observer.Run)
 	n.run(sweepClaims(p.Settings, p.Claims, p.Keeper, p.Log))
+	p.Executor.run(n.work)
 	p.Log.Info("started", "instance", p.Settings.Instance, "region", p.Settings.Region,
 		"failure_domain", p.Settings.FailureDomain, "callers", n.CallersAddr(), "operators", n.OperatorsAddr(), "peers", n.PeersAddr())
 	return nil
@@ -163,6 +168,7 @@
 	p.Queries.Wait()
 	errs = append(errs, p.Claims.Flush(last))
 	p.Claims.Close()
+	p.Executor.finish()
 	n.stop()
 	p.Platform.Close() // ends waiting watches
 	n.wg.Wait()
--- a/internal/node/sink.go
+++ b/internal/node/sink.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/damaskshelf/damaskshelf/internal/execute"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/follow"
 	"github.com/damaskshelf/damaskshelf/internal/keeper"
@@ -19,6 +20,7 @@
 	*route.Router
 	keeper   *keeper.Keeper
 	follower *follow.Follower
+	seen     *execute.Seen
 }
 
 var _ observe.Sink = sink{}
@@ -36,4 +38,5 @@
 		served.Models = append(served.Models, l.Model)
 	}
 	s.keeper.SetServed(u.ID, served)
+	s.seen.Put(u.ID, st.Loaded)
 }
--- a/internal/operate/command/command.go
+++ b/internal/operate/command/command.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/execute"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/platform"
@@ -176,17 +177,35 @@
 	if err != nil {
 		return nil, err
 	}
-	if plan.State == api.PlanStopped {
-		return plan, nil
+	if plan.State != api.PlanStopped {
+		plan.State = api.PlanStopped
+		if err := s.keep(ctx, plan, version); err != nil {
+			return nil, err
+		}
 	}
-	plan.State = api.PlanStopped
-	if err := s.keep(ctx, plan, version); err != nil {
+	// Executors look at the mark with the progress, not at the plan; an operator's repeat mends a mark
+	// that could not be written.
+	if err := s.mark(ctx, plan.ID); err != nil {
 		return nil, err
 	}
 	s.Log.Info("plan stopped", "plan", plan.ID)
 	return plan, nil
 }
 
+// mark names the stopped plan to the executors.
+func (s *Service) mark(ctx context.Context, id string) error {
+	var stop execute.Stop
+	version, err := s.read(ctx, execute.StopKey, &stop)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return readFault(err)
+	}
+	if stop.Plan == id {
+		return nil
+	}
+	_, err = s.write(ctx, execute.StopKey, version, execute.Stop{Plan: id})
+	return err
+}
+
 func planID(rc *fasthttp.RequestCtx) string {
 	id, _ := rc.UserValue("id").(string)
 	return id
--- a/internal/operate/query/status.go
+++ b/internal/operate/query/status.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/execute"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 )
@@ -52,6 +53,16 @@
 		return
 	}
 	status.PlanState = s.state(plan)
+	if len(plan.Steps) == 0 {
+		return
+	}
+	l, err := s.Store.List(ctx, execute.Kind)
+	if err == nil {
+		status.Progress, err = execute.Progress(plan, l)
+	}
+	if err != nil {
+		status.Notes = append(status.Notes, fmt.Sprintf("how far plan %s is worked off is not known: %v", status.Plan, err))
+	}
 }
 
 // models counts the engines that serve each model of the intent and take new work.
--- a/internal/platform/client/client.go
+++ b/internal/platform/client/client.go
@@ -82,8 +82,9 @@
 
 // answer is a whole response; the body is the caller's.
 type answer struct {
-	status int
-	body   []byte
+	status     int
+	body       []byte
+	retryAfter string // header, as it came
 }
 
 // do sends one call in the caller's goroutine, bounded by its timeout and ctx's deadline.
@@ -110,7 +111,10 @@
 		}
 		return answer{}, fmt.Errorf("%s %s: %w", q.method, q.url, err)
 	}
-	return answer{status: resp.StatusCode(), body: append([]byte(nil), resp.Body()...)}, nil
+	return answer{
+		status: resp.StatusCode(), body: append([]byte(nil), resp.Body()...),
+		retryAfter: string(resp.Header.Peek(fasthttp.HeaderRetryAfter)),
+	}, nil
 }
 
 // get decodes a 200 answer of a read into out.
--- /dev/null
+++ b/internal/platform/client/weights.go
@@ -0,0 +1,36 @@
+package client
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// defaultWeightWait is the wait after a refusal of the weight store that names none.
+const defaultWeightWait = time.Second
+
+// Take asks the weight store for the transfer budget of one load. A wait above zero means that there is
+// none before it is over. After an error the budget may have been taken.
+func (c *Client) Take(ctx context.Context, model, version string, gigabytes int64) (wait time.Duration, err error) {
+	u := fmt.Sprintf("%s/weights/%s/%s?gb=%d", c.weights, url.PathEscape(model), url.PathEscape(version), gigabytes)
+	a, err := c.do(ctx, call{method: fasthttp.MethodPost, url: u, timeout: callTimeout})
+	if err != nil {
+		return 0, err
+	}
+	switch a.status {
+	case fasthttp.StatusNoContent, fasthttp.StatusOK:
+		return 0, nil
+	case fasthttp.StatusTooManyRequests:
+		seconds, err := strconv.Atoi(a.retryAfter)
+		if err != nil || seconds <= 0 {
+			return defaultWeightWait, nil
+		}
+		return time.Duration(seconds) * time.Second, nil
+	default:
+		return 0, fmt.Errorf("take transfer budget for %s@%s: status %d", model, version, a.status)
+	}
+}
