--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -13,6 +13,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/entry/intake"
 	"github.com/damaskshelf/damaskshelf/internal/entry/query"
 	"github.com/damaskshelf/damaskshelf/internal/explain"
+	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/follow"
 	"github.com/damaskshelf/damaskshelf/internal/keeper"
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
@@ -99,9 +100,20 @@
 }
 
 func newCallers(s api.Settings, q *query.Handler, cmd *command.Handler, g *gate.Gate, f *follow.Follower,
-	m *metrics.Registry, log hclog.Logger, id idSource) *entry.Server {
+	o *observe.Observer, k *keeper.Keeper, m *metrics.Registry, log hclog.Logger, id idSource) *entry.Server {
 	return entry.New(entry.Deps{
 		Queries: q, Commands: cmd, Gate: g, Metrics: m, Limits: s.Limits, Log: log, NewID: id,
-		Ready: f.Usable,
+		Ready: func() error { return readiness(f, o, k) },
 	})
 }
+
+// readiness says why the balancer should not send requests yet.
+func readiness(f *follow.Follower, o *observe.Observer, k *keeper.Keeper) error {
+	if err := f.Usable(); err != nil {
+		return err
+	}
+	if !o.Surveyed(k.View()) {
+		return fault.New(fault.NotReady, "not every engine was asked yet what it serves")
+	}
+	return nil
+}
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -36,6 +36,7 @@
 	view     func() *fleet.View
 
 	wg      sync.WaitGroup
+	asked   sync.Map // fleet.UpstreamID to struct{}: engines whose first round is over, answered or not
 	mu      sync.Mutex
 	running map[fleet.UpstreamID]context.CancelFunc // guarded by mu
 }
@@ -48,6 +49,17 @@
 	}
 }
 
+// Surveyed tells whether every engine in v was asked what it serves. An instance that is new doesn't know
+// yet, and would refuse prompts to every model.
+func (o *Observer) Surveyed(v *fleet.View) bool {
+	for _, u := range v.Upstreams {
+		if _, asked := o.asked.Load(u.ID); u.Kind == fleet.Engine && !asked {
+			return false
+		}
+	}
+	return true
+}
+
 // Run follows the view until ctx ends: one poller for each engine in it.
 func (o *Observer) Run(ctx context.Context) {
 	defer o.wg.Wait()
@@ -71,6 +83,7 @@
 		if v.Upstream(id) == nil {
 			stop()
 			delete(o.running, id)
+			o.asked.Delete(id)
 		}
 	}
 	for _, u := range v.Upstreams {
@@ -95,6 +108,7 @@
 			return
 		}
 		next = o.once(ctx, u, round%stateEvery == 0, next)
+		o.asked.Store(id, struct{}{})
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
