--- a/internal/decide/storebudget/storebudget.go
+++ b/internal/decide/storebudget/storebudget.go
@@ -37,7 +37,7 @@
 }
 
 // DefaultLimits: the platform takes about two thousand reads and several hundred writes a second.
-var DefaultLimits = Limits{Reads: 2000, Writes: 300}
+var DefaultLimits = Limits{Reads: 2000, Writes: 400}
 
 const (
 	// steady is the part of a limit that the buckets refill at. The rest is for their bursts: while every
