relay: signs travel only where the receiver holds others, and live while a source sees them

Every heartbeat carried all signs: 84 bytes a sign, both ways, in 24 exchanges a second and node.

A sign lived 30 s, and younger sights of it stayed with the instance that had them: a long leave lapsed elsewhere. A source that sees an old sign again now makes a new round, which spreads as news; signs live 2 minutes, past the 115 s between two reads of the instance list at the largest fleet. Both guards out: TestASignLivesWhileASourceSeesIt fails (lapse; 50 times the signs).

--- a/internal/decide/member/member.go
+++ b/internal/decide/member/member.go
@@ -69,6 +69,7 @@
 	Incarnation uint64 // 0: never heard
 	Reachable   bool
 	Version     uint64 // of the configuration that it had when it was last heard
+	SignsHash   uint64 // of the leaving signs that it held then
 
 	told     uint64         // highest version that it has heard of from here
 	misses   int            // heartbeats in a row without an answer
@@ -194,13 +195,19 @@
 	}
 }
 
+// Heard is what an instance says of itself.
+type Heard struct {
+	From        fleet.InstanceID
+	Incarnation uint64
+	Version     uint64 // of its configuration
+	SignsHash   uint64 // of the leaving signs that it holds
+}
+
 // Reply is a peer's answer to a heartbeat.
 type Reply struct {
-	To          fleet.InstanceID // whom the heartbeat was sent to
-	From        fleet.InstanceID // who answered
-	Incarnation uint64
-	Version     uint64 // of the answerer's configuration
-	Told        uint64 // version that the heartbeat carried
+	Heard
+	To   fleet.InstanceID // whom the heartbeat was sent to
+	Told uint64           // version that the heartbeat carried
 }
 
 // Answer takes a reply. It tells whether the reply counts: one of another instance, of an earlier
@@ -229,7 +236,7 @@
 		p.Version, p.told = 0, 0
 	}
 	p.Incarnation, p.Reachable, p.misses, p.interval = r.Incarnation, true, 0, m.params.Interval
-	p.Version, p.told = max(p.Version, r.Version), max(p.told, r.Told)
+	p.Version, p.told, p.SignsHash = max(p.Version, r.Version), max(p.told, r.Told), r.SignsHash
 	return reason, true
 }
 
@@ -267,8 +274,8 @@
 
 // Heard notes what a peer's own heartbeat says. It does not extend the trust in what is known here: the
 // message may have been long on its way.
-func (m *Members) Heard(from fleet.InstanceID, incarnation, version uint64) {
-	if p := find(m.peers, from); p != nil && incarnation >= p.Incarnation {
-		p.Version = max(p.Version, version)
+func (m *Members) Heard(h Heard) {
+	if p := find(m.peers, h.From); p != nil && h.Incarnation >= p.Incarnation {
+		p.Version, p.SignsHash = max(p.Version, h.Version), h.SignsHash
 	}
 }
--- a/internal/decide/relay/fault_test.go
+++ b/internal/decide/relay/fault_test.go
@@ -267,6 +267,35 @@
 	}
 }
 
+// An upstream takes long to leave, longer than a sign lives, and one instance polls it. Elsewhere the sign
+// must not lapse in between: work would go to the upstream again for a moment. Known signs must not make
+// every heartbeat larger either.
+func TestASignLivesWhileASourceSeesIt(t *testing.T) {
+	is := is.New(t)
+	s := newSim(9, 3, 1, 0.05)
+	s.run(5*at, nil)
+	x := s.nodes[0]
+	var see func()
+	see = func() {
+		s.handle(x, func() []relay.Effect { return x.node.UpstreamLeaving(s.Now(), "engine-1", "boot-1") })
+		s.After(time.Second, see)
+	}
+	see()
+	s.run(8*at, nil)
+	s.signs, s.heartbeats = 0, 0
+	s.run(8*at+3*decide.Instant(relay.SignTTL), func() bool {
+		for _, x := range s.nodes {
+			if !relay.Left(x.leaving, "engine-1", "boot-1") {
+				t.Errorf("%s: the sign lapsed at %v", x.ID, s.Now())
+				return true
+			}
+		}
+		return false
+	})
+	t.Logf("%d signs in %d heartbeats", s.signs, s.heartbeats)
+	is.True(s.signs*50 < s.heartbeats)
+}
+
 // An instance is frozen, for a minute or only just longer than a pause; meanwhile a domain is taken out.
 // A request that it took before is sent there the moment it wakes, by what it knew. It must hear a peer
 // first.
--- a/internal/decide/relay/messages.go
+++ b/internal/decide/relay/messages.go
@@ -15,7 +15,8 @@
 	Incarnation   uint64 // grows with each start of the instance
 	ConfigVersion uint64 // 0: none yet
 	ListVersion   uint64
-	Leaving       []Sign // sorted by upstream, at most MaxSigns
+	SignsHash     uint64 // of all signs that the sender holds; 0: none
+	Leaving       []Sign // the signs, where the receiver is thought to hold others
 }
 
 // Sign says that an upstream is leaving. It is about one boot of the upstream, so that the same upstream
@@ -23,6 +24,7 @@
 type Sign struct {
 	Upstream fleet.UpstreamID
 	Boot     string        // "": any boot
+	Round    uint32        // grows when a source sees an old sign again
 	Age      time.Duration // since the first source saw it; only grows on its way
 }
 
--- a/internal/decide/relay/news.go
+++ b/internal/decide/relay/news.go
@@ -1,10 +1,13 @@
 package relay
 
 import (
+	"encoding/binary"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 )
@@ -13,8 +16,11 @@
 	// MaxSigns bounds the signs that an instance keeps and sends, newest first: the instance list and the
 	// upstreams' own answers tell the rest.
 	MaxSigns = 64
-	// SignTTL is how long a sign lives. It covers the lag of the instance list, which then tells by itself.
-	SignTTL = 30 * time.Second
+	// SignTTL is how long a sign lives that no source sees again. It covers the lag of the instance list,
+	// which then tells by itself; at the largest fleet the list is read every 115 s.
+	SignTTL = 2 * time.Minute
+	// renewAfter is the age from which a source that sees a sign again makes it news.
+	renewAfter = SignTTL / 2
 )
 
 // News is what spreads: the configuration and the signs. It is not safe for concurrent use.
@@ -26,6 +32,7 @@
 type heldSign struct {
 	upstream fleet.UpstreamID
 	boot     string
+	round    uint32
 	born     decide.Instant
 }
 
@@ -52,25 +59,42 @@
 	return true
 }
 
-// Learn takes signs and tells whether any was new or younger than known.
+// See takes a source's own sight of a sign and tells whether it is news.
+func (n *News) See(now decide.Instant, upstream fleet.UpstreamID, boot string) bool {
+	s := heldSign{upstream: upstream, boot: boot, born: now}
+	if i, found := slices.BinarySearchFunc(n.signs, s, heldSign.compare); found {
+		if now.Sub(n.signs[i].born) < renewAfter {
+			return false
+		}
+		s.round = n.signs[i].round + 1
+	}
+	return n.learn(s)
+}
+
+// Learn takes a peer's signs and tells whether any was news.
 func (n *News) Learn(now decide.Instant, signs []Sign) bool {
 	changed := false
 	for _, s := range signs {
 		if s.Age >= SignTTL {
 			continue
 		}
-		changed = n.learn(heldSign{upstream: s.Upstream, boot: s.Boot, born: now.Add(-max(s.Age, 0))}) || changed
+		changed = n.learn(heldSign{
+			upstream: s.Upstream, boot: s.Boot, round: s.Round, born: now.Add(-max(s.Age, 0)),
+		}) || changed
 	}
 	return changed
 }
 
-// learn tells whether the sign was unknown. A younger one of the same upstream renews it quietly: ages
-// only grow on their way, so that instances can't keep a sign alive among themselves.
+// learn takes a sign that is unknown or of a higher round. Ages only grow on their way and only a source
+// makes a new round, so that instances can't keep a sign alive among themselves.
 func (n *News) learn(s heldSign) bool {
 	i, found := slices.BinarySearchFunc(n.signs, s, heldSign.compare)
 	if found {
-		n.signs[i].born = max(n.signs[i].born, s.born)
-		return false
+		if s.round <= n.signs[i].round {
+			return false
+		}
+		n.signs[i] = s
+		return true
 	}
 	n.signs = slices.Insert(n.signs, i, s)
 	if len(n.signs) > MaxSigns {
@@ -103,11 +127,27 @@
 	}
 	out := make([]Sign, 0, len(n.signs))
 	for _, s := range n.signs {
-		out = append(out, Sign{Upstream: s.upstream, Boot: s.boot, Age: now.Sub(s.born)})
+		out = append(out, Sign{Upstream: s.upstream, Boot: s.boot, Round: s.round, Age: now.Sub(s.born)})
 	}
 	return out
 }
 
+// Hash is over the signs but their ages; 0 without signs. Instances with equal hashes need not send each
+// other their signs.
+func (n *News) Hash() uint64 {
+	if len(n.signs) == 0 {
+		return 0
+	}
+	var d xxhash.Digest
+	d.Reset()
+	for _, s := range n.signs {
+		_, _ = d.WriteString(string(s.upstream))
+		_, _ = d.WriteString("\x00" + s.boot + "\x00")
+		_, _ = d.Write(binary.BigEndian.AppendUint32(nil, s.round))
+	}
+	return d.Sum64()
+}
+
 // Left tells whether the signs say that this boot of the upstream is leaving. An upstream whose boot is
 // not known yet is held to any sign about it.
 func Left(signs []Sign, upstream fleet.UpstreamID, boot string) bool {
--- a/internal/decide/relay/node.go
+++ b/internal/decide/relay/node.go
@@ -129,25 +129,32 @@
 // heartbeats sends those that are due: in their time, or at once to peers that have not heard the newest.
 func (n *Node) heartbeats(now decide.Instant) {
 	for _, p := range n.members.Due(now, n.news.Config().Version) {
-		n.do(SendHeartbeat{To: p.Instance, Sent: now, Digest: n.digest(now)})
+		n.do(SendHeartbeat{To: p.Instance, Sent: now, Digest: n.digest(now, p.SignsHash)})
 	}
 }
 
-func (n *Node) digest(now decide.Instant) Digest {
-	return Digest{
+// digest is for a receiver whose signs have that hash, as far as is known here.
+func (n *Node) digest(now decide.Instant, theirs uint64) Digest {
+	d := Digest{
 		Instance: n.params.Member.Self.ID, Incarnation: n.params.Incarnation,
-		ConfigVersion: n.news.Config().Version, ListVersion: n.members.ListVersion(), Leaving: n.news.Signs(now),
+		ConfigVersion: n.news.Config().Version, ListVersion: n.members.ListVersion(), SignsHash: n.news.Hash(),
 	}
+	if d.SignsHash != theirs {
+		d.Leaving = n.news.Signs(now)
+	}
+	return d
 }
 
 // Heartbeat takes a peer's heartbeat and gives the answer to it.
 func (n *Node) Heartbeat(now decide.Instant, d Digest) (Digest, []Effect) {
-	n.members.Heard(d.Instance, d.Incarnation, d.ConfigVersion)
+	n.members.Heard(member.Heard{
+		From: d.Instance, Incarnation: d.Incarnation, Version: d.ConfigVersion, SignsHash: d.SignsHash,
+	})
 	n.learn(now, d.Leaving)
 	if from, ok := n.members.Find(d.Instance); ok {
 		n.behind(now, from, d.ConfigVersion)
 	}
-	answer := n.digest(now)
+	answer := n.digest(now, d.SignsHash)
 	n.heartbeats(now)
 	return answer, n.finish(now)
 }
@@ -160,8 +167,10 @@
 		return n.finish(now)
 	}
 	reason, counts := n.members.Answer(now, member.Reply{
-		To: sent.To.ID, From: d.Instance, Incarnation: d.Incarnation,
-		Version: d.ConfigVersion, Told: sent.Digest.ConfigVersion,
+		Heard: member.Heard{
+			From: d.Instance, Incarnation: d.Incarnation, Version: d.ConfigVersion, SignsHash: d.SignsHash,
+		},
+		To: sent.To.ID, Told: sent.Digest.ConfigVersion,
 	})
 	n.note(reason, sent.To.ID)
 	if counts {
@@ -184,17 +193,27 @@
 
 // UpstreamLeaving takes the upstream's own answer that it is leaving.
 func (n *Node) UpstreamLeaving(now decide.Instant, upstream fleet.UpstreamID, boot string) []Effect {
-	n.learn(now, []Sign{{Upstream: upstream, Boot: boot}})
+	before := n.news.Signs(now)
+	if n.news.See(now, upstream, boot) {
+		n.spread(now, before)
+	}
 	n.heartbeats(now)
 	return n.finish(now)
 }
 
-// learn takes signs; new ones go to every peer at once.
+// learn takes a peer's signs.
 func (n *Node) learn(now decide.Instant, signs []Sign) {
-	before := n.news.Signs(now)
-	if !n.news.Learn(now, signs) {
+	if len(signs) == 0 {
 		return
 	}
+	before := n.news.Signs(now)
+	if n.news.Learn(now, signs) {
+		n.spread(now, before)
+	}
+}
+
+// spread tells of the signs that are not among those before, to every peer at once.
+func (n *Node) spread(now decide.Instant, before []Sign) {
 	after := n.news.Signs(now)
 	for _, s := range after {
 		known := func(b Sign) bool { return b.Upstream == s.Upstream && b.Boot == s.Boot }
--- a/internal/decide/relay/sim_test.go
+++ b/internal/decide/relay/sim_test.go
@@ -32,6 +32,7 @@
 	store simStore
 
 	heartbeats, pulls, storeCalls int
+	signs                         int // carried by heartbeats
 	reasons                       map[decide.Reason]int
 }
 
@@ -201,11 +202,13 @@
 
 func (s *sim) heartbeat(a *simNode, e relay.SendHeartbeat) {
 	s.heartbeats++
+	s.signs += len(e.Digest.Leaving)
 	s.exchange(a, e.To.ID, heartbeatTimeout, func(b *simNode) func() []relay.Effect {
 		var answer relay.Digest
 		s.handle(b, func() []relay.Effect {
 			var effects []relay.Effect
 			answer, effects = b.node.Heartbeat(s.Now(), e.Digest)
+			s.signs += len(answer.Leaving)
 			return effects
 		})
 		return func() []relay.Effect { return a.node.HeartbeatDone(s.Now(), e, answer, true) }
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -23,11 +23,11 @@
 func encodeDigest(d relay.Digest) *peerpb.Digest {
 	out := &peerpb.Digest{
 		Instance: string(d.Instance), Incarnation: d.Incarnation,
-		ConfigVersion: d.ConfigVersion, ListVersion: d.ListVersion,
+		ConfigVersion: d.ConfigVersion, ListVersion: d.ListVersion, SignsHash: d.SignsHash,
 	}
 	for _, s := range d.Leaving {
 		out.Leaving = append(out.Leaving, &peerpb.LeavingSign{
-			Upstream: string(s.Upstream), Boot: s.Boot, AgeMs: uint32(s.Age.Milliseconds()),
+			Upstream: string(s.Upstream), Boot: s.Boot, AgeMs: uint32(s.Age.Milliseconds()), Round: s.Round,
 		})
 	}
 	return out
@@ -39,11 +39,12 @@
 	}
 	out := relay.Digest{
 		Instance: fleet.InstanceID(d.Instance), Incarnation: d.Incarnation,
-		ConfigVersion: d.ConfigVersion, ListVersion: d.ListVersion,
+		ConfigVersion: d.ConfigVersion, ListVersion: d.ListVersion, SignsHash: d.SignsHash,
 	}
 	for _, s := range d.Leaving {
 		out.Leaving = append(out.Leaving, relay.Sign{
-			Upstream: fleet.UpstreamID(s.Upstream), Boot: s.Boot, Age: time.Duration(s.AgeMs) * time.Millisecond,
+			Upstream: fleet.UpstreamID(s.Upstream), Boot: s.Boot, Round: s.Round,
+			Age: time.Duration(s.AgeMs) * time.Millisecond,
 		})
 	}
 	return out, nil
