--- a/internal/route/model.go
+++ b/internal/route/model.go
@@ -100,8 +100,8 @@
 		if d.Verb == admit.Refuse {
 			return nil, a.refused(&d)
 		}
-		if g := a.grant(&d); g != nil {
-			return g, nil
+		if g, err := a.grant(&d); g != nil || err != nil {
+			return g, err
 		}
 		w, _ = m.world(m.router.scene()) // its place at the engine was taken meanwhile
 	}
@@ -298,8 +298,9 @@
 	return e
 }
 
-// grant turns a decision into the right to dispatch; nil where the engine's own limit is reached by now.
-func (a *ask) grant(d *admit.Decision) *Grant {
+// grant turns a decision into the right to dispatch; nil where the engine is leaving, out or at its own
+// limit by now. The instance itself may have become unfit while the request waited.
+func (a *ask) grant(d *admit.Decision) (*Grant, error) {
 	m := a.m
 	g := &Grant{Reason: d.Reason, Priority: a.priority(), router: m.router, model: m, class: a.r.Class, answer: a.q.MaxTokens}
 	estimate := d.Choice.Estimate
@@ -310,9 +311,13 @@
 		g.Upstream = a.upstream(d.Choice.Engine.ID)
 		g.sent = []sentTo{{d.Choice.Engine, int64(estimate.Cost), a.r.Prompt.Memory()}}
 	}
-	if g.Upstream == nil || !m.router.gate.Allow(g.Upstream) {
+	if err := m.router.usable(); err != nil {
 		g.undo()
-		return nil
+		return nil, err
+	}
+	if g.Upstream == nil || !g.Upstream.Takes() || !m.router.gate.Allow(g.Upstream) {
+		g.undo()
+		return nil, nil
 	}
 	g.load = m.router.load(g.Upstream.ID)
 	g.load.own.Add(1)
@@ -320,7 +325,7 @@
 	m.router.record("route", a.q, d.Reason, "upstream", g.Upstream.ID, "failure_domain", g.Upstream.Domain,
 		"class", a.r.Class, "attempt", a.q.Attempt, "tokens", a.q.Tokens, "to_compute", estimate.Cost,
 		"predicted", estimate.First.Round(time.Millisecond), "looked", d.Choice.Looked, "group", g.Group)
-	return g
+	return g, nil
 }
 
 // lead makes the first engine of a plan the one that gets the request; the others hold parts of it.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -43,6 +43,10 @@
 
 // Router chooses upstreams. It is safe for concurrent use.
 type Router struct {
+	// Usable gives nil, or why this instance may not send new work now; nil: it always may. It is asked
+	// last, right before the grant: a request may have waited.
+	Usable func() error
+
 	view    func() *fleet.View
 	explain *explain.Recorder
 	meter   *meter
@@ -92,6 +96,14 @@
 	}
 }
 
+// usable tells why this instance may not send new work now; nil where it may.
+func (r *Router) usable() error {
+	if r.Usable == nil {
+		return nil
+	}
+	return r.Usable()
+}
+
 // now is the instant by the monotonic clock.
 func (r *Router) now() decide.Instant { return r.instant(time.Now()) }
 
--- a/internal/route/service.go
+++ b/internal/route/service.go
@@ -31,6 +31,9 @@
 	if len(fresh) == 0 {
 		return nil, fault.New(fault.NoUpstream, "all instances of %q are leaving, out or at their limit", q.Service)
 	}
+	if err := r.usable(); err != nil {
+		return nil, err
+	}
 	u, reason := r.lessLoaded(fresh)
 	if !r.gate.Allow(u) {
 		return nil, fault.New(fault.NoUpstream, "all instances of %q are at their limit", q.Service)
