--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -42,6 +42,7 @@
 		upstream.New,
 		newRouter,
 		newObserver,
+		newSweeper,
 		newQueries,
 		newClaims,
 		newStoredClaims,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/observe"
 	platformclient "github.com/damaskshelf/damaskshelf/internal/platform/client"
 	"github.com/damaskshelf/damaskshelf/internal/route"
+	"github.com/damaskshelf/damaskshelf/internal/sweep"
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
 )
 
@@ -52,6 +53,7 @@
 	Platform  *platformclient.Client
 	Gate      *gate.Gate
 	Router    *route.Router
+	Sweeper   *sweep.Sweeper
 	Queries   *query.Handler
 	Commands  *command.Handler
 	Claims    *claim.Keeper
@@ -98,6 +100,7 @@
 	n.run(func(context.Context) { p.Operators.serve() })
 	n.run(p.Follower.Run)
 	n.run(p.Observer.Run)
+	n.run(p.Sweeper.Run)
 	n.run(sweepClaims(p.Settings, p.Claims, p.Keeper, p.Log))
 	p.Log.Info("started", "instance", p.Settings.Instance, "region", p.Settings.Region,
 		"failure_domain", p.Settings.FailureDomain, "callers", n.CallersAddr(), "operators", n.OperatorsAddr(), "peers", n.PeersAddr())
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -78,7 +78,8 @@
 // bench is a router before n engines of model "m" that have just reported to be idle.
 type bench struct {
 	*Router
-	view   *fleet.View
+	view   *fleet.View // the first one
+	now    atomic.Pointer[fleet.View]
 	memory *fakeMemory
 	rec    *explain.Recorder
 	last   atomic.Int64
@@ -104,10 +105,11 @@
 		Workspaces: []api.Workspace{{Name: "small", Limit: 2}},
 	}}
 	b.view = fleet.NewView(1, cfg, 1, []*fleet.Instance{{ID: "i"}}, engines)
+	b.now.Store(b.view)
 	settings := api.Settings{Instance: "i", Profile: profile}
 	settings.Complete()
 	b.Router = New(Deps{
-		View: func() *fleet.View { return b.view }, Explain: b.rec, Metrics: metrics.New(),
+		View: b.now.Load, Explain: b.rec, Metrics: metrics.New(),
 		Memory: b.memory, Settings: settings, Gate: gate,
 	})
 	time.Sleep(time.Second)
@@ -367,7 +369,7 @@
 		out := *b.view.Upstreams[1]
 		out.Out = true
 		rest := b.view.Upstreams[2]
-		b.view = fleet.NewView(2, b.view.Config, 2, b.view.Instances, []*fleet.Upstream{&gone, &out, rest})
+		b.now.Store(fleet.NewView(2, b.view.Config, 2, b.view.Instances, []*fleet.Upstream{&gone, &out, rest}))
 		for range 20 {
 			g, err := b.Acquire(t.Context(), b.request(1000, time.Minute))
 			is.NoErr(err)
@@ -379,12 +381,62 @@
 		g, err := b.Acquire(t.Context(), q) // better the one tried before than none
 		is.NoErr(err)
 		is.Equal(g.Upstream, rest)
-		b.view = fleet.NewView(3, b.view.Config, 3, b.view.Instances, []*fleet.Upstream{&gone})
+		b.now.Store(fleet.NewView(3, b.view.Config, 3, b.view.Instances, []*fleet.Upstream{&gone}))
 		_, err = b.Acquire(t.Context(), b.request(1000, time.Minute))
 		is.True(fault.Is(err, fault.NoUpstream))
 	})
 }
 
+// A prompt goes to a failure domain seconds after operators took it out. Order: it waits, the domain is
+// taken out, the engine there has room. Cause: it was decided on the view of when it came.
+func TestWaitingPromptSeesTheNewestView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newLongFirst(2)
+		b.report(busy, 0)
+		out := *b.view.Upstreams[0]
+		out.Out = true
+		rest := b.view.Upstreams[1]
+		go func() {
+			time.Sleep(time.Second)
+			b.now.Store(fleet.NewView(2, b.view.Config, 2, b.view.Instances, []*fleet.Upstream{&out, rest}))
+			b.OnLoad(&out, wire.Load{MemoryTotal: memory, PrefillRate: rate}, time.Now()) // only this one is free
+			time.Sleep(time.Second)
+			b.OnLoad(rest, wire.Load{MemoryTotal: memory, PrefillRate: rate}, time.Now())
+		}()
+		started := time.Now()
+		g, err := b.Acquire(t.Context(), b.request(20_000, time.Minute))
+		is.NoErr(err)
+		is.Equal(g.Upstream, rest)
+		is.Equal(time.Since(started), 2*time.Second)
+	})
+}
+
+// An instance that was cut off sends new work by an old configuration. Order: a prompt waits, the instance
+// becomes unfit, an engine has room. Cause: fitness was asked when the prompt came.
+func TestUnfitInstanceGrantsNothingMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newLongFirst(2)
+		b.report(busy, 0)
+		var unfit atomic.Bool
+		b.Usable = func() error {
+			if unfit.Load() {
+				return fault.New(fault.StaleInstance, "cut off")
+			}
+			return nil
+		}
+		go func() {
+			time.Sleep(time.Second)
+			unfit.Store(true)
+			b.report(0, 0)
+		}()
+		_, err := b.Acquire(t.Context(), b.request(20_000, time.Minute))
+		is.True(fault.Is(err, fault.StaleInstance))
+		is.Equal(b.space("w").Count(), 0)
+	})
+}
+
 // A caller that allows long answers is refused for want of time, though its answers are short. Cause: the
 // longest answer allowed is taken for the answer.
 func TestAnswerLengthIsLearnedNotAssumed(t *testing.T) {
