--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -43,6 +43,7 @@
 		upstream.New,
 		newRouter,
 		newObserver,
+		newSweeper,
 		newQueries,
 		newClaims,
 		newStoredClaims,
@@ -66,8 +67,9 @@
 
 func newKeeper() *keeper.Keeper { return keeper.New(nil) }
 
-func newRouter(k *keeper.Keeper, f *follow.Follower, rec *explain.Recorder) *route.Router {
-	r := route.New(k.View, rec)
+func newRouter(s api.Settings, k *keeper.Keeper, f *follow.Follower, rec *explain.Recorder, m *metrics.Registry,
+	c *upstream.Client) *route.Router {
+	r := route.New(route.Deps{View: k.View, Explain: rec, Metrics: m, Memory: c, Settings: s})
 	r.Usable = f.Usable
 	return r
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,8 @@
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
 	"github.com/damaskshelf/damaskshelf/internal/observe"
 	platformclient "github.com/damaskshelf/damaskshelf/internal/platform/client"
+	"github.com/damaskshelf/damaskshelf/internal/route"
+	"github.com/damaskshelf/damaskshelf/internal/sweep"
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
 )
 
@@ -50,6 +52,8 @@
 	Client    *upstream.Client
 	Platform  *platformclient.Client
 	Gate      *gate.Gate
+	Router    *route.Router
+	Sweeper   *sweep.Sweeper
 	Queries   *query.Handler
 	Commands  *command.Handler
 	Claims    *claim.Keeper
@@ -96,6 +100,7 @@
 	n.run(func(context.Context) { p.Operators.serve() })
 	n.run(p.Follower.Run)
 	n.run(p.Observer.Run)
+	n.run(p.Sweeper.Run)
 	n.run(sweepClaims(p.Settings, p.Claims, p.Keeper, p.Log))
 	p.Log.Info("started", "instance", p.Settings.Instance, "region", p.Settings.Region,
 		"failure_domain", p.Settings.FailureDomain, "callers", n.CallersAddr(), "operators", n.OperatorsAddr(), "peers", n.PeersAddr())
@@ -161,6 +166,9 @@
 	defer cancelLast()
 	errs = append(errs, p.Callers.Shutdown(last), p.Operators.shutdown(last))
 	p.Queries.Wait()
+	if err := p.Router.Wait(last); err != nil {
+		errs = append(errs, fmt.Errorf("reservations not released at the stop: %w", err))
+	}
 	errs = append(errs, p.Claims.Flush(last))
 	p.Claims.Close()
 	n.stop()
