--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -55,7 +55,8 @@
 	}
 	defer os.RemoveAll(dir)
 	programs = dir
-	build := exec.Command("go", "build", "-o", dir, "../../cmd/damaskshelfd", "../../cmd/damaskstandin")
+	args := append([]string{"build"}, buildFlags...)
+	build := exec.Command("go", append(args, "-o", dir, "../../cmd/damaskshelfd", "../../cmd/damaskstandin")...)
 	if out, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
 		return 1
@@ -82,9 +83,15 @@
 	ready     atomic.Bool   // as the balancer sees it
 }
 
+// slots bounds the fleets that run at the same time; a fleet under load takes about one core.
+var slots = make(chan struct{}, 3)
+
 // start starts stand-ins and one entry instance per failure domain, and waits until all are ready.
 func start(t *testing.T) *fleet {
 	t.Helper()
+	t.Parallel()
+	slots <- struct{}{}
+	t.Cleanup(func() { <-slots })
 	f := &fleet{t: t, dir: t.TempDir()}
 	f.startStandins(cluster.Config{
 		Domains: domains, Region: region, EnginesPerDomain: 2, Models: []string{model}, Service: bookdesk,
@@ -177,7 +184,7 @@
 	}()
 	f.t.Cleanup(func() {
 		e.kill()
-		f.showLog(id)
+		f.checkLog(id)
 	})
 	f.list(e.row)
 	f.mu.Lock()
@@ -276,22 +283,21 @@
 	}
 }
 
-func (f *fleet) showLog(id string) {
-	if !f.t.Failed() {
-		return
-	}
-	file, err := os.Open(filepath.Join(f.dir, id+".log"))
+// checkLog finds what a daemon must never write, and shows the end of its log if the test failed.
+func (f *fleet) checkLog(id string) {
+	log, err := os.ReadFile(filepath.Join(f.dir, id+".log"))
 	if err != nil {
+		f.t.Errorf("log of %s: %v", id, err)
 		return
 	}
-	defer file.Close()
-	if end, err := file.Seek(0, io.SeekEnd); err == nil && end > logTail {
-		_, _ = file.Seek(-logTail, io.SeekEnd)
-	} else {
-		_, _ = file.Seek(0, io.SeekStart)
+	for _, sign := range []string{"panic:", "fatal error:", "DATA RACE"} {
+		if at := bytes.Index(log, []byte(sign)); at >= 0 {
+			f.t.Errorf("%s wrote:\n%s", id, log[at:min(len(log), at+logTail)])
+		}
+	}
+	if f.t.Failed() {
+		f.t.Logf("end of %s's log:\n%s", id, log[max(0, len(log)-logTail):])
 	}
-	tail, _ := io.ReadAll(file)
-	f.t.Logf("end of %s's log:\n%s", id, tail)
 }
 
 // post makes a call of the stand-ins' control listener.
--- /dev/null
+++ b/test/e2e/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package e2e_test
+
+var buildFlags []string
