relay: trust only whom is trusted, read every second; found by random faults

Watchers read every second, the backoff's cap for small fleets is 1 s.

A peer that was unreachable and is heard again is asked at once.

--- a/internal/decide/member/member.go
+++ b/internal/decide/member/member.go
@@ -73,6 +73,7 @@
 
 	told     uint64         // highest version that it has heard of from here
 	misses   int            // heartbeats in a row without an answer
+	vouched  decide.Instant // beginning of the last exchange after which its state was known here in full
 	next     decide.Instant // of the next heartbeat
 	interval time.Duration
 	phase    time.Duration // of its heartbeats within the interval
@@ -82,17 +83,18 @@
 
 // Members is one instance's membership. It is not safe for concurrent use.
 type Members struct {
-	params     Params
-	version    uint64
-	all        []fleet.Instance // of the list, without self, sorted by id
-	peers      []*Peer
-	alone      bool // the list shows nobody else
-	foreign    bool // some peer is in another failure domain
-	freshUntil decide.Instant
+	params      Params
+	version     uint64
+	all         []fleet.Instance // of the list, without self, sorted by id
+	peers       []*Peer
+	alone       bool // the list shows nobody else
+	foreign     bool // some peer is in another failure domain
+	freshUntil  decide.Instant
+	quorumSince decide.Instant // since when a majority has been in contact; never: it has not
 }
 
 // New gives a membership that knows nobody yet and trusts nothing.
-func New(p Params) *Members { return &Members{params: p} }
+func New(p Params) *Members { return &Members{params: p, quorumSince: never} }
 
 // List takes the instance list. A lower version than the last is a lagging read and changes nothing.
 func (m *Members) List(now decide.Instant, version uint64, instances []fleet.Instance) decide.Reason {
@@ -274,8 +276,13 @@
 
 // Heard notes what a peer's own heartbeat says. It does not extend the trust in what is known here: the
 // message may have been long on its way.
-func (m *Members) Heard(h Heard) {
-	if p := find(m.peers, h.From); p != nil && h.Incarnation >= p.Incarnation {
-		p.Version, p.SignsHash = max(p.Version, h.Version), h.SignsHash
+func (m *Members) Heard(now decide.Instant, h Heard) {
+	p := find(m.peers, h.From)
+	if p == nil || h.Incarnation < p.Incarnation {
+		return
+	}
+	p.Version, p.SignsHash = max(p.Version, h.Version), h.SignsHash
+	if !p.Reachable {
+		p.next = now // it is back: no need to wait out the long interval
 	}
 }
--- a/internal/decide/relay/messages.go
+++ b/internal/decide/relay/messages.go
@@ -15,6 +15,7 @@
 	Incarnation   uint64 // grows with each start of the instance
 	ConfigVersion uint64 // 0: none yet
 	ListVersion   uint64
+	Trusted       bool   // the sender may send new work itself
 	SignsHash     uint64 // of all signs that the sender holds; 0: none
 	Leaving       []Sign // the signs, where the receiver is thought to hold others
 }
--- a/internal/decide/relay/node.go
+++ b/internal/decide/relay/node.go
@@ -29,8 +29,9 @@
 	defaultPause     = time.Second
 	defaultWatchers  = 2
 	defaultWatchWait = 5 * time.Second
-	// A watch may lag or hang for good. A watcher therefore also reads, as often as its bytes allow.
-	defaultReadEvery = 2 * time.Second
+	// A watch may lag or hang for good. A watcher therefore also reads, as often as its bytes allow. One
+	// second and the bound on trust are below the three seconds in which a domain has to be out.
+	defaultReadEvery = time.Second
 	defaultReadBytes = 4096
 )
 
@@ -82,7 +83,7 @@
 
 // finish ends an event: transitions of trust are told once, whatever caused them.
 func (n *Node) finish(now decide.Instant) []Effect {
-	if trusted := !n.members.FreshUntil().Before(now); trusted != n.trusted {
+	if trusted := n.members.Trusted(now); trusted != n.trusted {
 		n.trusted = trusted
 		reason := TrustEnded
 		if trusted {
@@ -112,6 +113,7 @@
 	n.tickStore(now)
 	n.tickBootstrap(now)
 	n.startPull(now)
+	n.members.Quorum(now, n.store.failures > 0)
 	n.heartbeats(now)
 	return n.finish(now)
 }
@@ -138,6 +140,7 @@
 	d := Digest{
 		Instance: n.params.Member.Self.ID, Incarnation: n.params.Incarnation,
 		ConfigVersion: n.news.Config().Version, ListVersion: n.members.ListVersion(), SignsHash: n.news.Hash(),
+		Trusted: n.members.Trusted(now),
 	}
 	if d.SignsHash != theirs {
 		d.Leaving = n.news.Signs(now)
@@ -147,7 +150,7 @@
 
 // Heartbeat takes a peer's heartbeat and gives the answer to it.
 func (n *Node) Heartbeat(now decide.Instant, d Digest) (Digest, []Effect) {
-	n.members.Heard(member.Heard{
+	n.members.Heard(now, member.Heard{
 		From: d.Instance, Incarnation: d.Incarnation, Version: d.ConfigVersion, SignsHash: d.SignsHash,
 	})
 	n.learn(now, d.Leaving)
@@ -176,9 +179,10 @@
 	if counts {
 		n.learn(now, d.Leaving)
 		n.behind(now, sent.To, d.ConfigVersion)
-		// With a peer that is ahead, its state is known here in full only after the pull.
-		if n.caughtUp() {
-			n.members.Contact(sent.Sent, sent.To.ID)
+		// With a peer that is ahead, its state is known here in full only after the pull. One that has
+		// just started and knows nothing vouches for nothing.
+		if n.caughtUp() && d.ConfigVersion > 0 {
+			n.members.Contact(sent.Sent, sent.To.ID, d.Trusted)
 		}
 	}
 	n.heartbeats(now)
--- a/internal/decide/relay/pull.go
+++ b/internal/decide/relay/pull.go
@@ -89,10 +89,7 @@
 // PullDone takes the outcome of a PullConfig.
 func (n *Node) PullDone(now decide.Instant, sent PullConfig, c Config, ok bool) []Effect {
 	if ok {
-		n.take(now, c)
-		if c.Version <= n.news.Config().Version && n.caughtUp() {
-			n.members.Contact(sent.Sent, sent.From.ID)
-		}
+		n.take(now, c) // whether the peer vouches for it shows in the answer to the next heartbeat
 	}
 	if sent.Bootstrap {
 		n.bootstrapAnswer()
--- a/internal/decide/storebudget/storebudget.go
+++ b/internal/decide/storebudget/storebudget.go
@@ -52,7 +52,7 @@
 	firstRetries = 1000
 	// shortestCap and probesPerSecond bound the backoff: a lost store is asked by all instances together
 	// about probesPerSecond times a second at most, and found again within the cap.
-	shortestCap     = 2 * time.Second
+	shortestCap     = time.Second
 	probesPerSecond = 400
 )
 
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -23,7 +23,7 @@
 func encodeDigest(d relay.Digest) *peerpb.Digest {
 	out := &peerpb.Digest{
 		Instance: string(d.Instance), Incarnation: d.Incarnation,
-		ConfigVersion: d.ConfigVersion, ListVersion: d.ListVersion, SignsHash: d.SignsHash,
+		ConfigVersion: d.ConfigVersion, ListVersion: d.ListVersion, SignsHash: d.SignsHash, Trusted: d.Trusted,
 	}
 	for _, s := range d.Leaving {
 		out.Leaving = append(out.Leaving, &peerpb.LeavingSign{
@@ -39,7 +39,7 @@
 	}
 	out := relay.Digest{
 		Instance: fleet.InstanceID(d.Instance), Incarnation: d.Incarnation,
-		ConfigVersion: d.ConfigVersion, ListVersion: d.ListVersion, SignsHash: d.SignsHash,
+		ConfigVersion: d.ConfigVersion, ListVersion: d.ListVersion, SignsHash: d.SignsHash, Trusted: d.Trusted,
 	}
 	for _, s := range d.Leaving {
 		out.Leaving = append(out.Leaving, relay.Sign{
