--- a/internal/decide/relay/spread_test.go
+++ b/internal/decide/relay/spread_test.go
@@ -74,7 +74,7 @@
 				got := measure(t, z, loss)
 				t.Logf("took %v, %d heartbeats, %d pulls, steady %.0f B/s and node", got.took, got.heartbeats, got.pulls, got.steady)
 				is.True(got.took <= bounds[loss][i])
-				is.True(got.steady < 3300)         // bytes a second and node do not grow with the fleet
+				is.True(got.steady < 3300)                         // bytes a second and node do not grow with the fleet
 				is.True(got.pulls <= int(float64(z.n)*(1+2*loss))) // nearly one fetch of the configuration an instance
 			})
 		}
