--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -105,6 +105,7 @@
 			}
 			k, version := s.keeper(), uint64(0)
 			b.ReportAllocs()
+			defer processorTime(b)()
 			for b.Loop() {
 				raw, err := peer.Unpack(packed)
 				if err != nil {
@@ -126,6 +127,7 @@
 	for _, s := range shapes {
 		b.Run(s.String(), func(b *testing.B) {
 			raw := marshal(b, s.config())
+			defer processorTime(b)()
 			for b.Loop() {
 				if _, err := peer.Pack(raw); err != nil {
 					b.Fatal(err)
@@ -145,6 +147,7 @@
 			n := relay.NewNode(0, relay.NewParams(all[0], 1, 500*time.Millisecond, rand.New(rand.NewPCG(1, 1))))
 			version := uint64(2)
 			b.ReportAllocs()
+			defer processorTime(b)()
 			for b.Loop() {
 				var l platform.InstanceList
 				if err := json.Unmarshal(raw, &l); err != nil {
@@ -171,6 +174,7 @@
 			answer(n, now, n.Accepted(now, relay.Config{Version: 1, Packed: []byte{1}}))
 			peers := n.Members().Peers()
 			b.ReportAllocs()
+			defer processorTime(b)()
 			for b.Loop() {
 				for range 10 {
 					now = now.Add(relay.TickEvery)
@@ -221,6 +225,7 @@
 		b.Run(s.String(), func(b *testing.B) {
 			k := s.keeper()
 			b.ReportAllocs()
+			defer processorTime(b)()
 			for i := 0; b.Loop(); i++ {
 				k.SetServed("engine-00000", keeper.Served{Long: i%2 == 0})
 			}
@@ -232,6 +237,7 @@
 func BenchmarkLoadReport(b *testing.B) {
 	raw := marshal(b, report())
 	b.ReportAllocs()
+	defer processorTime(b)()
 	for b.Loop() {
 		var l upstream.Load
 		if err := json.Unmarshal(raw, &l); err != nil {
@@ -245,6 +251,7 @@
 	for _, n := range []int{1, 100, 1000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			raw := marshal(b, events(n))
+			defer processorTime(b)()
 			for b.Loop() {
 				var e upstream.CacheEvents
 				if err := json.Unmarshal(raw, &e); err != nil {
--- a/internal/capacity/poll_test.go
+++ b/internal/capacity/poll_test.go
@@ -103,6 +103,7 @@
 	c := upstream.New()
 	defer c.Close()
 	b.ReportAllocs()
+	defer processorTime(b)()
 	for b.Loop() {
 		poll(b, c, e.Addr())
 	}
