--- a/internal/decide/relay/node.go
+++ b/internal/decide/relay/node.go
@@ -29,8 +29,9 @@
 	defaultPause     = time.Second
 	defaultWatchers  = 2
 	defaultWatchWait = 5 * time.Second
-	// A watch may lag or hang for good. A watcher therefore also reads, as often as its bytes allow.
-	defaultReadEvery = 2 * time.Second
+	// A watch may lag or hang for good. A watcher therefore also reads, as often as its bytes allow. One
+	// second and the bound on trust are below the three seconds in which a domain has to be out.
+	defaultReadEvery = time.Second
 	defaultReadBytes = 4096
 )
 
@@ -82,7 +83,7 @@
 
 // finish ends an event: transitions of trust are told once, whatever caused them.
 func (n *Node) finish(now decide.Instant) []Effect {
-	if trusted := !n.members.FreshUntil().Before(now); trusted != n.trusted {
+	if trusted := n.members.Trusted(now); trusted != n.trusted {
 		n.trusted = trusted
 		reason := TrustEnded
 		if trusted {
@@ -112,6 +113,7 @@
 	n.tickStore(now)
 	n.tickBootstrap(now)
 	n.startPull(now)
+	n.members.Quorum(now, n.store.failures > 0)
 	n.heartbeats(now)
 	return n.finish(now)
 }
@@ -129,25 +131,33 @@
 // heartbeats sends those that are due: in their time, or at once to peers that have not heard the newest.
 func (n *Node) heartbeats(now decide.Instant) {
 	for _, p := range n.members.Due(now, n.news.Config().Version) {
-		n.do(SendHeartbeat{To: p.Instance, Sent: now, Digest: n.digest(now)})
+		n.do(SendHeartbeat{To: p.Instance, Sent: now, Digest: n.digest(now, p.SignsHash)})
 	}
 }
 
-func (n *Node) digest(now decide.Instant) Digest {
-	return Digest{
+// digest is for a receiver whose signs have that hash, as far as is known here.
+func (n *Node) digest(now decide.Instant, theirs uint64) Digest {
+	d := Digest{
 		Instance: n.params.Member.Self.ID, Incarnation: n.params.Incarnation,
-		ConfigVersion: n.news.Config().Version, ListVersion: n.members.ListVersion(), Leaving: n.news.Signs(now),
+		ConfigVersion: n.news.Config().Version, ListVersion: n.members.ListVersion(), SignsHash: n.news.Hash(),
+		Trusted: n.members.Trusted(now),
 	}
+	if d.SignsHash != theirs {
+		d.Leaving = n.news.Signs(now)
+	}
+	return d
 }
 
 // Heartbeat takes a peer's heartbeat and gives the answer to it.
 func (n *Node) Heartbeat(now decide.Instant, d Digest) (Digest, []Effect) {
-	n.members.Heard(d.Instance, d.Incarnation, d.ConfigVersion)
+	n.members.Heard(now, member.Heard{
+		From: d.Instance, Incarnation: d.Incarnation, Version: d.ConfigVersion, SignsHash: d.SignsHash,
+	})
 	n.learn(now, d.Leaving)
 	if from, ok := n.members.Find(d.Instance); ok {
 		n.behind(now, from, d.ConfigVersion)
 	}
-	answer := n.digest(now)
+	answer := n.digest(now, d.SignsHash)
 	n.heartbeats(now)
 	return answer, n.finish(now)
 }
@@ -160,16 +170,19 @@
 		return n.finish(now)
 	}
 	reason, counts := n.members.Answer(now, member.Reply{
-		To: sent.To.ID, From: d.Instance, Incarnation: d.Incarnation,
-		Version: d.ConfigVersion, Told: sent.Digest.ConfigVersion,
+		Heard: member.Heard{
+			From: d.Instance, Incarnation: d.Incarnation, Version: d.ConfigVersion, SignsHash: d.SignsHash,
+		},
+		To: sent.To.ID, Told: sent.Digest.ConfigVersion,
 	})
 	n.note(reason, sent.To.ID)
 	if counts {
 		n.learn(now, d.Leaving)
 		n.behind(now, sent.To, d.ConfigVersion)
-		// With a peer that is ahead, its state is known here in full only after the pull.
-		if n.caughtUp() {
-			n.members.Contact(sent.Sent, sent.To.ID)
+		// With a peer that is ahead, its state is known here in full only after the pull. One that has
+		// just started and knows nothing vouches for nothing.
+		if n.caughtUp() && d.ConfigVersion > 0 {
+			n.members.Contact(sent.Sent, sent.To.ID, d.Trusted)
 		}
 	}
 	n.heartbeats(now)
@@ -184,17 +197,27 @@
 
 // UpstreamLeaving takes the upstream's own answer that it is leaving.
 func (n *Node) UpstreamLeaving(now decide.Instant, upstream fleet.UpstreamID, boot string) []Effect {
-	n.learn(now, []Sign{{Upstream: upstream, Boot: boot}})
+	before := n.news.Signs(now)
+	if n.news.See(now, upstream, boot) {
+		n.spread(now, before)
+	}
 	n.heartbeats(now)
 	return n.finish(now)
 }
 
-// learn takes signs; new ones go to every peer at once.
+// learn takes a peer's signs.
 func (n *Node) learn(now decide.Instant, signs []Sign) {
-	before := n.news.Signs(now)
-	if !n.news.Learn(now, signs) {
+	if len(signs) == 0 {
 		return
 	}
+	before := n.news.Signs(now)
+	if n.news.Learn(now, signs) {
+		n.spread(now, before)
+	}
+}
+
+// spread tells of the signs that are not among those before, to every peer at once.
+func (n *Node) spread(now decide.Instant, before []Sign) {
 	after := n.news.Signs(now)
 	for _, s := range after {
 		known := func(b Sign) bool { return b.Upstream == s.Upstream && b.Boot == s.Boot }
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -14,6 +14,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/entry/query"
 	"github.com/damaskshelf/damaskshelf/internal/execute"
 	"github.com/damaskshelf/damaskshelf/internal/explain"
+	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/follow"
 	"github.com/damaskshelf/damaskshelf/internal/keeper"
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
@@ -46,6 +47,7 @@
 		execute.NewSeen,
 		newExecutor,
 		newObserver,
+		newSweeper,
 		newQueries,
 		newClaims,
 		newStoredClaims,
@@ -69,8 +71,9 @@
 
 func newKeeper() *keeper.Keeper { return keeper.New(nil) }
 
-func newRouter(k *keeper.Keeper, f *follow.Follower, rec *explain.Recorder) *route.Router {
-	r := route.New(k.View, rec)
+func newRouter(s api.Settings, k *keeper.Keeper, f *follow.Follower, rec *explain.Recorder, m *metrics.Registry,
+	c *upstream.Client) *route.Router {
+	r := route.New(route.Deps{View: k.View, Explain: rec, Metrics: m, Memory: c, Settings: s})
 	r.Usable = f.Usable
 	return r
 }
@@ -103,9 +106,20 @@
 }
 
 func newCallers(s api.Settings, q *query.Handler, cmd *command.Handler, g *gate.Gate, f *follow.Follower,
-	m *metrics.Registry, log hclog.Logger, id idSource) *entry.Server {
+	o *observe.Observer, k *keeper.Keeper, m *metrics.Registry, log hclog.Logger, id idSource) *entry.Server {
 	return entry.New(entry.Deps{
 		Queries: q, Commands: cmd, Gate: g, Metrics: m, Limits: s.Limits, Log: log, NewID: id,
-		Ready: f.Usable,
+		Ready: func() error { return readiness(f, o, k) },
 	})
 }
+
+// readiness says why the balancer should not send requests yet.
+func readiness(f *follow.Follower, o *observe.Observer, k *keeper.Keeper) error {
+	if err := f.Usable(); err != nil {
+		return err
+	}
+	if !o.Surveyed(k.View()) {
+		return fault.New(fault.NotReady, "not every engine was asked yet what it serves")
+	}
+	return nil
+}
