--- a/api/plan.go
+++ b/api/plan.go
@@ -46,11 +46,11 @@
 type Plan struct {
 	ID      string         `json:"id"`
 	State   PlanState      `json:"state"`
-	Change  Change         `json:"change"`
+	Change  Change         `json:"change"` // its intent, if it has one, stands in After only
 	Base    Base           `json:"base"`
 	After   Config         `json:"after"` // configuration that a confirmation writes
 	Steps   []Step         `json:"steps,omitempty"`
-	Target  []Placement    `json:"target,omitempty"` // what every usable engine has loaded at the end, sorted by upstream
+	Target  Target         `json:"target,omitempty"` // what every usable engine has loaded at the end, sorted by upstream
 	Floors  map[string]int `json:"floors,omitempty"` // by model: engines that serve at every step
 	Summary []string       `json:"summary"`          // what changes, in words
 	Hurt    []string       `json:"hurt,omitempty"`   // who is hurt and how, in words
@@ -60,7 +60,8 @@
 
 // Base holds the versions that a plan was made from.
 type Base struct {
-	Config uint64 `json:"config"` // version of config/current; 0: there was none
+	Config uint64 `json:"config"`         // version of config/current; 0: there was none
+	Plan   string `json:"plan,omitempty"` // whose confirmation made that version
 }
 
 // Cost is what carrying out a plan takes.
@@ -102,6 +103,9 @@
 	Adapters []string `json:"adapters,omitempty"` // sorted
 }
 
+// NewIntent tells whether the plan changes the intent; otherwise it changes a failure domain.
+func (p *Plan) NewIntent() bool { return p.Change.Drain == "" && p.Change.Restore == "" }
+
 // Stages is the number of the plan's last stage; 0 for a plan without steps.
 func (p *Plan) Stages() int {
 	last := 0
--- a/internal/decide/order/difference.go
+++ b/internal/decide/order/difference.go
@@ -133,3 +133,18 @@
 	}
 	return steps
 }
+
+// Is tells whether what an engine has is just its placement.
+func Is(want api.Placement, loaded []wire.Loaded) bool {
+	in := Input{Target: want, State: wire.EngineState{Loaded: loaded}}
+	_, differs := deviation(in)
+	return !differs
+}
+
+// Behind tells whether an engine lacks something that it should have in a stage: a step of an earlier
+// stage that is undone, or a model that it should serve all the time.
+func Behind(want api.Placement, steps []api.Step, stage int, loaded []wire.Loaded) bool {
+	in := Input{Target: want, Steps: steps, Stage: stage, State: wire.EngineState{Loaded: loaded}}
+	_, _, differs := difference(in)
+	return differs
+}
--- a/internal/decide/plan/stage.go
+++ b/internal/decide/plan/stage.go
@@ -24,19 +24,21 @@
 	*planner
 	now    placement
 	target placement
-	number int // of the stage being filled
+	final  map[string]perDomain // of target
+	number int                  // of the stage being filled
 	out    staged
 
 	// Of the stage being filled. left is what is surely served while it runs: what is loaded at its start
 	// and not unloaded in it.
-	left placement
-	lost map[string]int // by model: replicas given up in this stage
+	left   placement
+	counts map[string]perDomain // of left
+	lost   map[string]int       // by model: replicas given up in this stage
 }
 
 // stage orders the steps. Each stage first loads whatever fits without unloading, and unloads models
 // whose replicas are all in place; only when nothing of that is left it swaps on full engines.
 func (p *planner) stage(target placement) staged {
-	s := &stager{planner: p, now: clonePlacement(p.current()), target: target}
+	s := &stager{planner: p, now: clonePlacement(p.current()), target: target, final: p.countAll(target)}
 	s.out.lowest = map[string]int{}
 	for {
 		s.begin()
@@ -61,13 +63,14 @@
 func (s *stager) begin() {
 	s.number++
 	s.left = clonePlacement(s.now)
+	s.counts = s.countAll(s.left)
 	s.lost = map[string]int{}
 }
 
 // end notes how many engines were surely serving while the stage ran.
 func (s *stager) end() {
 	for _, m := range s.models {
-		n := s.serving(s.left, m.Name)
+		n := s.counts[m.Name].total()
 		if low, seen := s.out.lowest[m.Name]; !seen || n < low {
 			s.out.lowest[m.Name] = n
 		}
@@ -230,26 +233,21 @@
 // keeps tells whether a model stays at its floor and in its failure domains if engine i goes without it
 // in this stage.
 func (s *stager) keeps(i int, model string) bool {
-	byDomain := s.byDomain(s.left, model)
-	engines := 0
-	for _, n := range byDomain {
-		engines += n
-	}
+	counts := s.counts[model]
+	engines, domains := counts.total(), len(counts)
 	if s.left[i].has(model) {
 		engines--
-		own := s.engines[i].Domain
-		byDomain[own]--
-		if byDomain[own] == 0 {
-			delete(byDomain, own)
+		if counts[s.engines[i].Domain] == 1 {
+			domains--
 		}
 	}
-	return engines >= s.floors[model] && len(byDomain) >= s.keptDomains(model)
+	return engines >= s.floors[model] && domains >= s.keptDomains(model)
 }
 
 // keptDomains is in how many failure domains a model stays on the way: where it began, but no more than
 // where it ends.
 func (s *stager) keptDomains(model string) int {
-	return min(s.spread[model], len(s.byDomain(s.target, model)))
+	return min(s.spread[model], len(s.final[model]))
 }
 
 func (s *stager) underShare(model string) bool {
@@ -272,7 +270,10 @@
 }
 
 func (s *stager) lose(i int, model string) {
-	delete(s.left[i], model)
+	if s.left[i].has(model) {
+		s.counts[model].drop(s.engines[i].Domain)
+		delete(s.left[i], model)
+	}
 	s.lost[model]++
 }
 
--- a/internal/decide/plan/target.go
+++ b/internal/decide/plan/target.go
@@ -62,8 +62,9 @@
 		}
 	}
 	inPlace := 0
-	for count := p.serving(target, m.Name); count < m.Replicas; count++ {
-		best := p.best(target, m.Name, holders, func(c candidate) bool {
+	standing := p.byDomain(target, m.Name)
+	for count := standing.total(); count < m.Replicas; count++ {
+		best := p.best(standing, holders, func(c candidate) bool {
 			return c.exact || inPlace < p.inPlaceLimit(m.Replicas, m.MinServing())
 		})
 		if best < 0 {
@@ -73,6 +74,7 @@
 			inPlace++
 		}
 		target[holders[best].engine][m.Name] = m.Version
+		standing[p.engines[holders[best].engine].Domain]++
 		holders = slices.Delete(holders, best, best+1)
 	}
 }
@@ -100,18 +102,20 @@
 			})
 		}
 	}
-	for count := p.serving(target, m.Name); count < m.Replicas; count++ {
+	standing := p.byDomain(target, m.Name)
+	for count := standing.total(); count < m.Replicas; count++ {
 		best := -1
 		if count+1 > p.inPlaceLimit(m.Replicas, m.MinServing()) {
-			best = p.best(target, m.Name, free, func(c candidate) bool { return c.exact || c.fresh })
+			best = p.best(standing, free, func(c candidate) bool { return c.exact || c.fresh })
 		}
 		if best < 0 {
-			best = p.best(target, m.Name, free, nil)
+			best = p.best(standing, free, nil)
 		}
 		if best < 0 {
 			return
 		}
 		target[free[best].engine][m.Name] = m.Version
+		standing[p.engines[free[best].engine].Domain]++
 		free = slices.Delete(free, best, best+1)
 	}
 	p.spreadOut(target, want, min(wantedDomains, m.Replicas), free)
@@ -123,7 +127,7 @@
 	if len(byDomain) >= domains || len(byDomain) == 0 {
 		return
 	}
-	best := p.best(target, want.model, free, func(c candidate) bool { return byDomain[p.engines[c.engine].Domain] == 0 })
+	best := p.best(byDomain, free, func(c candidate) bool { return byDomain[p.engines[c.engine].Domain] == 0 })
 	if best < 0 {
 		return
 	}
@@ -139,8 +143,7 @@
 // best gives the index of the candidate to take next: in the failure domain with the fewest replicas,
 // then with the wanted version, then without having to unload anything first, then with the most free memory, then
 // by id. -1: none is allowed.
-func (p *planner) best(target placement, model string, candidates []candidate, allow func(candidate) bool) int {
-	byDomain := p.byDomain(target, model)
+func (p *planner) best(byDomain perDomain, candidates []candidate, allow func(candidate) bool) int {
 	best := -1
 	for i, c := range candidates {
 		if allow != nil && !allow(c) {
@@ -153,7 +156,7 @@
 	return best
 }
 
-func (p *planner) better(byDomain map[string]int, a, b candidate) bool {
+func (p *planner) better(byDomain perDomain, a, b candidate) bool {
 	da, db := byDomain[p.engines[a.engine].Domain], byDomain[p.engines[b.engine].Domain]
 	switch {
 	case da != db:
@@ -174,9 +177,28 @@
 	return e.Usable && (len(domains) == 0 || slices.Contains(domains, e.Domain))
 }
 
-// byDomain counts a model's usable engines in each failure domain.
-func (p *planner) byDomain(at placement, model string) map[string]int {
-	counts := map[string]int{}
+// perDomain counts a model's usable engines in each failure domain that has any.
+type perDomain map[string]int
+
+func (d perDomain) total() int {
+	n := 0
+	for _, c := range d {
+		n += c
+	}
+	return n
+}
+
+// drop counts one engine less.
+func (d perDomain) drop(domain string) {
+	d[domain]--
+	if d[domain] == 0 {
+		delete(d, domain)
+	}
+}
+
+// byDomain counts a model's usable engines.
+func (p *planner) byDomain(at placement, model string) perDomain {
+	counts := perDomain{}
 	for i := range p.engines {
 		if p.engines[i].Usable && at[i].has(model) {
 			counts[p.engines[i].Domain]++
@@ -185,11 +207,22 @@
 	return counts
 }
 
-// serving counts a model's usable engines.
-func (p *planner) serving(at placement, model string) int {
-	n := 0
-	for _, c := range p.byDomain(at, model) {
-		n += c
+// countAll counts every model's usable engines.
+func (p *planner) countAll(at placement) map[string]perDomain {
+	all := map[string]perDomain{}
+	for i := range p.engines {
+		if !p.engines[i].Usable {
+			continue
+		}
+		for model := range at[i] {
+			if all[model] == nil {
+				all[model] = perDomain{}
+			}
+			all[model][p.engines[i].Domain]++
+		}
 	}
-	return n
+	return all
 }
+
+// serving counts a model's usable engines.
+func (p *planner) serving(at placement, model string) int { return p.byDomain(at, model).total() }
--- /dev/null
+++ b/internal/execute/cost_test.go
@@ -0,0 +1,235 @@
+package execute_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/decide/plan"
+	"github.com/damaskshelf/damaskshelf/internal/execute"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/platform"
+	"github.com/damaskshelf/damaskshelf/internal/platform/memory"
+	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	upstream "github.com/damaskshelf/damaskshelf/internal/upstream/wire"
+)
+
+// counted counts the calls that all instances of a fleet make.
+type counted struct {
+	*memory.Store
+	gets, lists, puts, bytes int
+	states, orders           int
+}
+
+func (c *counted) Get(ctx context.Context, key platform.Key) (wire.Object, error) {
+	o, err := c.Store.Get(ctx, key)
+	c.gets++
+	c.bytes += len(o.Value)
+	return o, err
+}
+
+func (c *counted) List(ctx context.Context, kind string) (wire.List, error) {
+	l, err := c.Store.List(ctx, kind)
+	c.lists++
+	for _, o := range l.Objects {
+		c.bytes += len(o.Value)
+	}
+	return l, err
+}
+
+func (c *counted) Put(ctx context.Context, w platform.Write) (uint64, error) {
+	c.puts++
+	c.bytes += len(w.Value)
+	return c.Store.Put(ctx, w)
+}
+
+// sizedFleet is instances and engines without faults under virtual time; an order takes loadTime.
+type sizedFleet struct {
+	calls   counted
+	now     decide.Instant
+	view    *fleet.View
+	engines map[string]*quickEngine
+	members []*execute.Executor
+	seen    *execute.Seen // one for all, as if every instance had just read every engine
+}
+
+type quickEngine struct {
+	state upstream.EngineState
+	ends  decide.Instant
+	next  upstream.Order
+}
+
+func (f *sizedFleet) State(_ context.Context, addr string) (upstream.EngineState, error) {
+	f.calls.states++
+	e := f.engines[addr]
+	if e.next.ID != "" && !f.now.Before(e.ends) {
+		e.state.Loaded = []upstream.Loaded{{Model: e.next.Model, Version: e.next.Version}}
+		e.state.Orders = nil
+		e.next = upstream.Order{}
+	}
+	f.seen.Put(fleet.UpstreamID(addr), e.state.Loaded)
+	return e.state, nil
+}
+
+func (f *sizedFleet) Order(_ context.Context, addr string, o upstream.Order) (upstream.OrderStatus, error) {
+	f.calls.orders++
+	e := f.engines[addr]
+	e.next, e.ends = o, f.now.Add(loadTime)
+	e.state.HighestFence = o.Fence
+	e.state.Orders = []upstream.OrderStatus{{ID: o.ID, Fence: o.Fence, State: "running"}}
+	return upstream.OrderStatus{}, nil
+}
+
+func model(i int) string { return fmt.Sprintf("model-%02d", i%15) }
+
+// newSizedFleet makes a fleet in which every model stands on a fifteenth of the engines.
+func newSizedFleet(instances, engines int) *sizedFleet {
+	f := &sizedFleet{calls: counted{Store: memory.New()}, engines: map[string]*quickEngine{}, seen: execute.NewSeen()}
+	var ups []*fleet.Upstream
+	var members []*fleet.Instance
+	for i := range engines {
+		id := fmt.Sprintf("engine-%05d", i)
+		f.engines[id] = &quickEngine{state: upstream.EngineState{BootID: "b", Loaded: []upstream.Loaded{{Model: model(i), Version: "1"}}}}
+		ups = append(ups, &fleet.Upstream{
+			ID: fleet.UpstreamID(id), Addr: id, Fencing: true, Memory: 100,
+			Domain: fleet.DomainID(fmt.Sprint("d", i%16)), Models: []string{model(i)},
+		})
+	}
+	for i := range instances {
+		members = append(members, &fleet.Instance{ID: fleet.InstanceID(fmt.Sprintf("entry-%03d", i))})
+	}
+	f.view = fleet.NewView(1, api.Config{Plan: "p"}, 1, members, ups)
+	ids := 0
+	for _, m := range members {
+		f.members = append(f.members, execute.New(execute.Deps{
+			Instance: m.ID, Incarnation: "1", Store: &f.calls, Engines: f, Seen: f.seen,
+			View: func() *fleet.View { return f.view }, Now: func() decide.Instant { return f.now },
+			NewID: func() string { ids++; return fmt.Sprint("w", ids) },
+			Log:   hclog.NewNullLogger(), Record: discard{},
+			Config: execute.Config{Lease: leaseConfig, AtOnce: 1},
+		}))
+	}
+	return f
+}
+
+// input makes the planner's input: the first models get a new version, the others stay.
+func (f *sizedFleet) input(changed int) plan.Input {
+	var in plan.Input
+	replicas := map[string]int{}
+	for _, u := range f.view.Upstreams {
+		e := f.engines[string(u.ID)]
+		replicas[e.state.Loaded[0].Model]++
+		in.Engines = append(in.Engines, plan.Engine{
+			ID: string(u.ID), Domain: string(u.Domain), Memory: 100, Served: true, Usable: true,
+			Loaded: []api.Loaded{{Model: e.state.Loaded[0].Model, Version: e.state.Loaded[0].Version}},
+		})
+	}
+	for i := range min(15, len(f.engines)) {
+		m := api.Model{Name: model(i), Version: "1", Replicas: replicas[model(i)], Memory: 60}
+		in.Before.Models = append(in.Before.Models, m)
+		if i < changed {
+			m.Version = "2"
+		}
+		in.After.Models = append(in.After.Models, m)
+	}
+	return in
+}
+
+// carryOut confirms a plan with new versions of the first models and works it off; it gives the plan, its
+// size in the store and the time it took.
+func (f *sizedFleet) carryOut(t testing.TB, changed int) (p api.Plan, size int, took time.Duration) {
+	in := f.input(changed)
+	r := plan.Make(in)
+	p = api.Plan{ID: "p", After: api.Config{Intent: in.After, Plan: "p"}, Steps: r.Steps, Target: r.Target, Floors: r.Floors}
+	data, err := json.Marshal(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.calls.Store.Put(context.Background(), platform.Write{Key: platform.Key{Kind: "plans", Name: "p"}, WriteID: "p", Value: data}); err != nil {
+		t.Fatal(err)
+	}
+	for busy := true; busy; f.now = f.now.Add(execute.DefaultTick) {
+		busy = false
+		for _, x := range f.members {
+			busy = x.Tick(context.Background()) || busy
+		}
+		if f.now > decide.Instant(time.Hour) {
+			t.Fatal("the plan is not done after an hour")
+		}
+	}
+	return p, len(data), time.Duration(f.now)
+}
+
+// What a plan costs the store and the engines, at two sizes and for a small and a large plan. The figures
+// repeat exactly; docs/design/execution.md gives them. The bounds catch a change that makes them grow.
+func TestCostOfAPlan(t *testing.T) {
+	cases := []struct {
+		instances, engines, changed int
+		maxWrites, maxReads         int
+		maxBytes                    int // of the plan's object
+	}{
+		{9, 30, 1, 8, 45, 4 << 10},
+		{9, 30, 15, 90, 180, 6 << 10},
+		{16, 690, 1, 135, 690, 18 << 10},
+		{64, 690, 1, 135, 1050, 18 << 10},
+		{16, 6900, 1, 400, 700, 160 << 10},
+	}
+	for _, c := range cases {
+		is := is.New(t)
+		f := newSizedFleet(c.instances, c.engines)
+		p, size, took := f.carryOut(t, c.changed)
+		k := &f.calls
+		t.Logf("instances=%d engines=%d steps=%d stages=%d plan_bytes=%d virtual_time=%s store_writes=%d store_reads=%d store_bytes=%d states=%d orders=%d",
+			c.instances, c.engines, len(p.Steps), p.Stages(), size, took, k.puts, k.gets+k.lists, k.bytes, k.states, k.orders)
+		is.Equal(k.orders, len(p.Steps)) // each step is one order
+		is.True(k.puts <= c.maxWrites)
+		is.True(k.gets+k.lists <= c.maxReads)
+		is.True(size <= c.maxBytes)
+
+		before := *k
+		for range 12 { // a minute without a plan
+			f.now = f.now.Add(execute.DefaultIdle)
+			for _, x := range f.members {
+				x.Tick(context.Background())
+			}
+		}
+		is.Equal(k.puts-before.puts, 0)
+		is.Equal(k.gets+k.lists-before.gets-before.lists, 0)
+		t.Logf("idle minute: store calls 0, states %d", k.states-before.states)
+	}
+}
+
+// BenchmarkIdleTick is what one instance spends on a look while no plan is worked off.
+func BenchmarkIdleTick(b *testing.B) {
+	for _, size := range []struct{ instances, engines int }{{9, 18}, {64, 690}, {64, 6900}} {
+		b.Run(fmt.Sprintf("instances=%d/engines=%d", size.instances, size.engines), func(b *testing.B) {
+			f := newSizedFleet(size.instances, size.engines)
+			f.carryOut(b, 0)
+			x := f.members[0]
+			for b.Loop() {
+				x.Tick(context.Background())
+			}
+		})
+	}
+}
+
+// BenchmarkMakePlan is what a proposal spends on planning.
+func BenchmarkMakePlan(b *testing.B) {
+	for _, engines := range []int{18, 690, 6900} {
+		for _, changed := range []int{1, 15} {
+			b.Run(fmt.Sprintf("engines=%d/models_changed=%d", engines, changed), func(b *testing.B) {
+				in := newSizedFleet(1, engines).input(changed)
+				for b.Loop() {
+					plan.Make(in)
+				}
+			})
+		}
+	}
+}
--- a/internal/execute/execute.go
+++ b/internal/execute/execute.go
@@ -105,6 +105,9 @@
 	self   string
 	shards map[int]*shard
 
+	listed uint64 // version of the instance list that mine was found from
+	mine   []int
+
 	job      *job
 	finished bool // every shard has recorded the whole of job
 	stopped  bool // job
@@ -166,6 +169,9 @@
 		return false
 	}
 	mine := x.owned(view)
+	if len(mine) == 0 {
+		return false
+	}
 	x.finished = x.finished || !x.job.touches(mine)
 	if !x.finished {
 		if err := x.read(ctx); err != nil {
@@ -203,10 +209,18 @@
 	stage  int
 	models map[string]order.Service
 	first  map[string]string // by model: the first engine that has to be changed
+
+	byShard map[int][]*fleet.Upstream // engines that take new work
 }
 
 func (x *Executor) round(view *fleet.View, stage int) *round {
-	r := &round{view: view, stage: stage}
+	r := &round{view: view, stage: stage, byShard: map[int][]*fleet.Upstream{}}
+	for _, u := range view.Upstreams {
+		if u.Kind == fleet.Engine && u.Takes() {
+			n := ShardOf(string(u.ID))
+			r.byShard[n] = append(r.byShard[n], u)
+		}
+	}
 	r.models, r.first = x.job.services(view, x.loaded, stage)
 	return r
 }
@@ -214,12 +228,15 @@
 // loaded gives what an engine was last seen to have. Where no version is known, the view's models count
 // without one, and so as not yet changed.
 func (x *Executor) loaded(u *fleet.Upstream) map[string]string {
+	l := make(map[string]string, len(u.Models))
 	if x.Seen != nil {
-		if l, seen := x.Seen.Versions(u.ID); seen {
+		if loaded, seen := x.Seen.Loaded(u.ID); seen {
+			for _, s := range loaded {
+				l[s.Model] = s.Version
+			}
 			return l
 		}
 	}
-	l := make(map[string]string, len(u.Models))
 	for _, m := range u.Models {
 		l[m] = ""
 	}
@@ -296,7 +313,16 @@
 }
 
 // owned lists the shards that this instance works on: those with engines whose owner it is.
+// The answer is kept until the instance list changes.
 func (x *Executor) owned(view *fleet.View) []int {
+	if x.listed == view.ListVersion && x.listed != 0 {
+		return x.mine
+	}
+	x.listed, x.mine = view.ListVersion, x.findOwned(view)
+	return x.mine
+}
+
+func (x *Executor) findOwned(view *fleet.View) []int {
 	var members []string
 	for _, i := range view.Instances {
 		if !i.Leaving {
--- a/internal/execute/job.go
+++ b/internal/execute/job.go
@@ -7,6 +7,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/decide/order"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	upstream "github.com/damaskshelf/damaskshelf/internal/upstream/wire"
 )
 
 // job is a confirmed plan, cut into shards.
@@ -15,20 +16,21 @@
 	stages int
 	steps  map[string][]api.Step // by engine, in order
 	target map[string]*api.Placement
-	first  map[int]int // by shard with steps: its first stage
+	shards map[int]map[int]bool // by shard with steps: the stages that it has steps in
 }
 
 func newJob(p api.Plan) *job {
 	j := &job{
 		plan: p, stages: p.Stages(), steps: map[string][]api.Step{},
-		target: map[string]*api.Placement{}, first: map[int]int{},
+		target: map[string]*api.Placement{}, shards: map[int]map[int]bool{},
 	}
 	for _, s := range p.Steps {
 		j.steps[s.Upstream] = append(j.steps[s.Upstream], s)
 		shard := ShardOf(s.Upstream)
-		if _, seen := j.first[shard]; !seen {
-			j.first[shard] = s.Stage
+		if j.shards[shard] == nil {
+			j.shards[shard] = map[int]bool{}
 		}
+		j.shards[shard][s.Stage] = true
 	}
 	for i := range p.Target {
 		j.target[p.Target[i].Upstream] = &p.Target[i]
@@ -40,22 +42,48 @@
 // the whole target.
 func (j *job) verify() int { return j.stages + 1 }
 
+// concerns tells whether an engine has to be read in a stage: it has steps in it, it is to be verified, or
+// by what it was last seen to have it is not as it should be.
+func (j *job) concerns(engine string, stage int, seen []upstream.Loaded) bool {
+	target := j.target[engine]
+	switch {
+	case target == nil:
+		return false // it came after the plan was made, and is left as it is
+	case stage == j.verify():
+		return true
+	case stage > j.verify():
+		return !order.Is(*target, seen)
+	}
+	if slices.ContainsFunc(j.steps[engine], func(s api.Step) bool { return s.Stage == stage }) {
+		return true
+	}
+	return order.Behind(*target, j.steps[engine], stage, seen)
+}
+
 // stage gives the stage to work on: the first that not every shard with steps has recorded as done.
 // verify()+1: the plan is done.
 func (j *job) stage(r records) int {
 	lowest := j.verify() + 1
-	for shard := range j.first {
+	for shard, stages := range j.shards {
 		done := 0
 		if rec := r.shards[shard]; rec.Plan == j.plan.ID {
 			done = rec.Stage
 		}
-		// A shard whose first step comes later has nothing to do before it.
-		done = max(done, j.first[shard]-1)
+		// A shard records only the stages in which it has steps, and the verification.
+		for done < j.stages && !stages[done+1] {
+			done++
+		}
 		lowest = min(lowest, done+1)
 	}
 	return lowest
 }
 
+// records tells whether a shard has to record a stage.
+func (j *job) records(shard, stage int) bool {
+	stages, has := j.shards[shard]
+	return has && (stages[stage] || stage == j.verify())
+}
+
 // loadedOf gives what an engine was last seen to have, by model its version.
 type loadedOf func(u *fleet.Upstream) map[string]string
 
@@ -133,8 +161,7 @@
 // touches tells whether the plan has steps in one of the shards.
 func (j *job) touches(shards []int) bool {
 	return slices.ContainsFunc(shards, func(n int) bool {
-		_, has := j.first[n]
-		return has
+		return j.shards[n] != nil
 	})
 }
 
--- a/internal/execute/seen.go
+++ b/internal/execute/seen.go
@@ -10,29 +10,25 @@
 // Seen keeps what each engine was last seen to have loaded. It is safe for concurrent use.
 type Seen struct {
 	mu      sync.RWMutex
-	engines map[fleet.UpstreamID]map[string]string // guarded by mu; the inner maps are never changed
+	engines map[fleet.UpstreamID][]wire.Loaded // guarded by mu; the slices are never changed
 }
 
 // NewSeen gives a Seen that knows no engine.
-func NewSeen() *Seen { return &Seen{engines: map[fleet.UpstreamID]map[string]string{}} }
+func NewSeen() *Seen { return &Seen{engines: map[fleet.UpstreamID][]wire.Loaded{}} }
 
-// Put takes an engine's state.
+// Put takes what an engine has loaded; the slice must not be changed afterwards.
 func (s *Seen) Put(id fleet.UpstreamID, loaded []wire.Loaded) {
-	versions := make(map[string]string, len(loaded))
-	for _, l := range loaded {
-		versions[l.Model] = l.Version
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.engines[id] = versions
+	s.engines[id] = loaded
 }
 
-// Versions gives the versions by model; not to be changed.
-func (s *Seen) Versions(id fleet.UpstreamID) (map[string]string, bool) {
+// Loaded gives what an engine was last seen to have; not to be changed.
+func (s *Seen) Loaded(id fleet.UpstreamID) ([]wire.Loaded, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	versions, ok := s.engines[id]
-	return versions, ok
+	loaded, ok := s.engines[id]
+	return loaded, ok
 }
 
 // keep forgets the engines that the view no longer shows.
--- a/internal/execute/shard.go
+++ b/internal/execute/shard.go
@@ -55,7 +55,7 @@
 	if s.wanted {
 		x.hold(ctx, s, r.view.ConfigVersion)
 	}
-	looks := x.look(ctx, r.view, s)
+	looks := x.look(ctx, r, s)
 	done, ordered := true, false
 	for _, l := range looks {
 		if l.err != nil {
@@ -79,12 +79,11 @@
 
 // conclude records a stage as done, or asks for the lease where there is work.
 func (x *Executor) conclude(ctx context.Context, s *shard, stage int, done bool) bool {
-	_, hasSteps := x.job.first[s.number]
 	rec := s.record
 	if known, ok := x.last.shards[s.number]; ok && x.last.versions[s.number] > s.lease.IfVersion() {
 		rec = known
 	}
-	behind := hasSteps && stage <= x.job.verify() && (rec.Plan != x.job.plan.ID || rec.Stage < stage)
+	behind := x.job.records(s.number, stage) && (rec.Plan != x.job.plan.ID || rec.Stage < stage)
 	s.wanted = !done || behind
 	if !done || !behind || !s.lease.Valid(x.Now()) {
 		return s.wanted
@@ -96,15 +95,25 @@
 	return true
 }
 
-// look reads the engines of a shard that may be given orders.
-func (x *Executor) look(ctx context.Context, view *fleet.View, s *shard) []*look {
+// concerned tells whether an engine has to be read. What was observed of it besides spares the reading of
+// all that is as it should be.
+func (x *Executor) concerned(u *fleet.Upstream, s *shard, stage int) bool {
+	id := string(u.ID)
+	if x.Seen == nil {
+		return x.job.target[id] != nil
+	}
+	seen, known := x.Seen.Loaded(u.ID)
+	if !known {
+		return x.job.target[id] != nil
+	}
+	return x.job.concerns(id, stage, seen)
+}
+
+// look reads the engines of a shard that may need orders.
+func (x *Executor) look(ctx context.Context, r *round, s *shard) []*look {
 	var looks []*look
-	for _, u := range view.Upstreams {
-		if u.Kind != fleet.Engine || ShardOf(string(u.ID)) != s.number || !u.Takes() {
-			continue
-		}
-		// Engines that came after the plan was made are in no target; they are left as they are.
-		if x.job.target[string(u.ID)] == nil {
+	for _, u := range r.byShard[s.number] {
+		if !x.concerned(u, s, r.stage) {
 			continue
 		}
 		e := s.engines[u.ID]
--- a/internal/operate/command/command.go
+++ b/internal/operate/command/command.go
@@ -6,8 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -37,6 +35,9 @@
 // callTimeout bounds an operator's call. A lost answer of the store is settled within it.
 const callTimeout = 10 * time.Second
 
+// maxObject is the largest value that the object API holds.
+const maxObject = 1 << 20
+
 // Service makes the changes.
 type Service struct {
 	Store      platform.Store
@@ -70,105 +71,6 @@
 	return plan, nil
 }
 
-// Confirm puts a plan's configuration in force if nothing has changed since it was made.
-//
-// Promise: an accepted configuration is in force and two operators can't overwrite each other. Carried by
-// the conditional update of config/current at the version the plan was made from; "accepted" is answered
-// only after that write is known to have taken effect.
-func (s *Service) Confirm(rc *fasthttp.RequestCtx) (any, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	id := planID(rc)
-	plan, _, err := s.load(ctx, id)
-	if err != nil {
-		return nil, err
-	}
-	current, currentVersion, err := s.config(ctx)
-	if err != nil {
-		return nil, err
-	}
-	if current.Plan == id {
-		return api.Confirmed{Plan: id, Version: currentVersion}, nil
-	}
-	if err := s.holds(ctx, plan, current, currentVersion); err != nil {
-		return nil, err
-	}
-	made, err := s.write(ctx, ConfigKey, plan.Base.Config, plan.After)
-	if err != nil {
-		return nil, s.lost(ctx, plan, err)
-	}
-	s.Log.Info("plan confirmed", "plan", id, "config_version", made)
-	return api.Confirmed{Plan: id, Version: made}, nil
-}
-
-// holds tells whether a plan may still be confirmed: the configuration is the one it was made from, and
-// the engines are such that the same steps come out. A forced plan asks only for the first.
-func (s *Service) holds(ctx context.Context, p api.Plan, current api.Config, version uint64) error {
-	if p.State == api.PlanStopped {
-		return fault.New(fault.PlanConflict, "plan %s was stopped; make a new one from here", p.ID)
-	}
-	if version != p.Base.Config {
-		return conflict(p, current, version)
-	}
-	if p.Change.Force {
-		return nil
-	}
-	again := api.Plan{ID: p.ID, Change: p.Change, After: p.After}
-	if err := s.fill(ctx, &again, current, s.View()); err != nil {
-		return err
-	}
-	if !slices.Equal(p.Steps, again.Steps) {
-		return fault.New(fault.PlanConflict, "engines have changed since plan %s was made: %s; make a new plan",
-			p.ID, difference(p.Steps, again.Steps))
-	}
-	return nil
-}
-
-// difference says in words which steps differ.
-func difference(before, now []api.Step) string {
-	var lines []string
-	for _, s := range before {
-		if !slices.Contains(now, s) {
-			lines = append(lines, "no longer "+describe(s))
-		}
-	}
-	for _, s := range now {
-		if !slices.Contains(before, s) {
-			lines = append(lines, "now "+describe(s))
-		}
-	}
-	if len(lines) > shownSteps {
-		lines = append(lines[:shownSteps], fmt.Sprintf("and %d more", len(lines)-shownSteps))
-	}
-	return strings.Join(lines, ", ")
-}
-
-// shownSteps bounds the steps that a conflict names.
-const shownSteps = 6
-
-func describe(s api.Step) string {
-	return fmt.Sprintf("%s %s@%s on %s in stage %d", s.Kind, s.Model, s.Version, s.Upstream, s.Stage)
-}
-
-// lost turns a failed write of the configuration into the operator's answer.
-func (s *Service) lost(ctx context.Context, plan api.Plan, err error) error {
-	if !fault.Is(err, fault.PlanConflict) {
-		return err
-	}
-	current, version, readErr := s.config(ctx)
-	if readErr != nil {
-		return err
-	}
-	return conflict(plan, current, version)
-}
-
-// conflict shows what differs between the configuration a plan was made from and the current one.
-func conflict(plan api.Plan, current api.Config, version uint64) error {
-	return fault.New(fault.PlanConflict,
-		"plan %s was made from configuration version %d, version %d is in force now, made by plan %q with failure domains out %v; make a new plan",
-		plan.ID, plan.Base.Config, version, current.Plan, current.DomainsOut)
-}
-
 // Stop ends the working off of a plan where it stands. A new plan can be made from there.
 func (s *Service) Stop(rc *fasthttp.RequestCtx) (any, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
@@ -265,6 +167,10 @@
 	if err != nil {
 		return 0, fmt.Errorf("encode object %s: %w", key, err)
 	}
+	if len(data) > maxObject {
+		return 0, fault.New(fault.PlanRejected, "%s would take %d bytes, the object API holds %d; change less at once",
+			key, len(data), maxObject)
+	}
 	version, err := settle.Put(ctx, s.Store, platform.Write{
 		Key: key, IfVersion: ifVersion, WriteID: s.NewID(), Value: data,
 	})
--- a/internal/operate/command/propose.go
+++ b/internal/operate/command/propose.go
@@ -24,22 +24,23 @@
 		return api.Plan{}, fault.New(fault.BadRequest, "%v", err)
 	}
 	p := api.Plan{
-		ID: s.NewID(), State: api.PlanProposed, Change: change, Base: api.Base{Config: version},
+		ID: s.NewID(), State: api.PlanProposed, Change: change, Base: api.Base{Config: version, Plan: current.Plan},
 		After: apply(change, current),
 	}
 	p.After.Plan = p.ID
+	p.Change.Intent = nil
 	return p, s.fill(ctx, &p, current, view)
 }
 
 // fill adds steps, words and cost to a plan, or gives the reason why it is rejected.
 func (s *Service) fill(ctx context.Context, p *api.Plan, current api.Config, view *fleet.View) error {
 	probes := s.survey(ctx, view, current.Intent)
-	if p.Change.Intent != nil {
-		p.Summary = compare(current.Intent, *p.Change.Intent)
+	if p.NewIntent() {
+		p.Summary = compare(current.Intent, p.After.Intent)
 	} else if err := s.assess(p, probes); err != nil {
 		return err
 	}
-	if p.Change.Intent != nil || len(p.After.Intent.Models) > 0 {
+	if p.NewIntent() || len(p.After.Intent.Models) > 0 {
 		if err := s.place(p, current, probes); err != nil {
 			return err
 		}
--- a/internal/operate/operate_test.go
+++ b/internal/operate/operate_test.go
@@ -169,7 +169,7 @@
 // told that it failed while the whole fleet has it in force.
 func TestConfirmationWithLostAnswerIsAccepted(t *testing.T) {
 	is := is.New(t)
-	store := &loseOnce{Store: memory.New()}
+	store := &loseOnce{Store: memory.New(), before: func() {}, after: func() {}}
 	s := newSide(t, store)
 	p := s.propose(intent(2))
 	store.armed.Store(true)
@@ -180,15 +180,72 @@
 
 type loseOnce struct {
 	*memory.Store
-	armed atomic.Bool
+	armed  atomic.Bool
+	before func() // runs before the write takes effect
+	after  func() // runs after it, before the answer is lost
 }
 
 func (l *loseOnce) Put(ctx context.Context, w platform.Write) (uint64, error) {
-	v, err := l.Store.Put(ctx, w)
-	if l.armed.CompareAndSwap(true, false) {
-		return 0, errors.New("answer lost")
+	if !l.armed.CompareAndSwap(true, false) {
+		return l.Store.Put(ctx, w)
 	}
-	return v, err
+	l.before()
+	_, _ = l.Store.Put(ctx, w)
+	l.after()
+	return 0, errors.New("answer lost")
+}
+
+// The answer to a confirmation is lost, and another operator's change comes on top before it is settled.
+// Whether the first took effect is told from what the second was made from: "accepted" if it was made
+// from the first's version, a conflict if from the same version as the first.
+func TestConfirmationUnderAnothersIsSettled(t *testing.T) {
+	for _, afterwards := range []bool{true, false} {
+		is := is.New(t)
+		nothing := func() {}
+		store := &loseOnce{Store: memory.New(), before: nothing, after: nothing}
+		s := newSide(t, store)
+		p, rival := s.propose(intent(6)), s.propose(api.Change{Drain: "a"})
+		confirmRival := func() {
+			if afterwards {
+				rival = s.propose(api.Change{Drain: "a"})
+			}
+			var c api.Confirmed
+			is.Equal(s.call("POST", confirmPath(rival), nil, &c), 200)
+		}
+		if afterwards {
+			store.after = confirmRival
+		} else {
+			store.before = confirmRival
+		}
+		store.armed.Store(true)
+		var got struct {
+			Plan  string
+			Error string
+		}
+		status := s.call("POST", confirmPath(p), nil, &got)
+		if afterwards {
+			is.Equal(status, 200)
+			is.Equal(got.Plan, p.ID)
+			continue
+		}
+		is.Equal(status, 409)
+		is.Equal(got.Error, "plan_conflict")
+	}
+}
+
+// A year of changes must not fill the store: of the plans that were in force, two are kept.
+func TestOldPlansAreForgotten(t *testing.T) {
+	is := is.New(t)
+	s := newSide(t, memory.New())
+	for i := range 6 {
+		p := s.propose(intent(6 - i%2))
+		var c api.Confirmed
+		is.Equal(s.call("POST", confirmPath(p), nil, &c), 200)
+		s.view.Store(newView(p.After, c.Version))
+	}
+	l, err := s.store.List(context.Background(), "plans")
+	is.NoErr(err)
+	is.Equal(len(l.Objects), 2)
 }
 
 // An operator confirms a plan made an hour ago; meanwhile an engine was replaced by one with another
