--- a/internal/decide/health/health.go
+++ b/internal/decide/health/health.go
@@ -45,7 +45,7 @@
 	Errored                   // an answer that says the upstream itself failed
 	Unheard                   // a report or probe was not answered
 	Answered                  // a probe was answered by an upstream that makes no reports
-	Proven                    // a cold upstream that makes no reports succeeded often enough, or answered probes for long enough
+	Proven                    // a cold upstream that makes no reports has answered probes for long enough
 	Ramped                    // load has grown to the top
 	IsLeaving                 // the list, the configuration or the upstream itself says that it leaves
 	IsBack                    // it stays after all
@@ -69,7 +69,7 @@
 // turns suspect, which bears no more than cold, until its own report or probe tells which it is.
 var table = [stateCount]map[Event]State{
 	Unknown: {
-		ReportedWarm: Warm, ReportedCold: Cold, BootChanged: Cold, Proven: Warming,
+		ReportedWarm: Warm, ReportedCold: Cold, BootChanged: Cold, Answered: Warming, Proven: Warming,
 		ConnReset: Cold, SlowFirst: Cold, Errored: Cold, Unheard: Suspect,
 		IsLeaving: Leaving, Unlisted: Gone,
 	},
@@ -138,8 +138,9 @@
 	return m.On(BootChanged, now)
 }
 
-// Newer tells whether evidence that was true at made says anything about the state since it began.
-func (m *Machine) Newer(made decide.Instant) bool { return made > m.since }
+// Newer tells whether evidence that was true at made says anything about the state since it began. Of an
+// unknown upstream any does.
+func (m *Machine) Newer(made decide.Instant) bool { return m.state == Unknown || made > m.since }
 
 // Slow tells whether a first byte that took took is far longer than expected: such a wait is the first
 // sign of an upstream that turned cold without a word.
--- a/internal/decide/health/health_test.go
+++ b/internal/decide/health/health_test.go
@@ -43,6 +43,7 @@
 	}{
 		{health.Unknown, health.ReportedWarm, health.Warm},
 		{health.Unknown, health.ConnReset, health.Cold},
+		{health.Unknown, health.Answered, health.Warming},
 		{health.Cold, health.ReportedWarm, health.Warming},
 		{health.Cold, health.ConnReset, health.Cold},
 		{health.Cold, health.Ramped, health.Cold},
@@ -123,6 +124,7 @@
 	is.True(!m.Newer(at - 1))
 	is.True(!m.Newer(at))
 	is.True(m.Newer(at + 1))
+	is.True(reach(t, health.Unknown).Newer(-1)) // what was reported before this instance started is welcome
 }
 
 func TestSlowFirstByte(t *testing.T) {
--- a/internal/decide/stream/stream_test.go
+++ b/internal/decide/stream/stream_test.go
@@ -158,9 +158,9 @@
 		case "cut":
 			all = all[:i]
 		case "foreign":
-			all[i].p.ID = "b"
+			all[i].p.ID, all[i].p.Text = "b", "not yours"
 		case "late":
-			all[i].attempt--
+			all[i].attempt, all[i].p.Text = attempt-1, "too late"
 		}
 	}
 	return all
--- a/internal/decide/warm/ramp.go
+++ b/internal/decide/warm/ramp.go
@@ -12,7 +12,7 @@
 // Constants of the growth of load.
 const (
 	rampTop    = 64 // a warming upstream that bears so many at once from one instance is warm
-	windowBase = 4  // requests without a first byte that an instance always may have at a warm upstream
+	windowBase = 16 // requests without a first byte that an instance always may have at a warm upstream
 	windowTop  = 1024
 )
 
--- a/internal/decide/warm/ramp_test.go
+++ b/internal/decide/warm/ramp_test.go
@@ -41,15 +41,15 @@
 	for range 100 {
 		g.FirstByte(1) // one at a time never needs more
 	}
-	is.Equal(g.Caps(health.Warm, 0).Unanswered, 4)
+	is.Equal(g.Caps(health.Warm, 0).Unanswered, 16)
 	for range 100 {
 		g.FirstByte(g.Caps(health.Warm, 0).Unanswered)
 	}
-	is.Equal(g.Caps(health.Warm, 0).Unanswered, 104)
+	is.Equal(g.Caps(health.Warm, 0).Unanswered, 116)
 	for range 100 {
 		g.Shrink(0)
 	}
-	is.Equal(g.Caps(health.Warm, 0).Unanswered, 4)
+	is.Equal(g.Caps(health.Warm, 0).Unanswered, 16)
 }
 
 // turn is one engine that turns cold without a word under load from nine entries.
@@ -132,7 +132,7 @@
 		most    int     // bound with the window
 		refused float64 // bound of what the window holds back while the engine is warm
 	}{
-		{30, 20, 0.01}, {120, 44, 0.01}, {1000, 260, 0.02},
+		{30, 14, 0.001}, {120, 46, 0.001}, {1000, 216, 0.002},
 	}
 	for _, row := range rows {
 		free, bounded := turnsCold(row.rate, false), turnsCold(row.rate, true)
