--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -32,8 +32,8 @@
 // upstream or one workspace from spending all of it.
 const (
 	InstancePercent, InstanceLeast   = 9, 1
-	UpstreamPercent, UpstreamLeast   = 20, 1
-	WorkspacePercent, WorkspaceLeast = 30, 1
+	UpstreamPercent, UpstreamLeast   = 50, 1
+	WorkspacePercent, WorkspaceLeast = 50, 1
 )
 
 // Budgets are those that one retry is paid out of: the instance's, its workspace's, and that of the
--- a/internal/decide/stream/watch.go
+++ b/internal/decide/stream/watch.go
@@ -19,24 +19,25 @@
 
 // Params are the bounds of silence.
 type Params struct {
-	Gap       time.Duration // longest silence between parts that condemns a connection whose upstream answers
-	LeastSoft time.Duration // shortest silence between parts that is worth a probe
+	Gap       time.Duration // longest silence that condemns a connection whose upstream answers
+	LeastSoft time.Duration // shortest silence that is worth a probe
 	ProbeWait time.Duration // for one probe
-	Prefill   time.Duration // least silence before the first part that condemns
 }
 
-// NewParams gives the defaults around the setting stream_gap.
+// NewParams gives the defaults around the setting stream_gap. An engine writes something at least every
+// half second, so that silence doesn't depend on the prompt's length.
 func NewParams(gap time.Duration) Params {
-	return Params{Gap: gap, LeastSoft: gap / 8, ProbeWait: gap / 4, Prefill: 2 * gap}
+	return Params{Gap: gap, LeastSoft: gap / 8, ProbeWait: gap / 4}
 }
 
 // Factors from what is usual to what is silence.
 const (
-	softFactor    = 6  // of the usual time between parts
-	hardFactor    = 20 // of the usual time between parts
-	prefillSoft   = 2  // of the expected time to the first part
-	prefillFactor = 4
-	smooth        = 8 // weight of the past in the usual time between parts
+	// leastHard is the shortest silence that condemns: twice the time in which an engine that works has
+	// to write something.
+	leastHard  = time.Second
+	softFactor = 6  // of the usual time between bytes
+	hardFactor = 20 // of the usual time between bytes
+	smooth     = 8  // weight of the past in the usual time
 )
 
 // Action is what the shell does next.
@@ -44,40 +45,52 @@
 
 // The actions.
 const (
-	Wait      Action = iota // for a part, until Watch.Until
+	Wait      Action = iota // for bytes, until Watch.Until
 	Probe                   // the upstream over a new connection, and go on reading; then OnProbe
 	Resume                  // condemn the upstream's connections, dispatch there again over a new one
 	Elsewhere               // dispatch to another upstream
 	Overdue                 // give up: no time is left
 )
 
+// phase is how far a dispatch has come.
+type phase uint8
+
+const (
+	idle    phase = iota // on a connection that had been idle, and nothing came yet
+	opening              // on a new connection, and nothing came yet
+	flowing
+)
+
 // Watch finds silence on one dispatch's connection. A slow engine is told from a dead connection in two
 // steps: a short silence costs a probe and nothing else; only a long one, with an upstream that answers
 // over a new connection, condemns the old one. An upstream that doesn't answer at all by then is left.
 type Watch struct {
 	params   Params
 	deadline decide.Instant
-	last     decide.Instant // of the dispatch's start or latest part
-	usual    time.Duration  // between parts; 0: none came yet
-	expected time.Duration  // to the first part
-	decoding bool
-	probed   bool // since the latest part
+	last     decide.Instant // of the dispatch's start or latest bytes
+	usual    time.Duration  // between bytes
+	phase    phase
+	probed   bool // since the latest bytes
 	answered bool // and the probe was answered
 	probing  bool
 }
 
-// NewWatch begins a dispatch whose first part is expected after expected (0: unknown).
-func NewWatch(p Params, expected time.Duration, now, deadline decide.Instant) *Watch {
-	return &Watch{params: p, deadline: deadline, last: now, expected: expected}
+// NewWatch begins a dispatch. reused tells that its connection had been idle: the likeliest to be dead
+// without anybody knowing, so that its first bytes are waited for less long.
+func NewWatch(p Params, reused bool, now, deadline decide.Instant) *Watch {
+	w := &Watch{params: p, deadline: deadline, last: now, phase: opening}
+	if reused {
+		w.phase = idle
+	}
+	return w
 }
 
 // OnBytes notes that something came on the connection. Whatever it was, the connection is alive.
 func (w *Watch) OnBytes(now decide.Instant) {
-	if w.decoding {
-		gap := now.Sub(w.last)
-		w.usual += (gap - w.usual) / smooth
+	if w.phase == flowing {
+		w.usual += (now.Sub(w.last) - w.usual) / smooth
 	}
-	w.decoding = true
+	w.phase = flowing
 	w.last, w.probed, w.answered = now, false, false
 }
 
@@ -94,19 +107,19 @@
 	}
 }
 
-// bounds are the silences that are worth a probe and that condemn. Before the first part half of the time
-// left is kept for another dispatch.
+// bounds are the silences that are worth a probe and that condemn.
 func (w *Watch) bounds() (soft, hard time.Duration) {
-	if w.decoding {
-		hard = min(max(hardFactor*w.usual, w.params.Gap/2), w.params.Gap)
+	gap := w.params.Gap
+	least := min(max(gap/2, leastHard), gap)
+	switch w.phase {
+	case idle:
+		return least / 2, least
+	case opening:
+		return gap / 2, gap
+	default:
+		hard = min(max(hardFactor*w.usual, least), gap)
 		return min(max(softFactor*w.usual, w.params.LeastSoft), hard), hard
 	}
-	half := w.deadline.Sub(w.last) / 2
-	if w.expected == 0 {
-		return min(w.params.Prefill, half), half
-	}
-	hard = min(max(prefillFactor*w.expected, w.params.Prefill), half)
-	return min(max(prefillSoft*w.expected, w.params.Prefill/2), hard), hard
 }
 
 // OnTime decides at Until.
--- /dev/null
+++ b/internal/entry/again/again.go
@@ -0,0 +1,90 @@
+// Package again is the shell of decide/retry: it keeps the budgets and waits out the backoff.
+package again
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/decide/retry"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+)
+
+// Retrier holds one instance's budgets. It is safe for concurrent use.
+type Retrier struct {
+	params     retry.Params
+	start      time.Time
+	all        *retry.Budget
+	workspaces sync.Map // fleet.WorkspaceID to *retry.Budget
+	upstreams  sync.Map // fleet.UpstreamID to *retry.Budget
+}
+
+// New gives a Retrier with full budgets.
+func New(p retry.Params) *Retrier {
+	return &Retrier{
+		params: p, start: time.Now(),
+		all: &retry.Budget{Percent: retry.InstancePercent, Least: retry.InstanceLeast},
+	}
+}
+
+// random is the source of jitter; the generator behind it is safe for concurrent use.
+type random struct{}
+
+func (random) Uint64() uint64 { return rand.Uint64() }
+
+func (r *Retrier) now() decide.Instant { return decide.Instant(time.Since(r.start)) }
+
+func (r *Retrier) budgets(w fleet.WorkspaceID, u fleet.UpstreamID) retry.Budgets {
+	return retry.Budgets{
+		r.all,
+		budget(&r.upstreams, u, retry.UpstreamPercent, retry.UpstreamLeast),
+		budget(&r.workspaces, w, retry.WorkspacePercent, retry.WorkspaceLeast),
+	}
+}
+
+func budget(m *sync.Map, key any, percent, least int64) *retry.Budget {
+	if b, ok := m.Load(key); ok {
+		return b.(*retry.Budget)
+	}
+	b, _ := m.LoadOrStore(key, &retry.Budget{Percent: percent, Least: least})
+	return b.(*retry.Budget)
+}
+
+// First counts a request's first dispatch.
+func (r *Retrier) First(w fleet.WorkspaceID, u fleet.UpstreamID) { r.budgets(w, u).Request(r.now()) }
+
+// After waits until the request may be dispatched again after the failure of a dispatch to u, and gives
+// true; or it gives false as soon as that is known never to be, with the reason.
+func (r *Retrier) After(ctx context.Context, f retry.Failure, w fleet.WorkspaceID, u fleet.UpstreamID) (bool, decide.Reason) {
+	b := r.budgets(w, u)
+	for {
+		v := r.params.After(f, b, random{}, r.now())
+		if !v.Again && !v.Ask {
+			return false, v.Reason
+		}
+		if !sleep(ctx, v.Wait) {
+			return false, retry.ReasonNoTime
+		}
+		if v.Again {
+			return true, v.Reason
+		}
+		f.Waited += v.Wait
+		f.Left -= v.Wait
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/entry/query/answer.go
+++ b/internal/entry/query/answer.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/decide/health"
+	"github.com/damaskshelf/damaskshelf/internal/decide/retry"
+	"github.com/damaskshelf/damaskshelf/internal/decide/stream"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/route"
@@ -17,79 +20,91 @@
 // errCallerGone is the cause of a context that ended because the caller closed its connection.
 var errCallerGone = errors.New("caller closed its connection")
 
-const maxAttempts = 4
-
-// answer pulls one prompt's answer, part by part in order, through as many dispatches as it takes.
+// answer pulls one prompt's answer, part by part in order, through as many dispatches as it takes. It is
+// the shell of decide/stream and, through again.Retrier, of decide/retry.
 type answer struct {
 	h       *Handler
 	ctx     context.Context // ends at the deadline or when the caller goes away
 	prompt  *prompt
-	offset  int // first token still needed
+	parts   *stream.Assembly
+	ready   []wire.Part // in order, not yet given to the caller
 	attempt int
 	tried   []fleet.UpstreamID
 	grant   *route.Grant
+	sentAt  time.Time // of the current dispatch
+	until   time.Time // when its time ends; before the request's where the upstream is cold
+	began   bool      // its first part came
+	vain    int       // dispatches in a row without a part
 	stream  *upstream.Stream
 	run     fault.Run // what is known about the request as a whole
-	ended   bool
 }
 
 // next gives the next part in order; io.EOF after the part with the end mark. Any other error is a
 // *fault.Error and final.
 func (a *answer) next() (wire.Part, error) {
-	if a.ended {
-		return wire.Part{}, io.EOF
-	}
-	for {
-		if a.stream == nil {
-			if err := a.dispatch(); err != nil {
-				return wire.Part{}, err
-			}
-			continue // a dispatch that failed and may be followed by another leaves no stream
-		}
-		p, err := a.stream.Next(a.gap())
-		if err == nil && p.FinishReason == finishError {
-			err = &upstream.CallError{Sent: true, Cause: errors.New(p.Error)}
-		}
-		if errors.Is(err, io.EOF) { // the stream's last event came without an end mark
-			err = &upstream.CallError{Sent: true, Cause: io.ErrUnexpectedEOF}
+	for len(a.ready) == 0 {
+		if a.parts.Ended() {
+			return wire.Part{}, io.EOF
 		}
-		if err != nil {
-			if err := a.failed(err); err != nil {
-				return wire.Part{}, err
-			}
-			continue
+		if err := a.pull(); err != nil {
+			return wire.Part{}, err
 		}
-		if !a.accept(p) {
-			continue
-		}
-		if p.FinishReason != "" {
-			a.finish()
-		}
-		return p, nil
 	}
+	p := a.ready[0]
+	a.ready = a.ready[1:]
+	return p, nil
 }
 
-const finishError = "error"
+// pull takes one step: a dispatch, or one part of the current one.
+func (a *answer) pull() error {
+	if a.stream == nil {
+		return a.dispatch()
+	}
+	p, err := a.stream.Next()
+	if errors.Is(err, io.EOF) { // the stream's last event came without an end mark
+		err = &upstream.CallError{Sent: true, Cause: io.ErrUnexpectedEOF}
+	}
+	if err != nil {
+		return a.failed(err)
+	}
+	return a.accept(p)
+}
 
-// accept tells whether p is the next part of this answer. Parts of another answer, late, doubled or ahead
-// of their turn are dropped and counted; a hole then shows as a missing end mark.
-func (a *answer) accept(p wire.Part) bool {
-	switch {
-	case p.ID != string(a.prompt.meta.ID):
-		a.h.count("parts_dropped", "why", "foreign")
-		return false
-	case p.Offset != a.offset:
-		a.h.count("parts_dropped", "why", "out_of_order")
-		return false
+// accept puts a part into the answer. Parts of another answer, late or doubled ones are dropped and
+// counted; those ahead of their turn are held.
+func (a *answer) accept(p wire.Part) error {
+	if p.ID == string(a.prompt.meta.ID) && p.FinishReason == stream.FinishError {
+		return a.failed(&upstream.CallError{Sent: true, Cause: errors.New(p.Error)})
 	}
-	a.run = fault.RunYes
-	a.offset += p.Tokens
-	return true
+	ready, drop := a.parts.Add(a.attempt, p)
+	switch drop {
+	case stream.Kept:
+		a.run = fault.RunYes
+		a.begin()
+		a.ready = append(a.ready, ready...)
+	case stream.Ahead:
+	case stream.Overflow:
+		return a.failed(&upstream.CallError{Sent: true, Cause: errMissing})
+	default:
+		a.h.count("parts_dropped", "why", drop.String())
+	}
+	if a.parts.Ended() {
+		a.finish()
+	}
+	return nil
 }
 
-// gap is how long the stream may be silent, the head of the answer included: an engine answers at once
-// and shows that it works (docs/UPSTREAMS.md).
-func (a *answer) gap() time.Duration { return min(a.left(), a.h.streamGap) }
+// errMissing: too many parts came behind one that did not.
+var errMissing = errors.New("a part of the answer is missing")
+
+// begin notes the first part of a dispatch.
+func (a *answer) begin() {
+	if a.began {
+		return
+	}
+	a.began = true
+	a.h.limits.FirstByte(a.grant.Upstream, time.Since(a.sentAt), 0)
+}
 
 func (a *answer) left() time.Duration { return time.Until(a.prompt.meta.Deadline) }
 
@@ -106,22 +121,53 @@
 		Priority: p.meta.Priority, Deadline: p.meta.Deadline, Attempt: a.attempt, Exclude: a.tried,
 	})
 	if err != nil {
+		if ended := a.overdue(); ended != nil {
+			return ended
+		}
 		return a.refused(err)
 	}
-	a.grant = grant
+	a.grant, a.began, a.sentAt = grant, false, time.Now()
+	a.parts.Dispatched(a.attempt)
+	if a.attempt == 1 {
+		a.h.retrier.First(p.meta.Workspace, grant.Upstream.ID)
+	}
+	silence := a.bounds()
 	s, err := a.h.client.Complete(a.ctx, grant.Upstream.Addr, upstream.Completion{
 		RequestID: string(p.meta.ID), Workspace: string(p.meta.Workspace), Priority: p.meta.Priority,
-		Attempt: a.attempt, Remaining: a.left(), Reservation: grant.Reservation,
-		ResumeOffset: a.offset, Body: p.raw,
-	}, a.gap())
+		Attempt: a.attempt, Remaining: time.Until(a.until), Reservation: grant.Reservation,
+		ResumeOffset: a.parts.Next(), Body: p.raw,
+	}, silence)
 	if err != nil {
 		return a.failed(err)
 	}
 	a.sent()
+	a.h.limits.OnBoot(grant.Upstream, s.BootID())
 	a.stream = s
 	return nil
 }
 
+// bounds sets the current dispatch's time and says how its connection is watched. A dispatch to a cold
+// upstream ends before its slot can be another instance's; the answer goes on in another dispatch.
+func (a *answer) bounds() upstream.Silence {
+	a.until = a.prompt.meta.Deadline
+	if bound, cold := a.h.limits.Bound(a.grant.Upstream); cold && a.left() > bound {
+		a.until = a.sentAt.Add(bound)
+	}
+	u := a.grant.Upstream
+	return upstream.Silence{
+		Params: stream.NewParams(a.h.streamGap), Deadline: a.until,
+		Note: func(r decide.Reason) {
+			a.h.explain.Record("silence", string(a.prompt.meta.ID), r, "upstream", u.ID)
+		},
+	}
+}
+
+// sliced tells whether a dispatch ended because of its own time and not the request's, and got on.
+func (a *answer) sliced() bool {
+	const early = 100 * time.Millisecond // the engine may count from a moment before
+	return a.began && a.until.Before(a.prompt.meta.Deadline) && time.Until(a.until) < early
+}
+
 // refused keeps what is known of earlier dispatches: a request that may have run is never "not run".
 func (a *answer) refused(err error) error {
 	e := *fault.From(err)
@@ -148,7 +194,7 @@
 	if errors.Is(context.Cause(a.ctx), errStopped) {
 		return fault.Ran(fault.Cancelled, a.run, "the instance's planned stop reached its limit")
 	}
-	return fault.Ran(fault.DeadlineExceeded, a.run, "%d tokens came in time", a.offset)
+	return fault.Ran(fault.DeadlineExceeded, a.run, "%d tokens came in time", a.parts.Next())
 }
 
 // failed ends the current dispatch and gives nil when another may follow, or the final error.
@@ -160,38 +206,65 @@
 	if ce.Ran() {
 		a.sent()
 	}
-	u := a.grant.Upstream
-	a.close(a.outcome(ce))
+	u, sliced := a.grant.Upstream, a.sliced()
+	a.vain++
+	if a.began {
+		a.vain = 1
+	}
+	a.witness(ce)
+	a.close(a.outcome(ce, sliced))
 	if err := a.overdue(); err != nil {
 		a.cancel(u)
 		return err
 	}
-	a.tried = append(a.tried, u.ID)
-	if ce.Timeout {
-		a.h.client.Condemn(u.Addr)
+	if ce.Timeout || sliced {
 		a.cancel(u)
 	}
-	if a.attempt >= maxAttempts {
-		return a.exhausted(ce)
+	if sliced {
+		return nil
 	}
-	a.h.explain.Record("retry", string(a.prompt.meta.ID), ReasonResume, "upstream", u.ID, "offset", a.offset, "error", ce)
-	return nil
+	if !ce.Timeout || ce.Dead {
+		a.tried = append(a.tried, u.ID)
+	}
+	return a.again(u, ce)
 }
 
-// ReasonResume: a stream goes on elsewhere from the first token still needed.
-const ReasonResume decide.Reason = "resume"
+// again waits until the request may be dispatched again, or gives the final error.
+func (a *answer) again(u *fleet.Upstream, ce *upstream.CallError) error {
+	again, reason := a.h.retrier.After(a.ctx, retry.Failure{
+		Started: ce.Ran(), Idempotent: true, Attempts: a.vain, Left: a.left(),
+		RetryAfter: ce.RetryAfter, Elsewhere: true,
+	}, a.prompt.meta.Workspace, u.ID)
+	a.h.explain.Record("retry", string(a.prompt.meta.ID), reason,
+		"upstream", u.ID, "again", again, "attempt", a.attempt, "offset", a.parts.Next(), "error", ce)
+	if again {
+		return nil
+	}
+	if err := a.overdue(); err != nil {
+		return err
+	}
+	return a.exhausted(ce)
+}
 
-func (a *answer) outcome(ce *upstream.CallError) route.Outcome {
+// witness passes on what the failure says about the upstream's health beyond the outcome.
+func (a *answer) witness(ce *upstream.CallError) {
+	if a.ctx.Err() != nil {
+		return
+	}
+	a.h.limits.OnBoot(a.grant.Upstream, ce.BootID)
 	switch {
-	case a.ctx.Err() != nil:
+	case ce.Dead:
+		a.h.limits.Evidence(a.grant.Upstream, health.Unheard)
+	case !ce.Sent:
+		a.h.limits.Evidence(a.grant.Upstream, health.ConnReset)
+	}
+}
+
+func (a *answer) outcome(ce *upstream.CallError, sliced bool) route.Outcome {
+	if sliced {
 		return route.Cancelled
-	case !ce.Ran():
-		return route.NotStarted
-	case ce.Timeout:
-		return route.Silent
-	default:
-		return route.Failed
 	}
+	return dispatchOutcome(a.ctx, ce)
 }
 
 func (a *answer) exhausted(ce *upstream.CallError) error {
@@ -209,17 +282,12 @@
 
 // finish reads the rest of a whole stream, so that its connection can be used again.
 func (a *answer) finish() {
-	a.ended = true
-	_, err := a.stream.Next(endWait)
-	if !errors.Is(err, io.EOF) {
-		a.h.count("parts_dropped", "why", "after_end")
+	if extra := a.stream.Finish(); extra > 0 {
+		a.h.metrics.Counter("parts_dropped", "why", stream.AfterEnd.String()).Inc(int64(extra))
 	}
 	a.close(route.OK)
 }
 
-// endWait bounds the wait for the event after the end mark; a connection without it is just not reused.
-const endWait = 50 * time.Millisecond
-
 // close ends the current dispatch, if any.
 func (a *answer) close(o route.Outcome) {
 	if a.stream != nil {
@@ -227,6 +295,9 @@
 		a.stream = nil
 	}
 	if a.grant != nil {
+		if a.began {
+			a.h.limits.LastByte(a.grant.Upstream)
+		}
 		a.grant.Done(o)
 		a.grant = nil
 	}
--- a/internal/entry/query/handler.go
+++ b/internal/entry/query/handler.go
@@ -14,11 +14,15 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskshelf/damaskshelf/internal/decide/health"
+	"github.com/damaskshelf/damaskshelf/internal/decide/stream"
+	"github.com/damaskshelf/damaskshelf/internal/entry/again"
 	"github.com/damaskshelf/damaskshelf/internal/entry/callerconn"
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
 	"github.com/damaskshelf/damaskshelf/internal/entry/intake"
 	"github.com/damaskshelf/damaskshelf/internal/explain"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
 	"github.com/damaskshelf/damaskshelf/internal/route"
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
@@ -43,8 +47,29 @@
 	MaxTokens int
 	StreamGap time.Duration
 	NewID     func() string
+	Limits    Limits // nil: none
+	Retrier   *again.Retrier
 }
 
+// Limits are told how dispatches go, and bound those to cold upstreams; warm.Limits are.
+type Limits interface {
+	// Bound is the longest time of one dispatch to the upstream, if there is one.
+	Bound(u *fleet.Upstream) (time.Duration, bool)
+	FirstByte(u *fleet.Upstream, took, expected time.Duration)
+	LastByte(u *fleet.Upstream)
+	OnBoot(u *fleet.Upstream, bootID string)
+	Evidence(u *fleet.Upstream, e health.Event)
+}
+
+// noLimits bound nothing.
+type noLimits struct{}
+
+func (noLimits) Bound(*fleet.Upstream) (time.Duration, bool)             { return 0, false }
+func (noLimits) FirstByte(*fleet.Upstream, time.Duration, time.Duration) {}
+func (noLimits) LastByte(*fleet.Upstream)                                {}
+func (noLimits) OnBoot(*fleet.Upstream, string)                          {}
+func (noLimits) Evidence(*fleet.Upstream, health.Event)                  {}
+
 // Handler serves queries.
 type Handler struct {
 	router    *route.Router
@@ -57,6 +82,8 @@
 	maxTokens int
 	streamGap time.Duration
 	newID     func() string
+	limits    Limits
+	retrier   *again.Retrier
 
 	base context.Context // of all requests; ended by Abort
 	stop context.CancelCauseFunc
@@ -66,10 +93,13 @@
 // New gives a Handler.
 func New(d Deps) *Handler {
 	base, stop := context.WithCancelCause(context.Background())
+	if d.Limits == nil {
+		d.Limits = noLimits{}
+	}
 	return &Handler{
 		router: d.Router, client: d.Client, explain: d.Explain, metrics: d.Metrics, gate: d.Gate,
 		log: d.Log.Named("query"), bounds: d.Bounds, maxTokens: d.MaxTokens, streamGap: d.StreamGap,
-		newID: d.NewID, base: base, stop: stop,
+		newID: d.NewID, limits: d.Limits, retrier: d.Retrier, base: base, stop: stop,
 	}
 }
 
@@ -165,7 +195,7 @@
 		unwatch = c.Watch(func() { gone(errCallerGone) })
 	}
 	return &session{
-		answer:  &answer{h: h, ctx: live, prompt: p},
+		answer:  &answer{h: h, ctx: live, prompt: p, parts: stream.NewAssembly(string(p.meta.ID))},
 		unwatch: unwatch,
 		cancel:  func() { gone(nil); cancelTime() },
 	}
@@ -206,7 +236,7 @@
 	}
 	if finish != "" {
 		c.Choices[0].FinishReason = &finish
-		c.Usage = &usage{PromptTokens: s.prompt.tokens, CompletionTokens: s.offset}
+		c.Usage = &usage{PromptTokens: s.prompt.tokens, CompletionTokens: s.parts.Next()}
 	}
 	return c
 }
--- a/internal/entry/query/read.go
+++ b/internal/entry/query/read.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskshelf/damaskshelf/internal/decide/retry"
 	"github.com/damaskshelf/damaskshelf/internal/entry/forward"
 	"github.com/damaskshelf/damaskshelf/internal/entry/intake"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
@@ -38,50 +39,112 @@
 	forward.Respond(ctx, m, a)
 }
 
+// maxReads bounds the dispatches of one read; its time is shared out among them.
+const maxReads = 4
+
+// reading is one read through as many dispatches as it takes.
+type reading struct {
+	h       *Handler
+	ctx     context.Context
+	meta    intake.Meta
+	target  forward.Target
+	run     fault.Run // what is known about the read as a whole
+	tried   []fleet.UpstreamID
+	attempt int
+}
+
 func (h *Handler) read(ctx context.Context, m intake.Meta, t forward.Target) (upstream.Answer, error) {
-	run := fault.RunNo
-	var tried []fleet.UpstreamID
-	var last error
-	for attempt := 1; attempt <= maxAttempts && ctx.Err() == nil; attempt++ {
-		g, err := h.router.Acquire(ctx, route.Request{
-			ID: m.ID, Workspace: m.Workspace, Service: t.Service, Priority: m.Priority,
-			Deadline: m.Deadline, Attempt: attempt, Exclude: tried,
-		})
-		if err != nil {
-			return upstream.Answer{}, err
+	r := &reading{h: h, ctx: ctx, meta: m, target: t, run: fault.RunNo}
+	for {
+		a, again, err := r.once()
+		if !again {
+			return a, err
 		}
-		a, err := h.readOnce(ctx, g, m, t, attempt)
-		if err == nil {
-			return a, nil
-		}
-		var ce *upstream.CallError
-		if errors.As(err, &ce) && ce.Ran() {
-			run = fault.RunUnknown
-		}
-		tried = append(tried, g.Upstream.ID)
-		last = err
 	}
-	if ctx.Err() != nil {
-		return upstream.Answer{}, fault.Ran(fault.DeadlineExceeded, run, "no answer in time")
+}
+
+// once makes one dispatch and tells whether another may follow.
+func (r *reading) once() (upstream.Answer, bool, error) {
+	r.attempt++
+	g, err := r.h.router.Acquire(r.ctx, route.Request{
+		ID: r.meta.ID, Workspace: r.meta.Workspace, Service: r.target.Service, Priority: r.meta.Priority,
+		Deadline: r.meta.Deadline, Attempt: r.attempt, Exclude: r.tried,
+	})
+	if err != nil {
+		return upstream.Answer{}, false, r.refused(err)
+	}
+	if r.attempt == 1 {
+		r.h.retrier.First(r.meta.Workspace, g.Upstream.ID)
 	}
-	if run == fault.RunNo {
-		return upstream.Answer{}, fault.New(fault.UpstreamBusy, "%v", last)
+	a, failed := r.call(g)
+	if failed == nil {
+		return a, false, nil
 	}
-	return upstream.Answer{}, fault.Ran(fault.UpstreamFailed, run, "%v", last)
+	if failed.Ran() {
+		r.run = fault.RunUnknown
+	}
+	r.tried = append(r.tried, g.Upstream.ID)
+	again, reason := r.h.retrier.After(r.ctx, retry.Failure{
+		Started: failed.Ran(), Idempotent: true, Attempts: r.attempt, Left: time.Until(r.meta.Deadline),
+		RetryAfter: failed.RetryAfter, Elsewhere: true,
+	}, r.meta.Workspace, g.Upstream.ID)
+	r.h.explain.Record("retry", string(r.meta.ID), reason,
+		"upstream", g.Upstream.ID, "again", again, "attempt", r.attempt, "error", failed)
+	return upstream.Answer{}, again, r.final(failed)
 }
 
-// readOnce tries one instance of the service, and leaves time for the others.
-func (h *Handler) readOnce(ctx context.Context, g *route.Grant, m intake.Meta, t forward.Target, attempt int) (upstream.Answer, error) {
+// refused keeps what is known of earlier dispatches: a read that may have run is never "not run".
+func (r *reading) refused(err error) error {
+	e := fault.From(err)
+	if r.run == fault.RunNo {
+		return e
+	}
+	return fault.Ran(fault.UpstreamFailed, r.run, "%s after %d dispatches: %s", e.Kind, r.attempt-1, e.Detail)
+}
+
+func (r *reading) final(failed *upstream.CallError) error {
+	switch {
+	case r.ctx.Err() != nil:
+		return fault.Ran(fault.DeadlineExceeded, r.run, "no answer in time")
+	case r.run == fault.RunNo:
+		e := fault.New(fault.UpstreamBusy, "%v", failed)
+		e.RetryAfter = failed.RetryAfter
+		return e
+	default:
+		return fault.Ran(fault.UpstreamFailed, r.run, "%v", failed)
+	}
+}
+
+// call tries one instance of the service, and leaves time for the others.
+func (r *reading) call(g *route.Grant) (upstream.Answer, *upstream.CallError) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	remaining := time.Until(m.Deadline)
-	t.Fill(req, g.Upstream.Addr, m, attempt, remaining)
-	a, err := h.client.Call(ctx, g.Upstream.Addr, req, remaining/time.Duration(maxAttempts-attempt+1))
-	if err != nil {
-		h.client.Condemn(g.Upstream.Addr)
-		g.Done(route.Failed)
-		return upstream.Answer{}, err
+	remaining := time.Until(r.meta.Deadline)
+	r.target.Fill(req, g.Upstream.Addr, r.meta, r.attempt, remaining)
+	share := remaining / time.Duration(max(maxReads-r.attempt+1, 1))
+	a, err := r.h.client.Call(r.ctx, g.Upstream.Addr, req, share)
+	if err == nil {
+		g.Done(route.OK)
+		return a, nil
+	}
+	var ce *upstream.CallError
+	if !errors.As(err, &ce) {
+		ce = &upstream.CallError{Sent: true, Cause: err}
+	}
+	g.Done(dispatchOutcome(r.ctx, ce))
+	return upstream.Answer{}, ce
+}
+
+// dispatchOutcome is how a failed dispatch counts for its upstream.
+func dispatchOutcome(ctx context.Context, ce *upstream.CallError) route.Outcome {
+	switch {
+	case ctx.Err() != nil || ce.Overdue:
+		return route.Cancelled
+	case !ce.Ran():
+		return route.NotStarted
+	case ce.Timeout:
+		return route.Silent
+	default:
+		return route.Failed
 	}
-	g.Done(route.OK)
-	return a, nil
 }
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -8,6 +8,7 @@
 
 	"github.com/damaskshelf/damaskshelf/api"
 	"github.com/damaskshelf/damaskshelf/internal/entry"
+	"github.com/damaskshelf/damaskshelf/internal/entry/again"
 	"github.com/damaskshelf/damaskshelf/internal/entry/command"
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
 	"github.com/damaskshelf/damaskshelf/internal/entry/intake"
@@ -42,6 +43,7 @@
 		upstream.New,
 		newRouter,
 		newObserver,
+		newRetrier,
 		newQueries,
 		newClaims,
 		newStoredClaims,
@@ -83,11 +85,12 @@
 	}
 }
 
-func newQueries(s api.Settings, r *route.Router, c *upstream.Client, rec *explain.Recorder,
+func newQueries(s api.Settings, r *route.Router, c *upstream.Client, rt *again.Retrier, rec *explain.Recorder,
 	m *metrics.Registry, g *gate.Gate, log hclog.Logger, id idSource) *query.Handler {
 	return query.New(query.Deps{
 		Router: r, Client: c, Explain: rec, Metrics: m, Gate: g, Log: log, Bounds: bounds(s),
 		MaxTokens: s.Limits.MaxCompletionToken, StreamGap: time.Duration(s.Intervals.StreamGap), NewID: id,
+		Retrier: rt,
 	})
 }
 
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskshelf/damaskshelf/internal/decide/stream"
 	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
 )
 
@@ -19,6 +20,8 @@
 	Sent       bool // a byte of the request may have reached the upstream
 	NotStarted bool // the upstream itself said that it did not start
 	Timeout    bool // silence: nothing came within the time
+	Dead       bool // the upstream does not answer over a new connection either
+	Overdue    bool // the time of the dispatch itself ran out
 	Status     int  // HTTP status of an error answer; 0: none came
 	RetryAfter time.Duration
 	BootID     string
@@ -62,22 +65,33 @@
 	client *Client
 	conn   *conn
 	resp   *fasthttp.Response
+	reused bool
+	guard  *guard      // nil: none
 	detach func() bool // from the context
 }
 
-// send writes req to addr and reads the response's head, within wait; the body is left as a stream.
+// bounds are the time limits of one exchange: a wait for all of it, or silence on its connection.
+type bounds struct {
+	wait    time.Duration
+	silence *Silence
+}
+
+// send writes req to addr and reads the response's head, within the bounds; the body is left as a stream.
 // Cancelling ctx wakes every read and write of the exchange until finish.
-func (c *Client) send(ctx context.Context, addr string, req *fasthttp.Request, wait time.Duration) (*exchange, error) {
+func (c *Client) send(ctx context.Context, addr string, req *fasthttp.Request, b bounds) (*exchange, error) {
 	cn, reused, err := c.pool.get(ctx, addr)
 	if err != nil {
 		return nil, &CallError{Cause: err}
 	}
-	x := &exchange{client: c, conn: cn, resp: fasthttp.AcquireResponse()}
-	_ = cn.SetDeadline(time.Now().Add(wait))
-	x.detach = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
+	x := &exchange{client: c, conn: cn, reused: reused, resp: fasthttp.AcquireResponse()}
+	if b.silence != nil {
+		x.guard = newGuard(ctx, c, cn, reused, *b.silence)
+	} else {
+		_ = cn.SetDeadline(time.Now().Add(b.wait))
+	}
+	x.detach = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(past) })
 	if err := x.head(req); err != nil {
-		x.finish(false)
-		return nil, x.failed(ctx, err, reused)
+		return nil, x.fail(ctx, err)
 	}
 	return x, nil
 }
@@ -96,13 +110,28 @@
 	return nil
 }
 
-// failed describes err. A request that the system took no byte of can't have run; neither can one whose
-// caller's context ended before.
-func (x *exchange) failed(ctx context.Context, err error, _ bool) error {
+// fail ends the exchange after err and describes it. A request that the system took no byte of can't have
+// run; neither can one whose caller's context ended before.
+//
+// A connection that was idle and is cut before an answer is usually not alone: the upstream has restarted,
+// and each other idle connection to it would cost a request its first dispatch.
+func (x *exchange) fail(ctx context.Context, err error) *CallError {
 	e := &CallError{Sent: x.conn.sent.Load() > 0, Cause: err}
-	e.Timeout = timedOut(err) && ctx.Err() == nil
-	if ctx.Err() != nil {
+	verdict := x.end(false)
+	switch {
+	case ctx.Err() != nil:
 		e.Cause = fmt.Errorf("%w: %w", context.Cause(ctx), err)
+		return e
+	case verdict == stream.Overdue:
+		e.Overdue = true
+		return e
+	case verdict == stream.Resume, verdict == stream.Elsewhere:
+		e.Timeout, e.Dead = true, verdict == stream.Elsewhere
+	default:
+		e.Timeout = timedOut(err)
+	}
+	if e.Timeout || x.reused {
+		x.client.pool.condemn(x.conn.addr)
 	}
 	return e
 }
@@ -114,17 +143,37 @@
 	return errors.Is(err, fasthttp.ErrTimeout) || (errors.As(err, &ne) && ne.Timeout())
 }
 
+// quiet ends the guard; what is still read has to come within wait.
+func (x *exchange) quiet(wait time.Duration) {
+	if x.guard != nil {
+		x.guard.stop()
+		x.guard = nil
+	}
+	_ = x.conn.SetReadDeadline(time.Now().Add(wait))
+}
+
 // finish gives the connection back if the exchange ended whole, and closes it otherwise.
-func (x *exchange) finish(whole bool) {
+func (x *exchange) finish(whole bool) { x.end(whole) }
+
+// end is finish, and gives the guard's verdict.
+func (x *exchange) end(whole bool) stream.Action {
+	verdict := stream.Wait
+	if x.guard != nil {
+		verdict = x.guard.stop()
+	}
 	detached := x.detach()
 	reusable := whole && detached && !x.resp.ConnectionClose()
+	if !reusable {
+		_ = x.conn.SetDeadline(past) // closing the body may read on
+	}
 	_ = x.resp.CloseBodyStream()
 	fasthttp.ReleaseResponse(x.resp)
 	if reusable {
 		x.client.pool.put(x.conn)
-		return
+		return verdict
 	}
 	_ = x.conn.Close()
+	return verdict
 }
 
 // maxSmallBody bounds answers of the small calls and error bodies.
@@ -160,15 +209,13 @@
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(body)
 	}
-	x, err := c.send(ctx, addr, req, wait)
+	x, err := c.send(ctx, addr, req, bounds{wait: wait})
 	if err != nil {
 		return err
 	}
 	body, err := readBody(x)
 	if err != nil {
-		err = x.failed(ctx, err, false)
-		x.finish(false)
-		return err
+		return x.fail(ctx, err)
 	}
 	if status := x.resp.StatusCode(); status < 200 || status > 299 {
 		refused := x.refusal(errors.New(string(body)))
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,7 +6,9 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,13 +32,42 @@
 	writer   *bufio.Writer
 	sent     atomic.Int64 // bytes handed to the system by the current request
 	broken   atomic.Bool  // not to be used again
+	guard    *guard       // of the current exchange; nil: none. Of the exchange's goroutine.
 }
 
+// writePiece is written in one go; a guarded connection has to take each within the gap.
+const writePiece = 64 << 10
+
 // Write counts what the system took. A failed write may have sent some of it.
 func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.sent.Add(int64(n))
-	return n, err
+	written := 0
+	for {
+		if c.guard != nil {
+			c.guard.beforeWrite()
+		}
+		n, err := c.Conn.Write(p[written:min(len(p), written+writePiece)])
+		written += n
+		c.sent.Add(int64(n))
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// Read gives a guard a say in whether a silence is the end.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		switch {
+		case c.guard == nil:
+			return n, err
+		case n > 0:
+			c.guard.alive()
+			return n, err
+		case !errors.Is(err, os.ErrDeadlineExceeded) || !c.guard.goOn():
+			return n, err
+		}
+	}
 }
 
 // pool keeps idle connections by address.
--- a/internal/upstream/service.go
+++ b/internal/upstream/service.go
@@ -18,15 +18,13 @@
 // Call sends req, whose URI has the path only of interest, to a plain service and reads the whole answer
 // within wait. An error answer of the service is an Answer, unless the service said that it did not start.
 func (c *Client) Call(ctx context.Context, addr string, req *fasthttp.Request, wait time.Duration) (Answer, error) {
-	x, err := c.send(ctx, addr, req, wait)
+	x, err := c.send(ctx, addr, req, bounds{wait: wait})
 	if err != nil {
 		return Answer{}, err
 	}
 	body, err := readBody(x)
 	if err != nil {
-		err = x.failed(ctx, err, false)
-		x.finish(false)
-		return Answer{}, err
+		return Answer{}, x.fail(ctx, err)
 	}
 	a := Answer{Status: x.resp.StatusCode(), ContentType: string(x.resp.Header.ContentType()), Body: body}
 	refused := x.refusal(errors.New("service did not start"))
