--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -24,7 +24,7 @@
 func DefaultParams() Params {
 	return Params{
 		Attempts: 4, Base: 20 * time.Millisecond, Cap: time.Second,
-		LeastTime: 50 * time.Millisecond, MaxWait: 2 * time.Second,
+		LeastTime: 50 * time.Millisecond, MaxWait: 4 * time.Second,
 	}
 }
 
--- a/internal/entry/query/answer.go
+++ b/internal/entry/query/answer.go
@@ -103,6 +103,7 @@
 		return
 	}
 	a.began = true
+	a.grant.FirstToken()
 	a.h.limits.FirstByte(a.grant.Upstream, time.Since(a.sentAt), 0)
 }
 
@@ -133,8 +134,8 @@
 	}
 	silence := a.bounds()
 	s, err := a.h.client.Complete(a.ctx, grant.Upstream.Addr, upstream.Completion{
-		RequestID: string(p.meta.ID), Workspace: string(p.meta.Workspace), Priority: p.meta.Priority,
-		Attempt: a.attempt, Remaining: time.Until(a.until), Reservation: grant.Reservation,
+		RequestID: string(p.meta.ID), Workspace: string(p.meta.Workspace), Priority: grant.Priority,
+		Attempt: a.attempt, Remaining: time.Until(a.until), Reservation: grant.Reservation, Group: grant.Group,
 		ResumeOffset: a.parts.Next(), Body: p.raw,
 	}, silence)
 	if err != nil {
--- a/internal/warm/follow.go
+++ b/internal/warm/follow.go
@@ -123,11 +123,11 @@
 // intervals. They must be the same on all instances, as their settings are.
 func ParamsOf(list, heartbeat time.Duration) warm.Params {
 	const (
-		lagReads   = 10
-		pauseBeats = 3
+		lagReads, leastLag     = 10, time.Second
+		pauseBeats, leastPause = 3, 250 * time.Millisecond
 	)
 	p := warm.DefaultParams()
-	p.Lag = lagReads * list
-	p.Pause = pauseBeats * heartbeat
+	p.Lag = max(lagReads*list, leastLag)
+	p.Pause = max(pauseBeats*heartbeat, leastPause)
 	return p
 }
