--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -172,7 +172,7 @@
 func (r *Result) failure(resp *fasthttp.Response) {
 	body, err := bodyOf(resp)
 	var f failureBody
-	if err != nil || json.Unmarshal(body, &f) != nil || f.Error == "" {
+	if err != nil || json.Unmarshal(body, &f) != nil || f.Error == "" || f.Run == "" {
 		r.Kind, r.Detail = "answer_of_service", string(body) // a plain service's own error answer
 		return
 	}
--- a/internal/decide/health/health.go
+++ b/internal/decide/health/health.go
@@ -66,7 +66,9 @@
 // table[s][e] is the state after e in s; an event that stands in no row changes nothing.
 //
 // A warm upstream never turns cold by inference alone: a reset may be one connection's own trouble. It
-// turns suspect, which bears no more than cold, until its own report or probe tells which it is.
+// turns suspect, which bears no more than cold, until its own report or probe tells which it is. If that
+// says that all is well, load grows anew: an upstream that fails its work and reports well would otherwise
+// fail a full load each time.
 var table = [stateCount]map[Event]State{
 	Unknown: {
 		ReportedWarm: Warm, ReportedCold: Cold, BootChanged: Cold, Answered: Warming, Proven: Warming,
@@ -88,7 +90,7 @@
 		IsLeaving: Leaving, Unlisted: Gone,
 	},
 	Suspect: {
-		ReportedWarm: Warm, ReportedCold: Cold, BootChanged: Cold, Answered: Warm, Proven: Warming,
+		ReportedWarm: Warming, ReportedCold: Cold, BootChanged: Cold, Answered: Warming, Proven: Warming,
 		IsLeaving: Leaving, Unlisted: Gone,
 	},
 	Leaving: {IsBack: Unknown, Unlisted: Gone},
@@ -103,9 +105,11 @@
 
 // Machine is one upstream's state. The zero value is unknown since instant 0.
 type Machine struct {
-	state State
-	since decide.Instant
-	boot  string
+	state   State
+	since   decide.Instant
+	boot    string
+	strikes int            // failures of its work, each soon after the one before
+	struck  decide.Instant // the latest
 }
 
 // State gives the state.
@@ -122,6 +126,9 @@
 	}
 	t := Transition{From: m.state, To: to, Reason: e.Reason()}
 	m.state, m.since = to, now
+	if to == Suspect && e != Unheard {
+		m.strike(now)
+	}
 	return t, true
 }
 
@@ -140,7 +147,37 @@
 
 // Newer tells whether evidence that was true at made says anything about the state since it began. Of an
 // unknown upstream any does.
-func (m *Machine) Newer(made decide.Instant) bool { return m.state == Unknown || made > m.since }
+func (m *Machine) Newer(made decide.Instant) bool {
+	return m.state == Unknown || made > m.since.Add(m.hold())
+}
+
+// Bounds of the time for which a report or probe does not clear a suspicion. An upstream that fails its
+// work and yet reports that all is well would otherwise get full load again with each report.
+const (
+	forgive   = 30 * time.Second // a failure this long after the last is the first again
+	firstHold = 250 * time.Millisecond
+	longHold  = 8 * time.Second
+	mostShift = 16
+)
+
+func (m *Machine) strike(now decide.Instant) {
+	if now.Sub(m.struck) > forgive {
+		m.strikes = 0
+	}
+	m.strikes++
+	m.struck = now
+}
+
+func (m *Machine) hold() time.Duration {
+	if m.state != Suspect || m.strikes <= 1 {
+		return 0
+	}
+	return min(firstHold<<min(m.strikes-2, mostShift), longHold)
+}
+
+// Held tells whether the upstream failed its work again soon after it was cleared; it then gets none until
+// it is cleared anew.
+func (m *Machine) Held() bool { return m.hold() > 0 }
 
 // Slow tells whether a first byte that took took is far longer than expected: such a wait is the first
 // sign of an upstream that turned cold without a word.
--- a/internal/decide/retry/budget.go
+++ b/internal/decide/retry/budget.go
@@ -10,29 +10,29 @@
 // The window over which retries are compared with requests, and its buckets.
 const (
 	Window      = 10 * time.Second
-	bucketWidth = time.Second
+	bucketWidth = 250 * time.Millisecond
 	inWindow    = int64(Window / bucketWidth)
-	bucketCount = 16 // above inWindow+1
+	bucketCount = 64 // above inWindow+1
 )
 
-// counter counts events by the second they came in. It is safe for concurrent use without a lock: each
-// bucket holds the second it stands for beside its count.
+// counter counts events by the bucket of time they came in. It is safe for concurrent use without a lock:
+// each bucket holds the number of the time that it stands for beside its count.
 type counter struct {
-	buckets [bucketCount]atomic.Uint64 // second<<32 | count
+	buckets [bucketCount]atomic.Uint64 // number<<32 | count
 }
 
-func second(now decide.Instant) int64 { return int64(now) / int64(bucketWidth) }
+func number(now decide.Instant) int64 { return int64(now) / int64(bucketWidth) }
 
 const countMask = 1<<32 - 1
 
 func (c *counter) add(now decide.Instant) {
-	s := second(now)
-	b := &c.buckets[s%bucketCount]
+	n := number(now)
+	b := &c.buckets[n%bucketCount]
 	for {
 		old := b.Load()
 		next := old + 1
-		if old>>32 != uint64(s) {
-			next = uint64(s)<<32 | 1
+		if old>>32 != uint64(n) {
+			next = uint64(n)<<32 | 1
 		}
 		if b.CompareAndSwap(old, next) {
 			return
@@ -40,29 +40,38 @@
 	}
 }
 
-// since sums the latest n whole seconds and the current one.
+// since sums the latest n whole buckets and the current one.
 func (c *counter) since(now decide.Instant, n int64) int64 {
-	last := second(now)
+	last := number(now)
 	sum := int64(0)
 	for i := range c.buckets {
 		v := c.buckets[i].Load()
-		if s := int64(v >> 32); s <= last && s >= last-n {
+		if at := int64(v >> 32); at <= last && at >= last-n {
 			sum += int64(v & countMask)
 		}
 	}
 	return sum
 }
 
-// Budget allows retries as a share of the requests of the last Window. The zero value allows none. It is
-// safe for concurrent use.
+// Budget allows retries as a share of the requests of the last Window. It is safe for concurrent use.
 type Budget struct {
-	Percent int64 // retries allowed for each hundred requests
-	Least   int64 // retries allowed in a Window whatever the number of requests
-
+	percent  int64 // retries allowed for each hundred requests
+	least    atomic.Int64
 	requests counter
 	retries  counter
 }
 
+// NewBudget gives a budget of percent retries for each hundred requests, and of least in a Window whatever
+// the number of requests.
+func NewBudget(percent, least int64) *Budget {
+	b := &Budget{percent: percent}
+	b.SetLeast(least)
+	return b
+}
+
+// SetLeast changes the number of retries that are always allowed in a Window.
+func (b *Budget) SetLeast(n int64) { b.least.Store(n) }
+
 // Request counts a request's first dispatch.
 func (b *Budget) Request(now decide.Instant) { b.requests.add(now) }
 
@@ -70,7 +79,7 @@
 // and retries over a bit more, so that the bound holds for every ten seconds and not just for those that
 // begin with a bucket.
 func (b *Budget) Left(now decide.Instant) int64 {
-	allowed := max(b.Least, b.requests.since(now, inWindow-2)*b.Percent/100)
+	allowed := max(b.least.Load(), b.requests.since(now, inWindow-2)*b.percent/100)
 	return allowed - b.retries.since(now, inWindow)
 }
 
--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -31,11 +31,18 @@
 // Percents and least numbers of the budgets. The instance's bounds the amplification; the others keep one
 // upstream or one workspace from spending all of it.
 const (
-	InstancePercent, InstanceLeast   = 9, 1
-	UpstreamPercent, UpstreamLeast   = 50, 1
-	WorkspacePercent, WorkspaceLeast = 50, 1
+	InstancePercent                  = 9
+	UpstreamPercent, UpstreamLeast   = 50, 5
+	WorkspacePercent, WorkspaceLeast = 50, 5
+
+	fleetLeast = 10
 )
 
+// InstanceLeast is the number of retries that one of so many instances may always make in a Window. All of
+// them together make ten, which is one in ten of a fleet's requests from one request a second on; a fleet
+// with less load has no storm to fear.
+func InstanceLeast(instances int) int64 { return int64(max(1, fleetLeast/max(instances, 1))) }
+
 // Budgets are those that one retry is paid out of: the instance's, its workspace's, and that of the
 // upstream whose failure it follows.
 type Budgets [3]*Budget
--- a/internal/decide/stream/watch.go
+++ b/internal/decide/stream/watch.go
@@ -38,6 +38,8 @@
 	softFactor = 6  // of the usual time between bytes
 	hardFactor = 20 // of the usual time between bytes
 	smooth     = 8  // weight of the past in the usual time
+
+	readRate = 4 << 20 // bytes a second that an upstream takes in at the least
 )
 
 // Action is what the shell does next.
@@ -70,15 +72,18 @@
 	last     decide.Instant // of the dispatch's start or latest bytes
 	usual    time.Duration  // between bytes
 	phase    phase
-	probed   bool // since the latest bytes
-	answered bool // and the probe was answered
+	reading  time.Duration // of the request, by the upstream
+	probed   bool          // since the latest bytes
+	answered bool          // and the probe was answered
 	probing  bool
 }
 
 // NewWatch begins a dispatch. reused tells that its connection had been idle: the likeliest to be dead
-// without anybody knowing, so that its first bytes are waited for less long.
-func NewWatch(p Params, reused bool, now, deadline decide.Instant) *Watch {
+// without anybody knowing, so that its first bytes are waited for less long. size is the request's bytes,
+// which the upstream reads before it answers.
+func NewWatch(p Params, reused bool, size int, now, deadline decide.Instant) *Watch {
 	w := &Watch{params: p, deadline: deadline, last: now, phase: opening}
+	w.reading = time.Duration(size) * time.Second / readRate
 	if reused {
 		w.phase = idle
 	}
@@ -94,6 +99,9 @@
 	w.last, w.probed, w.answered = now, false, false
 }
 
+// OnWritten notes that a piece of the request went out.
+func (w *Watch) OnWritten(now decide.Instant) { w.last = now }
+
 // Until is when to call OnTime if nothing comes.
 func (w *Watch) Until() decide.Instant {
 	soft, hard := w.bounds()
@@ -113,9 +121,9 @@
 	least := min(max(gap/2, leastHard), gap)
 	switch w.phase {
 	case idle:
-		return least / 2, least
+		return least/2 + w.reading, least + w.reading
 	case opening:
-		return gap / 2, gap
+		return gap/2 + w.reading, 2*gap + w.reading
 	default:
 		hard = min(max(hardFactor*w.usual, least), gap)
 		return min(max(softFactor*w.usual, w.params.LeastSoft), hard), hard
--- a/internal/decide/warm/ramp.go
+++ b/internal/decide/warm/ramp.go
@@ -11,6 +11,7 @@
 
 // Constants of the growth of load.
 const (
+	rampBase   = 2  // requests at once that an instance has at an upstream that has just become warm
 	rampTop    = 64 // a warming upstream that bears so many at once from one instance is warm
 	windowBase = 16 // requests without a first byte that an instance always may have at a warm upstream
 	windowTop  = 1024
@@ -35,7 +36,7 @@
 func (g *Growth) Enter(s health.State, share int) {
 	switch s {
 	case health.Warming:
-		g.base = max(1, share)
+		g.base = max(rampBase, share)
 		g.ramp, g.good = g.base, 0
 		g.window = windowBase
 	case health.Warm:
@@ -45,8 +46,8 @@
 	}
 }
 
-// Success counts a dispatch that ended well. Once as many have as the ramp allows at a time, the ramp
-// doubles. It tells whether the ramp has reached its top.
+// Success counts a dispatch that showed that the upstream works. Once as many have as the ramp allows at a
+// time, the ramp doubles. It tells whether the ramp has reached its top.
 func (g *Growth) Success() bool {
 	if g.ramp == 0 || g.ramp >= rampTop {
 		return g.ramp >= rampTop
--- a/internal/entry/again/again.go
+++ b/internal/entry/again/again.go
@@ -16,16 +16,17 @@
 type Retrier struct {
 	params     retry.Params
 	start      time.Time
+	instances  func() int
 	all        *retry.Budget
 	workspaces sync.Map // fleet.WorkspaceID to *retry.Budget
 	upstreams  sync.Map // fleet.UpstreamID to *retry.Budget
 }
 
-// New gives a Retrier with full budgets.
-func New(p retry.Params) *Retrier {
+// New gives a Retrier. instances tells how many entry instances there are.
+func New(p retry.Params, instances func() int) *Retrier {
 	return &Retrier{
-		params: p, start: time.Now(),
-		all: &retry.Budget{Percent: retry.InstancePercent, Least: retry.InstanceLeast},
+		params: p, start: time.Now(), instances: instances,
+		all: retry.NewBudget(retry.InstancePercent, retry.InstanceLeast(1)),
 	}
 }
 
@@ -48,7 +49,7 @@
 	if b, ok := m.Load(key); ok {
 		return b.(*retry.Budget)
 	}
-	b, _ := m.LoadOrStore(key, &retry.Budget{Percent: percent, Least: least})
+	b, _ := m.LoadOrStore(key, retry.NewBudget(percent, least))
 	return b.(*retry.Budget)
 }
 
@@ -58,6 +59,7 @@
 // After waits until the request may be dispatched again after the failure of a dispatch to u, and gives
 // true; or it gives false as soon as that is known never to be, with the reason.
 func (r *Retrier) After(ctx context.Context, f retry.Failure, w fleet.WorkspaceID, u fleet.UpstreamID) (bool, decide.Reason) {
+	r.all.SetLeast(retry.InstanceLeast(r.instances()))
 	b := r.budgets(w, u)
 	for {
 		v := r.params.After(f, b, random{}, r.now())
--- a/internal/entry/command/claims.go
+++ b/internal/entry/command/claims.go
@@ -42,7 +42,7 @@
 		c.ended(held, fault.From(err))
 		return upstream.Answer{}, false, err
 	}
-	held.Record(decideclaim.Outcome{Run: fault.RunYes, Status: a.Status, ContentType: a.ContentType, Body: a.Body})
+	held.Record(decideclaim.Outcome{Run: forward.Ran(a), Status: a.Status, ContentType: a.ContentType, Body: a.Body})
 	return a, false, nil
 }
 
--- a/internal/entry/forward/forward.go
+++ b/internal/entry/forward/forward.go
@@ -61,6 +61,15 @@
 	if a.ContentType != "" {
 		ctx.SetContentType(a.ContentType)
 	}
-	intake.Mark(ctx, m.ID, fault.RunYes)
+	intake.Mark(ctx, m.ID, Ran(a))
 	ctx.SetBody(a.Body)
 }
+
+// Ran tells whether a call ran whose answer is a. An error of the service's own leaves that open: it may
+// have come before, in or after the work.
+func Ran(a upstream.Answer) fault.Run {
+	if a.Status >= fasthttp.StatusInternalServerError {
+		return fault.RunUnknown
+	}
+	return fault.RunYes
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,6 +104,7 @@
 	n.run(p.Observer.Run)
 	n.run(p.Sweeper.Run)
 	n.run(p.Limits.Run)
+	n.run(func(ctx context.Context) { p.Limits.WarmUp(ctx, p.Client, warmUpEvery) })
 	n.run(func(ctx context.Context) {
 		p.Limits.Probe(ctx, p.Client, time.Duration(p.Settings.Intervals.LoadReport))
 	})
--- a/internal/node/retrier.go
+++ b/internal/node/retrier.go
@@ -3,6 +3,9 @@
 import (
 	"github.com/damaskshelf/damaskshelf/internal/decide/retry"
 	"github.com/damaskshelf/damaskshelf/internal/entry/again"
+	"github.com/damaskshelf/damaskshelf/internal/keeper"
 )
 
-func newRetrier() *again.Retrier { return again.New(retry.DefaultParams()) }
+func newRetrier(k *keeper.Keeper) *again.Retrier {
+	return again.New(retry.DefaultParams(), func() int { return len(k.View().Instances) })
+}
--- a/internal/node/warm.go
+++ b/internal/node/warm.go
@@ -14,6 +14,9 @@
 	"github.com/damaskshelf/damaskshelf/internal/warm"
 )
 
+// warmUpEvery is the pause between two prompts that warm one engine up.
+const warmUpEvery = 100 * time.Millisecond
+
 func newLimits(s api.Settings, k *keeper.Keeper, rec *explain.Recorder, log hclog.Logger) *warm.Limits {
 	i := s.Intervals
 	return warm.New(warm.Config{
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -85,7 +85,7 @@
 	}
 	x := &exchange{client: c, conn: cn, reused: reused, resp: fasthttp.AcquireResponse()}
 	if b.silence != nil {
-		x.guard = newGuard(ctx, c, cn, reused, *b.silence)
+		x.guard = newGuard(ctx, c, cn, reused, len(req.Body()), *b.silence)
 	} else {
 		_ = cn.SetDeadline(time.Now().Add(b.wait))
 	}
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/url"
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskshelf/damaskshelf/internal/decide/stream"
 	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
 )
 
@@ -64,6 +67,36 @@
 	return fresh.json(ctx, addr, fasthttp.MethodGet, wire.PathPing, nil, nil, wait)
 }
 
+// WarmUp sends an engine a prompt of a few tokens with the lowest priority and reads its answer.
+func (c *Client) WarmUp(ctx context.Context, addr, model string, wait time.Duration) error {
+	body, err := json.Marshal(wire.Completion{Model: model, Prompt: "warm up", MaxTokens: 1, Stream: true})
+	if err != nil {
+		return fmt.Errorf("encode warm-up prompt: %w", err)
+	}
+	s, err := c.Complete(ctx, addr, Completion{
+		RequestID: "warm-up-" + uuid.NewString(), Workspace: "damaskshelf", Priority: lowestPriority,
+		Attempt: 1, Remaining: wait, Body: body,
+	}, Silence{Params: stream.NewParams(wait), Deadline: time.Now().Add(wait)})
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	for {
+		p, err := s.Next()
+		switch {
+		case err != nil:
+			return err
+		case p.FinishReason == stream.FinishError:
+			return fmt.Errorf("warm-up prompt: %s", p.Error)
+		case p.FinishReason != "":
+			s.Finish()
+			return nil
+		}
+	}
+}
+
+const lowestPriority = -10
+
 // Cancel ends a request on an engine; cancelling twice does no harm.
 func (c *Client) Cancel(ctx context.Context, addr, requestID string) error {
 	return c.json(ctx, addr, fasthttp.MethodPost, withID(wire.PathCancel, requestID), nil, nil, smallCall)
--- a/internal/upstream/guard.go
+++ b/internal/upstream/guard.go
@@ -20,23 +20,24 @@
 // a longer wait happen inside a read: to the reader of the stream nothing has happened until the guard
 // gives the connection up.
 type guard struct {
-	ctx     context.Context
+	ctx     context.Context // of the request: ended before its own deadline is put on the connection
+	probes  context.Context
 	client  *Client
 	conn    *conn
 	silence Silence
 	start   time.Time
 	cancel  context.CancelFunc
-	wg      sync.WaitGroup // probes
+	wg      sync.WaitGroup // of probes
 
 	mu      sync.Mutex
 	watch   *stream.Watch // guarded by mu
 	verdict stream.Action // guarded by mu: anything but Wait and Probe is final
 }
 
-func newGuard(ctx context.Context, c *Client, cn *conn, reused bool, s Silence) *guard {
-	g := &guard{client: c, conn: cn, silence: s, start: time.Now()}
-	g.ctx, g.cancel = context.WithCancel(ctx)
-	g.watch = stream.NewWatch(s.Params, reused, 0, decide.Instant(s.Deadline.Sub(g.start)))
+func newGuard(ctx context.Context, c *Client, cn *conn, reused bool, size int, s Silence) *guard {
+	g := &guard{ctx: ctx, client: c, conn: cn, silence: s, start: time.Now()}
+	g.probes, g.cancel = context.WithCancel(ctx)
+	g.watch = stream.NewWatch(s.Params, reused, size, 0, decide.Instant(s.Deadline.Sub(g.start)))
 	cn.guard = g
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -69,6 +70,8 @@
 func (g *guard) beforeWrite() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.watch.OnWritten(g.now())
+	g.rearm()
 	at := time.Now().Add(g.silence.Params.Gap)
 	if g.silence.Deadline.Before(at) {
 		at = g.silence.Deadline
@@ -114,10 +117,10 @@
 	g.wg.Add(1)
 	go func() {
 		defer g.wg.Done()
-		err := g.client.Ping(g.ctx, g.conn.addr, g.silence.Params.ProbeWait)
+		err := g.client.Ping(g.probes, g.conn.addr, g.silence.Params.ProbeWait)
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		if g.ctx.Err() != nil {
+		if g.probes.Err() != nil {
 			return
 		}
 		g.act(g.watch.OnProbe(err == nil, g.now()))
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -102,7 +102,7 @@
 		return nil, err
 	}
 	c := &conn{Conn: raw, addr: addr, created: created}
-	c.reader = bufio.NewReaderSize(raw, bufferSize)
+	c.reader = bufio.NewReaderSize(c, bufferSize)
 	c.writer = bufio.NewWriterSize(c, bufferSize)
 	return c, nil
 }
--- a/internal/warm/limits.go
+++ b/internal/warm/limits.go
@@ -98,10 +98,17 @@
 
 // capsIn gives the caps in a state; mu is held or up is not shared yet.
 func (up *upstream) capsIn(s health.State) warm.Caps {
-	if up.kind == fleet.Engine || !s.Takes() {
+	held := up.machine.Held()
+	switch {
+	case !s.Takes(), up.kind == fleet.Engine && held:
+		return warm.Caps{}
+	case up.kind == fleet.Engine:
 		return up.growth.Caps(s, up.share)
 	}
 	c := up.growth.Caps(s, serviceShare)
+	if held { // one at a time: a call that always fails must not keep the others from the whole service
+		c.InFlight = 1
+	}
 	c.Slots = false
 	return c
 }
@@ -151,7 +158,11 @@
 		l.Evidence(u, health.SlowFirst)
 		return
 	}
-	// The growth is a hint: a request that would have to wait for it leaves it to the next one.
+	if up.caps.Load().state == health.Warming {
+		l.succeeded(u, up)
+		return
+	}
+	// The window is a hint: a request that would have to wait for it leaves it to the next one.
 	if up.mu.TryLock() {
 		up.growth.FirstByte(int(unanswered))
 		l.publish(up)
@@ -168,14 +179,17 @@
 	up.inFlight.Add(-1)
 	switch o {
 	case route.OK:
-		l.succeeded(u, up)
+		if up.kind == fleet.Service { // an engine's first byte has told
+			l.succeeded(u, up)
+		}
 	case route.Failed:
 		l.Evidence(u, health.Errored)
 	}
 }
 
+// succeeded lets the load of a warming upstream grow.
 func (l *Limits) succeeded(u *fleet.Upstream, up *upstream) {
-	if up.caps.Load().state == health.Warm {
+	if up.caps.Load().state != health.Warming {
 		return
 	}
 	up.mu.Lock()
--- a/internal/warm/probe.go
+++ b/internal/warm/probe.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/decide/health"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 )
@@ -46,13 +47,14 @@
 		places <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-places }()
-			l.probed(ctx, u, p.Ping(ctx, u.Addr, probeWait))
+			sent := l.cfg.Now()
+			l.probed(ctx, u, sent, p.Ping(ctx, u.Addr, probeWait))
 		})
 	}
 }
 
 // probed takes a probe's result.
-func (l *Limits) probed(ctx context.Context, u *fleet.Upstream, err error) {
+func (l *Limits) probed(ctx context.Context, u *fleet.Upstream, sent decide.Instant, err error) {
 	if ctx.Err() != nil {
 		return
 	}
@@ -62,11 +64,13 @@
 	}
 	up := l.upstream(u)
 	up.mu.Lock()
+	newer := up.machine.Newer(sent)
 	proven := up.machine.State() == health.Cold && l.cfg.Now().Sub(up.machine.Since()) >= provenAfter
 	up.mu.Unlock()
-	if proven {
+	switch {
+	case proven:
 		l.Evidence(u, health.Proven)
-		return
+	case newer:
+		l.Evidence(u, health.Answered)
 	}
-	l.Evidence(u, health.Answered)
 }
