--- a/internal/execute/execute.go
+++ b/internal/execute/execute.go
@@ -161,6 +161,10 @@
 	if x.Seen != nil {
 		x.Seen.keep(view)
 	}
+	mine := x.owned(view)
+	if len(mine) == 0 {
+		return false // an instance without shards doesn't even read the plan
+	}
 	if err := x.follow(ctx, view); err != nil {
 		x.Log.Warn("plan not read", "plan", view.Config.Plan, "error", err)
 		return true
@@ -168,10 +172,6 @@
 	if x.job == nil || x.stopped {
 		return false
 	}
-	mine := x.owned(view)
-	if len(mine) == 0 {
-		return false
-	}
 	x.finished = x.finished || !x.job.touches(mine)
 	if !x.finished {
 		if err := x.read(ctx); err != nil {
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -8,6 +8,7 @@
 
 	"github.com/damaskshelf/damaskshelf/api"
 	"github.com/damaskshelf/damaskshelf/internal/entry"
+	"github.com/damaskshelf/damaskshelf/internal/entry/again"
 	"github.com/damaskshelf/damaskshelf/internal/entry/command"
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
 	"github.com/damaskshelf/damaskshelf/internal/entry/intake"
@@ -22,6 +23,7 @@
 	platformclient "github.com/damaskshelf/damaskshelf/internal/platform/client"
 	"github.com/damaskshelf/damaskshelf/internal/route"
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
+	"github.com/damaskshelf/damaskshelf/internal/warm"
 )
 
 // idSource makes unique ids of requests and writes.
@@ -40,6 +42,7 @@
 		newPlatform,
 		newStore,
 		newKeeper,
+		newLimits,
 		newFollower,
 		upstream.New,
 		newRouter,
@@ -47,6 +50,7 @@
 		execute.NewSeen,
 		newExecutor,
 		newObserver,
+		newRetrier,
 		newSweeper,
 		newQueries,
 		newClaims,
@@ -72,15 +76,16 @@
 func newKeeper() *keeper.Keeper { return keeper.New(nil) }
 
 func newRouter(s api.Settings, k *keeper.Keeper, f *follow.Follower, rec *explain.Recorder, m *metrics.Registry,
-	c *upstream.Client) *route.Router {
-	r := route.New(route.Deps{View: k.View, Explain: rec, Metrics: m, Memory: c, Settings: s})
+	c *upstream.Client, l *warm.Limits) *route.Router {
+	r := route.New(route.Deps{View: k.View, Explain: rec, Metrics: m, Memory: c, Settings: s, Gate: l})
 	r.Usable = f.Usable
 	return r
 }
 
 func newObserver(s api.Settings, c *upstream.Client, k *keeper.Keeper, r *route.Router, f *follow.Follower,
-	seen *execute.Seen, log hclog.Logger) *observe.Observer {
-	return observe.New(c, k.View, sink{Router: r, keeper: k, follower: f, seen: seen}, time.Duration(s.Intervals.LoadReport), log)
+	l *warm.Limits, seen *execute.Seen, log hclog.Logger) *observe.Observer {
+	reports := sink{Router: r, keeper: k, follower: f, limits: l, seen: seen}
+	return observe.New(c, k.View, reports, time.Duration(s.Intervals.LoadReport), log)
 }
 
 func bounds(s api.Settings) intake.Bounds {
@@ -90,18 +95,20 @@
 	}
 }
 
-func newQueries(s api.Settings, r *route.Router, c *upstream.Client, rec *explain.Recorder,
-	m *metrics.Registry, g *gate.Gate, log hclog.Logger, id idSource) *query.Handler {
+func newQueries(s api.Settings, r *route.Router, c *upstream.Client, rt *again.Retrier, l *warm.Limits,
+	rec *explain.Recorder, m *metrics.Registry, g *gate.Gate, log hclog.Logger, id idSource) *query.Handler {
 	return query.New(query.Deps{
 		Router: r, Client: c, Explain: rec, Metrics: m, Gate: g, Log: log, Bounds: bounds(s),
 		MaxTokens: s.Limits.MaxCompletionToken, StreamGap: time.Duration(s.Intervals.StreamGap), NewID: id,
+		Retrier: rt, Limits: l,
 	})
 }
 
-func newCommands(s api.Settings, r *route.Router, c *upstream.Client, cl command.Claims, m *metrics.Registry,
-	g *gate.Gate, log hclog.Logger, id idSource) *command.Handler {
+func newCommands(s api.Settings, r *route.Router, c *upstream.Client, cl command.Claims, rt *again.Retrier,
+	m *metrics.Registry, g *gate.Gate, log hclog.Logger, id idSource) *command.Handler {
 	return command.New(command.Deps{
 		Router: r, Client: c, Claims: cl, Metrics: m, Gate: g, Log: log, Bounds: bounds(s), NewID: id,
+		Retrier: rt,
 	})
 }
 
