--- a/cmd/damaskctl/session_test.go
+++ b/cmd/damaskctl/session_test.go
@@ -194,6 +194,15 @@
 		is.Equal(state.Loaded[0].Version, "v2")
 	}
 	is.Equal(s.fleet.Cluster.Weights.Counts().TakenGB, 240.0) // six loads of 40 GB, none twice
+
+	// One of the instances gave the engine its orders, and tells why.
+	var explained strings.Builder
+	for _, n := range s.fleet.Nodes {
+		out, _ := command(t, "explain", "-addr", n.OperatorsAddr(), "engine-mid-ice-0")
+		explained.WriteString(out)
+	}
+	is.True(strings.Contains(explained.String(), "place reason=next_step"))
+	is.True(strings.Contains(explained.String(), "place reason=matches_plan"))
 }
 
 // Nobody answers: the outcome is not known, and words and exit status say so.
--- /dev/null
+++ b/internal/operate/cost_test.go
@@ -0,0 +1,51 @@
+package operate_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/platform"
+	"github.com/damaskshelf/damaskshelf/internal/platform/memory"
+	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+)
+
+// counted counts an instance's calls to the store.
+type counted struct {
+	*memory.Store
+	reads, writes int
+}
+
+func (c *counted) Get(ctx context.Context, key platform.Key) (wire.Object, error) {
+	c.reads++
+	return c.Store.Get(ctx, key)
+}
+
+func (c *counted) Put(ctx context.Context, w platform.Write) (uint64, error) {
+	c.writes++
+	return c.Store.Put(ctx, w)
+}
+
+func (c *counted) Delete(ctx context.Context, key platform.Key, ifVersion uint64) error {
+	c.writes++
+	return c.Store.Delete(ctx, key, ifVersion)
+}
+
+// What proposing and confirming one change costs the store: the figures of docs/design/plans.md.
+func TestStoreCallsOfAChange(t *testing.T) {
+	is := is.New(t)
+	store := &counted{Store: memory.New()}
+	s := newSide(t, store)
+	const changes = 10
+	for i := range changes {
+		p := s.propose(intent(6 - i%2))
+		var c api.Confirmed
+		is.Equal(s.call("POST", confirmPath(p), nil, &c), 200)
+		s.view.Store(newView(p.After, c.Version))
+	}
+	t.Logf("changes=%d store_reads=%d store_writes=%d", changes, store.reads, store.writes)
+	is.True(store.reads <= 5*changes)
+	is.True(store.writes <= 3*changes)
+}
