--- a/cmd/damaskbench/main.go
+++ b/cmd/damaskbench/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"flag"
 	"os"
+	_ "runtime/cgo" // links the C library, as all programs here are; nothing else here needs it
 
 	"github.com/google/subcommands"
 )
