--- a/internal/decide/member/member.go
+++ b/internal/decide/member/member.go
@@ -81,12 +81,20 @@
 	again    bool // send once more after the one in flight: there is news for it
 }
 
+// caller is an instance that sends heartbeats here and is no peer.
+type caller struct {
+	id      fleet.InstanceID
+	version uint64 // of its configuration
+	heard   decide.Instant
+}
+
 // Members is one instance's membership. It is not safe for concurrent use.
 type Members struct {
 	params      Params
 	version     uint64
 	all         []fleet.Instance // of the list, without self, sorted by id
 	peers       []*Peer
+	callers     []caller
 	alone       bool // the list shows nobody else
 	foreign     bool // some peer is in another failure domain
 	freshUntil  decide.Instant
@@ -278,7 +286,11 @@
 // message may have been long on its way.
 func (m *Members) Heard(now decide.Instant, h Heard) {
 	p := find(m.peers, h.From)
-	if p == nil || h.Incarnation < p.Incarnation {
+	if p == nil {
+		m.called(now, h)
+		return
+	}
+	if h.Incarnation < p.Incarnation {
 		return
 	}
 	p.Version, p.SignsHash = max(p.Version, h.Version), h.SignsHash
@@ -286,3 +298,35 @@
 		p.next = now // it is back: no need to wait out the long interval
 	}
 }
+
+// called notes the version of an instance that is no peer.
+func (m *Members) called(now decide.Instant, h Heard) {
+	if _, listed := m.Find(h.From); !listed {
+		return
+	}
+	c := caller{id: h.From, version: h.Version, heard: now}
+	m.callers = slices.DeleteFunc(m.callers, func(o caller) bool {
+		return o.id == c.id || now.Sub(o.heard) > m.params.Slowest
+	})
+	m.callers = append(m.callers, c)
+}
+
+// InForce tells how many of the instances that are heard here, this one aside, have a configuration
+// version in force: peers, whether they answer now or not, and instances that have lately sent a heartbeat.
+func (m *Members) InForce(now decide.Instant, version uint64) (have, of int) {
+	count := func(v uint64) {
+		of++
+		if v >= version {
+			have++
+		}
+	}
+	for _, p := range m.peers {
+		count(p.Version)
+	}
+	for _, c := range m.callers {
+		if find(m.peers, c.id) == nil && now.Sub(c.heard) <= m.params.Slowest {
+			count(c.version)
+		}
+	}
+	return have, of
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -278,21 +278,16 @@
 	f.deps.Keeper.SetLeaving(ids)
 }
 
-// InForce tells how many of the instances that this one hears have a configuration version in force, and
-// how many it hears or should hear: itself and its peers.
+// InForce tells how many of the instances that this one hears, itself among them, have a configuration
+// version in force, and how many those are.
 func (f *Follower) InForce(version uint64) (have, of int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	have, of = f.node.Members().InForce(f.now(), version)
 	if f.node.Config().Version >= version {
 		have++
 	}
-	peers := f.node.Members().Peers()
-	for _, p := range peers {
-		if p.Version >= version {
-			have++
-		}
-	}
-	return have, 1 + len(peers)
+	return have, 1 + of
 }
 
 // instances gives the entry instances of a list.
