--- a/internal/decide/member/trust.go
+++ b/internal/decide/member/trust.go
@@ -42,8 +42,12 @@
 // failed everywhere for longer than the bound, nobody is left who is trusted. Trust comes back when more
 // than half of the peers, one elsewhere among them, have been in contact for a whole bound.
 func (m *Members) Quorum(now decide.Instant, storeLost bool) {
+	if !storeLost {
+		m.quorumSince = never
+		return
+	}
 	sent, ok := m.majority()
-	if !storeLost || !ok || now.Sub(sent) > m.params.Bound {
+	if !ok || now.Sub(sent) > m.params.Bound {
 		m.quorumSince = never
 		return
 	}
