--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -162,33 +162,53 @@
 	}
 }
 
-// BenchmarkSecondOfMembership is the decisions of one second without news: ten ticks, twelve heartbeats
-// sent and answered, twelve received.
+// second gives a node in a fleet of that shape and a function that lets a second without news pass: ten
+// ticks, twelve heartbeats sent and answered, twelve received.
+func (s shape) second() func() {
+	all := s.instances()
+	n := relay.NewNode(0, relay.NewParams(all[0], 1, 500*time.Millisecond, rand.New(rand.NewPCG(1, 1))))
+	now := decide.Instant(0)
+	answer(n, now, n.List(now, 1, all))
+	answer(n, now, n.Accepted(now, relay.Config{Version: 1, Packed: []byte{1}}))
+	peers := n.Members().Peers()
+	return func() {
+		for range 10 {
+			now = now.Add(relay.TickEvery)
+			answer(n, now, n.Tick(now))
+		}
+		for i := range 12 {
+			p := peers[i%len(peers)]
+			n.Heartbeat(now, relay.Digest{Instance: p.ID, Incarnation: 1, ConfigVersion: 1, ListVersion: 1})
+		}
+	}
+}
+
+// BenchmarkSecondOfMembership is the decisions of one second without news.
 func BenchmarkSecondOfMembership(b *testing.B) {
 	for _, s := range shapes {
 		b.Run(s.String(), func(b *testing.B) {
-			all := s.instances()
-			n := relay.NewNode(0, relay.NewParams(all[0], 1, 500*time.Millisecond, rand.New(rand.NewPCG(1, 1))))
-			now := decide.Instant(0)
-			answer(n, now, n.List(now, 1, all))
-			answer(n, now, n.Accepted(now, relay.Config{Version: 1, Packed: []byte{1}}))
-			peers := n.Members().Peers()
+			second := s.second()
 			b.ReportAllocs()
 			defer processorTime(b)()
 			for b.Loop() {
-				for range 10 {
-					now = now.Add(relay.TickEvery)
-					answer(n, now, n.Tick(now))
-				}
-				for i := range 12 {
-					p := peers[i%len(peers)]
-					n.Heartbeat(now, relay.Digest{Instance: p.ID, Incarnation: 1, ConfigVersion: 1, ListVersion: 1})
-				}
+				second()
 			}
 		})
 	}
 }
 
+// Regression bound: the allocations of a second of membership do not grow with the fleet.
+func TestAllocationsOfMembership(t *testing.T) {
+	const bound = 45
+	for _, s := range shapes {
+		n := testing.AllocsPerRun(100, s.second())
+		t.Logf("%s: %.0f allocations a second", s, n)
+		if n > bound {
+			t.Errorf("%s: over the bound of %d", s, bound)
+		}
+	}
+}
+
 func answer(n *relay.Node, now decide.Instant, effects []relay.Effect) {
 	for _, e := range effects {
 		switch e := e.(type) {
