--- a/internal/decide/member/member.go
+++ b/internal/decide/member/member.go
@@ -69,9 +69,11 @@
 	Incarnation uint64 // 0: never heard
 	Reachable   bool
 	Version     uint64 // of the configuration that it had when it was last heard
+	SignsHash   uint64 // of the leaving signs that it held then
 
 	told     uint64         // highest version that it has heard of from here
 	misses   int            // heartbeats in a row without an answer
+	vouched  decide.Instant // beginning of the last exchange after which its state was known here in full
 	next     decide.Instant // of the next heartbeat
 	interval time.Duration
 	phase    time.Duration // of its heartbeats within the interval
@@ -81,17 +83,18 @@
 
 // Members is one instance's membership. It is not safe for concurrent use.
 type Members struct {
-	params     Params
-	version    uint64
-	all        []fleet.Instance // of the list, without self, sorted by id
-	peers      []*Peer
-	alone      bool // the list shows nobody else
-	foreign    bool // some peer is in another failure domain
-	freshUntil decide.Instant
+	params      Params
+	version     uint64
+	all         []fleet.Instance // of the list, without self, sorted by id
+	peers       []*Peer
+	alone       bool // the list shows nobody else
+	foreign     bool // some peer is in another failure domain
+	freshUntil  decide.Instant
+	quorumSince decide.Instant // since when a majority has been in contact; never: it has not
 }
 
 // New gives a membership that knows nobody yet and trusts nothing.
-func New(p Params) *Members { return &Members{params: p} }
+func New(p Params) *Members { return &Members{params: p, quorumSince: never} }
 
 // List takes the instance list. A lower version than the last is a lagging read and changes nothing.
 func (m *Members) List(now decide.Instant, version uint64, instances []fleet.Instance) decide.Reason {
@@ -194,13 +197,19 @@
 	}
 }
 
+// Heard is what an instance says of itself.
+type Heard struct {
+	From        fleet.InstanceID
+	Incarnation uint64
+	Version     uint64 // of its configuration
+	SignsHash   uint64 // of the leaving signs that it holds
+}
+
 // Reply is a peer's answer to a heartbeat.
 type Reply struct {
-	To          fleet.InstanceID // whom the heartbeat was sent to
-	From        fleet.InstanceID // who answered
-	Incarnation uint64
-	Version     uint64 // of the answerer's configuration
-	Told        uint64 // version that the heartbeat carried
+	Heard
+	To   fleet.InstanceID // whom the heartbeat was sent to
+	Told uint64           // version that the heartbeat carried
 }
 
 // Answer takes a reply. It tells whether the reply counts: one of another instance, of an earlier
@@ -229,7 +238,7 @@
 		p.Version, p.told = 0, 0
 	}
 	p.Incarnation, p.Reachable, p.misses, p.interval = r.Incarnation, true, 0, m.params.Interval
-	p.Version, p.told = max(p.Version, r.Version), max(p.told, r.Told)
+	p.Version, p.told, p.SignsHash = max(p.Version, r.Version), max(p.told, r.Told), r.SignsHash
 	return reason, true
 }
 
@@ -267,8 +276,13 @@
 
 // Heard notes what a peer's own heartbeat says. It does not extend the trust in what is known here: the
 // message may have been long on its way.
-func (m *Members) Heard(from fleet.InstanceID, incarnation, version uint64) {
-	if p := find(m.peers, from); p != nil && incarnation >= p.Incarnation {
-		p.Version = max(p.Version, version)
+func (m *Members) Heard(now decide.Instant, h Heard) {
+	p := find(m.peers, h.From)
+	if p == nil || h.Incarnation < p.Incarnation {
+		return
+	}
+	p.Version, p.SignsHash = max(p.Version, h.Version), h.SignsHash
+	if !p.Reachable {
+		p.next = now // it is back: no need to wait out the long interval
 	}
 }
