--- a/internal/entry/outcome_test.go
+++ b/internal/entry/outcome_test.go
@@ -45,6 +45,11 @@
 }
 
 func start(t *testing.T) *bed {
+	t.Helper()
+	return startWith(t, func(*api.Settings) {})
+}
+
+func startWith(t *testing.T, tune func(*api.Settings)) *bed {
 	t.Helper()
 	f, err := local.Start(local.Config{
 		Entries: 2,
@@ -53,7 +58,10 @@
 			Domains: []string{"north", "mid", "south"}, Region: "plains", EnginesPerDomain: 1,
 			Models: []string{model}, Service: service, TimeScale: 1, Seed: 1,
 		},
-		Tune: func(s *api.Settings) { s.Intervals.StreamGap = api.Duration(time.Second) },
+		Tune: func(s *api.Settings) {
+			s.Intervals.StreamGap = api.Duration(time.Second)
+			tune(s)
+		},
 	})
 	if err != nil {
 		t.Fatal(err)
