--- a/internal/decide/health/health_test.go
+++ b/internal/decide/health/health_test.go
@@ -135,9 +135,9 @@
 	is.True(health.Slow(41*time.Second, 10*time.Second))
 }
 
-// An engine loses all its answers and reports that it is well. Each report brought full load back, and one
-// prompt in six failed for as long as the fault lasted. Each failure soon after the last doubles the time
-// for which a report clears nothing.
+// An engine loses all its answers and reports that it is well. Each report brought full load back, and
+// prompts failed for as long as the fault lasted. Each failure soon after the last doubles the time for
+// which a report clears nothing.
 func TestRepeatedFailuresHoldLonger(t *testing.T) {
 	is := is.New(t)
 	m := reach(t, health.Warm)
--- a/internal/follow/calls.go
+++ b/internal/follow/calls.go
@@ -44,9 +44,13 @@
 }
 
 func (f *Follower) heartbeat(ctx context.Context, e relay.SendHeartbeat) {
+	began := time.Now()
 	d, err := f.client.Heartbeat(ctx, e.To.PeerAddr, e.Digest)
-	if err != nil {
+	switch {
+	case err != nil:
 		f.deps.Log.Debug("heartbeat failed", "peer", e.To.ID, "error", err)
+	case f.deps.PeerList != nil:
+		f.deps.PeerList(d.ListVersion, began)
 	}
 	f.handle(func(now decide.Instant) []relay.Effect { return f.node.HeartbeatDone(now, e, d, err == nil) })
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -39,6 +39,8 @@
 	ListEvery time.Duration // between reads of the instance list
 	Heartbeat time.Duration // between heartbeats to one peer
 	Log       hclog.Logger
+	// PeerList is told the version of the instance list that a peer went by, not before at. May be nil.
+	PeerList func(version uint64, at time.Time)
 }
 
 // Follower follows the fleet and feeds a Keeper. It is safe for concurrent use.
