query: a cancel names its attempt, and the grant ends after it

Cause, seen in end-to-end logs: a stream that was resumed on the same engine ended with "cancelled", since the cancel of the silent dispatch came after the new one had begun.

A place at a cold engine is not given away while it still works.

--- a/internal/entry/query/answer.go
+++ b/internal/entry/query/answer.go
@@ -213,14 +213,14 @@
 		a.vain = 1
 	}
 	a.witness(ce)
-	a.close(a.outcome(ce, sliced))
+	if a.ctx.Err() != nil || ce.Timeout || ce.Overdue || sliced {
+		a.cancel(a.outcome(ce, sliced))
+	} else {
+		a.close(a.outcome(ce, sliced))
+	}
 	if err := a.overdue(); err != nil {
-		a.cancel(u)
 		return err
 	}
-	if ce.Timeout || sliced {
-		a.cancel(u)
-	}
 	if sliced {
 		return nil
 	}
@@ -291,35 +291,42 @@
 
 // close ends the current dispatch, if any.
 func (a *answer) close(o route.Outcome) {
+	if g := a.detach(); g != nil {
+		g.Done(o)
+	}
+}
+
+// detach closes the current dispatch's stream and gives its grant, which its caller ends.
+func (a *answer) detach() *route.Grant {
 	if a.stream != nil {
 		a.stream.Close()
 		a.stream = nil
 	}
-	if a.grant != nil {
-		if a.began {
-			a.h.limits.LastByte(a.grant.Upstream)
-		}
-		a.grant.Done(o)
-		a.grant = nil
+	g := a.grant
+	if g != nil && a.began {
+		a.h.limits.LastByte(g.Upstream)
 	}
+	a.grant, a.began = nil, false
+	return g
 }
 
 // abandon frees everything when the answer is not read to its end.
-func (a *answer) abandon() {
-	if a.grant == nil {
+func (a *answer) abandon() { a.cancel(route.Cancelled) }
+
+// cancel ends the current dispatch, if any, and tells the engine that nobody waits any more. Closing the
+// connection says so too, but a connection that something in between has lost track of doesn't carry the
+// close. The grant ends only then: until the engine knows, it works on, and a cold one could get more than
+// it bears in the place of this one.
+func (a *answer) cancel(o route.Outcome) {
+	g := a.detach()
+	if g == nil {
 		return
 	}
-	u := a.grant.Upstream
-	a.close(route.Cancelled)
-	a.cancel(u)
-}
-
-// cancel tells the engine that nobody waits any more. Closing the connection says so too, but a connection
-// that something in between has lost track of doesn't carry the close.
-func (a *answer) cancel(u *fleet.Upstream) {
+	id, attempt := a.prompt.meta.ID, a.attempt
 	a.h.background(func(ctx context.Context) {
-		if err := a.h.client.Cancel(ctx, u.Addr, string(a.prompt.meta.ID)); err != nil {
-			a.h.log.Warn("cancel failed", "request", a.prompt.meta.ID, "upstream", u.ID, "error", err)
+		defer g.Done(o)
+		if err := a.h.client.Cancel(ctx, g.Upstream.Addr, string(id), attempt); err != nil {
+			a.h.log.Warn("cancel failed", "request", id, "upstream", g.Upstream.ID, "error", err)
 		}
 	})
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -195,12 +195,18 @@
 	return e
 }
 
+// header is one header of a call.
+type header struct{ name, value string }
+
 // json sends in (nil: no body) and decodes a 2xx answer into out (nil: dropped).
-func (c *Client) json(ctx context.Context, addr, method, path string, in, out any, wait time.Duration) error {
+func (c *Client) json(ctx context.Context, addr, method, path string, in, out any, wait time.Duration, headers ...header) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.SetRequestURI("http://" + addr + path)
 	req.Header.SetMethod(method)
+	for _, h := range headers {
+		req.Header.Set(h.name, h.value)
+	}
 	if in != nil {
 		body, err := json.Marshal(in)
 		if err != nil {
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -97,9 +98,11 @@
 
 const lowestPriority = -10
 
-// Cancel ends a request on an engine; cancelling twice does no harm.
-func (c *Client) Cancel(ctx context.Context, addr, requestID string) error {
-	return c.json(ctx, addr, fasthttp.MethodPost, withID(wire.PathCancel, requestID), nil, nil, smallCall)
+// Cancel ends a request's dispatches up to that attempt on an engine; cancelling twice does no harm. A
+// later attempt may be on its way to the same engine, and is not touched.
+func (c *Client) Cancel(ctx context.Context, addr, requestID string, attempt int) error {
+	upTo := header{wire.HeaderAttempt, strconv.Itoa(attempt)}
+	return c.json(ctx, addr, fasthttp.MethodPost, withID(wire.PathCancel, requestID), nil, nil, smallCall, upTo)
 }
 
 // Reserve asks an engine to hold memory. After an error that may have run, the reservation may stand.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -277,3 +277,21 @@
 		}
 	})
 }
+
+// A stream goes silent and is resumed on the same engine. The cancel of its old dispatch comes after the
+// new one has begun, and ended that too: the caller saw its answer break off. It names the attempts it means.
+func TestCancelNamesItsAttempt(t *testing.T) {
+	is := is.New(t)
+	attempts := make(chan string, 1)
+	e := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		var req fasthttp.Request
+		if req.Read(r) == nil {
+			attempts <- string(req.URI().Path()) + " " + string(req.Header.Peek(wire.HeaderAttempt))
+			answerPing(c)
+		}
+	})
+	c := upstream.New()
+	defer c.Close()
+	is.NoErr(c.Cancel(t.Context(), e.addr(), "r", 2))
+	is.Equal(<-attempts, "/v1/cancel/r 2")
+}
