--- a/internal/standin/engine/counters.go
+++ b/internal/standin/engine/counters.go
@@ -11,6 +11,7 @@
 	Resumes         int            `json:"resumes"`
 	CachedTokens    int64          `json:"cached_tokens"` // prompt tokens that did not have to be computed
 	Completed       int            `json:"completed"`
+	Finished        map[string]int `json:"finished"`  // completed dispatches, by request id
 	Cancelled       int            `json:"cancelled"` // by order or because the connection closed
 	Released        int            `json:"released"`  // ended because their reservation was released or expired
 	Refused         int            `json:"refused"`   // as not started
@@ -28,14 +29,14 @@
 	HeldTokens     int64 `json:"held_tokens"`     // held by jobs and reservations now
 }
 
-func newCounters() Counters { return Counters{Runs: map[string]int{}} }
+func newCounters() Counters { return Counters{Runs: map[string]int{}, Finished: map[string]int{}} }
 
 // Counters gives the counts so far.
 func (e *Engine) Counters() Counters {
 	var c Counters
 	e.locked(func(now time.Duration) {
 		c = e.counters
-		c.Runs = maps.Clone(c.Runs)
+		c.Runs, c.Finished = maps.Clone(c.Runs), maps.Clone(c.Finished)
 		c.InFlight, c.Cold, c.HeldTokens = len(e.jobs), e.warmth.cold, e.held()
 		for _, r := range e.reservations {
 			c.ReservedTokens += r.Tokens
--- a/internal/standin/engine/job.go
+++ b/internal/standin/engine/job.go
@@ -130,6 +130,7 @@
 	}
 	if j.produced == j.max-j.offset {
 		e.counters.Completed++
+		e.counters.Finished[j.id]++
 		e.warmth.succeed(e.cfg.WarmAfter)
 		j.finish = finishLength
 		j.signal()
