--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -12,6 +12,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/keeper"
 	"github.com/damaskshelf/damaskshelf/internal/platform"
 	platformclient "github.com/damaskshelf/damaskshelf/internal/platform/client"
+	"github.com/damaskshelf/damaskshelf/internal/warm"
 )
 
 // newStore gives the object API within this instance's cut of the fleet's rates.
@@ -20,13 +21,13 @@
 	return platformclient.NewBudgeted(p, storebudget.DefaultLimits, count)
 }
 
-func newFollower(s api.Settings, p *platformclient.Client, store platform.Store, k *keeper.Keeper,
+func newFollower(s api.Settings, p *platformclient.Client, store platform.Store, k *keeper.Keeper, l *warm.Limits,
 	log hclog.Logger) (*follow.Follower, error) {
 	return follow.New(follow.Deps{
 		Self: fleet.Instance{
 			ID: fleet.InstanceID(s.Instance), Domain: fleet.DomainID(s.FailureDomain), Region: fleet.RegionID(s.Region),
 		},
-		Store: store, Instances: p, Keeper: k, Log: log,
+		Store: store, Instances: listTap{p, l}, Keeper: k, Log: log,
 		ListEvery: time.Duration(s.Intervals.InstanceList), Heartbeat: time.Duration(s.Intervals.Heartbeat),
 	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/route"
 	"github.com/damaskshelf/damaskshelf/internal/sweep"
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
+	"github.com/damaskshelf/damaskshelf/internal/warm"
 )
 
 // Node is one entry instance.
@@ -57,6 +58,7 @@
 	Queries   *query.Handler
 	Commands  *command.Handler
 	Claims    *claim.Keeper
+	Limits    *warm.Limits
 	Callers   *entry.Server
 	Operators *operators
 	Metrics   *metrics.Registry
@@ -101,6 +103,11 @@
 	n.run(p.Follower.Run)
 	n.run(p.Observer.Run)
 	n.run(p.Sweeper.Run)
+	n.run(p.Limits.Run)
+	n.run(func(ctx context.Context) { p.Limits.WarmUp(ctx, p.Client, warmUpEvery) })
+	n.run(func(ctx context.Context) {
+		p.Limits.Probe(ctx, p.Client, time.Duration(p.Settings.Intervals.LoadReport))
+	})
 	n.run(sweepClaims(p.Settings, p.Claims, p.Keeper, p.Log))
 	p.Log.Info("started", "instance", p.Settings.Instance, "region", p.Settings.Region,
 		"failure_domain", p.Settings.FailureDomain, "callers", n.CallersAddr(), "operators", n.OperatorsAddr(), "peers", n.PeersAddr())
--- a/internal/node/sink.go
+++ b/internal/node/sink.go
@@ -9,6 +9,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/observe"
 	"github.com/damaskshelf/damaskshelf/internal/route"
 	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
+	"github.com/damaskshelf/damaskshelf/internal/warm"
 )
 
 // roleLong is the role that puts an engine in a long lane.
@@ -19,6 +20,7 @@
 	*route.Router
 	keeper   *keeper.Keeper
 	follower *follow.Follower
+	limits   *warm.Limits
 }
 
 var _ observe.Sink = sink{}
@@ -26,9 +28,16 @@
 // OnLoad takes an engine's load report, which also tells its boot and whether it is leaving.
 func (s sink) OnLoad(u *fleet.Upstream, l wire.Load, at time.Time) {
 	s.follower.OnLoad(u, l.BootID, l.Leaving)
+	s.limits.OnLoad(u, l, at)
 	s.Router.OnLoad(u, l, at)
 }
 
+// OnSilent takes note that an engine did not report.
+func (s sink) OnSilent(u *fleet.Upstream, err error) {
+	s.limits.OnSilent(u, err)
+	s.Router.OnSilent(u, err)
+}
+
 // OnState takes what an engine serves.
 func (s sink) OnState(u *fleet.Upstream, st wire.EngineState) {
 	served := keeper.Served{Long: st.Role == roleLong}
