--- a/internal/entry/command/command.go
+++ b/internal/entry/command/command.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskshelf/damaskshelf/internal/entry/again"
 	"github.com/damaskshelf/damaskshelf/internal/entry/forward"
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
 	"github.com/damaskshelf/damaskshelf/internal/entry/intake"
@@ -43,6 +44,7 @@
 	Log     hclog.Logger
 	Bounds  intake.Bounds
 	NewID   func() string
+	Retrier *again.Retrier // counts calls into the budgets of retries
 }
 
 // Handler serves commands.
@@ -125,6 +127,9 @@
 		if err != nil {
 			return upstream.Answer{}, err
 		}
+		if attempt == 1 {
+			h.d.Retrier.First(m.Workspace, g.Upstream.ID)
+		}
 		a, failed := h.call(ctx, g, m, t, attempt)
 		if failed == nil {
 			return a, nil
--- /dev/null
+++ b/internal/execute/seen.go
@@ -0,0 +1,43 @@
+package execute
+
+import (
+	"sync"
+
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
+)
+
+// Seen keeps what each engine was last seen to have loaded. It is safe for concurrent use.
+type Seen struct {
+	mu      sync.RWMutex
+	engines map[fleet.UpstreamID][]wire.Loaded // guarded by mu; the slices are never changed
+}
+
+// NewSeen gives a Seen that knows no engine.
+func NewSeen() *Seen { return &Seen{engines: map[fleet.UpstreamID][]wire.Loaded{}} }
+
+// Put takes what an engine has loaded; the slice must not be changed afterwards.
+func (s *Seen) Put(id fleet.UpstreamID, loaded []wire.Loaded) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.engines[id] = loaded
+}
+
+// Loaded gives what an engine was last seen to have; not to be changed.
+func (s *Seen) Loaded(id fleet.UpstreamID) ([]wire.Loaded, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	loaded, ok := s.engines[id]
+	return loaded, ok
+}
+
+// keep forgets the engines that the view no longer shows.
+func (s *Seen) keep(v *fleet.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.engines {
+		if v.Upstream(id) == nil {
+			delete(s.engines, id)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/entry/command"
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
 	"github.com/damaskshelf/damaskshelf/internal/entry/query"
+	"github.com/damaskshelf/damaskshelf/internal/execute"
 	"github.com/damaskshelf/damaskshelf/internal/follow"
 	"github.com/damaskshelf/damaskshelf/internal/keeper"
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
@@ -27,6 +28,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/route"
 	"github.com/damaskshelf/damaskshelf/internal/sweep"
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
+	"github.com/damaskshelf/damaskshelf/internal/warm"
 )
 
 // Node is one entry instance.
@@ -57,8 +59,10 @@
 	Queries   *query.Handler
 	Commands  *command.Handler
 	Claims    *claim.Keeper
+	Limits    *warm.Limits
 	Callers   *entry.Server
 	Operators *operators
+	Executor  *executor
 	Metrics   *metrics.Registry
 }
 
@@ -66,6 +70,8 @@
 type Options struct {
 	Log   hclog.Logger
 	NewID func() string // request and write ids; nil: random UUIDs
+
+	Execute execute.Config // times of the executor; zero values: its defaults
 }
 
 // New assembles an instance. It opens no connection and binds no address.
@@ -101,7 +107,13 @@
 	n.run(p.Follower.Run)
 	n.run(p.Observer.Run)
 	n.run(p.Sweeper.Run)
+	n.run(p.Limits.Run)
+	n.run(func(ctx context.Context) { p.Limits.WarmUp(ctx, p.Client, warmUpEvery) })
+	n.run(func(ctx context.Context) {
+		p.Limits.Probe(ctx, p.Client, time.Duration(p.Settings.Intervals.LoadReport))
+	})
 	n.run(sweepClaims(p.Settings, p.Claims, p.Keeper, p.Log))
+	p.Executor.run(n.work)
 	p.Log.Info("started", "instance", p.Settings.Instance, "region", p.Settings.Region,
 		"failure_domain", p.Settings.FailureDomain, "callers", n.CallersAddr(), "operators", n.OperatorsAddr(), "peers", n.PeersAddr())
 	return nil
@@ -171,6 +183,7 @@
 	}
 	errs = append(errs, p.Claims.Flush(last))
 	p.Claims.Close()
+	p.Executor.finish()
 	n.stop()
 	p.Platform.Close() // ends waiting watches
 	n.wg.Wait()
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskshelf/damaskshelf/internal/decide/stream"
 	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
 )
 
@@ -64,9 +68,41 @@
 	return fresh.json(ctx, addr, fasthttp.MethodGet, wire.PathPing, nil, nil, wait)
 }
 
-// Cancel ends a request on an engine; cancelling twice does no harm.
-func (c *Client) Cancel(ctx context.Context, addr, requestID string) error {
-	return c.json(ctx, addr, fasthttp.MethodPost, withID(wire.PathCancel, requestID), nil, nil, smallCall)
+// WarmUp sends an engine a prompt of a few tokens with the lowest priority and reads its answer.
+func (c *Client) WarmUp(ctx context.Context, addr, model string, wait time.Duration) error {
+	body, err := json.Marshal(wire.Completion{Model: model, Prompt: "warm up", MaxTokens: 1, Stream: true})
+	if err != nil {
+		return fmt.Errorf("encode warm-up prompt: %w", err)
+	}
+	s, err := c.Complete(ctx, addr, Completion{
+		RequestID: "warm-up-" + uuid.NewString(), Workspace: "damaskshelf", Priority: lowestPriority,
+		Attempt: 1, Remaining: wait, Body: body,
+	}, Silence{Params: stream.NewParams(wait), Deadline: time.Now().Add(wait)})
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	for {
+		p, err := s.Next()
+		switch {
+		case err != nil:
+			return err
+		case p.FinishReason == stream.FinishError:
+			return fmt.Errorf("warm-up prompt: %s", p.Error)
+		case p.FinishReason != "":
+			s.Finish()
+			return nil
+		}
+	}
+}
+
+const lowestPriority = -10
+
+// Cancel ends a request's dispatches up to that attempt on an engine; cancelling twice does no harm. A
+// later attempt may be on its way to the same engine, and is not touched.
+func (c *Client) Cancel(ctx context.Context, addr, requestID string, attempt int) error {
+	upTo := header{wire.HeaderAttempt, strconv.Itoa(attempt)}
+	return c.json(ctx, addr, fasthttp.MethodPost, withID(wire.PathCancel, requestID), nil, nil, smallCall, upTo)
 }
 
 // Reserve asks an engine to hold memory. After an error that may have run, the reservation may stand.
