retry: one upstream or workspace may always make 20 retries in a window

Cause: TestRunOutcomeOfPrompts failed once under -race on a machine at a load of 50: one engine lost its answers case after case, and its budget of five in ten seconds was spent while the instance's was not.

--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -32,8 +32,8 @@
 // upstream or one workspace from spending all of it.
 const (
 	InstancePercent                  = 9
-	UpstreamPercent, UpstreamLeast   = 50, 5
-	WorkspacePercent, WorkspaceLeast = 50, 5
+	UpstreamPercent, UpstreamLeast   = 50, 20
+	WorkspacePercent, WorkspaceLeast = 50, 20
 
 	fleetLeast = 10
 )
