--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -13,6 +13,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
 	"github.com/damaskshelf/damaskshelf/internal/entry/intake"
 	"github.com/damaskshelf/damaskshelf/internal/entry/query"
+	"github.com/damaskshelf/damaskshelf/internal/execute"
 	"github.com/damaskshelf/damaskshelf/internal/explain"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/follow"
@@ -45,6 +46,9 @@
 		newFollower,
 		upstream.New,
 		newRouter,
+		func() execute.Config { return o.Execute },
+		execute.NewSeen,
+		newExecutor,
 		newObserver,
 		newRetrier,
 		newSweeper,
@@ -79,8 +83,9 @@
 }
 
 func newObserver(s api.Settings, c *upstream.Client, k *keeper.Keeper, r *route.Router, f *follow.Follower,
-	l *warm.Limits, log hclog.Logger) *observe.Observer {
-	return observe.New(c, k.View, sink{Router: r, keeper: k, follower: f, limits: l}, time.Duration(s.Intervals.LoadReport), log)
+	l *warm.Limits, seen *execute.Seen, log hclog.Logger) *observe.Observer {
+	reports := sink{Router: r, keeper: k, follower: f, limits: l, seen: seen}
+	return observe.New(c, k.View, reports, time.Duration(s.Intervals.LoadReport), log)
 }
 
 func bounds(s api.Settings) intake.Bounds {
