observe: ask for cache events only when there are new ones, and from the beginning of a new boot

Cause: each poll of an engine made two calls, 720 bytes, though an idle engine has no cache events; and after an engine's restart the events were read on from the old boot's sequence number, so that the first blocks of the new boot were never heard of. Change: the load report tells the number after its latest event (cache_next); a new boot id starts the reading anew; what an engine serves is read at every tenth report. Ruled out: a conditional GET for load reports (headers cost as much as the report).

--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -25,7 +25,7 @@
 }
 
 // stateEvery is the number of load reports to one reading of what an engine serves.
-const stateEvery = 5
+const stateEvery = 10
 
 // Observer polls each engine in view.
 type Observer struct {
@@ -99,7 +99,7 @@
 
 func (o *Observer) poll(ctx context.Context, id fleet.UpstreamID) {
 	defer o.wg.Done()
-	var next uint64
+	var at place
 	tick := time.NewTicker(o.interval)
 	defer tick.Stop()
 	for round := 0; ; round++ {
@@ -107,7 +107,7 @@
 		if u == nil {
 			return
 		}
-		next = o.once(ctx, u, round%stateEvery == 0, next)
+		at = o.once(ctx, u, round%stateEvery == 0, at)
 		o.asked.Store(id, struct{}{})
 		select {
 		case <-tick.C:
@@ -117,13 +117,20 @@
 	}
 }
 
-// once makes one round of calls and gives the cache event to read from next.
-func (o *Observer) once(ctx context.Context, u *fleet.Upstream, state bool, next uint64) uint64 {
+// place is how far an engine's cache events were read.
+type place struct {
+	bootID string
+	next   uint64
+}
+
+// once makes one round of calls and gives the place to read cache events from next. The events are asked for
+// only when the load report tells of newer ones: most rounds need one call.
+func (o *Observer) once(ctx context.Context, u *fleet.Upstream, state bool, at place) place {
 	if state {
 		s, err := o.client.State(ctx, u.Addr)
 		if err != nil {
 			o.failed(ctx, u, err)
-			return next
+			return at
 		}
 		slices.SortFunc(s.Loaded, func(a, b wire.Loaded) int { return strings.Compare(a.Model, b.Model) })
 		o.sink.OnState(u, s)
@@ -132,16 +139,22 @@
 	l, err := o.client.Load(ctx, u.Addr)
 	if err != nil {
 		o.failed(ctx, u, err)
-		return next
+		return at
 	}
 	o.sink.OnLoad(u, l, asked.Add(-time.Duration(l.AgeMs)*time.Millisecond))
-	e, err := o.client.CacheEvents(ctx, u.Addr, next)
+	if l.BootID != at.bootID { // its sequence numbers begin anew
+		at = place{bootID: l.BootID}
+	}
+	if l.CacheNext != 0 && l.CacheNext <= at.next {
+		return at
+	}
+	e, err := o.client.CacheEvents(ctx, u.Addr, at.next)
 	if err != nil {
 		o.failed(ctx, u, err)
-		return next
+		return at
 	}
 	o.sink.OnCache(u, e)
-	return e.Next
+	return place{bootID: e.BootID, next: e.Next}
 }
 
 func (o *Observer) failed(ctx context.Context, u *fleet.Upstream, err error) {
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -107,3 +107,13 @@
 	}
 	return answer
 }
+
+// published is the sequence number after the latest event that happened up to the moment given.
+func (c *cache) published(until time.Duration) uint64 {
+	for i := len(c.events) - 1; i >= 0; i-- {
+		if e := c.events[i]; e.at <= until {
+			return e.Seq + 1
+		}
+	}
+	return c.first
+}
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -72,6 +72,7 @@
 	e.locked(func(now time.Duration) {
 		report = e.report
 		report.AgeMs = e.wall(now - e.reported).Milliseconds()
+		report.CacheNext = e.cache.published(now - e.cfg.EventLag)
 	})
 	serve.JSON(ctx, fasthttp.StatusOK, report)
 }
--- a/internal/upstream/wire/wire.go
+++ b/internal/upstream/wire/wire.go
@@ -112,6 +112,7 @@
 	MemoryTotal  int64  `json:"memory_total"`
 	PrefillRate  int64  `json:"prefill_rate"` // prompt tokens a second
 	Leaving      bool   `json:"leaving"`
+	CacheNext    uint64 `json:"cache_next,omitempty"` // sequence number after the latest published cache event; 0: not told
 }
 
 // CacheEvent tells of one prefix block that entered or left the engine's cache.
