--- a/test/e2e/entries_test.go
+++ b/test/e2e/entries_test.go
@@ -1,6 +1,9 @@
 package e2e_test
 
 import (
+	"fmt"
+	"net"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -152,3 +155,40 @@
 	is.Equal(f.domainRuns(domains[0]), was)
 	f.fault(cluster.TargetObjects, faults.Kill, false)
 }
+
+// The platform's balancer keeps connections to an entry instance open and sends one request after the other
+// on them. While the instance stops, each request is answered, or the answer before it said that the
+// connection closes; none is cut off.
+func TestGracefulStopOfKeptConnections(t *testing.T) {
+	is := is.New(t)
+	f := start(t)
+	old := f.started()[0]
+	const kept = 16
+	cut := make(chan error, kept)
+	for range kept {
+		conn, err := net.Dial("tcp", old.row.Addr)
+		is.NoErr(err)
+		go func() { cut <- useUp(conn) }()
+	}
+	time.Sleep(before)
+	f.signal(old, syscall.SIGTERM)
+	for range kept {
+		is.NoErr(<-cut)
+	}
+	is.Equal(f.awaitExit(old), 0)
+}
+
+// useUp sends requests over a connection until an answer says that it closes; an error is a request without
+// an answer.
+func useUp(conn net.Conn) error {
+	defer conn.Close()
+	for n := 0; ; n++ {
+		r := read().DoOver(conn)
+		if r.Err != nil || r.Status == 0 {
+			return fmt.Errorf("request %d on a kept connection was cut off: %w", n, r.Err)
+		}
+		if strings.EqualFold(r.Header["Connection"], "close") {
+			return nil
+		}
+	}
+}
