Close kept connections before a planned stop; settle writes whose every answer is lost

(2) settle.Put sent a write again until its time was over when every answer was lost, though reads worked: the operator was told unknown. Change: answers of an instance that is not ready say Connection: close; settle.Put reads back its write id. Ruled out: waiting longer before the shutdown (a kept connection may carry a request at any moment).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -65,7 +65,7 @@
 	s := &Server{limits: d.Limits, metrics: d.Metrics, log: d.Log.Named("entry"), served: make(chan error, 1)}
 	s.http = &fasthttp.Server{
 		Name:                  "damaskshelf",
-		Handler:               routes(d).Handler,
+		Handler:               closing(d.Gate, routes(d).Handler),
 		ErrorHandler:          s.badRequest(d.NewID),
 		ReadTimeout:           time.Duration(d.Limits.HeaderTimeout),
 		IdleTimeout:           idleTimeout,
@@ -103,6 +103,17 @@
 	return r
 }
 
+// closing tells callers of a stopping instance, the balancer first, to use another connection. Otherwise a
+// request that comes on a kept connection just when the listener shuts down is cut off without an answer.
+func closing(g *gate.Gate, next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		next(ctx)
+		if !g.Ready() {
+			ctx.SetConnectionClose()
+		}
+	}
+}
+
 func ready(d Deps) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		if !d.Gate.Ready() {
--- a/internal/settle/settle.go
+++ b/internal/settle/settle.go
@@ -42,6 +42,9 @@
 			return 0, err
 		case !errors.Is(err, platform.ErrUnavailable):
 			sent = true
+			if version, ok := readBack(ctx, s, w); ok {
+				return version, nil
+			}
 		}
 		if !sleep(ctx, pause) {
 			return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
@@ -50,6 +53,16 @@
 	}
 }
 
+// readBack looks for the write in the store. Writes whose every answer is lost while reads work are found
+// only so. Not finding it means nothing: it may still be on its way.
+func readBack(ctx context.Context, s platform.Store, w platform.Write) (uint64, bool) {
+	o, err := s.Get(ctx, w.Key)
+	if err != nil || o.WriteID != w.WriteID {
+		return 0, false
+	}
+	return o.Version, true
+}
+
 // ours reads a conflict. Another writer's version on top of one of ours whose answer was lost hides
 // whether ours took effect first, so that outcome stays unknown.
 func ours(conflict *platform.ConflictError, w platform.Write, sent bool) (uint64, error) {
--- a/internal/settle/settle_test.go
+++ b/internal/settle/settle_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"testing"
 	"time"
 
@@ -58,6 +59,18 @@
 	is.Equal(o.WriteID, "w1")
 }
 
+// An operator waits ten seconds and is told "unknown" for a change that is in force: every write's answer is
+// lost, though reads work all the time. Sending again alone gets lost answers for ever.
+func TestEveryAnswerLostIsSettledByReading(t *testing.T) {
+	is := is.New(t)
+	s := &lossy{Store: memory.New(), lose: math.MaxInt, effect: true}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	version, err := settle.Put(ctx, s, write("w1"))
+	is.NoErr(err)
+	is.Equal(version, uint64(1))
+}
+
 // An operator is told "not done", and seconds later the change is in force: the write was delayed, the
 // object was read back before it arrived. Reading back alone (platform.Settle) says conflict here.
 func TestDelayedWriteCannotTakeEffectTwice(t *testing.T) {
