--- a/internal/execute/cost_test.go
+++ b/internal/execute/cost_test.go
@@ -142,12 +142,11 @@
 	return in
 }
 
-// carryOut confirms a plan with new versions of the first models and works it off; it gives the plan, its
-// size in the store and the time it took.
-func (f *sizedFleet) carryOut(t testing.TB, changed int) (p api.Plan, size int, took time.Duration) {
+// propose makes a plan with new versions of the first models, and keeps it.
+func (f *sizedFleet) propose(t testing.TB, changed int) api.Plan {
 	in := f.input(changed)
 	r := plan.Make(in)
-	p = api.Plan{ID: "p", After: api.Config{Intent: in.After, Plan: "p"}, Steps: r.Steps, Target: r.Target, Floors: r.Floors}
+	p := api.Plan{ID: "p", After: api.Config{Intent: in.After, Plan: "p"}, Steps: r.Steps, Target: r.Target, Floors: r.Floors}
 	data, err := json.Marshal(p)
 	if err != nil {
 		t.Fatal(err)
@@ -155,16 +154,22 @@
 	if _, err := f.calls.Store.Put(context.Background(), platform.Write{Key: platform.Key{Kind: "plans", Name: "p"}, WriteID: "p", Value: data}); err != nil {
 		t.Fatal(err)
 	}
-	for busy := true; busy; f.now = f.now.Add(execute.DefaultTick) {
-		busy = false
-		for _, x := range f.members {
-			busy = x.Tick(context.Background()) || busy
-		}
-		if f.now > decide.Instant(time.Hour) {
+	return p
+}
+
+// carryOut works such a plan off; it gives the plan, its size in the store and the time it took.
+func (f *sizedFleet) carryOut(t testing.TB, changed int) (p api.Plan, size int, took time.Duration) {
+	p = f.propose(t, changed)
+	for f.tick() {
+		if f.now > limit {
 			t.Fatal("the plan is not done after an hour")
 		}
 	}
-	return p, len(data), time.Duration(f.now)
+	o, err := f.calls.Store.Get(context.Background(), platform.Key{Kind: "plans", Name: "p"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p, len(o.Value), time.Duration(f.now)
 }
 
 // What a plan costs the store and the engines, at two sizes and for a small and a large plan. The figures
--- a/internal/execute/execute.go
+++ b/internal/execute/execute.go
@@ -172,8 +172,10 @@
 	if x.job == nil || x.stopped {
 		return false
 	}
-	x.finished = x.finished || !x.job.touches(mine)
-	if !x.finished {
+	// Without steps of its own an instance needs no progress. It does not put the plan aside for good: it
+	// may take over the shards of one that died, and has to know the stage then.
+	working := !x.finished && x.job.touches(mine)
+	if working {
 		if err := x.read(ctx); err != nil {
 			x.Log.Warn("progress not read", "error", err)
 			return true
@@ -182,12 +184,11 @@
 	if x.stopped {
 		return false
 	}
-	busy := !x.finished
-	stage := x.job.stage(x.last)
-	if x.finished {
-		stage = x.job.verify() + 1
+	stage := x.job.verify() + 1
+	if working {
+		stage = x.job.stage(x.last)
 	}
-	return x.workAll(ctx, view, mine, stage) || busy
+	return x.workAll(ctx, view, mine, stage) || (working && !x.finished)
 }
 
 // workAll works on the shards side by side: a silent engine must not hold up the renewal of other shards'
