--- a/internal/route/model.go
+++ b/internal/route/model.go
@@ -24,12 +24,8 @@
 	// paceWeight is the weight of one answer in the pace.
 	paceWeight = 0.05
 	// placeTries bounds how often a request asks again because its engine's place was taken meanwhile.
-	placeTries = 3
-	// resizeEvery is the time between two sizings of the lanes.
-	resizeEvery = time.Second
-	// longestPrompt is enough for the users' longest prompts, in tokens; lanes hold at least one.
-	longestPrompt = 1_000_000
-	maxPriority   = 10
+	placeTries  = 3
+	maxPriority = 10
 )
 
 // model is the routing state of one model.
@@ -240,47 +236,6 @@
 	}
 }
 
-// demanded counts a long prompt's engine time into the lanes' demand.
-func (m *model) demanded(r *admit.Request, p *pooled) {
-	rate := int64(0)
-	for _, c := range p.pool.All {
-		rate = max(rate, c.Rate())
-	}
-	seconds := cost.Time(int64(r.Prompt.Tokens), rate).Seconds()
-	share := float64(r.Prompt.Memory()) / float64(p.pool.Memory)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.demand.Add(seconds+r.Decode.Seconds()*share, m.router.now())
-}
-
-// reported is called after each load report: it sizes the lanes when that is due, and wakes the queues.
-func (m *model) reported() {
-	now := m.router.now()
-	if last := m.resized.Load(); now.Sub(decide.Instant(last)) >= resizeEvery || last == 0 {
-		if m.resized.CompareAndSwap(last, max(int64(now), 1)) {
-			m.resize(now)
-		}
-	}
-	m.wake()
-}
-
-func (m *model) resize(now decide.Instant) {
-	s := m.router.scene()
-	p := m.pool(s.view)
-	m.mu.Lock()
-	m.sizer.Min = min(leastLanes(p.pool.Memory), p.size)
-	size, reason := m.sizer.Size(m.demand.Engines(now)*float64(s.entries), p.size, now)
-	m.mu.Unlock()
-	if int64(size) == m.lanes.Swap(int64(size)) {
-		return
-	}
-	m.router.meter.lanes(m.name, size)
-	m.router.explain.Record("lanes", m.name, reason, "lanes", size, "engines", p.size)
-}
-
-// leastLanes is enough engines for the longest prompt.
-func leastLanes(memory int64) int { return int(longestPrompt/max(memory, 1)) + 1 }
-
 // queued logs that the request waits.
 func (a *ask) queued(d *admit.Decision) {
 	a.m.router.record("queue", a.q, d.Reason, "model", a.m.name, "class", a.r.Class, "ahead", d.Ahead, "wait", d.Wait)
