--- a/cmd/damaskbench/main.go
+++ b/cmd/damaskbench/main.go
@@ -15,6 +15,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&tableCommand{}, "")
 	subcommands.Register(&vary{}, "")
+	subcommands.Register(&outageCommand{}, "")
 	subcommands.Register(&plotCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -100,3 +100,15 @@
 	share := float64(long) / float64(len(arrivals))
 	is.True(share > 0.015 && share < 0.025) // one in fifty
 }
+
+// Questions go unanswered in a failure domain that operators took out for work. Order: it is taken out, its
+// engines look idle, and entries send their prompts there. Cause: the pool of a decision keeps them.
+func TestDomainTakenOutGetsNothingNew(t *testing.T) {
+	is := is.New(t)
+	c := Config{Deployment: &ASRQ, Entries: 6, Load: 0.5, Span: 110 * time.Second, Seed: 5, Policy: PolicyDamaskshelf}
+	c.Outage = Outage{Domain: ASRQ.Domains[1], From: 70 * time.Second, To: 95 * time.Second}
+	r := Run(c)
+	is.Equal(r.Strays, 0)
+	is.True(r.Class[cost.Short].InTime > 0)
+	is.Equal(r.Class[cost.Short].Late, 0) // and what was under way there went on
+}
--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -101,14 +101,31 @@
 func (g *gated) resize() {
 	now := g.e.sim.clock.Now()
 	fleetDemand := g.demand.Engines(now) * float64(g.e.sim.config.Entries)
-	size, _ := g.sizer.Size(fleetDemand, len(g.order), now)
-	if g.pool == nil || size != g.lanes {
-		g.lanes = size
-		g.pool = pick.NewPool(g.e.views, g.order[:size], g.e.sim.model().Memory)
-	}
+	views, order := g.inService()
+	size, _ := g.sizer.Size(fleetDemand, len(order), now)
+	g.lanes = size
+	g.pool = pick.NewPool(views, order[:size], g.e.sim.model().Memory)
 	g.e.sim.clock.After(resizeEvery, g.resize)
 }
 
+// inService gives the engines that may take new work, and the order in which they become lanes.
+func (g *gated) inService() (views []*pick.Engine, order []fleet.UpstreamID) {
+	gone := map[fleet.UpstreamID]bool{}
+	for i, v := range g.e.views {
+		if g.e.sim.out(i) {
+			gone[v.ID] = true
+			continue
+		}
+		views = append(views, v)
+	}
+	for _, id := range g.order {
+		if !gone[id] {
+			order = append(order, id)
+		}
+	}
+	return views, order
+}
+
 func (g *gated) world() *admit.World {
 	return &admit.World{Pool: g.pool, Entries: g.e.sim.config.Entries, Now: g.e.sim.clock.Now(), Rand: g.e.rng}
 }
--- a/internal/bench/request.go
+++ b/internal/bench/request.go
@@ -51,6 +51,7 @@
 
 // dispatch sends the request to one engine, with its memory reserved before or not.
 func (r *request) dispatch(e *engine, reserved bool) {
+	r.sim.sent(e)
 	need := r.prompt.Memory()
 	if reserved {
 		need = 0
@@ -79,6 +80,7 @@
 			r.lead = j
 		}
 		e := r.sim.byID[p.Engine.ID]
+		r.sim.sent(e)
 		r.sim.clock.After(messageDelay, func() {
 			if !r.over() {
 				e.submit(j)
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -30,6 +30,7 @@
 	Busy        float64 // share of the engines' time in batch steps
 	MemoryMost  float64 // highest share of an engine's memory that was held
 	MemoryWaits int     // unreserved prompts that found no memory at their engine
+	Strays      int     // prompts sent to engines that had been taken out for longer than a few seconds
 	Refusals    map[decide.Reason]int
 	Workspaces  map[fleet.WorkspaceID]Served
 }
@@ -43,7 +44,7 @@
 	res := &Result{Refusals: map[decide.Reason]int{}, Workspaces: map[fleet.WorkspaceID]Served{}}
 	var tokens, answered float64
 	for _, r := range s.requests {
-		if r.at.Sub(0) < warmUp || end.Before(r.deadline) {
+		if !s.counts(r, end) {
 			continue
 		}
 		f := &res.Class[r.class]
@@ -70,13 +71,14 @@
 	for c := range res.Class {
 		slices.Sort(res.Class[c].First)
 	}
-	span := (end.Sub(0) - warmUp).Seconds()
+	window := s.window(end)
+	span := (window.To - window.From).Seconds()
 	res.Goodput, res.Answered = tokens/span, answered/span
 	for _, e := range s.engines {
 		res.Busy += e.worked.Seconds() / end.Sub(0).Seconds() / float64(len(s.engines))
 		res.MemoryMost = max(res.MemoryMost, float64(e.most)/float64(e.model.Memory))
 	}
-	res.MemoryWaits = s.memoryWaits
+	res.MemoryWaits, res.Strays = s.memoryWaits, s.strays
 	return res
 }
 
@@ -100,6 +102,7 @@
 		sum.Busy += r.Busy / n
 		sum.MemoryMost = max(sum.MemoryMost, r.MemoryMost)
 		sum.MemoryWaits += r.MemoryWaits
+		sum.Strays += r.Strays
 		for reason, count := range r.Refusals {
 			sum.Refusals[reason] += count
 		}
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/decide"
@@ -24,6 +25,9 @@
 	queueLength   = 512         // the daemon's default
 	lostEvery     = 100         // one cache event in so many is lost
 	warmUp        = time.Minute // left out of all figures
+	// heardIn is how long after its domain is taken out an engine may still be sent to: entries hear of it
+	// within resizeEvery, and a group may have held its memory for reserveWait before it is sent.
+	heardIn = 3 * time.Second
 )
 
 // Names of the policies.
@@ -48,8 +52,20 @@
 	Profile     *pick.Profile // nil: the deployment's
 	WithoutLong bool          // the same short prompts alone
 	NoCache     bool          // entries learn nothing of prefixes
+	Outage      Outage
+	Window      Window // of arrivals that count; zero: all after the warm-up
 }
 
+// Outage takes a failure domain out of service for a while: entries send nothing new there from the
+// moment that they hear of it, and work under way goes on.
+type Outage struct {
+	Domain   string // empty: none
+	From, To time.Duration
+}
+
+// Window is a part of a run.
+type Window struct{ From, To time.Duration }
+
 func (c *Config) profile() pick.Profile {
 	if c.Profile != nil {
 		return *c.Profile
@@ -73,6 +89,38 @@
 	}
 }
 
+// out tells whether an engine is out of service, as entries know by now: they hear of it within a second.
+func (s *sim) out(engine int) bool {
+	o := s.config.Outage
+	if o.Domain == "" {
+		return false
+	}
+	domains := s.config.Deployment.Domains
+	now := s.clock.Now().Sub(0)
+	return o.Domain == domains[engine%len(domains)] && now >= o.From && now < o.To
+}
+
+// sent notes that an entry sends a prompt to the engine.
+func (s *sim) sent(e *engine) {
+	i := slices.Index(s.engines, e)
+	if s.out(i) && s.clock.Now().Sub(0) > s.config.Outage.From+heardIn {
+		s.strays++
+	}
+}
+
+// counts tells whether a request belongs to the figures.
+func (s *sim) counts(r *request, end decide.Instant) bool {
+	w, at := s.window(end), r.at.Sub(0)
+	return at >= w.From && at < w.To && !end.Before(r.deadline)
+}
+
+func (s *sim) window(end decide.Instant) Window {
+	if s.config.Window.To == 0 {
+		return Window{warmUp, end.Sub(0)}
+	}
+	return s.config.Window
+}
+
 // sim is one run under way.
 type sim struct {
 	config      Config
@@ -82,6 +130,7 @@
 	entries     []*entry
 	requests    []*request
 	memoryWaits int // unreserved prompts that found no memory at their engine
+	strays      int // prompts sent to an engine that had been out of service for longer than heardIn
 }
 
 func (s *sim) model() *EngineModel { return &s.engines[0].model }
