health: failed work is held from the first failure on, load grows from one

Cause: the end-to-end test "lost answers" lost 3 of 858 prompts at a machine load of 60: two engines fail all their work and report that they are well; the first report after a failure brought two at a time back, and the retry budget went on them.

Change: a report clears a failure of work only 250 ms after it, doubling; an engine gets nothing meanwhile; a warming upstream starts at one request.

--- a/internal/decide/health/health.go
+++ b/internal/decide/health/health.go
@@ -169,14 +169,13 @@
 }
 
 func (m *Machine) hold() time.Duration {
-	if m.state != Suspect || m.strikes <= 1 {
+	if m.state != Suspect || m.strikes == 0 || m.since.Sub(m.struck) > forgive {
 		return 0
 	}
-	return min(firstHold<<min(m.strikes-2, mostShift), longHold)
+	return min(firstHold<<min(m.strikes-1, mostShift), longHold)
 }
 
-// Held tells whether the upstream failed its work again soon after it was cleared; it then gets none until
-// it is cleared anew.
+// Held tells whether the upstream is suspect because its work failed; it gets none until it is cleared.
 func (m *Machine) Held() bool { return m.hold() > 0 }
 
 // Slow tells whether a first byte that took took is far longer than expected: such a wait is the first
--- a/internal/decide/warm/ramp.go
+++ b/internal/decide/warm/ramp.go
@@ -11,7 +11,7 @@
 
 // Constants of the growth of load.
 const (
-	rampBase   = 2  // requests at once that an instance has at an upstream that has just become warm
+	rampBase   = 1  // requests at once that an instance has at an upstream that has just become warm
 	rampTop    = 64 // a warming upstream that bears so many at once from one instance is warm
 	windowBase = 16 // requests without a first byte that an instance always may have at a warm upstream
 	windowTop  = 1024
