--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -12,6 +12,7 @@
 	"github.com/damaskshelf/damaskshelf/api"
 	"github.com/damaskshelf/damaskshelf/internal/caller"
 	"github.com/damaskshelf/damaskshelf/internal/standin/answer"
+	"github.com/damaskshelf/damaskshelf/internal/standin/faults"
 )
 
 // long is a prompt whose answer streams for as many engine tokens, 10 ms each.
@@ -22,19 +23,27 @@
 	}
 }
 
+// onEngines is the number of prompts that engines have.
+func (b *bed) onEngines() int {
+	sum := 0
+	for _, e := range b.f.Cluster.Engines {
+		sum += e.Counters().InFlight
+	}
+	return sum
+}
+
 // inFlight waits until the engines have n prompts.
 func (b *bed) inFlight(n int) {
 	b.t.Helper()
-	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
-		sum := 0
-		for _, e := range b.f.Cluster.Engines {
-			sum += e.Counters().InFlight
-		}
-		if sum >= n {
-			return
-		}
+	eventually(b.t, "prompts are on engines", func() bool { return b.onEngines() >= n })
+}
+
+// eventually waits for what takes milliseconds when all is well.
+func eventually(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); !cond(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(deadline) {
-			b.t.Fatalf("%d of %d prompts are on engines", sum, n)
+			t.Fatal("never: " + what)
 		}
 	}
 }
@@ -107,14 +116,29 @@
 	is.Equal(r.Kind, "cancelled")
 	is.True(r.Run != "no")
 	is.True(strings.HasPrefix(answer.Answer("long", tokens), r.Text))
-	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
-		held := 0
-		for _, e := range b.f.Cluster.Engines {
-			held += e.Counters().InFlight
-		}
-		if held == 0 {
-			return
-		}
-		is.True(time.Now().Before(deadline)) // no engine works on for nobody
+	eventually(t, "no engine works on for nobody", func() bool { return b.onEngines() == 0 })
+}
+
+// An engine's answer doesn't come, or every engine refuses. The analyst's request has 700 ms: it is answered
+// by then, with an error that says what is known, and not left hanging on the engine's time; the client's
+// own limit, seconds later, would show as a transport error. No engine works on for it.
+func TestPromptsEndInTheirTime(t *testing.T) {
+	all := []faults.Fault{faults.Hang, faults.Kill, faults.RefuseStart, faults.RefuseEverything, faults.SlowFirstByte}
+	b := start(t)
+	for _, f := range all {
+		t.Run(string(f), func(t *testing.T) {
+			is := is.New(t)
+			b.awaitEngines(t)
+			b.switchAll(b.engines(), f, true)
+			q := b.long(fmt.Sprint("late-", f), 2000)
+			q.Timeout = 700 * time.Millisecond
+			r := b.call.Do(q)
+			b.switchAll(b.engines(), f, false)
+			is.NoErr(r.Err)
+			is.True(!r.Whole)
+			is.True(r.Kind != "")
+			is.True(r.Run == "no" || r.Run == "unknown" || r.Run == "yes")
+			eventually(t, "no engine works for it", func() bool { return b.onEngines() == 0 })
+		})
 	}
 }
