Fail to start at once when an address is taken; bound the heartbeat

Cause: a daemon whose operators' port was taken waited for ever for its callers' listener, which had never served; a heartbeat over 500 ms was silently taken as 500 ms. Change: the callers' address is given back by closing it; intervals.heartbeat allows 5ms to 500ms. Ruled out: a time limit around the shutdown (it would hide the cause).

--- a/api/settings.go
+++ b/api/settings.go
@@ -250,13 +250,17 @@
 	return s.checkDurations([]durationRange{
 		{"intervals.instance_list", i.InstanceList, 5 * time.Millisecond, time.Minute},
 		{"intervals.load_report", i.LoadReport, 5 * time.Millisecond, time.Minute},
-		{"intervals.heartbeat", i.Heartbeat, 5 * time.Millisecond, time.Minute},
+		{"intervals.heartbeat", i.Heartbeat, 5 * time.Millisecond, maxHeartbeat},
 		{"intervals.balancer_lag", i.BalancerLag, time.Millisecond, 5 * time.Minute},
 		{"intervals.stop_timeout", i.StopTimeout, time.Millisecond, time.Hour},
 		{"intervals.stream_gap", i.StreamGap, 5 * time.Millisecond, 5 * time.Minute},
 	})
 }
 
+// maxHeartbeat is the longest time between heartbeats by which the bounds on new work to an upstream or
+// failure domain that is taken out are kept (docs/design/membership.md).
+const maxHeartbeat = 500 * time.Millisecond
+
 type durationRange struct {
 	path     string
 	value    Duration
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -138,6 +138,9 @@
 	return nil
 }
 
+// Unlisten gives the address back before Serve was called.
+func (s *Server) Unlisten() error { return s.listener.Close() }
+
 // Addr is where callers connect.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,7 +100,7 @@
 		return errors.Join(err, p.Follower.Close())
 	}
 	if err := p.Operators.listen(p.Settings.Listen.Operators); err != nil {
-		return errors.Join(err, p.Callers.Shutdown(context.Background()), p.Follower.Close())
+		return errors.Join(err, p.Callers.Unlisten(), p.Follower.Close())
 	}
 	n.run(func(context.Context) { p.Callers.Serve() })
 	n.run(func(context.Context) { p.Operators.serve() })
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -12,6 +12,7 @@
 	"github.com/damaskshelf/damaskshelf/api"
 	"github.com/damaskshelf/damaskshelf/internal/caller"
 	"github.com/damaskshelf/damaskshelf/internal/local"
+	"github.com/damaskshelf/damaskshelf/internal/node"
 	"github.com/damaskshelf/damaskshelf/internal/standin/answer"
 	"github.com/damaskshelf/damaskshelf/internal/standin/cluster"
 	"github.com/damaskshelf/damaskshelf/internal/standin/faults"
@@ -122,3 +123,17 @@
 		is.Equal(r.Text, answer.Answer(id, 5))
 	}
 }
+
+// A daemon is started whose operators' port is taken. It has to say so and end; it once waited for ever for
+// its callers' listener, which had never served.
+func TestStartFailsWhenAnAddressIsTaken(t *testing.T) {
+	is := is.New(t)
+	f := start(t, 1)
+	s := f.Settings("entry-x", "north")
+	s.Listen.Operators = f.Nodes[0].OperatorsAddr()
+	n, err := node.New(s, node.Options{})
+	is.NoErr(err)
+	err = n.Start()
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "listen for operators"))
+}
