--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -195,15 +195,3 @@
 	}
 	return m.ID
 }
-
-// closing tells callers of a stopping instance, the balancer first, to use another connection. Otherwise a
-// request that comes on a kept connection just when the listener shuts down is cut off without an answer.
-// Each answer from the first sign of the stop on says it, so that by the shutdown no kept connection is left.
-func closing(g *gate.Gate, next fasthttp.RequestHandler) fasthttp.RequestHandler {
-	return func(ctx *fasthttp.RequestCtx) {
-		next(ctx)
-		if !g.Ready() {
-			ctx.SetConnectionClose()
-		}
-	}
-}
