Record decisions without a lock; key_expired; a second SIGTERM cuts nothing off

Change: the recorder keeps decisions in a ring of atomic pointers and formats when asked; kind key_expired (410, no Retry-After); SIGTERM during a stop is noted, only an interrupt aborts; the e2e stop sends it twice. Ruled out: dropping the line of each decision (the users want it).

--- a/cmd/damaskshelfd/main.go
+++ b/cmd/damaskshelfd/main.go
@@ -1,7 +1,8 @@
 // Command damaskshelfd is one entry instance of damaskshelf.
 //
 // It reads its settings once, serves until SIGTERM or SIGINT, and then stops gracefully: requests in
-// flight are finished. A second signal ends those that are left with an explicit error. Exit statuses:
+// flight are finished. Further SIGTERMs change nothing, since a platform may send more than one; a SIGINT
+// during the stop ends the requests that are left with an explicit error. Exit statuses:
 // 0 stopped whole, 1 failed, 2 bad settings or usage.
 package main
 
@@ -70,7 +71,11 @@
 			}
 			return exitDone
 		case sig := <-signals:
-			log.Warn("second signal: ending what is left", "name", sig)
+			if sig != os.Interrupt {
+				log.Info("already stopping", "signal", sig)
+				continue
+			}
+			log.Warn("interrupted: ending what is left")
 			n.Abort()
 		}
 	}
--- a/internal/decide/claim/claim.go
+++ b/internal/decide/claim/claim.go
@@ -166,7 +166,7 @@
 	case Reused:
 		return fault.New(fault.KeyReused, "the idempotency key stands for another request")
 	case Expired:
-		return fault.Ran(fault.DeadlineExceeded, r.Run, "the idempotency key is older than outcomes are kept; use a new key only if it may run again")
+		return fault.Ran(fault.KeyExpired, r.Run, "the idempotency key is older than outcomes are kept; use a new key only if it may run again")
 	case Full:
 		return fault.New(fault.StoreUnavailable, "no room for another idempotency key")
 	default:
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -5,7 +5,7 @@
 import (
 	"fmt"
 	"strings"
-	"sync"
+	"sync/atomic"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -17,20 +17,30 @@
 
 // Decision is one decision as it was logged.
 type Decision struct {
-	Kind    string        `json:"kind"` // route, place, refuse, retry, resume, claim, ...
-	Subject string        `json:"subject"`
-	Reason  decide.Reason `json:"reason"`
-	Fields  string        `json:"fields"` // key=value pairs
+	Kind    string // route, place, refuse, retry, resume, claim, ...
+	Subject string
+	Reason  decide.Reason
+	fields  []any // pairs of key and value
 }
 
-// Recorder logs decisions and keeps the latest. It is safe for concurrent use; recording takes a short
-// lock after the decision was made.
-type Recorder struct {
-	log hclog.Logger
+// Fields gives the decision's key=value pairs, separated by spaces.
+func (d *Decision) Fields() string {
+	var b strings.Builder
+	for i := 0; i+1 < len(d.fields); i += 2 {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		fmt.Fprintf(&b, "%v=%v", d.fields[i], d.fields[i+1])
+	}
+	return b.String()
+}
 
-	mu   sync.Mutex
-	ring [kept]Decision // guarded by mu
-	next int            // guarded by mu
+// Recorder logs decisions and keeps the latest. It is safe for concurrent use. Recording takes no lock of
+// its own and formats nothing but the log line, since it stands on the path of every request.
+type Recorder struct {
+	log  hclog.Logger
+	next atomic.Uint64
+	ring [kept]atomic.Pointer[Decision]
 }
 
 // New gives a Recorder that logs to log's sub-logger "decision".
@@ -39,35 +49,23 @@
 }
 
 // Record logs one decision about subject, a request id or the name of what is placed. fields are pairs
-// of key and value.
+// of key and value, and must not be changed afterwards.
 func (r *Recorder) Record(kind, subject string, reason decide.Reason, fields ...any) {
-	line := append([]any{"subject", subject, "reason", string(reason)}, fields...)
-	r.log.Info(kind, line...)
-	d := Decision{Kind: kind, Subject: subject, Reason: reason, Fields: pairs(fields)}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.ring[r.next] = d
-	r.next = (r.next + 1) % kept
-}
-
-func pairs(fields []any) string {
-	var b strings.Builder
-	for i := 0; i+1 < len(fields); i += 2 {
-		if i > 0 {
-			b.WriteByte(' ')
-		}
-		fmt.Fprintf(&b, "%v=%v", fields[i], fields[i+1])
+	if r.log.IsInfo() {
+		line := make([]any, 0, len(fields)+4)
+		line = append(line, "subject", subject, "reason", string(reason))
+		r.log.Info(kind, append(line, fields...)...)
 	}
-	return b.String()
+	slot := (r.next.Add(1) - 1) % kept
+	r.ring[slot].Store(&Decision{Kind: kind, Subject: subject, Reason: reason, fields: fields})
 }
 
 // About gives the kept decisions about subject, oldest first.
-func (r *Recorder) About(subject string) []Decision {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var found []Decision
-	for i := range kept {
-		if d := r.ring[(r.next+i)%kept]; d.Subject == subject && d.Kind != "" {
+func (r *Recorder) About(subject string) []*Decision {
+	var found []*Decision
+	next := r.next.Load()
+	for i := range uint64(kept) {
+		if d := r.ring[(next+i)%kept].Load(); d != nil && d.Subject == subject {
 			found = append(found, d)
 		}
 	}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -61,6 +61,7 @@
 	DeadlineExceeded             // the request's time ran out
 	InProgress                   // the same idempotency key is being run
 	KeyReused                    // the same idempotency key with another request
+	KeyExpired                   // the idempotency key is older than outcomes are kept
 	StoreUnavailable             // the object API can't be reached for a write that must come first
 	PlanConflict                 // the versions the plan was made from no longer hold
 	PlanRejected                 // the plan would break a floor or a budget
@@ -109,6 +110,7 @@
 	DeadlineExceeded: {"deadline_exceeded", 504, started, time.Second},
 	InProgress:       {"in_progress", 409, started, time.Second},
 	KeyReused:        {"key_reused", 422, notRun, NoRetry},
+	KeyExpired:       {"key_expired", 410, started, NoRetry},
 	StoreUnavailable: {"store_unavailable", 503, started, 5 * time.Second},
 	PlanConflict:     {"plan_conflict", 409, notRun, NoRetry},
 	PlanRejected:     {"plan_rejected", 422, notRun, NoRetry},
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -73,7 +73,7 @@
 	return func(id fleet.RequestID) ([]string, bool) {
 		var lines []string
 		for _, d := range rec.About(string(id)) {
-			lines = append(lines, fmt.Sprintf("%s reason=%s %s", d.Kind, d.Reason, d.Fields))
+			lines = append(lines, fmt.Sprintf("%s reason=%s %s", d.Kind, d.Reason, d.Fields()))
 		}
 		return lines, len(lines) > 0
 	}
--- a/test/e2e/entries_test.go
+++ b/test/e2e/entries_test.go
@@ -41,6 +41,8 @@
 			return runs(id, saw) > 0 && runs(slow.Headers[wire.HeaderRequestID], saw) > 0
 		})
 		f.signal(old, syscall.SIGTERM)
+		time.Sleep(before)
+		f.signal(old, syscall.SIGTERM) // a platform may send it twice
 		is.NoErr((<-answer).CheckStream(id, long))
 		is.Equal((<-booked).Status, 201)
 		is.Equal(f.awaitExit(old), 0)
