--- a/cmd/damaskctl/client.go
+++ b/cmd/damaskctl/client.go
@@ -101,6 +101,8 @@
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + t.addr + path)
 	req.Header.SetMethod(method)
+	// Without this each look of a long wait leaves a connection open, until the instance refuses more.
+	req.SetConnectionClose()
 	if err := t.authorize(req); err != nil {
 		return err
 	}
--- a/cmd/damaskctl/session_test.go
+++ b/cmd/damaskctl/session_test.go
@@ -205,6 +205,26 @@
 	is.True(strings.Contains(explained.String(), "place reason=matches_plan"))
 }
 
+// An operator waits for a version with -wait: each look opened a connection and left it open, and after 64
+// of them the instance refused the operators' calls.
+func TestLooksLeaveNoConnectionOpen(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("{}") }, Concurrency: 2}
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Shutdown() }()
+	for range 10 {
+		_, status := command(t, "status", "-addr", l.Addr().String())
+		is.Equal(status, exitDone)
+		for deadline := time.Now().Add(hangGuard / 10); server.GetOpenConnectionsCount() > 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatal("the connection stays open")
+			}
+		}
+	}
+}
+
 // Nobody answers: the outcome is not known, and words and exit status say so.
 func TestNobodyAnswers(t *testing.T) {
 	is := is.New(t)
