Ask an engine for its load right after each renewal of its report

Cause: five polls a second and engine cost 72 KB/s at today's 20 engines (docs/CAPACITY.md), over the 22 KB/s a node may spend, while engines renew their reports twice a second. Change: decide/pace learns the interval from the reports' ages and asks once after each renewal, spread over a fifth of it by instance; bench and daemon drive the same decision.

--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -251,7 +251,9 @@
 
 // renew takes the report that entries read until the next one.
 func (e *engine) renew() {
+	seq := e.report.Seq + 1
 	e.report, e.reported, e.events = e.load(), e.clock.Now(), len(e.cache.log)
+	e.report.Seq = seq
 	e.clock.After(reportRenewal, e.renew)
 }
 
--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -8,6 +8,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/decide/admit"
 	"github.com/damaskshelf/damaskshelf/internal/decide/cost"
 	"github.com/damaskshelf/damaskshelf/internal/decide/lane"
+	"github.com/damaskshelf/damaskshelf/internal/decide/pace"
 	"github.com/damaskshelf/damaskshelf/internal/decide/pick"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 )
@@ -28,18 +29,20 @@
 	rng    *rand.Rand
 	views  []*pick.Engine
 	byView map[*pick.Engine]*engine
+	paces  []pace.Pace // of the engines' reports
 	policy policy
 }
 
 func newEntry(s *sim, number int) *entry {
 	e := &entry{
 		sim: s, number: number, rng: rand.New(rand.NewPCG(s.config.Seed, uint64(1000+number))),
-		byView: map[*pick.Engine]*engine{},
+		byView: map[*pick.Engine]*engine{}, paces: make([]pace.Pace, len(s.engines)),
 	}
 	for i, eng := range s.engines {
 		v := pick.NewEngine(eng.id, cost.NewTable(eng.model.Memory))
 		e.views = append(e.views, v)
 		e.byView[v] = eng
+		e.paces[i].Phase = decide.Float(e.rng)
 		phase := time.Duration(decide.Float(e.rng) * float64(reportPoll))
 		s.clock.After(phase, func() { e.poll(i) })
 	}
@@ -57,7 +60,8 @@
 		view.Cache.Apply(eng.cacheEvents(view.Cache.Next()), now)
 	}
 	e.policy.wake()
-	e.sim.clock.After(reportPoll, func() { e.poll(i) })
+	wait := e.paces[i].Next(l.Seq, eng.reported, now, reportPoll)
+	e.sim.clock.After(wait, func() { e.poll(i) })
 }
 
 // gated is the policy under test: the daemon's gate and pipeline.
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -19,7 +19,7 @@
 const (
 	messageDelay  = time.Millisecond       // one way, entry to engine
 	reportRenewal = 500 * time.Millisecond // between two reports of an engine
-	reportPoll    = 200 * time.Millisecond // between an entry's two reads of an engine
+	reportPoll    = 200 * time.Millisecond // between an entry's two reads of an engine whose renewals it does not know yet
 	resizeEvery   = time.Second
 	reserveWait   = time.Second // of a group for one engine's memory
 	queueLength   = 512         // the daemon's default
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -11,6 +12,8 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/decide/pace"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
 	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
@@ -34,6 +37,7 @@
 	log      hclog.Logger
 	interval time.Duration
 	view     func() *fleet.View
+	start    time.Time
 
 	wg      sync.WaitGroup
 	asked   sync.Map // fleet.UpstreamID to struct{}: engines whose first round is over, answered or not
@@ -41,10 +45,11 @@
 	running map[fleet.UpstreamID]context.CancelFunc // guarded by mu
 }
 
-// New gives an Observer that starts polling with Run.
+// New gives an Observer that starts polling with Run. An engine is asked right after each renewal of its
+// report; interval is the time between two calls while that is not known.
 func New(client *upstream.Client, view func() *fleet.View, sink Sink, interval time.Duration, log hclog.Logger) *Observer {
 	return &Observer{
-		client: client, sink: sink, log: log.Named("observe"), interval: interval, view: view,
+		client: client, sink: sink, log: log.Named("observe"), interval: interval, view: view, start: time.Now(),
 		running: map[fleet.UpstreamID]context.CancelFunc{},
 	}
 }
@@ -99,64 +104,78 @@
 
 func (o *Observer) poll(ctx context.Context, id fleet.UpstreamID) {
 	defer o.wg.Done()
-	var at place
-	tick := time.NewTicker(o.interval)
-	defer tick.Stop()
+	p := poller{Observer: o, wait: o.interval, pace: pace.Pace{Phase: rand.Float64()}}
 	for round := 0; ; round++ {
 		u := o.view().Upstream(id)
 		if u == nil {
 			return
 		}
-		at = o.once(ctx, u, round%stateEvery == 0, at)
+		p.once(ctx, u, round%stateEvery == 0)
 		o.asked.Store(id, struct{}{})
+		t := time.NewTimer(p.wait)
 		select {
-		case <-tick.C:
+		case <-t.C:
 		case <-ctx.Done():
+			t.Stop()
 			return
 		}
 	}
 }
 
-// place is how far an engine's cache events were read.
-type place struct {
+// poller reads one engine's reports.
+type poller struct {
+	*Observer
+	pace   pace.Pace
+	wait   time.Duration // until the next round
 	bootID string
-	next   uint64
+	next   uint64 // cache event to read from next
 }
 
-// once makes one round of calls and gives the place to read cache events from next. The events are asked for
-// only when the load report tells of newer ones: most rounds need one call.
-func (o *Observer) once(ctx context.Context, u *fleet.Upstream, state bool, at place) place {
-	if state {
-		s, err := o.client.State(ctx, u.Addr)
-		if err != nil {
-			o.failed(ctx, u, err)
-			return at
-		}
-		slices.SortFunc(s.Loaded, func(a, b wire.Loaded) int { return strings.Compare(a.Model, b.Model) })
-		o.sink.OnState(u, s)
+// once makes one round of calls. Cache events are asked for only when the load report tells of newer ones:
+// most rounds need one call.
+func (p *poller) once(ctx context.Context, u *fleet.Upstream, state bool) {
+	p.wait = p.interval
+	if state && !p.state(ctx, u) {
+		return
 	}
 	asked := time.Now()
-	l, err := o.client.Load(ctx, u.Addr)
+	l, err := p.client.Load(ctx, u.Addr)
 	if err != nil {
-		o.failed(ctx, u, err)
-		return at
+		p.failed(ctx, u, err)
+		return
+	}
+	made := asked.Add(-time.Duration(l.AgeMs) * time.Millisecond)
+	p.sink.OnLoad(u, l, made)
+	p.wait = p.pace.Next(l.Seq, p.instant(made), p.instant(time.Now()), p.interval)
+	if l.BootID != p.bootID { // its sequence numbers begin anew
+		p.bootID, p.next = l.BootID, 0
 	}
-	o.sink.OnLoad(u, l, asked.Add(-time.Duration(l.AgeMs)*time.Millisecond))
-	if l.BootID != at.bootID { // its sequence numbers begin anew
-		at = place{bootID: l.BootID}
+	if l.CacheNext != 0 && l.CacheNext <= p.next {
+		return
 	}
-	if l.CacheNext != 0 && l.CacheNext <= at.next {
-		return at
+	e, err := p.client.CacheEvents(ctx, u.Addr, p.next)
+	if err != nil {
+		p.failed(ctx, u, err)
+		return
 	}
-	e, err := o.client.CacheEvents(ctx, u.Addr, at.next)
+	p.sink.OnCache(u, e)
+	p.bootID, p.next = e.BootID, e.Next
+}
+
+// state reads what the engine serves, and tells whether it answered.
+func (p *poller) state(ctx context.Context, u *fleet.Upstream) bool {
+	s, err := p.client.State(ctx, u.Addr)
 	if err != nil {
-		o.failed(ctx, u, err)
-		return at
+		p.failed(ctx, u, err)
+		return false
 	}
-	o.sink.OnCache(u, e)
-	return place{bootID: e.BootID, next: e.Next}
+	slices.SortFunc(s.Loaded, func(a, b wire.Loaded) int { return strings.Compare(a.Model, b.Model) })
+	p.sink.OnState(u, s)
+	return true
 }
 
+func (o *Observer) instant(t time.Time) decide.Instant { return decide.Instant(t.Sub(o.start)) }
+
 func (o *Observer) failed(ctx context.Context, u *fleet.Upstream, err error) {
 	if ctx.Err() != nil {
 		return
