health: an upstream whose domain comes back is cold, whatever was reported before

On return it was 'unknown', and of an unknown upstream any report counts, an older one too, so that the last report before the maintenance made it warm at once, against 'on return, upstreams are treated as cold'. Change: Leaving + IsBack is Cold; only a report made after the return lets load grow. Ruled out: a pause before the return takes effect (operators would wait, and the promise would hang on its length).

--- a/internal/decide/health/health.go
+++ b/internal/decide/health/health.go
@@ -93,7 +93,8 @@
 		ReportedWarm: Warming, ReportedCold: Cold, BootChanged: Cold, Answered: Warming, Proven: Warming,
 		IsLeaving: Leaving, Unlisted: Gone,
 	},
-	Leaving: {IsBack: Unknown, Unlisted: Gone},
+	// A domain that comes back: what was reported before it left, or just before it turned cold, says nothing.
+	Leaving: {IsBack: Cold, Unlisted: Gone},
 	Gone:    {Listed: Unknown},
 }
 
--- a/internal/node/domains_test.go
+++ b/internal/node/domains_test.go
@@ -16,8 +16,9 @@
 	"github.com/damaskshelf/damaskshelf/internal/standin/engine"
 )
 
-// maintenance is the time that the domain stays out after its engine was made cold: several load reports.
-const maintenance = 500 * time.Millisecond
+// maintenance is the time that the domain stays out after its engine was made cold: less than the interval of
+// load reports, so that the last report before the return still calls the engine warm.
+const maintenance = 10 * time.Millisecond
 
 // load keeps prompts on a fleet until it is stopped, and counts what callers saw.
 type load struct {
--- a/internal/warm/warm_test.go
+++ b/internal/warm/warm_test.go
@@ -141,7 +141,7 @@
 	is.Equal(b.State(e), health.Cold) // restarted: its "warm" of that moment is the old process's
 }
 
-// What leaves or is no longer listed gets nothing, and comes back as unknown.
+// What leaves or is no longer listed gets nothing. It comes back as cold, or as unknown if the list had lost it.
 func TestLeavingAndGone(t *testing.T) {
 	is := is.New(t)
 	e, leaving := engine("e1"), engine("e1")
@@ -156,7 +156,7 @@
 	is.True(!b.Allow(e))
 	b.show(3, e)
 	b.Tick(false)
-	is.Equal(b.State(e), health.Unknown)
+	is.Equal(b.State(e), health.Cold)
 	b.show(4)
 	b.Tick(false)
 	is.Equal(b.State(e), health.Gone)
