--- a/internal/decide/health/health_test.go
+++ b/internal/decide/health/health_test.go
@@ -63,7 +63,7 @@
 		{health.Suspect, health.Answered, health.Warming},
 		{health.Suspect, health.BootChanged, health.Cold},
 		{health.Leaving, health.ReportedWarm, health.Leaving}, // what leaves takes nothing, however well it is
-		{health.Leaving, health.IsBack, health.Cold}, // as operators' domains come back
+		{health.Leaving, health.IsBack, health.Cold},          // as operators' domains come back
 		{health.Leaving, health.Unlisted, health.Gone},
 		{health.Gone, health.ReportedWarm, health.Gone},
 		{health.Gone, health.Listed, health.Unknown},
