A confirmation waits for its record, at most 150 ms

Traces: the instance waited out its back-off after the store's outage (run: no), or the outcome still waited in an instance's memory. The second hides a fault: an entry that dies right after it said 'confirmed' left the key unknown for good. Change: RecordWithin waits up to 150 ms for the store; the test comes back when it is told to, as a caller does, and then asks for the same body and the replay mark as before. Ruled out: waiting without a bound (a store outage would hold confirmations back).

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -127,6 +127,23 @@
 	h.keeper.submit(op)
 }
 
+// RecordWithin is Record, and waits up to wait for the store to have the outcome. It tells whether it has:
+// then a repeat hears it even if this instance dies right after the answer. An outage costs the caller no
+// more than wait.
+func (h *Held) RecordWithin(o claim.Outcome, wait time.Duration) bool {
+	op := h.op
+	op.Kind, op.Outcome = claim.Record, o
+	answer := h.keeper.submit(op)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case res := <-answer:
+		return res.Verdict != claim.Unavailable
+	case <-timer.C:
+		return false
+	}
+}
+
 // Withdraw drops the claim of a request that certainly did not run.
 func (h *Held) Withdraw() {
 	op := h.op
@@ -134,13 +151,15 @@
 	h.keeper.submit(op)
 }
 
-func (k *Keeper) submit(op claim.Op) {
+// submit gives the channel of the operation's answer; of a closed Keeper it never answers.
+func (k *Keeper) submit(op claim.Op) <-chan claim.Result {
 	s := k.shard(op.Key)
 	if s == nil {
 		k.log.Error("claim", "reason", claim.Unavailable.Reason(), "key", op.Key, "lost", "outcome")
-		return
+		return nil
 	}
-	s.submit(op)
+	_, answer := s.submit(op)
+	return answer
 }
 
 // shard gives the key's shard, or nil once the Keeper is closed.
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -265,3 +265,33 @@
 }
 
 const timedKey = "01890a5d-ac96-774b-bcce-b302099a8057"
+
+// A guide is told that the booking is confirmed; the entry that said so dies at once. Asked again through
+// another entry, the key was unknown for good: the outcome had waited in the dead entry's memory.
+func TestConfirmedOutcomeOutlivesItsEntry(t *testing.T) {
+	is := is.New(t)
+	store := memory.New()
+	a, b := keeper(t, store, "a"), keeper(t, store, "b")
+	held, _ := a.Claim(t.Context(), request("k"))
+	outcome := claim.Outcome{Run: fault.RunYes, Status: 201, Body: []byte(`{"hut":7}`)}
+	is.True(held.RecordWithin(outcome, 30*time.Second))
+	a.Close() // nothing is flushed
+	_, r := b.Claim(t.Context(), request("k"))
+	is.Equal(r.Verdict, claim.Replay)
+	is.Equal(r.Outcome.Body, outcome.Body)
+}
+
+// The object API goes down while a booking runs. Its guest waits no longer than the bound for the record, and
+// the outcome is written when the store is back.
+func TestOutageCostsAConfirmationTheBoundOnly(t *testing.T) {
+	is := is.New(t)
+	store := &faultyStore{Store: memory.New()}
+	a, b := keeper(t, store, "a"), keeper(t, store, "b")
+	held, _ := a.Claim(t.Context(), request("k"))
+	store.down.Store(true)
+	is.True(!held.RecordWithin(claim.Outcome{Run: fault.RunYes, Status: 201}, 10*time.Millisecond))
+	store.down.Store(false)
+	flush(t, a)
+	_, r := b.Claim(t.Context(), request("k"))
+	is.Equal(r.Verdict, claim.Replay)
+}
--- a/internal/entry/command/claims.go
+++ b/internal/entry/command/claims.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/claim"
 	decideclaim "github.com/damaskshelf/damaskshelf/internal/decide/claim"
@@ -15,6 +16,10 @@
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
 )
 
+// recordWait bounds how long an answer waits for its record. Writes take milliseconds while the store is up;
+// while it is down the answer goes out without.
+const recordWait = 150 * time.Millisecond
+
 // StoredClaims are Claims that live in the object API.
 type StoredClaims struct {
 	keeper  *claim.Keeper
@@ -42,7 +47,11 @@
 		c.ended(held, fault.From(err))
 		return upstream.Answer{}, false, err
 	}
-	held.Record(decideclaim.Outcome{Run: forward.Ran(a), Status: a.Status, ContentType: a.ContentType, Body: a.Body})
+	// The caller hears of its booking once the store has it: without that wait an instance that died right
+	// after the answer left the key unknown, and the caller's next question was answered so.
+	held.RecordWithin(decideclaim.Outcome{
+		Run: forward.Ran(a), Status: a.Status, ContentType: a.ContentType, Body: a.Body,
+	}, recordWait)
 	return a, false, nil
 }
 
