Spend less on control: conditional reads of the instance list; measure it all again

Cause: docs/CAPACITY.md: control does not fit 22 KB/s today: polls 72 KB/s, instance list 10.5 KB/s. Ruled out: reading the list less often (the bound of 2 s on leaving upstreams hangs on it).

--- a/internal/capacity/poll_test.go
+++ b/internal/capacity/poll_test.go
@@ -70,30 +70,52 @@
 	return e
 }
 
-// poll is what a reader of an engine does in each load interval.
+// The calls of a reader of an engine: the load report at each renewal, the cache events when the report tells
+// of new ones, the state at every tenth report.
+var calls = []struct {
+	name  string
+	bound int64 // bytes both ways
+	call  func(c *upstream.Client, addr string) error
+}{
+	{"load report", 520, func(c *upstream.Client, addr string) error {
+		_, err := c.Load(context.Background(), addr)
+		return err
+	}},
+	{"cache events, none", 400, func(c *upstream.Client, addr string) error {
+		_, err := c.CacheEvents(context.Background(), addr, 0)
+		return err
+	}},
+	{"state", 420, func(c *upstream.Client, addr string) error {
+		_, err := c.State(context.Background(), addr)
+		return err
+	}},
+}
+
+// poll is what a reader of an idle engine does after each renewal of its report.
 func poll(tb testing.TB, c *upstream.Client, addr string) {
-	if _, err := c.Load(context.Background(), addr); err != nil {
-		tb.Fatal(err)
-	}
-	if _, err := c.CacheEvents(context.Background(), addr, 0); err != nil {
+	if err := calls[0].call(c, addr); err != nil {
 		tb.Fatal(err)
 	}
 }
 
-// TestBytesOfALoadPoll prints the bytes of one poll of an idle engine, headers included.
+// TestBytesOfALoadPoll prints the bytes of each call to an idle engine, headers included.
 func TestBytesOfALoadPoll(t *testing.T) {
 	e := startEngine(t)
-	l := newCounting(t, e.Addr())
-	c := upstream.New()
-	defer c.Close()
-	const polls = 20
-	for range polls {
-		poll(t, c, l.Addr().String())
-	}
-	size := l.bytes.Load() / polls
-	t.Logf("load poll of an idle engine: %d bytes both ways", size)
-	if size > 1200 {
-		t.Errorf("a load poll is over its bound")
+	for _, q := range calls {
+		l := newCounting(t, e.Addr())
+		c := upstream.New()
+		const polls = 20
+		for range polls {
+			if err := q.call(c, l.Addr().String()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		c.Close()
+		size := l.bytes.Load() / polls
+		t.Logf("%s of an idle engine: %d bytes both ways", q.name, size)
+		if size > q.bound {
+			t.Errorf("%s is over its bound of %d", q.name, q.bound)
+		}
 	}
 }
 
--- a/internal/platform/client/client.go
+++ b/internal/platform/client/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -31,6 +32,7 @@
 	weights   string
 	http      *fasthttp.Client
 	conns     *conns
+	list      atomic.Pointer[wire.InstanceList] // as last read; not to be changed
 }
 
 // Addresses are the platform's, each IP and port.
@@ -123,6 +125,11 @@
 	if err != nil {
 		return err
 	}
+	return decode(u, a, out)
+}
+
+// decode reads the 200 answer of a read of u into out.
+func decode(u string, a answer, out any) error {
 	switch a.status {
 	case fasthttp.StatusOK:
 		if err := json.Unmarshal(a.body, out); err != nil {
@@ -224,11 +231,27 @@
 	}
 }
 
-// Instances implements platform.Instances.
+// Instances implements platform.Instances. A list that has not changed since the last read is not sent
+// again: the platform answers 304 to the version that this client has.
 func (c *Client) Instances(ctx context.Context) (wire.InstanceList, error) {
+	q := call{method: fasthttp.MethodGet, url: c.instances + wire.PathInstances, timeout: callTimeout}
+	known := c.list.Load()
+	if known != nil {
+		q.headers = [][2]string{{fasthttp.HeaderIfNoneMatch, wire.InstancesTag(known.Version)}}
+	}
+	a, err := c.do(ctx, q)
+	if err != nil {
+		return wire.InstanceList{}, err
+	}
+	if a.status == fasthttp.StatusNotModified && known != nil {
+		return *known, nil
+	}
 	var l wire.InstanceList
-	err := c.get(ctx, c.instances+wire.PathInstances, callTimeout, &l)
-	return l, err
+	if err := decode(q.url, a, &l); err != nil {
+		return wire.InstanceList{}, err
+	}
+	c.list.Store(&l)
+	return l, nil
 }
 
 // isDial tells whether err came from connecting, so that nothing of the call was sent.
--- /dev/null
+++ b/internal/platform/client/client_test.go
@@ -0,0 +1,46 @@
+package client_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/damaskshelf/damaskshelf/internal/platform/client"
+	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/standin/instances"
+)
+
+// The instance list is read twice a second by every instance and seldom changes: an unchanged one is not
+// sent again, and a change is seen at the next read.
+func TestUnchangedInstanceListIsNotSentAgain(t *testing.T) {
+	is := is.New(t)
+	s, err := instances.Start("127.0.0.1:0", 0)
+	is.NoErr(err)
+	defer s.Close()
+	s.Register(wire.Instance{ID: "e1", Kind: wire.KindEngine, State: wire.StateLive})
+	c := client.New(client.Addresses{Instances: s.Addr()})
+	defer c.Close()
+	first, err := c.Instances(context.Background())
+	is.NoErr(err)
+	is.Equal(len(first.Instances), 1)
+
+	req, err := http.NewRequest(http.MethodGet, "http://"+s.Addr()+wire.PathInstances, nil)
+	is.NoErr(err)
+	req.Header.Set("If-None-Match", wire.InstancesTag(first.Version))
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	is.NoErr(err)
+	_ = resp.Body.Close()
+	is.Equal(resp.StatusCode, http.StatusNotModified)
+
+	again, err := c.Instances(context.Background())
+	is.NoErr(err)
+	is.Equal(again, first)
+	s.SetLeaving("e1")
+	changed, err := c.Instances(context.Background())
+	is.NoErr(err)
+	is.True(changed.Version > first.Version)
+	is.Equal(changed.Instances[0].State, wire.StateLeaving)
+	is.Equal(first.Instances[0].State, wire.StateLive) // what was read before is left as it was
+}
--- a/internal/platform/wire/wire.go
+++ b/internal/platform/wire/wire.go
@@ -2,7 +2,10 @@
 // weight store. docs/PLATFORM.md is the contract in words; the stand-ins and the clients share this.
 package wire
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"strconv"
+)
 
 // Headers of the object API.
 const (
@@ -71,7 +74,11 @@
 	Memory  int64  `json:"memory_tokens,omitempty"`  // engine: KV cache in tokens
 }
 
-// InstanceList answers GET PathInstances.
+// InstancesTag is the entity tag of a version of the instance list, for conditional reads.
+func InstancesTag(version uint64) string { return `"` + strconv.FormatUint(version, 10) + `"` }
+
+// InstanceList answers GET PathInstances. A request whose If-None-Match bears InstancesTag of the version
+// that would be sent is answered 304 without a body.
 type InstanceList struct {
 	Version   uint64     `json:"version"`
 	Instances []Instance `json:"instances"`
--- a/internal/standin/instances/instances.go
+++ b/internal/standin/instances/instances.go
@@ -162,7 +162,14 @@
 		return
 	}
 	s.faults.Hold(faults.Slow, serve.Gone(ctx))
-	serve.JSON(ctx, fasthttp.StatusOK, s.answer())
+	list := s.answer()
+	tag := wire.InstancesTag(list.Version)
+	ctx.Response.Header.Set(fasthttp.HeaderETag, tag)
+	if string(ctx.Request.Header.Peek(fasthttp.HeaderIfNoneMatch)) == tag {
+		ctx.SetStatusCode(fasthttp.StatusNotModified)
+		return
+	}
+	serve.JSON(ctx, fasthttp.StatusOK, list)
 }
 
 func (s *Server) answer() wire.InstanceList {
