Grant by the view of the moment; ask every open instance of a service

Change: after usable, the upstream is read from the published view again; a service's open instances are asked one after the other. The stop is split into drain and close, with the two paths (Stop, Kill) apart. Figures: TestChoiceFromBeforeAPauseIsNotGranted and TestBookingGoesToTheInstanceWithRoom fail without the change (e1 for e2; no_upstream), pass with it. Ruled out: a lock around choice and grant (the path of a request takes none).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -150,60 +150,72 @@
 // ConfigVersion is the version of the configuration in force on this instance.
 func (n *Node) ConfigVersion() uint64 { return n.parts.Keeper.View().ConfigVersion }
 
-// abortWait bounds the wait for requests that were aborted at the stop's limit.
-const abortWait = 5 * time.Second
+// closeWait bounds what a stop does once no request is in flight any more, or all were aborted.
+const closeWait = 5 * time.Second
 
 // Stop is the planned stop: not ready; serve on for the balancer's lag; refuse new requests; let those in
 // flight end in their own time; close. At the stop's limit the rest end with an explicit error. Calling it
 // again waits for the first call's end.
 func (n *Node) Stop() error {
-	n.once.Do(func() { n.err = n.stopOnce() })
+	return n.stopWithin(time.Duration(n.parts.Settings.Intervals.BalancerLag))
+}
+
+// Kill stops without waiting for requests in flight; they end with an explicit error.
+func (n *Node) Kill() {
+	n.Abort()
+	_ = n.stopWithin(0) // what was cut off is what the caller asked for
+}
+
+// Abort ends every request in flight with an explicit error.
+func (n *Node) Abort() {
+	n.parts.Queries.Abort()
+	n.parts.Commands.Abort()
+}
+
+func (n *Node) stopWithin(lag time.Duration) error {
+	n.once.Do(func() {
+		n.err = errors.Join(n.drain(lag), n.close())
+		n.parts.Log.Info("stopped", "error", n.err)
+	})
 	return n.err
 }
 
-func (n *Node) stopOnce() error {
+// drain serves on for the balancer's lag and waits for the requests in flight, up to the stop's limit.
+func (n *Node) drain(lag time.Duration) error {
 	p := n.parts
 	limit, cancel := context.WithTimeout(context.Background(), time.Duration(p.Settings.Intervals.StopTimeout))
 	defer cancel()
 	p.Log.Info("stopping", "in_flight", p.Gate.InFlight())
 	p.Gate.Unready()
-	sleep(limit, time.Duration(p.Settings.Intervals.BalancerLag))
+	sleep(limit, lag)
 	p.Gate.Refuse()
-	var errs []error
-	if err := p.Gate.Drained(limit); err != nil {
-		errs = append(errs, fmt.Errorf("%d requests cut off at the stop's limit: %w", p.Gate.InFlight(), err))
-		n.Abort()
+	err := p.Gate.Drained(limit)
+	if err == nil {
+		return nil
 	}
-	last, cancelLast := context.WithTimeout(context.Background(), abortWait)
-	defer cancelLast()
-	errs = append(errs, p.Callers.Shutdown(last), p.Operators.shutdown(last))
+	cut := p.Gate.InFlight()
+	n.Abort()
+	return fmt.Errorf("%d requests cut off at the stop's limit: %w", cut, err)
+}
+
+// close shuts the listeners, hands back what this instance holds, and ends all that runs beside requests.
+func (n *Node) close() error {
+	p := n.parts
+	limit, cancel := context.WithTimeout(context.Background(), closeWait)
+	defer cancel()
+	errs := []error{p.Callers.Shutdown(limit), p.Operators.shutdown(limit)}
 	p.Queries.Wait()
-	if err := p.Router.Wait(last); err != nil {
+	if err := p.Router.Wait(limit); err != nil {
 		errs = append(errs, fmt.Errorf("reservations not released at the stop: %w", err))
 	}
-	errs = append(errs, p.Claims.Flush(last))
+	errs = append(errs, p.Claims.Flush(limit))
 	p.Claims.Close()
 	p.Executor.finish()
 	n.stop()
 	p.Platform.Close() // ends waiting watches
 	n.wg.Wait()
 	p.Client.Close()
-	err := errors.Join(errs...)
-	p.Log.Info("stopped", "error", err)
-	return err
-}
-
-// Kill stops without waiting for requests in flight; they end with an explicit error.
-func (n *Node) Kill() {
-	n.Abort()
-	n.parts.Settings.Intervals.BalancerLag = 0
-	_ = n.Stop()
-}
-
-// Abort ends every request in flight with an explicit error; for a second signal during Stop.
-func (n *Node) Abort() {
-	n.parts.Queries.Abort()
-	n.parts.Commands.Abort()
+	return errors.Join(errs...)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/route/model.go
+++ b/internal/route/model.go
@@ -270,6 +270,9 @@
 		g.undo()
 		return nil, err
 	}
+	// Read again: the instance may have been paused since the choice, and others of its goroutines may have
+	// made it usable anew, by a view that has the engine's failure domain out.
+	g.Upstream = m.router.newest(g.Upstream)
 	if g.Upstream == nil || !g.Upstream.Takes() || !m.router.gate.Allow(g.Upstream) {
 		g.undo()
 		return nil, nil
@@ -306,6 +309,14 @@
 	}
 }
 
+// newest gives the upstream as the published view shows it now; nil: it is gone.
+func (r *Router) newest(u *fleet.Upstream) *fleet.Upstream {
+	if u == nil {
+		return nil
+	}
+	return r.view().Upstream(u.ID)
+}
+
 func (a *ask) upstream(id fleet.UpstreamID) *fleet.Upstream { return a.m.router.view().Upstream(id) }
 
 // priority is the class's, moved by the caller's and the workspace's.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -174,7 +174,7 @@
 		return nil, fault.New(fault.NotReady, "no configuration yet")
 	}
 	if q.Service != "" {
-		return r.service(s.view, &q)
+		return r.service(&q)
 	}
 	return r.prompt(ctx, s, &q)
 }
--- a/internal/route/service.go
+++ b/internal/route/service.go
@@ -21,27 +21,29 @@
 	own atomic.Int64
 }
 
-// service gives an instance of a plain service: the one of two random ones with fewer of our calls.
-func (r *Router) service(v *fleet.View, q *Request) (*Grant, error) {
-	all := v.Services(q.Service)
-	if len(all) == 0 {
-		return nil, fault.New(fault.UnknownService, "service %q is not known", q.Service)
-	}
-	fresh := r.untried(all, q)
-	if len(fresh) == 0 {
-		return nil, fault.New(fault.NoUpstream, "all instances of %q are leaving, out or at their limit", q.Service)
-	}
+// service gives an instance of a plain service: the one of two random ones with fewer of our calls. The view
+// is read after usable was asked: an instance that was paused in between would otherwise choose from what it
+// knew before, though others of its goroutines have caught up meanwhile.
+func (r *Router) service(q *Request) (*Grant, error) {
 	if err := r.usable(); err != nil {
 		return nil, err
 	}
-	u, reason := r.lessLoaded(fresh)
-	if !r.gate.Allow(u) {
-		return nil, fault.New(fault.NoUpstream, "all instances of %q are at their limit", q.Service)
+	all := r.view().Services(q.Service)
+	if len(all) == 0 {
+		return nil, fault.New(fault.UnknownService, "service %q is not known", q.Service)
+	}
+	open := r.untried(all, q)
+	for len(open) > 0 {
+		u, reason := r.lessLoaded(open)
+		if r.gate.Allow(u) {
+			l := r.load(u.ID)
+			l.own.Add(1)
+			r.record("route", q, reason, "upstream", u.ID, "failure_domain", u.Domain, "attempt", q.Attempt)
+			return &Grant{Upstream: u, Reason: reason, router: r, load: l}, nil
+		}
+		open = slices.DeleteFunc(open, func(o *fleet.Upstream) bool { return o == u }) // its place was taken meanwhile
 	}
-	l := r.load(u.ID)
-	l.own.Add(1)
-	r.record("route", q, reason, "upstream", u.ID, "failure_domain", u.Domain, "attempt", q.Attempt)
-	return &Grant{Upstream: u, Reason: reason, router: r, load: l}, nil
+	return nil, fault.New(fault.NoUpstream, "all instances of %q are leaving, out or at their limit", q.Service)
 }
 
 // untried gives the upstreams that may take q; those tried before only when there is no other.
--- /dev/null
+++ b/internal/route/stale_test.go
@@ -0,0 +1,93 @@
+package route
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/damaskshelf/damaskshelf/internal/fault"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+)
+
+// fullGate lets only one upstream take requests, though all looked open a moment before.
+type fullGate struct {
+	openGate
+	only    fleet.UpstreamID
+	refused atomic.Int64
+}
+
+func (g *fullGate) Allow(u *fleet.Upstream) bool {
+	if u.ID == g.only {
+		return true
+	}
+	g.refused.Add(1)
+	return false
+}
+
+// with gives the bench's first view with services beside the engines, each changed by edit.
+func (b *bench) with(edit func(*fleet.Upstream)) *fleet.View {
+	var all []*fleet.Upstream
+	for _, u := range b.view.Upstreams {
+		c := *u
+		all = append(all, &c)
+	}
+	for _, id := range []fleet.UpstreamID{"s0", "s1", "s2"} {
+		all = append(all, &fleet.Upstream{ID: id, Kind: fleet.Service, Service: "bookdesk", Domain: "d" + fleet.DomainID(id[1:])})
+	}
+	for _, u := range all {
+		edit(u)
+	}
+	return fleet.NewView(2, b.view.Config, 2, b.view.Instances, all)
+}
+
+// An instance is paused in the middle of a choice. Meanwhile operators take a failure domain out; when the
+// instance wakes, another goroutine catches up first, so that it is usable again, while this one still holds
+// the engine and service instance that it chose by the old view. Both lie in the domain that is out.
+func TestChoiceFromBeforeAPauseIsNotGranted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		for range 20 {
+			b := newBench(3, nil)
+			b.now.Store(b.with(func(*fleet.Upstream) {}))
+			out := b.with(func(u *fleet.Upstream) { u.Out = u.Domain != "d2" })
+			b.Usable = func() error {
+				b.now.Store(out) // the other goroutine catches up just now
+				return nil
+			}
+			g, err := b.Acquire(t.Context(), b.request(2000, time.Minute))
+			is.NoErr(err)
+			is.Equal(g.Upstream.ID, fleet.UpstreamID("e2"))
+			g.Done(OK)
+			b.now.Store(b.with(func(*fleet.Upstream) {}))
+			g, err = b.Acquire(t.Context(), Request{ID: "c", Workspace: "w", Service: "bookdesk", Deadline: time.Now().Add(time.Minute)})
+			is.NoErr(err)
+			is.Equal(g.Upstream.ID, fleet.UpstreamID("s2"))
+			g.Done(OK)
+		}
+	})
+}
+
+// A guest's booking is refused though one instance of the service has room: two others were chosen and filled
+// up between the look and the taking of a place, and the third was not asked.
+func TestBookingGoesToTheInstanceWithRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		gate := &fullGate{only: "s1"}
+		b := newBench(1, gate)
+		b.now.Store(b.with(func(*fleet.Upstream) {}))
+		call := Request{ID: "c", Workspace: "w", Service: "bookdesk", Deadline: time.Now().Add(time.Minute)}
+		for range 30 {
+			g, err := b.Acquire(t.Context(), call)
+			is.NoErr(err)
+			is.Equal(g.Upstream.ID, fleet.UpstreamID("s1"))
+			g.Done(OK)
+		}
+		is.True(gate.refused.Load() > 0)
+		gate.only = "none"
+		_, err := b.Acquire(t.Context(), call)
+		is.True(fault.Is(err, fault.NoUpstream))
+	})
+}
