--- a/cmd/damaskshelfd/main.go
+++ b/cmd/damaskshelfd/main.go
@@ -9,6 +9,7 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -26,23 +27,28 @@
 	exitUsage  = 2
 )
 
-func main() { os.Exit(run()) }
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
-func run() int {
-	path := flag.String("settings", "", "settings file (JSON)")
-	check := flag.Bool("check", false, "check the settings and stop")
-	flag.Parse()
-	if *path == "" || flag.NArg() > 0 {
-		flag.Usage()
+// run reads the arguments and settings and serves; it gives the exit status.
+func run(args []string, out, errOut io.Writer) int {
+	flags := flag.NewFlagSet("damaskshelfd", flag.ContinueOnError)
+	flags.SetOutput(errOut)
+	path := flags.String("settings", "", "settings file (JSON)")
+	check := flags.Bool("check", false, "check the settings and stop")
+	if err := flags.Parse(args); err != nil {
+		return exitUsage
+	}
+	if *path == "" || flags.NArg() > 0 {
+		flags.Usage()
 		return exitUsage
 	}
 	s, err := api.LoadSettings(*path)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "damaskshelfd:", err)
+		fmt.Fprintln(errOut, "damaskshelfd:", err)
 		return exitUsage
 	}
 	if *check {
-		fmt.Println("settings are good")
+		fmt.Fprintln(out, "settings are good")
 		return exitDone
 	}
 	log := hclog.New(&hclog.LoggerOptions{Name: "damaskshelfd", Level: hclog.LevelFromString(s.LogLevel)})
--- a/internal/node/callers_test.go
+++ b/internal/node/callers_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/damaskshelf/damaskshelf/api"
 	"github.com/damaskshelf/damaskshelf/internal/local"
 	"github.com/damaskshelf/damaskshelf/internal/standin/engine"
 )
@@ -160,3 +161,18 @@
 	long := "GET /healthz HTTP/1.1\r\nHost: x\r\nX-Long: " + strings.Repeat("a", 64<<10) + "\r\n\r\n"
 	is.True(strings.Contains(answer(long), "400"))
 }
+
+// A caller sends half of its request and then nothing more. It is told so once the time for a whole request is
+// over, its connection is closed, and nothing of it ran.
+func TestSlowCallerIsToldSo(t *testing.T) {
+	is := is.New(t)
+	f := startTuned(t, 1, func(s *api.Settings) { s.Limits.HeaderTimeout = api.Duration(100 * time.Millisecond) })
+	whole := completion(1000, 5, false)
+	c := raw(t, f, whole[:len(whole)/2])
+	answer, err := io.ReadAll(c)
+	is.NoErr(err)
+	is.True(strings.HasPrefix(string(answer), "HTTP/1.1 408"))
+	is.True(strings.Contains(string(answer), `"error":"slow_caller"`))
+	is.True(strings.Contains(string(answer), `"run":"no"`))
+	is.Equal(sum(f, func(c engine.Counters) int { return len(c.Runs) }), 0)
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -24,10 +24,15 @@
 )
 
 func start(t *testing.T, entries int) *local.Fleet {
+	t.Helper()
+	return startTuned(t, entries, nil)
+}
+
+func startTuned(t *testing.T, entries int, tune func(*api.Settings)) *local.Fleet {
 	t.Helper()
 	f, err := local.Start(local.Config{
-		Entries: entries,
-		Intent:  api.Intent{Models: []api.Model{{Name: model, Version: cluster.ModelVersion, Replicas: 3, Floor: 1}}},
+		Entries: entries, Tune: tune,
+		Intent: api.Intent{Models: []api.Model{{Name: model, Version: cluster.ModelVersion, Replicas: 3, Floor: 1}}},
 		Cluster: cluster.Config{
 			Domains: []string{"north", "mid", "south"}, Region: "plains", EnginesPerDomain: 1,
 			Models: []string{model}, Service: service, TimeScale: 20, Seed: 1,
