standin: a killed server keeps its port

Change: a killed server's port stays bound without listening; connections are refused as before. Ruled out: trying longer (a connection may keep the port for the whole test).

--- /dev/null
+++ b/internal/standin/serve/hold_test.go
@@ -0,0 +1,42 @@
+package serve_test
+
+import (
+	"errors"
+	"net"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/damaskshelf/damaskshelf/internal/standin/serve"
+)
+
+// A test kills an engine and starts it again, and fails with "address already in use": while the engine was
+// dead, another test's connection had been given its port.
+func TestKilledServerKeepsItsPort(t *testing.T) {
+	is := is.New(t)
+	s, err := serve.Start("127.0.0.1:0", func(ctx *fasthttp.RequestCtx) {})
+	is.NoErr(err)
+	defer s.Close()
+	for range 3 {
+		s.Kill()
+		_, err = net.Dial("tcp", s.Addr())
+		is.True(errors.Is(err, syscall.ECONNREFUSED)) // as a dead process
+		_, err = (&net.Dialer{LocalAddr: address(t, s.Addr())}).Dial("tcp", "127.0.0.1:9")
+		is.True(errors.Is(err, syscall.EADDRINUSE)) // nobody else gets the port
+		is.NoErr(s.Restart())
+		c, err := net.Dial("tcp", s.Addr())
+		is.NoErr(err)
+		_ = c.Close()
+	}
+}
+
+func address(t *testing.T, addr string) net.Addr {
+	t.Helper()
+	a, err := net.ResolveTCPAddr("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
--- a/internal/standin/serve/serve.go
+++ b/internal/standin/serve/serve.go
@@ -26,8 +26,9 @@
 	handler fasthttp.RequestHandler
 	addr    string
 	mu      sync.Mutex
-	ln      net.Listener
-	conns   map[*Conn]struct{}
+	ln      net.Listener       // guarded by mu; nil: killed
+	port    *hold              // guarded by mu: while killed
+	conns   map[*Conn]struct{} // guarded by mu
 	running sync.WaitGroup
 }
 
@@ -54,6 +55,8 @@
 	if err != nil {
 		return err
 	}
+	s.port.release()
+	s.port = nil
 	s.addr = ln.Addr().String()
 	s.ln = ln
 	server := &fasthttp.Server{
@@ -81,15 +84,23 @@
 	return nil, fmt.Errorf("listen: %w", err)
 }
 
-// Kill closes the listener and every connection.
-func (s *Server) Kill() {
+// Kill closes the listener and every connection. The port stays the server's until Restart or Close.
+func (s *Server) Kill() { s.end(true) }
+
+func (s *Server) end(keepPort bool) {
 	s.mu.Lock()
-	ln := s.ln
-	s.ln = nil
-	s.mu.Unlock()
-	if ln != nil {
-		_ = ln.Close()
+	if s.ln != nil {
+		_ = s.ln.Close()
+		s.ln = nil
+		if keepPort {
+			s.port, _ = holdPort(s.addr) // without it, listen tries again for a while
+		}
+	}
+	if !keepPort {
+		s.port.release()
+		s.port = nil
 	}
+	s.mu.Unlock()
 	s.running.Wait()
 	s.Cut()
 }
@@ -108,8 +119,8 @@
 	}
 }
 
-// Close kills the server.
-func (s *Server) Close() { s.Kill() }
+// Close ends the server for good.
+func (s *Server) Close() { s.end(false) }
 
 func (s *Server) open() []*Conn {
 	s.mu.Lock()
