Wait and the HTTP library's log in one place each

Change: internal/wait.For and internal/httplog.Logger; the copies go. Behaviour stays, but that a wait of no time asks the context first everywhere, as entry/again's did. No test is touched.

--- a/internal/entry/again/again.go
+++ b/internal/entry/again/again.go
@@ -10,6 +10,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/decide/retry"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/wait"
 )
 
 // Retrier holds one instance's budgets. It is safe for concurrent use.
@@ -66,7 +67,7 @@
 		if !v.Again && !v.Ask {
 			return false, v.Reason
 		}
-		if !sleep(ctx, v.Wait) {
+		if !wait.For(ctx, v.Wait) {
 			return false, retry.ReasonNoTime
 		}
 		if v.Again {
@@ -76,17 +77,3 @@
 		f.Left -= v.Wait
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/entry/query"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/httplog"
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
 	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
 )
@@ -73,7 +74,7 @@
 		MaxRequestBodySize:    d.Limits.MaxBodyBytes,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
-		Logger:                quiet{s.log},
+		Logger:                httplog.Logger{Log: s.log},
 	}
 	return s
 }
@@ -163,14 +164,6 @@
 	return <-s.served
 }
 
-// quiet passes the library's own messages on at debug level; they repeat what our lines say.
-type quiet struct{ log hclog.Logger }
-
-// Printf implements fasthttp.Logger.
-func (q quiet) Printf(format string, args ...any) {
-	q.log.Debug("http", "message", fmt.Sprintf(format, args...))
-}
-
 // badRequest answers what the library refuses before a handler runs: nothing of it went anywhere.
 func (s *Server) badRequest(newID func() string) func(*fasthttp.RequestCtx, error) {
 	return func(ctx *fasthttp.RequestCtx, err error) {
--- a/internal/execute/execute.go
+++ b/internal/execute/execute.go
@@ -26,6 +26,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/platform"
 	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
+	"github.com/damaskshelf/damaskshelf/internal/wait"
 )
 
 // Engines gives orders to engines and reads their state.
@@ -129,7 +130,7 @@
 		// A plan that is confirmed during a long pause is noticed within a tick.
 		seen := x.View().Config.Plan
 		for waited := time.Duration(0); waited < pause && ctx.Err() == nil && x.View().Config.Plan == seen; waited += x.Config.Tick {
-			sleep(ctx, min(x.Config.Tick, pause))
+			wait.For(ctx, min(x.Config.Tick, pause))
 		}
 	}
 	last, cancel := context.WithTimeout(context.Background(), releaseTimeout)
@@ -139,15 +140,6 @@
 
 const releaseTimeout = 2 * time.Second
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Tick looks once at everything this instance owns and does what is due. It tells whether there is more
 // to do soon.
 func (x *Executor) Tick(ctx context.Context) bool {
--- a/internal/follow/calls.go
+++ b/internal/follow/calls.go
@@ -13,6 +13,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/peer"
 	"github.com/damaskshelf/damaskshelf/internal/platform"
 	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/wait"
 )
 
 const (
@@ -122,14 +123,14 @@
 			if failures == 1 {
 				f.deps.Log.Warn("instance list lost", "error", err)
 			}
-			sleep(ctx, storebudget.Backoff(r, failures, known))
+			wait.For(ctx, storebudget.Backoff(r, failures, known))
 			continue
 		}
 		if failures > 0 {
 			f.deps.Log.Info("instance list back", "version", l.Version)
 		}
 		failures, known = 0, f.takeList(l)
-		sleep(ctx, storebudget.ReadInterval(len(l.Instances)*listRowBytes, f.deps.ListEvery, listBytes))
+		wait.For(ctx, storebudget.ReadInterval(len(l.Instances)*listRowBytes, f.deps.ListEvery, listBytes))
 	}
 }
 
@@ -167,12 +168,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/route"
 	"github.com/damaskshelf/damaskshelf/internal/sweep"
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
+	"github.com/damaskshelf/damaskshelf/internal/wait"
 	"github.com/damaskshelf/damaskshelf/internal/warm"
 )
 
@@ -187,7 +188,7 @@
 	defer cancel()
 	p.Log.Info("stopping", "in_flight", p.Gate.InFlight())
 	p.Gate.Unready()
-	sleep(limit, lag)
+	wait.For(limit, lag)
 	p.Gate.Refuse()
 	err := p.Gate.Drained(limit)
 	if err == nil {
@@ -217,12 +218,3 @@
 	p.Client.Close()
 	return errors.Join(errs...)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -14,6 +14,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/explain"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/follow"
+	"github.com/damaskshelf/damaskshelf/internal/httplog"
 	"github.com/damaskshelf/damaskshelf/internal/keeper"
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
 	"github.com/damaskshelf/damaskshelf/internal/operate"
@@ -63,7 +64,7 @@
 			Concurrency:           operatorsConns,
 			NoDefaultServerHeader: true,
 			CloseOnShutdown:       true,
-			Logger:                quiet{log.Named("operate")},
+			Logger:                httplog.Logger{Log: log.Named("operate")},
 		},
 	}
 }
@@ -98,11 +99,3 @@
 	}
 	return <-o.served
 }
-
-// quiet passes the HTTP library's own messages on at debug level.
-type quiet struct{ log hclog.Logger }
-
-// Printf implements fasthttp.Logger.
-func (q quiet) Printf(format string, args ...any) {
-	q.log.Debug("http", "message", fmt.Sprintf(format, args...))
-}
--- a/internal/platform/client/budget.go
+++ b/internal/platform/client/budget.go
@@ -12,6 +12,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/decide/storebudget"
 	"github.com/damaskshelf/damaskshelf/internal/platform"
 	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/wait"
 )
 
 // longestWait is how long a call waits for the instance's cut before it is refused.
@@ -63,17 +64,17 @@
 func (b *Budgeted) take(ctx context.Context, c storebudget.Call) error {
 	deadline := time.Now().Add(longestWait)
 	for {
-		reason, wait := b.ask(c)
+		reason, pause := b.ask(c)
 		switch reason {
 		case storebudget.Granted, storebudget.Probe:
 			return nil
 		case storebudget.OverBudget:
-			if time.Now().Add(wait).Before(deadline) && sleep(ctx, wait) {
+			if time.Now().Add(pause).Before(deadline) && wait.For(ctx, pause) {
 				continue
 			}
 		}
 		b.refused()
-		return fmt.Errorf("%w: %s, again in %s", platform.ErrUnavailable, reason, wait.Round(time.Millisecond))
+		return fmt.Errorf("%w: %s, again in %s", platform.ErrUnavailable, reason, pause.Round(time.Millisecond))
 	}
 }
 
@@ -166,14 +167,3 @@
 	b.done(err)
 	return err
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/settle/settle.go
+++ b/internal/settle/settle.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/platform"
+	"github.com/damaskshelf/damaskshelf/internal/wait"
 )
 
 // Pauses between attempts.
@@ -46,7 +47,7 @@
 				return version, nil
 			}
 		}
-		if !sleep(ctx, pause) {
+		if !wait.For(ctx, pause) {
 			return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
 		}
 		pause = min(2*pause, maxPause)
@@ -74,14 +75,3 @@
 	}
 	return 0, conflict
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
