--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -13,8 +13,8 @@
 	"github.com/damaskshelf/damaskshelf/internal/decide/relay"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/keeper"
+	platform "github.com/damaskshelf/damaskshelf/internal/objects/wire"
 	"github.com/damaskshelf/damaskshelf/internal/peer"
-	platform "github.com/damaskshelf/damaskshelf/internal/platform/wire"
 	upstream "github.com/damaskshelf/damaskshelf/internal/upstream/wire"
 )
 
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -14,7 +14,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/decide/claim"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
 )
 
 // Config is what a Keeper needs besides the store.
@@ -53,7 +53,7 @@
 
 // Keeper claims keys and keeps outcomes. It is safe for concurrent use.
 type Keeper struct {
-	store  platform.Store
+	store  objects.Store
 	cfg    Config
 	log    hclog.Logger
 	tokens atomic.Uint64
@@ -68,7 +68,7 @@
 }
 
 // New gives a Keeper; Close ends it.
-func New(store platform.Store, cfg Config, log hclog.Logger) *Keeper {
+func New(store objects.Store, cfg Config, log hclog.Logger) *Keeper {
 	if cfg.CallTimeout == 0 {
 		cfg.CallTimeout = DefaultCallTimeout
 	}
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -16,9 +16,9 @@
 	shell "github.com/damaskshelf/damaskshelf/internal/claim"
 	"github.com/damaskshelf/damaskshelf/internal/decide/claim"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
-	"github.com/damaskshelf/damaskshelf/internal/platform/memory"
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/objects/memory"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -27,7 +27,7 @@
 
 // faultyStore is the object API with faults that a test switches on.
 type faultyStore struct {
-	platform.Store
+	objects.Store
 	loseAnswers atomic.Int32 // of so many writes that take effect
 	loseWrites  atomic.Int32 // so many writes without effect
 	down        atomic.Bool
@@ -37,7 +37,7 @@
 
 func (s *faultyStore) blocked(ctx context.Context) error {
 	if s.down.Load() {
-		return platform.ErrUnavailable
+		return objects.ErrUnavailable
 	}
 	if s.hang.Load() {
 		<-ctx.Done()
@@ -46,14 +46,14 @@
 	return nil
 }
 
-func (s *faultyStore) Get(ctx context.Context, key platform.Key) (o wire.Object, err error) {
+func (s *faultyStore) Get(ctx context.Context, key objects.Key) (o wire.Object, err error) {
 	if err := s.blocked(ctx); err != nil {
 		return o, err
 	}
 	return s.Store.Get(ctx, key)
 }
 
-func (s *faultyStore) Put(ctx context.Context, w platform.Write) (uint64, error) {
+func (s *faultyStore) Put(ctx context.Context, w objects.Write) (uint64, error) {
 	if err := s.blocked(ctx); err != nil {
 		return 0, err
 	}
@@ -68,7 +68,7 @@
 	return v, err
 }
 
-func keeper(t *testing.T, store platform.Store, name string) *shell.Keeper {
+func keeper(t *testing.T, store objects.Store, name string) *shell.Keeper {
 	t.Helper()
 	now, wall := shell.Clocks()
 	limits := claim.DefaultLimits()
@@ -260,8 +260,8 @@
 		is.True(r.Verdict == claim.InProgress || r.Verdict == claim.Orphaned || r.Verdict == claim.Expired)
 		is.True(deleted == 0 || r.Verdict == claim.Expired)
 	}
-	_, err := store.Get(t.Context(), platform.Key{Kind: claim.Kind, Name: name})
-	is.Equal(err, platform.ErrNotFound) // it does go
+	_, err := store.Get(t.Context(), objects.Key{Kind: claim.Kind, Name: name})
+	is.Equal(err, objects.ErrNotFound) // it does go
 }
 
 const timedKey = "01890a5d-ac96-774b-bcce-b302099a8057"
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -11,7 +11,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/decide/claim"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
 )
 
 // keepShard is how long the copy of a shard is kept after its last use.
@@ -20,7 +20,7 @@
 // shard drives one Committer. At most one store call of it is under way.
 type shard struct {
 	keeper *Keeper
-	key    platform.Key
+	key    objects.Key
 	users  int // guarded by Keeper.mu: uses so far; an unchanged count means nobody came meanwhile
 
 	mu      sync.Mutex
@@ -33,7 +33,7 @@
 
 func newShard(k *Keeper, name string) *shard {
 	return &shard{
-		keeper: k, key: platform.Key{Kind: claim.Kind, Name: name},
+		keeper: k, key: objects.Key{Kind: claim.Kind, Name: name},
 		c: claim.NewCommitter(k.cfg.Limits), answers: map[claim.OpID]chan<- claim.Result{},
 	}
 }
@@ -113,7 +113,7 @@
 	o, err := s.keeper.store.Get(ctx, s.key)
 	var value claim.Shard
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objects.ErrNotFound):
 		err = nil
 	case err == nil:
 		err = json.Unmarshal(o.Value, &value)
@@ -141,16 +141,16 @@
 	if err != nil {
 		return 0, claim.WriteUnsent, fmt.Errorf("encode shard: %w", err)
 	}
-	version, err := s.keeper.store.Put(ctx, platform.Write{
+	version, err := s.keeper.store.Put(ctx, objects.Write{
 		Key: s.key, IfVersion: p.IfVersion, WriteID: writeID, Value: value,
 	})
-	var conflict *platform.ConflictError
+	var conflict *objects.ConflictError
 	switch {
 	case err == nil:
 		return version, claim.WriteDone, nil
 	case errors.As(err, &conflict):
 		return 0, claim.WriteRefused, nil
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, objects.ErrUnavailable):
 		return 0, claim.WriteUnsent, err
 	default:
 		return 0, claim.WriteUnknown, err
--- a/internal/claim/sweep.go
+++ b/internal/claim/sweep.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/decide/claim"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
 )
 
 const (
@@ -43,7 +43,7 @@
 		if !s.own(name) {
 			continue
 		}
-		gone, err := s.drop(ctx, platform.Key{Kind: claim.Kind, Name: name})
+		gone, err := s.drop(ctx, objects.Key{Kind: claim.Kind, Name: name})
 		if err != nil {
 			return deleted, err
 		}
@@ -60,17 +60,17 @@
 	return deleted, nil
 }
 
-func (s *Sweeper) drop(ctx context.Context, key platform.Key) (bool, error) {
+func (s *Sweeper) drop(ctx context.Context, key objects.Key) (bool, error) {
 	o, err := s.keeper.store.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objects.ErrNotFound) {
 		return false, nil
 	}
 	if err != nil {
 		return false, err
 	}
 	err = s.keeper.store.Delete(ctx, key, o.Version)
-	var conflict *platform.ConflictError
-	if errors.Is(err, platform.ErrNotFound) || errors.As(err, &conflict) {
+	var conflict *objects.ConflictError
+	if errors.Is(err, objects.ErrNotFound) || errors.As(err, &conflict) {
 		return false, nil // another sweeper was first, or a late outcome came: the next sweep sees
 	}
 	return err == nil, err
--- a/internal/execute/cost_test.go
+++ b/internal/execute/cost_test.go
@@ -15,9 +15,9 @@
 	"github.com/damaskshelf/damaskshelf/internal/decide/plan"
 	"github.com/damaskshelf/damaskshelf/internal/execute"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
-	"github.com/damaskshelf/damaskshelf/internal/platform/memory"
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/objects/memory"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 	upstream "github.com/damaskshelf/damaskshelf/internal/upstream/wire"
 )
 
@@ -28,7 +28,7 @@
 	states, orders           int
 }
 
-func (c *counted) Get(ctx context.Context, key platform.Key) (wire.Object, error) {
+func (c *counted) Get(ctx context.Context, key objects.Key) (wire.Object, error) {
 	o, err := c.Store.Get(ctx, key)
 	c.gets++
 	c.bytes += len(o.Value)
@@ -44,7 +44,7 @@
 	return l, err
 }
 
-func (c *counted) Put(ctx context.Context, w platform.Write) (uint64, error) {
+func (c *counted) Put(ctx context.Context, w objects.Write) (uint64, error) {
 	c.puts++
 	c.bytes += len(w.Value)
 	return c.Store.Put(ctx, w)
@@ -151,7 +151,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := f.calls.Store.Put(context.Background(), platform.Write{Key: platform.Key{Kind: "plans", Name: "p"}, WriteID: "p", Value: data}); err != nil {
+	if _, err := f.calls.Store.Put(context.Background(), objects.Write{Key: objects.Key{Kind: "plans", Name: "p"}, WriteID: "p", Value: data}); err != nil {
 		t.Fatal(err)
 	}
 	return p
@@ -165,7 +165,7 @@
 			t.Fatal("the plan is not done after an hour")
 		}
 	}
-	o, err := f.calls.Store.Get(context.Background(), platform.Key{Kind: "plans", Name: "p"})
+	o, err := f.calls.Store.Get(context.Background(), objects.Key{Kind: "plans", Name: "p"})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/execute/execute.go
+++ b/internal/execute/execute.go
@@ -24,7 +24,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/decide/lease"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
 	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
 	"github.com/damaskshelf/damaskshelf/internal/wait"
 )
@@ -84,7 +84,7 @@
 type Deps struct {
 	Instance    fleet.InstanceID
 	Incarnation string // of this start of the instance
-	Store       platform.Store
+	Store       objects.Store
 	Engines     Engines
 	Weights     Weights // nil: loads ask nobody
 	View        func() *fleet.View
@@ -190,7 +190,7 @@
 	if id == "" {
 		return nil
 	}
-	o, err := x.Store.Get(ctx, platform.Key{Kind: "plans", Name: id})
+	o, err := x.Store.Get(ctx, objects.Key{Kind: "plans", Name: id})
 	if err != nil {
 		return err
 	}
--- a/internal/execute/execute_test.go
+++ b/internal/execute/execute_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/damaskshelf/damaskshelf/api"
 	"github.com/damaskshelf/damaskshelf/internal/execute"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
 )
 
 // One verdict on every run: the seed is fixed.
@@ -204,7 +204,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := w.store.Put(context.Background(), platform.Write{Key: execute.StopKey, WriteID: "stop", Value: data}); err != nil {
+		if _, err := w.store.Put(context.Background(), objects.Write{Key: execute.StopKey, WriteID: "stop", Value: data}); err != nil {
 			t.Fatal(err)
 		}
 		for _, party := range w.parties {
--- a/internal/execute/job.go
+++ b/internal/execute/job.go
@@ -6,7 +6,7 @@
 	"github.com/damaskshelf/damaskshelf/api"
 	"github.com/damaskshelf/damaskshelf/internal/decide/order"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 	upstream "github.com/damaskshelf/damaskshelf/internal/upstream/wire"
 )
 
--- a/internal/execute/record.go
+++ b/internal/execute/record.go
@@ -4,8 +4,8 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/damaskshelf/damaskshelf/internal/platform"
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 	"github.com/damaskshelf/damaskshelf/internal/rendezvous"
 )
 
@@ -31,7 +31,7 @@
 }
 
 // StopKey names the mark of a stopped plan.
-var StopKey = platform.Key{Kind: Kind, Name: "stop"}
+var StopKey = objects.Key{Kind: Kind, Name: "stop"}
 
 const stopName = "stop"
 
--- a/internal/execute/shard.go
+++ b/internal/execute/shard.go
@@ -12,7 +12,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/decide/lease"
 	"github.com/damaskshelf/damaskshelf/internal/decide/order"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
 	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
 )
 
@@ -229,12 +229,12 @@
 	}
 }
 
-func (s *shard) key() platform.Key { return platform.Key{Kind: Kind, Name: shardName(s.number)} }
+func (s *shard) key() objects.Key { return objects.Key{Kind: Kind, Name: shardName(s.number)} }
 
 // reread reads the shard's object.
 func (x *Executor) reread(ctx context.Context, s *shard) bool {
 	o, err := x.Store.Get(ctx, s.key())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objects.ErrNotFound) {
 		s.lease.Observe("", 0, x.Now())
 		return true
 	}
@@ -258,7 +258,7 @@
 // taken effect.
 func (x *Executor) write(ctx context.Context, s *shard, rec Record) bool {
 	version, err := x.put(ctx, s, rec)
-	var conflict *platform.ConflictError
+	var conflict *objects.ConflictError
 	switch {
 	case err == nil:
 		s.record = rec
@@ -266,7 +266,7 @@
 		return true
 	case errors.As(err, &conflict):
 		s.lease.Refused()
-	case !errors.Is(err, platform.ErrUnavailable):
+	case !errors.Is(err, objects.ErrUnavailable):
 		s.lease.Unknown()
 	}
 	x.Log.Warn("lease not written", "shard", shardName(s.number), "error", err)
@@ -279,7 +279,7 @@
 		return 0, fmt.Errorf("encode lease: %w", err)
 	}
 	s.lease.Sending(x.Now())
-	return x.Store.Put(ctx, platform.Write{Key: s.key(), IfVersion: s.lease.IfVersion(), WriteID: x.NewID(), Value: data})
+	return x.Store.Put(ctx, objects.Write{Key: s.key(), IfVersion: s.lease.IfVersion(), WriteID: x.NewID(), Value: data})
 }
 
 // release gives a lease back. It is not trusted any more from before the write is sent: where the answer
--- a/internal/execute/store_test.go
+++ b/internal/execute/store_test.go
@@ -4,22 +4,22 @@
 	"context"
 	"time"
 
-	"github.com/damaskshelf/damaskshelf/internal/platform"
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 )
 
-// Get implements platform.Store.
-func (p *party) Get(ctx context.Context, key platform.Key) (wire.Object, error) {
+// Get implements objects.Store.
+func (p *party) Get(ctx context.Context, key objects.Key) (wire.Object, error) {
 	if p.w.one(p.w.chaos.down) {
-		return wire.Object{}, platform.ErrUnavailable
+		return wire.Object{}, objects.ErrUnavailable
 	}
 	return p.w.store.Get(ctx, key)
 }
 
-// List implements platform.Store, at times with an old picture.
+// List implements objects.Store, at times with an old picture.
 func (p *party) List(ctx context.Context, kind string) (wire.List, error) {
 	if p.w.one(p.w.chaos.down) {
-		return wire.List{}, platform.ErrUnavailable
+		return wire.List{}, objects.ErrUnavailable
 	}
 	if p.w.one(p.w.chaos.stale) {
 		return p.snapshot, nil
@@ -31,10 +31,10 @@
 	return l, err
 }
 
-// Put implements platform.Store; answers are lost, and writes arrive late.
-func (p *party) Put(ctx context.Context, write platform.Write) (uint64, error) {
+// Put implements objects.Store; answers are lost, and writes arrive late.
+func (p *party) Put(ctx context.Context, write objects.Write) (uint64, error) {
 	if p.w.one(p.w.chaos.down) {
-		return 0, platform.ErrUnavailable
+		return 0, objects.ErrUnavailable
 	}
 	if !p.w.one(p.w.chaos.lost) {
 		return p.w.store.Put(ctx, write)
@@ -49,8 +49,8 @@
 
 // Watch is not used by an executor.
 func (p *party) Watch(context.Context, string, uint64, time.Duration) (wire.List, error) {
-	return wire.List{}, platform.ErrUnavailable
+	return wire.List{}, objects.ErrUnavailable
 }
 
 // Delete is not used by an executor.
-func (p *party) Delete(context.Context, platform.Key, uint64) error { return platform.ErrUnavailable }
+func (p *party) Delete(context.Context, objects.Key, uint64) error { return objects.ErrUnavailable }
--- a/internal/execute/world_test.go
+++ b/internal/execute/world_test.go
@@ -18,9 +18,9 @@
 	"github.com/damaskshelf/damaskshelf/internal/decide/plan"
 	"github.com/damaskshelf/damaskshelf/internal/execute"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
-	"github.com/damaskshelf/damaskshelf/internal/platform/memory"
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/objects/memory"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 	upstream "github.com/damaskshelf/damaskshelf/internal/upstream/wire"
 )
 
@@ -167,7 +167,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	_, err = w.store.Put(context.Background(), platform.Write{Key: platform.Key{Kind: "plans", Name: id}, WriteID: id, Value: data})
+	_, err = w.store.Put(context.Background(), objects.Write{Key: objects.Key{Kind: "plans", Name: id}, WriteID: id, Value: data})
 	if err != nil {
 		w.t.Fatal(err)
 	}
--- a/internal/follow/calls.go
+++ b/internal/follow/calls.go
@@ -10,9 +10,9 @@
 	"github.com/damaskshelf/damaskshelf/internal/decide/relay"
 	"github.com/damaskshelf/damaskshelf/internal/decide/storebudget"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 	"github.com/damaskshelf/damaskshelf/internal/peer"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
 	"github.com/damaskshelf/damaskshelf/internal/wait"
 )
 
@@ -79,7 +79,7 @@
 }
 
 func (f *Follower) watchAnswer(l wire.List, err error) (relay.Config, relay.StoreAnswer) {
-	if errors.Is(err, platform.ErrTooOld) {
+	if errors.Is(err, objects.ErrTooOld) {
 		return relay.Config{}, relay.StoreAbsent // the watcher's own reads find what the watch no longer has
 	}
 	for _, o := range l.Objects {
@@ -94,7 +94,7 @@
 }
 
 func (f *Follower) storeAnswer(o wire.Object, err error) (relay.Config, relay.StoreAnswer) {
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objects.ErrNotFound) {
 		return relay.Config{}, relay.StoreAbsent
 	}
 	if err != nil {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -22,19 +22,19 @@
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/keeper"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 	"github.com/damaskshelf/damaskshelf/internal/peer"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
 )
 
 // ConfigKey names the one object that holds the configuration.
-var ConfigKey = platform.Key{Kind: "config", Name: "current"}
+var ConfigKey = objects.Key{Kind: "config", Name: "current"}
 
 // Deps are what a Follower works with.
 type Deps struct {
 	Self      fleet.Instance // PeerAddr is not needed
-	Store     platform.Store
-	Instances platform.Instances
+	Store     objects.Store
+	Instances objects.Instances
 	Keeper    *keeper.Keeper
 	ListEvery time.Duration // between reads of the instance list
 	Heartbeat time.Duration // between heartbeats to one peer
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -20,9 +20,9 @@
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/follow"
 	"github.com/damaskshelf/damaskshelf/internal/keeper"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
-	"github.com/damaskshelf/damaskshelf/internal/platform/memory"
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/objects/memory"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -31,11 +31,11 @@
 
 // store is a memory store that can be down, for one instance or for all.
 type store struct {
-	platform.Store
+	objects.Store
 	down *atomic.Bool
 }
 
-func (s store) Get(ctx context.Context, key platform.Key) (wire.Object, error) {
+func (s store) Get(ctx context.Context, key objects.Key) (wire.Object, error) {
 	if s.down.Load() {
 		return wire.Object{}, errDown
 	}
@@ -134,11 +134,11 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	var s platform.Store = f.memory
+	var s objects.Store = f.memory
 	if through != nil {
 		s = follow.Announce(s, through.Follower)
 	}
-	version, err := s.Put(context.Background(), platform.Write{Key: follow.ConfigKey, IfVersion: ifVersion, WriteID: "w", Value: raw})
+	version, err := s.Put(context.Background(), objects.Write{Key: follow.ConfigKey, IfVersion: ifVersion, WriteID: "w", Value: raw})
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -239,7 +239,7 @@
 	f := newFixture(t, 3)
 	first := f.write(api.Config{}, 0, nil)
 	f.inForce(first)
-	version, err := f.memory.Put(context.Background(), platform.Write{
+	version, err := f.memory.Put(context.Background(), objects.Write{
 		Key: follow.ConfigKey, IfVersion: first, WriteID: "w", Value: []byte(`{"intent":{"models":null},"of_the_future":1}`),
 	})
 	if err != nil {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -9,7 +9,7 @@
 
 	"github.com/damaskshelf/damaskshelf/api"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 )
 
 // Served is what an engine says that it serves.
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -15,7 +15,7 @@
 	"github.com/damaskshelf/damaskshelf/api"
 	"github.com/damaskshelf/damaskshelf/internal/execute"
 	"github.com/damaskshelf/damaskshelf/internal/node"
-	platform "github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	platform "github.com/damaskshelf/damaskshelf/internal/objects/wire"
 	"github.com/damaskshelf/damaskshelf/internal/standin/cluster"
 )
 
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -14,14 +14,14 @@
 	"github.com/damaskshelf/damaskshelf/internal/entry/command"
 	"github.com/damaskshelf/damaskshelf/internal/explain"
 	"github.com/damaskshelf/damaskshelf/internal/keeper"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
 	"github.com/damaskshelf/damaskshelf/internal/rendezvous"
 )
 
 // sweepEvery is the pause between two sweeps of dead claim shards.
 const sweepEvery = decideclaim.Bucket
 
-func newClaims(s api.Settings, p platform.Store, log hclog.Logger) *claim.Keeper {
+func newClaims(s api.Settings, p objects.Store, log hclog.Logger) *claim.Keeper {
 	now, wall := claim.Clocks()
 	return claim.New(p, claim.Config{
 		Limits:      decideclaim.DefaultLimits(),
--- a/internal/node/executor.go
+++ b/internal/node/executor.go
@@ -14,8 +14,8 @@
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/follow"
 	"github.com/damaskshelf/damaskshelf/internal/keeper"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
-	platformclient "github.com/damaskshelf/damaskshelf/internal/platform/client"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	platformclient "github.com/damaskshelf/damaskshelf/internal/objects/client"
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
 )
 
@@ -26,7 +26,7 @@
 	done chan struct{}
 }
 
-func newExecutor(s api.Settings, cfg execute.Config, store platform.Store, weights *platformclient.Client, c *upstream.Client,
+func newExecutor(s api.Settings, cfg execute.Config, store objects.Store, weights *platformclient.Client, c *upstream.Client,
 	k *keeper.Keeper, f *follow.Follower, seen *execute.Seen, rec *explain.Recorder, log hclog.Logger, id idSource) *executor {
 	start := time.Now()
 	return &executor{done: make(chan struct{}), Executor: execute.New(execute.Deps{
--- a/internal/node/follower.go
+++ b/internal/node/follower.go
@@ -10,18 +10,18 @@
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/follow"
 	"github.com/damaskshelf/damaskshelf/internal/keeper"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
-	platformclient "github.com/damaskshelf/damaskshelf/internal/platform/client"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	platformclient "github.com/damaskshelf/damaskshelf/internal/objects/client"
 	"github.com/damaskshelf/damaskshelf/internal/warm"
 )
 
 // newStore gives the object API within this instance's cut of the fleet's rates.
-func newStore(p *platformclient.Client, k *keeper.Keeper) platform.Store {
+func newStore(p *platformclient.Client, k *keeper.Keeper) objects.Store {
 	count := func() int { return len(k.View().Instances) }
 	return platformclient.NewBudgeted(p, storebudget.DefaultLimits, count)
 }
 
-func newFollower(s api.Settings, p *platformclient.Client, store platform.Store, k *keeper.Keeper, l *warm.Limits,
+func newFollower(s api.Settings, p *platformclient.Client, store objects.Store, k *keeper.Keeper, l *warm.Limits,
 	log hclog.Logger) (*follow.Follower, error) {
 	return follow.New(follow.Deps{
 		Self: fleet.Instance{
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -17,8 +17,8 @@
 	"github.com/damaskshelf/damaskshelf/internal/httplog"
 	"github.com/damaskshelf/damaskshelf/internal/keeper"
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
 	"github.com/damaskshelf/damaskshelf/internal/operate"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
 )
 
@@ -38,7 +38,7 @@
 	served   chan error
 }
 
-func newOperators(s api.Settings, p platform.Store, f *follow.Follower, c *upstream.Client, k *keeper.Keeper, rec *explain.Recorder,
+func newOperators(s api.Settings, p objects.Store, f *follow.Follower, c *upstream.Client, k *keeper.Keeper, rec *explain.Recorder,
 	m *metrics.Registry, log hclog.Logger, id idSource) *operators {
 	r := router.New()
 	operate.Register(r, operate.Deps{
--- a/internal/node/warm.go
+++ b/internal/node/warm.go
@@ -9,8 +9,8 @@
 	"github.com/damaskshelf/damaskshelf/api"
 	"github.com/damaskshelf/damaskshelf/internal/explain"
 	"github.com/damaskshelf/damaskshelf/internal/keeper"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 	"github.com/damaskshelf/damaskshelf/internal/warm"
 )
 
@@ -28,11 +28,11 @@
 // listTap tells the limits of every read of the instance list: how fresh it is decides about slots, also
 // when nothing in it changed.
 type listTap struct {
-	list   platform.Instances
+	list   objects.Instances
 	limits *warm.Limits
 }
 
-// Instances implements platform.Instances.
+// Instances implements objects.Instances.
 func (t listTap) Instances(ctx context.Context) (wire.InstanceList, error) {
 	began := time.Now()
 	l, err := t.list.Instances(ctx)
--- a/internal/platform/client/dial.go
+++ b/internal/objects/call/dial.go
@@ -1,4 +1,4 @@
-package client
+package call
 
 import (
 	"net"
--- a/internal/platform/client/budget.go
+++ b/internal/objects/client/budget.go
@@ -10,8 +10,8 @@
 
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/decide/storebudget"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 	"github.com/damaskshelf/damaskshelf/internal/wait"
 )
 
@@ -22,7 +22,7 @@
 // waits a moment; while the store is lost, calls but for the probes fail at once with ErrUnavailable, and
 // nothing of them is sent.
 type Budgeted struct {
-	store     platform.Store
+	store     objects.Store
 	instances func() int
 	start     time.Time
 
@@ -40,10 +40,10 @@
 	Failed  uint64 // sent, and found the store unavailable
 }
 
-var _ platform.Store = (*Budgeted)(nil)
+var _ objects.Store = (*Budgeted)(nil)
 
 // NewBudgeted gives a budgeted store; instances tells how many share the limits.
-func NewBudgeted(s platform.Store, limits storebudget.Limits, instances func() int) *Budgeted {
+func NewBudgeted(s objects.Store, limits storebudget.Limits, instances func() int) *Budgeted {
 	return &Budgeted{
 		store: s, instances: instances, start: time.Now(),
 		budget: storebudget.New(0, limits, instances()),
@@ -74,7 +74,7 @@
 			}
 		}
 		b.refused()
-		return fmt.Errorf("%w: %s, again in %s", platform.ErrUnavailable, reason, pause.Round(time.Millisecond))
+		return fmt.Errorf("%w: %s, again in %s", objects.ErrUnavailable, reason, pause.Round(time.Millisecond))
 	}
 }
 
@@ -106,8 +106,8 @@
 func (b *Budgeted) done(err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var conflict *platform.ConflictError
-	if err == nil || errors.As(err, &conflict) || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrTooOld) {
+	var conflict *objects.ConflictError
+	if err == nil || errors.As(err, &conflict) || errors.Is(err, objects.ErrNotFound) || errors.Is(err, objects.ErrTooOld) {
 		b.budget.Succeeded(b.now())
 		return
 	}
@@ -118,8 +118,8 @@
 	b.budget.Failed(b.now(), b.rand)
 }
 
-// Get implements platform.Store.
-func (b *Budgeted) Get(ctx context.Context, key platform.Key) (wire.Object, error) {
+// Get implements objects.Store.
+func (b *Budgeted) Get(ctx context.Context, key objects.Key) (wire.Object, error) {
 	if err := b.take(ctx, storebudget.Read); err != nil {
 		return wire.Object{}, err
 	}
@@ -128,7 +128,7 @@
 	return o, err
 }
 
-// List implements platform.Store.
+// List implements objects.Store.
 func (b *Budgeted) List(ctx context.Context, kind string) (wire.List, error) {
 	if err := b.take(ctx, storebudget.Read); err != nil {
 		return wire.List{}, err
@@ -138,7 +138,7 @@
 	return l, err
 }
 
-// Watch implements platform.Store.
+// Watch implements objects.Store.
 func (b *Budgeted) Watch(ctx context.Context, kind string, version uint64, wait time.Duration) (wire.List, error) {
 	if err := b.take(ctx, storebudget.Read); err != nil {
 		return wire.List{}, err
@@ -148,8 +148,8 @@
 	return l, err
 }
 
-// Put implements platform.Store.
-func (b *Budgeted) Put(ctx context.Context, w platform.Write) (uint64, error) {
+// Put implements objects.Store.
+func (b *Budgeted) Put(ctx context.Context, w objects.Write) (uint64, error) {
 	if err := b.take(ctx, storebudget.Write); err != nil {
 		return 0, err
 	}
@@ -158,8 +158,8 @@
 	return version, err
 }
 
-// Delete implements platform.Store.
-func (b *Budgeted) Delete(ctx context.Context, key platform.Key, ifVersion uint64) error {
+// Delete implements objects.Store.
+func (b *Budgeted) Delete(ctx context.Context, key objects.Key, ifVersion uint64) error {
 	if err := b.take(ctx, storebudget.Write); err != nil {
 		return err
 	}
--- a/internal/platform/client/budget_test.go
+++ b/internal/objects/client/budget_test.go
@@ -10,21 +10,21 @@
 	"github.com/matryer/is"
 
 	"github.com/damaskshelf/damaskshelf/internal/decide/storebudget"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
-	"github.com/damaskshelf/damaskshelf/internal/platform/client"
-	"github.com/damaskshelf/damaskshelf/internal/platform/memory"
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/objects/client"
+	"github.com/damaskshelf/damaskshelf/internal/objects/memory"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 )
 
 // lost is a store that can be out of service and counts the calls that reach it.
 type lost struct {
-	platform.Store
+	objects.Store
 	mu    sync.Mutex
 	down  bool
 	calls int
 }
 
-func (l *lost) Get(ctx context.Context, key platform.Key) (wire.Object, error) {
+func (l *lost) Get(ctx context.Context, key objects.Key) (wire.Object, error) {
 	l.mu.Lock()
 	l.calls++
 	down := l.down
@@ -45,15 +45,15 @@
 // sent, instead of each waiting for a timeout, and only probes may go out.
 func TestCallsFailAtOnceWhileTheStoreIsLost(t *testing.T) {
 	is := is.New(t)
-	ctx, key := context.Background(), platform.Key{Kind: "k", Name: "n"}
+	ctx, key := context.Background(), objects.Key{Kind: "k", Name: "n"}
 	s := &lost{Store: memory.New()}
 	b := client.NewBudgeted(s, storebudget.DefaultLimits, func() int { return 1 })
 	_, err := b.Get(ctx, key)
-	is.True(errors.Is(err, platform.ErrNotFound))
+	is.True(errors.Is(err, objects.ErrNotFound))
 	s.set(true)
 	unavailable := 0
 	for range 500 {
-		if _, err := b.Get(ctx, key); errors.Is(err, platform.ErrUnavailable) {
+		if _, err := b.Get(ctx, key); errors.Is(err, objects.ErrUnavailable) {
 			unavailable++
 		}
 	}
@@ -63,7 +63,7 @@
 	s.set(false)
 	for {
 		_, err := b.Get(ctx, key)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, objects.ErrNotFound) {
 			break
 		}
 		time.Sleep(5 * time.Millisecond)
@@ -74,15 +74,15 @@
 // A conflict or an absent object is an answer: it must not look like an outage.
 func TestAnswersAreNoOutage(t *testing.T) {
 	is := is.New(t)
-	ctx, key := context.Background(), platform.Key{Kind: "k", Name: "n"}
+	ctx, key := context.Background(), objects.Key{Kind: "k", Name: "n"}
 	b := client.NewBudgeted(memory.New(), storebudget.DefaultLimits, func() int { return 1 })
-	_, err := b.Put(ctx, platform.Write{Key: key, WriteID: "w", Value: []byte(`1`)})
+	_, err := b.Put(ctx, objects.Write{Key: key, WriteID: "w", Value: []byte(`1`)})
 	is.NoErr(err)
 	for range 20 {
-		_, err := b.Put(ctx, platform.Write{Key: key, WriteID: "w", Value: []byte(`1`)})
-		var conflict *platform.ConflictError
+		_, err := b.Put(ctx, objects.Write{Key: key, WriteID: "w", Value: []byte(`1`)})
+		var conflict *objects.ConflictError
 		is.True(errors.As(err, &conflict))
-		is.True(errors.Is(b.Delete(ctx, platform.Key{Kind: "k", Name: "none"}, 1), platform.ErrNotFound))
+		is.True(errors.Is(b.Delete(ctx, objects.Key{Kind: "k", Name: "none"}, 1), objects.ErrNotFound))
 	}
 	is.Equal(b.Counts().Failed, uint64(0))
 	is.Equal(b.Counts().Refused, uint64(0))
--- /dev/null
+++ b/internal/objects/client/client.go
@@ -0,0 +1,193 @@
+// Package client speaks the platform's wire protocols over fasthttp.
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/objects/call"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
+)
+
+const (
+	callTimeout = 2 * time.Second // bound of one call; a watch adds its own wait
+	maxValue    = 1 << 20
+)
+
+// Client is the object API, instance list and weight store at fixed addresses.
+type Client struct {
+	objects   string
+	instances string
+	weights   string
+	calls     *call.Caller
+	list      atomic.Pointer[wire.InstanceList] // as last read; not to be changed
+}
+
+// Addresses are the platform's, each IP and port.
+type Addresses struct {
+	Objects   string
+	Instances string
+	Weights   string
+}
+
+// New gives a client; it connects on first use.
+func New(a Addresses) *Client {
+	return &Client{
+		calls:   call.New(),
+		objects: "http://" + a.Objects, instances: "http://" + a.Instances, weights: "http://" + a.Weights,
+	}
+}
+
+var (
+	_ objects.Store     = (*Client)(nil)
+	_ objects.Instances = (*Client)(nil)
+)
+
+// Close ends every call under way, waiting watches among them; later calls fail.
+func (c *Client) Close() {
+	c.calls.Close()
+}
+
+// get decodes a 200 answer of a read into out.
+func (c *Client) get(ctx context.Context, u string, timeout time.Duration, out any) error {
+	a, err := c.calls.Do(ctx, call.Request{Method: fasthttp.MethodGet, URL: u, Timeout: timeout})
+	if err != nil {
+		return err
+	}
+	return decode(u, a, out)
+}
+
+// decode reads the 200 answer of a read of u into out.
+func decode(u string, a call.Answer, out any) error {
+	switch a.Status {
+	case fasthttp.StatusOK:
+		if err := json.Unmarshal(a.Body, out); err != nil {
+			return fmt.Errorf("decode answer of %s: %w", u, err)
+		}
+		return nil
+	case fasthttp.StatusNotFound:
+		return objects.ErrNotFound
+	default:
+		return fmt.Errorf("get %s: status %d", u, a.Status)
+	}
+}
+
+func (c *Client) objectURL(key objects.Key) string {
+	return c.objects + "/objects/" + url.PathEscape(key.Kind) + "/" + url.PathEscape(key.Name)
+}
+
+// Get implements objects.Store.
+func (c *Client) Get(ctx context.Context, key objects.Key) (wire.Object, error) {
+	var o wire.Object
+	err := c.get(ctx, c.objectURL(key), callTimeout, &o)
+	return o, err
+}
+
+// List implements objects.Store.
+func (c *Client) List(ctx context.Context, kind string) (wire.List, error) {
+	var l wire.List
+	err := c.get(ctx, c.objects+"/objects/"+url.PathEscape(kind), callTimeout, &l)
+	return l, err
+}
+
+// Watch implements objects.Store.
+func (c *Client) Watch(ctx context.Context, kind string, version uint64, wait time.Duration) (wire.List, error) {
+	u := fmt.Sprintf("%s/objects/%s?watch=%d&timeout_ms=%d", c.objects, url.PathEscape(kind), version, wait.Milliseconds())
+	var l wire.List
+	if err := c.get(ctx, u, wait+callTimeout, &l); err != nil {
+		return wire.List{}, err
+	}
+	if l.TooOld {
+		return wire.List{}, objects.ErrTooOld
+	}
+	return l, nil
+}
+
+// Put implements objects.Store.
+func (c *Client) Put(ctx context.Context, w objects.Write) (uint64, error) {
+	if len(w.Value) > maxValue {
+		return 0, fmt.Errorf("object %s: value of %d bytes is over the store's %d", w.Key, len(w.Value), maxValue)
+	}
+	a, err := c.calls.Do(ctx, call.Request{
+		Method: fasthttp.MethodPut, URL: c.objectURL(w.Key), Body: w.Value, Timeout: callTimeout,
+		Headers: [][2]string{
+			{wire.HeaderIfVersion, strconv.FormatUint(w.IfVersion, 10)},
+			{wire.HeaderWriteID, w.WriteID},
+			{fasthttp.HeaderContentType, "application/json"},
+		},
+	})
+	if err != nil {
+		return 0, err
+	}
+	return writeAnswer(w.Key, a)
+}
+
+// Delete implements objects.Store.
+func (c *Client) Delete(ctx context.Context, key objects.Key, ifVersion uint64) error {
+	a, err := c.calls.Do(ctx, call.Request{
+		Method: fasthttp.MethodDelete, URL: c.objectURL(key), Timeout: callTimeout,
+		Headers: [][2]string{{wire.HeaderIfVersion, strconv.FormatUint(ifVersion, 10)}},
+	})
+	if err != nil {
+		return err
+	}
+	_, err = writeAnswer(key, a)
+	var conflict *objects.ConflictError
+	if errors.As(err, &conflict) && conflict.Current == 0 {
+		return objects.ErrNotFound
+	}
+	return err
+}
+
+func writeAnswer(key objects.Key, a call.Answer) (uint64, error) {
+	switch a.Status {
+	case fasthttp.StatusOK, fasthttp.StatusCreated:
+		var w wire.Written
+		if err := json.Unmarshal(a.Body, &w); err != nil {
+			return 0, fmt.Errorf("decode answer to write of %s: %w", key, err)
+		}
+		return w.Version, nil
+	case fasthttp.StatusNotFound:
+		return 0, objects.ErrNotFound
+	case fasthttp.StatusConflict:
+		var w wire.Conflict
+		if err := json.Unmarshal(a.Body, &w); err != nil {
+			return 0, fmt.Errorf("decode conflict of %s: %w", key, err)
+		}
+		return 0, &objects.ConflictError{Key: key, Current: w.Current, WriteID: w.WriteID}
+	default:
+		return 0, fmt.Errorf("write %s: status %d", key, a.Status)
+	}
+}
+
+// Instances implements objects.Instances. A list that has not changed since the last read is not sent
+// again: the platform answers 304 to the version that this client has.
+func (c *Client) Instances(ctx context.Context) (wire.InstanceList, error) {
+	q := call.Request{Method: fasthttp.MethodGet, URL: c.instances + wire.PathInstances, Timeout: callTimeout}
+	known := c.list.Load()
+	if known != nil {
+		q.Headers = [][2]string{{fasthttp.HeaderIfNoneMatch, wire.InstancesTag(known.Version)}}
+	}
+	a, err := c.calls.Do(ctx, q)
+	if err != nil {
+		return wire.InstanceList{}, err
+	}
+	if a.Status == fasthttp.StatusNotModified && known != nil {
+		return *known, nil
+	}
+	var l wire.InstanceList
+	if err := decode(q.URL, a, &l); err != nil {
+		return wire.InstanceList{}, err
+	}
+	c.list.Store(&l)
+	return l, nil
+}
--- a/internal/platform/client/client_test.go
+++ b/internal/objects/client/client_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/damaskshelf/damaskshelf/internal/platform/client"
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/objects/client"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 	"github.com/damaskshelf/damaskshelf/internal/standin/instances"
 )
 
--- a/internal/platform/client/weights.go
+++ b/internal/objects/client/weights.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/damaskshelf/damaskshelf/internal/objects/call"
 )
 
 // defaultWeightWait is the wait after a refusal of the weight store that names none.
@@ -17,20 +19,20 @@
 // none before it is over. After an error the budget may have been taken.
 func (c *Client) Take(ctx context.Context, model, version string, gigabytes int64) (wait time.Duration, err error) {
 	u := fmt.Sprintf("%s/weights/%s/%s?gb=%d", c.weights, url.PathEscape(model), url.PathEscape(version), gigabytes)
-	a, err := c.do(ctx, call{method: fasthttp.MethodPost, url: u, timeout: callTimeout})
+	a, err := c.calls.Do(ctx, call.Request{Method: fasthttp.MethodPost, URL: u, Timeout: callTimeout})
 	if err != nil {
 		return 0, err
 	}
-	switch a.status {
+	switch a.Status {
 	case fasthttp.StatusNoContent, fasthttp.StatusOK:
 		return 0, nil
 	case fasthttp.StatusTooManyRequests:
-		seconds, err := strconv.Atoi(a.retryAfter)
+		seconds, err := strconv.Atoi(a.RetryAfter)
 		if err != nil || seconds <= 0 {
 			return defaultWeightWait, nil
 		}
 		return time.Duration(seconds) * time.Second, nil
 	default:
-		return 0, fmt.Errorf("take transfer budget for %s@%s: status %d", model, version, a.status)
+		return 0, fmt.Errorf("take transfer budget for %s@%s: status %d", model, version, a.Status)
 	}
 }
--- a/internal/platform/conformance/conformance.go
+++ b/internal/objects/conformance/conformance.go
@@ -1,4 +1,4 @@
-// Package conformance is the contract of platform.Store as a suite of tests. Whatever implements the port
+// Package conformance is the contract of objects.Store as a suite of tests. Whatever implements the port
 // runs it: the memory store, and the wire client against the stand-in.
 package conformance
 
@@ -13,8 +13,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/damaskshelf/damaskshelf/internal/platform"
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 )
 
 // watchWait is what the suite's watches wait when nothing is to come.
@@ -24,8 +24,8 @@
 const longWait = 20 * time.Second
 
 // Run runs the suite; each test gets an empty store from open.
-func Run(t *testing.T, open func(t *testing.T) platform.Store) {
-	tests := map[string]func(*testing.T, platform.Store){
+func Run(t *testing.T, open func(t *testing.T) objects.Store) {
+	tests := map[string]func(*testing.T, objects.Store){
 		"create if absent":               createIfAbsent,
 		"conditional update":             conditionalUpdate,
 		"delete":                         conditionalDelete,
@@ -46,11 +46,11 @@
 	}
 }
 
-func key(name string) platform.Key { return platform.Key{Kind: "suite", Name: name} }
+func key(name string) objects.Key { return objects.Key{Kind: "suite", Name: name} }
 
-func put(t *testing.T, s platform.Store, k platform.Key, ifVersion uint64, id, value string) uint64 {
+func put(t *testing.T, s objects.Store, k objects.Key, ifVersion uint64, id, value string) uint64 {
 	t.Helper()
-	version, err := s.Put(context.Background(), platform.Write{Key: k, IfVersion: ifVersion, WriteID: id, Value: []byte(value)})
+	version, err := s.Put(context.Background(), objects.Write{Key: k, IfVersion: ifVersion, WriteID: id, Value: []byte(value)})
 	if err != nil {
 		t.Fatalf("put %s: %v", k, err)
 	}
@@ -60,16 +60,16 @@
 // conflict checks that err is a conflict at that version.
 func conflict(t *testing.T, err error, current uint64, writeID string) {
 	t.Helper()
-	var c *platform.ConflictError
+	var c *objects.ConflictError
 	if !errors.As(err, &c) || c.Current != current || c.WriteID != writeID {
 		t.Fatalf("got %v, want a conflict at version %d by %q", err, current, writeID)
 	}
 }
 
-func createIfAbsent(t *testing.T, s platform.Store) {
+func createIfAbsent(t *testing.T, s objects.Store) {
 	is, ctx := is.New(t), context.Background()
 	_, err := s.Get(ctx, key("a"))
-	is.True(errors.Is(err, platform.ErrNotFound))
+	is.True(errors.Is(err, objects.ErrNotFound))
 	v := put(t, s, key("a"), 0, "w1", `{"n":1}`)
 	is.True(v > 0)
 	o, err := s.Get(ctx, key("a"))
@@ -77,38 +77,38 @@
 	is.Equal(o.Version, v)
 	is.Equal(o.WriteID, "w1")
 	is.Equal(string(o.Value), `{"n":1}`)
-	_, err = s.Put(ctx, platform.Write{Key: key("a"), WriteID: "w2", Value: []byte(`{}`)})
+	_, err = s.Put(ctx, objects.Write{Key: key("a"), WriteID: "w2", Value: []byte(`{}`)})
 	conflict(t, err, v, "w1")
 }
 
-func conditionalUpdate(t *testing.T, s platform.Store) {
+func conditionalUpdate(t *testing.T, s objects.Store) {
 	is, ctx := is.New(t), context.Background()
 	first := put(t, s, key("a"), 0, "w1", `1`)
 	second := put(t, s, key("a"), first, "w2", `2`)
 	is.True(second > first)
-	_, err := s.Put(ctx, platform.Write{Key: key("a"), IfVersion: first, WriteID: "w3", Value: []byte(`3`)})
+	_, err := s.Put(ctx, objects.Write{Key: key("a"), IfVersion: first, WriteID: "w3", Value: []byte(`3`)})
 	conflict(t, err, second, "w2")
 	o, err := s.Get(ctx, key("a"))
 	is.NoErr(err)
 	is.Equal(string(o.Value), `2`) // the refused write had no effect
-	_, err = s.Put(ctx, platform.Write{Key: key("none"), IfVersion: 7, WriteID: "w4", Value: []byte(`4`)})
+	_, err = s.Put(ctx, objects.Write{Key: key("none"), IfVersion: 7, WriteID: "w4", Value: []byte(`4`)})
 	is.True(err != nil) // an update of what is not there
 	_, err = s.Get(ctx, key("none"))
-	is.True(errors.Is(err, platform.ErrNotFound))
+	is.True(errors.Is(err, objects.ErrNotFound))
 }
 
-func conditionalDelete(t *testing.T, s platform.Store) {
+func conditionalDelete(t *testing.T, s objects.Store) {
 	is, ctx := is.New(t), context.Background()
-	is.True(errors.Is(s.Delete(ctx, key("a"), 1), platform.ErrNotFound))
+	is.True(errors.Is(s.Delete(ctx, key("a"), 1), objects.ErrNotFound))
 	first := put(t, s, key("a"), 0, "w1", `1`)
 	second := put(t, s, key("a"), first, "w2", `2`)
 	conflict(t, s.Delete(ctx, key("a"), first), second, "w2")
 	is.NoErr(s.Delete(ctx, key("a"), second))
 	_, err := s.Get(ctx, key("a"))
-	is.True(errors.Is(err, platform.ErrNotFound))
+	is.True(errors.Is(err, objects.ErrNotFound))
 }
 
-func versionsGrow(t *testing.T, s platform.Store) {
+func versionsGrow(t *testing.T, s objects.Store) {
 	is := is.New(t)
 	a := put(t, s, key("a"), 0, "w1", `1`)
 	b := put(t, s, key("b"), 0, "w2", `1`)
@@ -118,7 +118,7 @@
 
 // An instance holds version 7 of an object that is deleted and created anew; if the new one began at 1,
 // its conditional write or its rule to take only higher versions would be fooled.
-func recreated(t *testing.T, s platform.Store) {
+func recreated(t *testing.T, s objects.Store) {
 	is, ctx := is.New(t), context.Background()
 	first := put(t, s, key("a"), 0, "w1", `1`)
 	is.NoErr(s.Delete(ctx, key("a"), first))
@@ -126,7 +126,7 @@
 	is.True(second > first)
 }
 
-func oneWriterWins(t *testing.T, s platform.Store) {
+func oneWriterWins(t *testing.T, s objects.Store) {
 	is, ctx := is.New(t), context.Background()
 	base := put(t, s, key("a"), 0, "w0", `0`)
 	const writers = 16
@@ -135,7 +135,7 @@
 	for i := range writers {
 		all.Go(func() {
 			id := fmt.Sprint("w", i+1)
-			if _, err := s.Put(ctx, platform.Write{Key: key("a"), IfVersion: base, WriteID: id, Value: []byte(`1`)}); err == nil {
+			if _, err := s.Put(ctx, objects.Write{Key: key("a"), IfVersion: base, WriteID: id, Value: []byte(`1`)}); err == nil {
 				won <- id
 			}
 		})
@@ -155,7 +155,7 @@
 	return all
 }
 
-func list(t *testing.T, s platform.Store) {
+func list(t *testing.T, s objects.Store) {
 	is, ctx := is.New(t), context.Background()
 	l, err := s.List(ctx, "suite")
 	is.NoErr(err)
@@ -168,7 +168,7 @@
 	is.True(l.Version >= last)
 }
 
-func watchEnds(t *testing.T, s platform.Store) {
+func watchEnds(t *testing.T, s objects.Store) {
 	is, ctx := is.New(t), context.Background()
 	v := put(t, s, key("a"), 0, "w1", `1`)
 	l, err := s.Watch(ctx, "suite", v, watchWait)
@@ -177,7 +177,7 @@
 	is.True(l.Version >= v) // nothing came, and the next watch may go on from here
 }
 
-func watchShows(t *testing.T, s platform.Store) {
+func watchShows(t *testing.T, s objects.Store) {
 	is, ctx := is.New(t), context.Background()
 	base := put(t, s, key("a"), 0, "w1", `1`)
 	b := put(t, s, key("b"), 0, "w2", `1`)
@@ -191,7 +191,7 @@
 	is.Equal(len(l.Objects), 0)
 }
 
-func watchDeletions(t *testing.T, s platform.Store) {
+func watchDeletions(t *testing.T, s objects.Store) {
 	is, ctx := is.New(t), context.Background()
 	v := put(t, s, key("a"), 0, "w1", `1`)
 	is.NoErr(s.Delete(ctx, key("a"), v))
@@ -200,7 +200,7 @@
 	is.Equal(l.Deleted, []string{"a"})
 }
 
-func watchWakes(t *testing.T, s platform.Store) {
+func watchWakes(t *testing.T, s objects.Store) {
 	is, ctx := is.New(t), context.Background()
 	base := put(t, s, key("a"), 0, "w1", `1`)
 	got := make(chan wire.List, 1)
@@ -215,10 +215,10 @@
 	is.Equal(names(<-got), []string{"b"})
 }
 
-func kindsApart(t *testing.T, s platform.Store) {
+func kindsApart(t *testing.T, s objects.Store) {
 	is, ctx := is.New(t), context.Background()
 	base := put(t, s, key("a"), 0, "w1", `1`)
-	put(t, s, platform.Key{Kind: "other", Name: "a"}, 0, "w2", `2`)
+	put(t, s, objects.Key{Kind: "other", Name: "a"}, 0, "w2", `2`)
 	l, err := s.List(ctx, "suite")
 	is.NoErr(err)
 	is.Equal(len(l.Objects), 1)
@@ -228,7 +228,7 @@
 	is.Equal(len(l.Objects), 0) // another kind's change is none
 }
 
-func oddNames(t *testing.T, s platform.Store) {
+func oddNames(t *testing.T, s objects.Store) {
 	is, ctx := is.New(t), context.Background()
 	for _, name := range []string{"a b", "a/b", "a?b=c", "a%2Fb", "ü"} {
 		v := put(t, s, key(name), 0, "w-"+name, `1`)
@@ -239,17 +239,17 @@
 	}
 }
 
-func settle(t *testing.T, s platform.Store) {
+func settle(t *testing.T, s objects.Store) {
 	is, ctx := is.New(t), context.Background()
-	w := platform.Write{Key: key("a"), WriteID: "w1", Value: json.RawMessage(`1`)}
-	_, err := platform.Settle(ctx, s, w)
+	w := objects.Write{Key: key("a"), WriteID: "w1", Value: json.RawMessage(`1`)}
+	_, err := objects.Settle(ctx, s, w)
 	conflict(t, err, 0, "") // it did not take effect
 	v, err := s.Put(ctx, w)
 	is.NoErr(err)
-	got, err := platform.Settle(ctx, s, w)
+	got, err := objects.Settle(ctx, s, w)
 	is.NoErr(err)
 	is.Equal(got, v)
 	other := put(t, s, key("a"), v, "w2", `2`)
-	_, err = platform.Settle(ctx, s, w)
+	_, err = objects.Settle(ctx, s, w)
 	conflict(t, err, other, "w2")
 }
--- a/internal/platform/conformance/conformance_test.go
+++ b/internal/objects/conformance/conformance_test.go
@@ -4,20 +4,20 @@
 	"testing"
 
 	"github.com/damaskshelf/damaskshelf/internal/decide/storebudget"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
-	"github.com/damaskshelf/damaskshelf/internal/platform/client"
-	"github.com/damaskshelf/damaskshelf/internal/platform/conformance"
-	"github.com/damaskshelf/damaskshelf/internal/platform/memory"
-	"github.com/damaskshelf/damaskshelf/internal/standin/objects"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/objects/client"
+	"github.com/damaskshelf/damaskshelf/internal/objects/conformance"
+	"github.com/damaskshelf/damaskshelf/internal/objects/memory"
+	standin "github.com/damaskshelf/damaskshelf/internal/standin/objects"
 )
 
 func TestMemory(t *testing.T) {
-	conformance.Run(t, func(*testing.T) platform.Store { return memory.New() })
+	conformance.Run(t, func(*testing.T) objects.Store { return memory.New() })
 }
 
 // dial gives a client of a new stand-in.
 func dial(t *testing.T) *client.Client {
-	server, err := objects.Start("127.0.0.1:0", objects.NewStore(objects.DefaultHistory))
+	server, err := standin.Start("127.0.0.1:0", standin.NewStore(standin.DefaultHistory))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -30,12 +30,12 @@
 }
 
 func TestClientAgainstTheStandIn(t *testing.T) {
-	conformance.Run(t, func(t *testing.T) platform.Store { return patient{dial(t)} })
+	conformance.Run(t, func(t *testing.T) objects.Store { return patient{dial(t)} })
 }
 
 // The budget of one instance of nine lets through what the suite does.
 func TestBudgetedClientAgainstTheStandIn(t *testing.T) {
-	conformance.Run(t, func(t *testing.T) platform.Store {
+	conformance.Run(t, func(t *testing.T) objects.Store {
 		return patient{client.NewBudgeted(dial(t), storebudget.DefaultLimits, func() int { return 9 })}
 	})
 }
--- a/internal/platform/memory/memory.go
+++ b/internal/objects/memory/memory.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"github.com/damaskshelf/damaskshelf/internal/platform"
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 )
 
 // keptDeletions bounds the tombstones that a watch can still report.
@@ -19,37 +19,37 @@
 // Store is an in-memory object API. The zero value is not usable; see New.
 type Store struct {
 	mu      sync.Mutex
-	version uint64                       // guarded by mu
-	objects map[platform.Key]wire.Object // guarded by mu
-	deleted []deletion                   // guarded by mu, oldest first
-	floor   uint64                       // guarded by mu: watches from below it are too old
-	changed chan struct{}                // guarded by mu: closed at the next change
+	version uint64                      // guarded by mu
+	objects map[objects.Key]wire.Object // guarded by mu
+	deleted []deletion                  // guarded by mu, oldest first
+	floor   uint64                      // guarded by mu: watches from below it are too old
+	changed chan struct{}               // guarded by mu: closed at the next change
 }
 
 type deletion struct {
-	key     platform.Key
+	key     objects.Key
 	version uint64
 }
 
 // New gives an empty store.
 func New() *Store {
-	return &Store{objects: map[platform.Key]wire.Object{}, changed: make(chan struct{})}
+	return &Store{objects: map[objects.Key]wire.Object{}, changed: make(chan struct{})}
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ objects.Store = (*Store)(nil)
 
-// Get implements platform.Store.
-func (s *Store) Get(_ context.Context, key platform.Key) (wire.Object, error) {
+// Get implements objects.Store.
+func (s *Store) Get(_ context.Context, key objects.Key) (wire.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, ok := s.objects[key]
 	if !ok {
-		return wire.Object{}, platform.ErrNotFound
+		return wire.Object{}, objects.ErrNotFound
 	}
 	return o, nil
 }
 
-// List implements platform.Store; objects are sorted by name.
+// List implements objects.Store; objects are sorted by name.
 func (s *Store) List(_ context.Context, kind string) (wire.List, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -76,7 +76,7 @@
 	return l
 }
 
-// Watch implements platform.Store.
+// Watch implements objects.Store.
 func (s *Store) Watch(ctx context.Context, kind string, version uint64, wait time.Duration) (wire.List, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -84,7 +84,7 @@
 		s.mu.Lock()
 		if version < s.floor {
 			s.mu.Unlock()
-			return wire.List{}, platform.ErrTooOld
+			return wire.List{}, objects.ErrTooOld
 		}
 		l, changed := s.since(kind, version), s.changed
 		s.mu.Unlock()
@@ -101,12 +101,12 @@
 	}
 }
 
-// Put implements platform.Store.
-func (s *Store) Put(_ context.Context, w platform.Write) (uint64, error) {
+// Put implements objects.Store.
+func (s *Store) Put(_ context.Context, w objects.Write) (uint64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if o := s.objects[w.Key]; o.Version != w.IfVersion {
-		return 0, &platform.ConflictError{Key: w.Key, Current: o.Version, WriteID: o.WriteID}
+		return 0, &objects.ConflictError{Key: w.Key, Current: o.Version, WriteID: o.WriteID}
 	}
 	s.bump()
 	s.objects[w.Key] = wire.Object{
@@ -115,16 +115,16 @@
 	return s.version, nil
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(_ context.Context, key platform.Key, ifVersion uint64) error {
+// Delete implements objects.Store.
+func (s *Store) Delete(_ context.Context, key objects.Key, ifVersion uint64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, ok := s.objects[key]
 	if !ok {
-		return platform.ErrNotFound
+		return objects.ErrNotFound
 	}
 	if o.Version != ifVersion {
-		return &platform.ConflictError{Key: key, Current: o.Version, WriteID: o.WriteID}
+		return &objects.ConflictError{Key: key, Current: o.Version, WriteID: o.WriteID}
 	}
 	s.bump()
 	delete(s.objects, key)
--- a/internal/platform/platform.go
+++ b/internal/objects/objects.go
@@ -1,7 +1,7 @@
-// Package platform states what an instance asks of the platform: the object API, the instance list and
+// Package objects states what an instance asks of the platform: the object API, the instance list and
 // the weight store. Package client speaks the wire; package memory keeps everything in one process for
 // tests. Package conformance's suite holds both to the same contract.
-package platform
+package objects
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"fmt"
 	"time"
 
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 )
 
 // Errors of the object API. Any other error of a write leaves its outcome unknown: the caller reads the
--- a/internal/operate/command/command.go
+++ b/internal/operate/command/command.go
@@ -15,8 +15,8 @@
 	"github.com/damaskshelf/damaskshelf/internal/execute"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 	"github.com/damaskshelf/damaskshelf/internal/settle"
 )
 
@@ -27,10 +27,10 @@
 )
 
 // ConfigKey is the one configuration's object.
-var ConfigKey = platform.Key{Kind: KindConfig, Name: "current"}
+var ConfigKey = objects.Key{Kind: KindConfig, Name: "current"}
 
 // PlanKey is a plan's object.
-func PlanKey(id string) platform.Key { return platform.Key{Kind: KindPlan, Name: id} }
+func PlanKey(id string) objects.Key { return objects.Key{Kind: KindPlan, Name: id} }
 
 // callTimeout bounds an operator's call. A lost answer of the store is settled within it.
 const callTimeout = 10 * time.Second
@@ -40,7 +40,7 @@
 
 // Service makes the changes.
 type Service struct {
-	Store      platform.Store
+	Store      objects.Store
 	View       func() *fleet.View
 	Log        hclog.Logger
 	NewID      func() string
@@ -98,7 +98,7 @@
 func (s *Service) mark(ctx context.Context, id string) error {
 	var stop execute.Stop
 	version, err := s.read(ctx, execute.StopKey, &stop)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objects.ErrNotFound) {
 		return readFault(err)
 	}
 	if stop.Plan == id {
@@ -117,7 +117,7 @@
 func (s *Service) config(ctx context.Context) (api.Config, uint64, error) {
 	var c api.Config
 	version, err := s.read(ctx, ConfigKey, &c)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objects.ErrNotFound) {
 		return api.Config{}, 0, nil
 	}
 	return c, version, readFault(err)
@@ -126,13 +126,13 @@
 func (s *Service) load(ctx context.Context, id string) (api.Plan, uint64, error) {
 	var p api.Plan
 	version, err := s.read(ctx, PlanKey(id), &p)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objects.ErrNotFound) {
 		return api.Plan{}, 0, fault.New(fault.NotFound, "no plan %q", id)
 	}
 	return p, version, readFault(err)
 }
 
-func (s *Service) read(ctx context.Context, key platform.Key, out any) (uint64, error) {
+func (s *Service) read(ctx context.Context, key objects.Key, out any) (uint64, error) {
 	o, err := s.Store.Get(ctx, key)
 	if err != nil {
 		return 0, err
@@ -162,7 +162,7 @@
 }
 
 // write makes a conditional write and gives its version once it is known to have taken effect.
-func (s *Service) write(ctx context.Context, key platform.Key, ifVersion uint64, value any) (uint64, error) {
+func (s *Service) write(ctx context.Context, key objects.Key, ifVersion uint64, value any) (uint64, error) {
 	data, err := json.Marshal(value)
 	if err != nil {
 		return 0, fmt.Errorf("encode object %s: %w", key, err)
@@ -171,17 +171,17 @@
 		return 0, fault.New(fault.PlanRejected, "%s would take %d bytes, the object API holds %d; change less at once",
 			key, len(data), maxObject)
 	}
-	version, err := settle.Put(ctx, s.Store, platform.Write{
+	version, err := settle.Put(ctx, s.Store, objects.Write{
 		Key: key, IfVersion: ifVersion, WriteID: s.NewID(), Value: data,
 	})
-	var conflict *platform.ConflictError
+	var conflict *objects.ConflictError
 	switch {
 	case err == nil:
 		return version, nil
 	case errors.As(err, &conflict) && !errors.Is(err, settle.ErrUnknown):
 		return 0, fault.New(fault.PlanConflict, "object %s was changed meanwhile: version %d was expected, it is at %d",
 			key, ifVersion, conflict.Current)
-	case errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, settle.ErrUnknown):
+	case errors.Is(err, objects.ErrUnavailable) && !errors.Is(err, settle.ErrUnknown):
 		return 0, &fault.Error{Kind: fault.StoreUnavailable, Run: fault.RunNo,
 			Detail: "the object API can't be reached; nothing was changed", Cause: err}
 	default:
--- a/internal/operate/command/confirm.go
+++ b/internal/operate/command/confirm.go
@@ -11,7 +11,7 @@
 
 	"github.com/damaskshelf/damaskshelf/api"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
 )
 
 // Confirm puts a plan's configuration in force if nothing has changed since it was made.
@@ -86,7 +86,7 @@
 	if err == nil {
 		err = s.Store.Delete(ctx, key, o.Version)
 	}
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objects.ErrNotFound) {
 		s.Log.Warn("old plan not deleted", "plan", last.Base.Plan, "error", err)
 	}
 }
--- a/internal/operate/cost_test.go
+++ b/internal/operate/cost_test.go
@@ -7,9 +7,9 @@
 	"github.com/matryer/is"
 
 	"github.com/damaskshelf/damaskshelf/api"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
-	"github.com/damaskshelf/damaskshelf/internal/platform/memory"
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/objects/memory"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 )
 
 // counted counts an instance's calls to the store.
@@ -18,17 +18,17 @@
 	reads, writes int
 }
 
-func (c *counted) Get(ctx context.Context, key platform.Key) (wire.Object, error) {
+func (c *counted) Get(ctx context.Context, key objects.Key) (wire.Object, error) {
 	c.reads++
 	return c.Store.Get(ctx, key)
 }
 
-func (c *counted) Put(ctx context.Context, w platform.Write) (uint64, error) {
+func (c *counted) Put(ctx context.Context, w objects.Write) (uint64, error) {
 	c.writes++
 	return c.Store.Put(ctx, w)
 }
 
-func (c *counted) Delete(ctx context.Context, key platform.Key, ifVersion uint64) error {
+func (c *counted) Delete(ctx context.Context, key objects.Key, ifVersion uint64) error {
 	c.writes++
 	return c.Store.Delete(ctx, key, ifVersion)
 }
--- a/internal/operate/lost_test.go
+++ b/internal/operate/lost_test.go
@@ -9,8 +9,8 @@
 	"github.com/matryer/is"
 
 	"github.com/damaskshelf/damaskshelf/api"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
-	"github.com/damaskshelf/damaskshelf/internal/platform/memory"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/objects/memory"
 )
 
 // An operator confirms; the store writes it, and its answer is lost. Without settling, the operator is
@@ -33,7 +33,7 @@
 	after  func() // runs after it, before the answer is lost
 }
 
-func (l *loseOnce) Put(ctx context.Context, w platform.Write) (uint64, error) {
+func (l *loseOnce) Put(ctx context.Context, w objects.Write) (uint64, error) {
 	if !l.armed.CompareAndSwap(true, false) {
 		return l.Store.Put(ctx, w)
 	}
--- a/internal/operate/operate.go
+++ b/internal/operate/operate.go
@@ -16,9 +16,9 @@
 
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
 	"github.com/damaskshelf/damaskshelf/internal/operate/command"
 	"github.com/damaskshelf/damaskshelf/internal/operate/query"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
 )
 
 // Paths of the operators' API.
@@ -34,7 +34,7 @@
 // Deps is what the operators' side needs of its instance.
 type Deps struct {
 	Instance fleet.InstanceID
-	Store    platform.Store
+	Store    objects.Store
 	View     func() *fleet.View
 	Log      hclog.Logger
 	NewID    func() string // fresh ids of plans and writes
--- a/internal/operate/operate_test.go
+++ b/internal/operate/operate_test.go
@@ -19,17 +19,17 @@
 
 	"github.com/damaskshelf/damaskshelf/api"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/objects/memory"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 	"github.com/damaskshelf/damaskshelf/internal/operate"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
-	"github.com/damaskshelf/damaskshelf/internal/platform/memory"
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
 	upstream "github.com/damaskshelf/damaskshelf/internal/upstream/wire"
 )
 
 // side is an operators' side under test, with its client.
 type side struct {
 	t      *testing.T
-	store  platform.Store
+	store  objects.Store
 	view   atomic.Pointer[fleet.View]
 	client *fasthttp.Client
 	log    strings.Builder
@@ -38,7 +38,7 @@
 
 const token = "s3cret-token"
 
-func newSide(t *testing.T, store platform.Store) *side {
+func newSide(t *testing.T, store objects.Store) *side {
 	s := &side{t: t, store: store, fleet: &probes{loaded: map[string]string{}}}
 	s.view.Store(newView(api.Config{}, 0))
 	ids := 0
@@ -137,12 +137,12 @@
 	is := is.New(t)
 	s := newSide(t, memory.New())
 	p := s.propose(intent(4))
-	_, err := s.store.Get(context.Background(), platform.Key{Kind: "config", Name: "current"})
-	is.True(errors.Is(err, platform.ErrNotFound)) // nothing changed yet
+	_, err := s.store.Get(context.Background(), objects.Key{Kind: "config", Name: "current"})
+	is.True(errors.Is(err, objects.ErrNotFound)) // nothing changed yet
 
 	var c api.Confirmed
 	is.Equal(s.call("POST", confirmPath(p), nil, &c), 200)
-	o, err := s.store.Get(context.Background(), platform.Key{Kind: "config", Name: "current"})
+	o, err := s.store.Get(context.Background(), objects.Key{Kind: "config", Name: "current"})
 	is.NoErr(err)
 	is.Equal(o.Version, c.Version)
 	var again api.Confirmed
@@ -223,7 +223,7 @@
 	s.view.Store(newView(api.Config{DomainsOut: []string{"a", "b"}}, 3))
 	data, err := json.Marshal(api.Config{DomainsOut: []string{"a", "b"}})
 	is.NoErr(err)
-	_, err = s.store.Put(context.Background(), platform.Write{Key: platform.Key{Kind: "config", Name: "current"}, WriteID: "w", Value: data})
+	_, err = s.store.Put(context.Background(), objects.Write{Key: objects.Key{Kind: "config", Name: "current"}, WriteID: "w", Value: data})
 	is.NoErr(err)
 	var e operate.ErrorBody
 	is.Equal(s.call("POST", operate.PathPlans, api.Change{Drain: "c"}, &e), 422)
@@ -296,10 +296,10 @@
 	is.True(strings.Contains(status.Notes[0], "p9"))
 }
 
-type outage struct{ platform.Store }
+type outage struct{ objects.Store }
 
-func (outage) Get(context.Context, platform.Key) (o wire.Object, err error) {
-	return o, platform.ErrUnavailable
+func (outage) Get(context.Context, objects.Key) (o wire.Object, err error) {
+	return o, objects.ErrUnavailable
 }
 
 func TestExplainGivesTheKeptLines(t *testing.T) {
--- a/internal/operate/query/query.go
+++ b/internal/operate/query/query.go
@@ -14,7 +14,7 @@
 	"github.com/damaskshelf/damaskshelf/api"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
-	"github.com/damaskshelf/damaskshelf/internal/platform"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
 )
 
 // readTimeout bounds the read of a plan; status waits less, since it answers without the store too.
@@ -28,7 +28,7 @@
 // Service answers the reads.
 type Service struct {
 	Instance fleet.InstanceID
-	Store    platform.Store
+	Store    objects.Store
 	View     func() *fleet.View
 	Explain  func(id fleet.RequestID) ([]string, bool)
 	InForce  func(version uint64) (have, of int)
@@ -46,7 +46,7 @@
 	defer cancel()
 	id := pathID(rc)
 	plan, err := s.plan(ctx, id)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objects.ErrNotFound) {
 		return nil, fault.New(fault.NotFound, "no plan %q", id)
 	}
 	if err != nil {
@@ -83,7 +83,7 @@
 
 func (s *Service) plan(ctx context.Context, id string) (api.Plan, error) {
 	var p api.Plan
-	o, err := s.Store.Get(ctx, platform.Key{Kind: kindPlan, Name: id})
+	o, err := s.Store.Get(ctx, objects.Key{Kind: kindPlan, Name: id})
 	if err != nil {
 		return p, err
 	}
--- a/internal/settle/settle.go
+++ b/internal/settle/settle.go
@@ -11,7 +11,7 @@
 	"fmt"
 	"time"
 
-	"github.com/damaskshelf/damaskshelf/internal/platform"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
 	"github.com/damaskshelf/damaskshelf/internal/wait"
 )
 
@@ -25,9 +25,9 @@
 var ErrUnknown = errors.New("outcome of the write is unknown")
 
 // Put makes the write and gives its version once it is known to have taken effect. Errors:
-// *platform.ConflictError and platform.ErrUnavailable mean that it certainly had no effect; ErrUnknown
+// *objects.ConflictError and objects.ErrUnavailable mean that it certainly had no effect; ErrUnknown
 // means that it may have had, or may yet have, until ctx ended.
-func Put(ctx context.Context, s platform.Store, w platform.Write) (uint64, error) {
+func Put(ctx context.Context, s objects.Store, w objects.Write) (uint64, error) {
 	sent := false
 	pause := firstPause
 	for {
@@ -35,13 +35,13 @@
 		if err == nil {
 			return version, nil
 		}
-		var conflict *platform.ConflictError
+		var conflict *objects.ConflictError
 		switch {
 		case errors.As(err, &conflict):
 			return ours(conflict, w, sent)
-		case errors.Is(err, platform.ErrUnavailable) && !sent:
+		case errors.Is(err, objects.ErrUnavailable) && !sent:
 			return 0, err
-		case !errors.Is(err, platform.ErrUnavailable):
+		case !errors.Is(err, objects.ErrUnavailable):
 			sent = true
 			if version, ok := readBack(ctx, s, w); ok {
 				return version, nil
@@ -56,7 +56,7 @@
 
 // readBack looks for the write in the store. Writes whose every answer is lost while reads work are found
 // only so. Not finding it means nothing: it may still be on its way.
-func readBack(ctx context.Context, s platform.Store, w platform.Write) (uint64, bool) {
+func readBack(ctx context.Context, s objects.Store, w objects.Write) (uint64, bool) {
 	o, err := s.Get(ctx, w.Key)
 	if err != nil || o.WriteID != w.WriteID {
 		return 0, false
@@ -66,7 +66,7 @@
 
 // ours reads a conflict. Another writer's version on top of one of ours whose answer was lost hides
 // whether ours took effect first, so that outcome stays unknown.
-func ours(conflict *platform.ConflictError, w platform.Write, sent bool) (uint64, error) {
+func ours(conflict *objects.ConflictError, w objects.Write, sent bool) (uint64, error) {
 	if conflict.WriteID == w.WriteID {
 		return conflict.Current, nil
 	}
--- a/internal/settle/settle_test.go
+++ b/internal/settle/settle_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/damaskshelf/damaskshelf/internal/platform"
-	"github.com/damaskshelf/damaskshelf/internal/platform/memory"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/objects/memory"
 	"github.com/damaskshelf/damaskshelf/internal/settle"
 )
 
@@ -21,11 +21,11 @@
 	*memory.Store
 	lose    int
 	effect  bool
-	held    *platform.Write // a write that is still on its way
-	between func()          // runs after a lost answer
+	held    *objects.Write // a write that is still on its way
+	between func()         // runs after a lost answer
 }
 
-func (l *lossy) Put(ctx context.Context, w platform.Write) (uint64, error) {
+func (l *lossy) Put(ctx context.Context, w objects.Write) (uint64, error) {
 	if l.lose == 0 {
 		return l.Store.Put(ctx, w)
 	}
@@ -41,10 +41,10 @@
 	return 0, errLost
 }
 
-var key = platform.Key{Kind: "config", Name: "current"}
+var key = objects.Key{Kind: "config", Name: "current"}
 
-func write(id string) platform.Write {
-	return platform.Write{Key: key, WriteID: id, Value: []byte(`{}`)}
+func write(id string) objects.Write {
+	return objects.Write{Key: key, WriteID: id, Value: []byte(`{}`)}
 }
 
 // An operator sees an error for a change that is in force: the write took effect, its answer was lost.
@@ -72,13 +72,13 @@
 }
 
 // An operator is told "not done", and seconds later the change is in force: the write was delayed, the
-// object was read back before it arrived. Reading back alone (platform.Settle) says conflict here.
+// object was read back before it arrived. Reading back alone (objects.Settle) says conflict here.
 func TestDelayedWriteCannotTakeEffectTwice(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
 	s := &lossy{Store: memory.New(), lose: 1}
-	_, err := platform.Settle(ctx, s, write("w1"))
-	var conflict *platform.ConflictError
+	_, err := objects.Settle(ctx, s, write("w1"))
+	var conflict *objects.ConflictError
 	is.True(errors.As(err, &conflict)) // read-back before arrival: the guard's absence
 
 	version, err := settle.Put(ctx, s, write("w1"))
@@ -95,7 +95,7 @@
 	ctx := context.Background()
 	s := &lossy{Store: memory.New(), lose: 1, effect: true}
 	s.between = func() {
-		_, err := s.Store.Put(ctx, platform.Write{Key: key, IfVersion: 1, WriteID: "other", Value: []byte(`{}`)})
+		_, err := s.Store.Put(ctx, objects.Write{Key: key, IfVersion: 1, WriteID: "other", Value: []byte(`{}`)})
 		is.NoErr(err)
 	}
 	_, err := settle.Put(ctx, s, write("w1"))
@@ -109,12 +109,12 @@
 	_, err := s.Put(ctx, write("other"))
 	is.NoErr(err)
 	_, err = settle.Put(ctx, s, write("w1"))
-	var conflict *platform.ConflictError
+	var conflict *objects.ConflictError
 	is.True(errors.As(err, &conflict))
 	is.True(!errors.Is(err, settle.ErrUnknown))
 
 	_, err = settle.Put(ctx, down{}, write("w1"))
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, objects.ErrUnavailable))
 	is.True(!errors.Is(err, settle.ErrUnknown))
 }
 
@@ -127,6 +127,6 @@
 	is.True(errors.Is(err, settle.ErrUnknown))
 }
 
-type down struct{ platform.Store }
+type down struct{ objects.Store }
 
-func (down) Put(context.Context, platform.Write) (uint64, error) { return 0, platform.ErrUnavailable }
+func (down) Put(context.Context, objects.Write) (uint64, error) { return 0, objects.ErrUnavailable }
--- a/internal/standin/cluster/cluster.go
+++ b/internal/standin/cluster/cluster.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 	"github.com/damaskshelf/damaskshelf/internal/standin/engine"
 	"github.com/damaskshelf/damaskshelf/internal/standin/faults"
 	"github.com/damaskshelf/damaskshelf/internal/standin/instances"
--- a/internal/standin/cluster/cluster_test.go
+++ b/internal/standin/cluster/cluster_test.go
@@ -8,7 +8,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/goleak"
 
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 	"github.com/damaskshelf/damaskshelf/internal/standin/cluster"
 	"github.com/damaskshelf/damaskshelf/internal/standin/faults"
 	"github.com/damaskshelf/damaskshelf/internal/standin/rawhttp"
--- a/internal/standin/objects/store.go
+++ b/internal/standin/objects/store.go
@@ -7,7 +7,7 @@
 	"strings"
 	"sync"
 
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 )
 
 // DefaultHistory is the number of changes kept for watches.
--- a/internal/standin/objects/store_test.go
+++ b/internal/standin/objects/store_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 	"github.com/damaskshelf/damaskshelf/internal/standin/objects"
 )
 
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -20,7 +20,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskshelf/damaskshelf/api"
-	"github.com/damaskshelf/damaskshelf/internal/platform/wire"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 	"github.com/damaskshelf/damaskshelf/internal/standin/cluster"
 	"github.com/damaskshelf/damaskshelf/internal/standin/engine"
 	"github.com/damaskshelf/damaskshelf/internal/standin/faults"
