--- /dev/null
+++ b/api/routed.go
@@ -0,0 +1,112 @@
+package api
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+)
+
+// Routed are the settings of an instance that forwards routed requests and takes its routes, upstreams and
+// peers from a metadata store. With them, the parts that serve our own completions interface are not
+// started, and their addresses are not needed.
+type Routed struct {
+	Listen    RoutedListen `json:"listen"`
+	ReadyPath string       `json:"ready_path"` // of the balancer's question
+	Store     RoutedStore  `json:"store"`
+	CPUShare  float64      `json:"cpu_share"` // of a core that this machine has
+	Retries   Retries      `json:"retries"`
+	Stop      RoutedStop   `json:"stop"`
+	Limits    RoutedLimits `json:"limits,omitempty"`
+}
+
+// RoutedListen holds the listeners, each IP and port.
+type RoutedListen struct {
+	Callers string `json:"callers"`
+	Ready   string `json:"ready"`
+	Peers   string `json:"peers"`
+	Metrics string `json:"metrics"`
+}
+
+// RoutedStore is the metadata store.
+type RoutedStore struct {
+	Address string `json:"address"`
+}
+
+// Retries bound the arrivals at a service beyond the first of each request, over all instances.
+type Retries struct {
+	Ratio float64 `json:"ratio"` // of the requests in a window
+	Slack int     `json:"slack"` // beside the ratio
+}
+
+// RoutedStop are the times of a planned stop.
+type RoutedStop struct {
+	Lag   Duration `json:"lag"`   // the balancer may still send for so long after not-ready
+	Grace Duration `json:"grace"` // the process is ended after it
+}
+
+// RoutedLimits bound what one instance takes from callers.
+type RoutedLimits struct {
+	MaxBodyBytes   int      `json:"max_body_bytes,omitempty"`
+	MaxHeaderBytes int      `json:"max_header_bytes,omitempty"`
+	MaxConnections int      `json:"max_connections,omitempty"`
+	ReadTimeout    Duration `json:"read_timeout,omitempty"`
+	IdleTimeout    Duration `json:"idle_timeout,omitempty"`
+}
+
+const (
+	defaultRoutedHeader = 64 << 10
+	defaultRoutedBody   = 16 << 20
+	// Two misses of a question a second take an instance out of the balancer.
+	defaultRoutedLag   = Duration(2500 * time.Millisecond)
+	defaultRoutedGrace = Duration(8 * time.Second)
+	// A caller reuses connections for up to four fifths of the idle time that the configuration states;
+	// closing them sooner than that would cut requests off that cross the close.
+	defaultRoutedIdle = Duration(120 * time.Second)
+)
+
+func (r *Routed) complete() {
+	orInt(&r.Limits.MaxBodyBytes, defaultRoutedBody)
+	orInt(&r.Limits.MaxHeaderBytes, defaultRoutedHeader)
+	orInt(&r.Limits.MaxConnections, defaultConnections)
+	orDuration(&r.Limits.ReadTimeout, defaultHeaderTimeout)
+	orDuration(&r.Limits.IdleTimeout, defaultRoutedIdle)
+	orDuration(&r.Stop.Lag, defaultRoutedLag)
+	orDuration(&r.Stop.Grace, defaultRoutedGrace)
+	if r.CPUShare == 0 {
+		r.CPUShare = 1
+	}
+}
+
+func (r *Routed) validate(s *Settings) error {
+	addresses := []struct{ path, value string }{
+		{"routed.listen.callers", r.Listen.Callers},
+		{"routed.listen.ready", r.Listen.Ready},
+		{"routed.listen.peers", r.Listen.Peers},
+		{"routed.listen.metrics", r.Listen.Metrics},
+		{"routed.store.address", r.Store.Address},
+	}
+	for _, a := range addresses {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			return badField(a.path, fmt.Sprintf("%q", a.value), "an IP and port, as in 10.0.0.1:8080")
+		}
+	}
+	if !strings.HasPrefix(r.ReadyPath, "/") {
+		return badField("routed.ready_path", fmt.Sprintf("%q", r.ReadyPath), "a path that begins with a slash")
+	}
+	if r.Retries.Ratio < 0 || r.Retries.Ratio > 10 {
+		return badField("routed.retries.ratio", r.Retries.Ratio, "0 to 10")
+	}
+	if r.Retries.Slack < 0 {
+		return badField("routed.retries.slack", r.Retries.Slack, "0 or more")
+	}
+	if r.CPUShare < 0 {
+		return badField("routed.cpu_share", r.CPUShare, "above 0")
+	}
+	return s.checkDurations([]durationRange{
+		{"routed.stop.lag", r.Stop.Lag, 0, time.Minute},
+		{"routed.stop.grace", r.Stop.Grace, time.Duration(r.Stop.Lag), time.Hour},
+		{"routed.limits.read_timeout", r.Limits.ReadTimeout, 10 * time.Millisecond, 5 * time.Minute},
+		{"routed.limits.idle_timeout", r.Limits.IdleTimeout, 10 * time.Millisecond, time.Hour},
+	})
+}
--- a/api/settings.go
+++ b/api/settings.go
@@ -20,6 +20,7 @@
 	Limits        Limits    `json:"limits,omitempty"`
 	Intervals     Intervals `json:"intervals,omitempty"`
 	LogLevel      string    `json:"log_level,omitempty"`
+	Routed        *Routed   `json:"routed,omitempty"` // nil: the instance serves our own completions interface
 }
 
 // Listen holds an instance's listeners, each IP and port. Port 0 takes any free port.
@@ -151,6 +152,9 @@
 	if s.LogLevel == "" {
 		s.LogLevel = "info"
 	}
+	if s.Routed != nil {
+		s.Routed.complete()
+	}
 }
 
 func orInt(v *int, or int) {
@@ -167,6 +171,12 @@
 
 // Validate gives the first bad value as a *FieldError.
 func (s *Settings) Validate() error {
+	if s.Routed != nil {
+		if err := s.validatePlace(); err != nil {
+			return err
+		}
+		return s.Routed.validate(s)
+	}
 	for _, check := range []func() error{s.validatePlace, s.validateAddresses, s.validateLimits, s.validateIntervals} {
 		if err := check(); err != nil {
 			return err
--- a/cmd/damaskshelfd/main.go
+++ b/cmd/damaskshelfd/main.go
@@ -18,6 +18,8 @@
 
 	"github.com/damaskshelf/damaskshelf/api"
 	"github.com/damaskshelf/damaskshelf/internal/node"
+	"github.com/damaskshelf/damaskshelf/internal/routed"
+	"github.com/damaskshelf/damaskshelf/platform"
 )
 
 // Exit statuses.
@@ -55,10 +57,24 @@
 	return serve(s, log)
 }
 
+// instance is what the settings make of this process.
+type instance interface {
+	Start() error
+	Stop() error
+	Abort()
+}
+
+func assemble(s api.Settings, log hclog.Logger) (instance, error) {
+	if s.Routed == nil {
+		return node.New(s, node.Options{Log: log})
+	}
+	return routed.New(s, platform.Adapter(s.Routed.Store.Address), log)
+}
+
 func serve(s api.Settings, log hclog.Logger) int {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	n, err := node.New(s, node.Options{Log: log})
+	n, err := assemble(s, log)
 	if err == nil {
 		err = n.Start()
 	}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,112 @@
+// Package gateway forwards routed requests: host and path select a route, the route a service, and one of
+// the service's upstreams gets the request byte for byte. It serves callers, decides what a failure means
+// for them, and never says "not run" of what may have run.
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+)
+
+// Meta is what a request's head says of it.
+type Meta struct {
+	ID        string
+	Key       string        // the caller's key; empty: none shown
+	Wait      time.Duration // how long the caller waits, if Timed
+	Timed     bool
+	Prompt    int    // tokens of the prompt; 0: not a prompt, or not said
+	Output    int    // most tokens of the answer
+	Hint      int    // the caller's guess of the answer's tokens; 0: none
+	Subject   string // what the prompt is about: its last shared part
+	LastEvent string // a stream goes on after this event; empty: from its start
+}
+
+// Send is what the system tells an upstream with a request.
+type Send struct {
+	Upstream  fleet.UpstreamID
+	Left      time.Duration // time left for the request
+	Workspace fleet.WorkspaceID
+	Urgency   int      // 0 is the most urgent; below 0: not said
+	Helpers   []string // engines that read parts of the prompt
+	LastEvent string   // the stream goes on after this event
+}
+
+// Answer is what the head of an upstream's answer says, apart from its status.
+type Answer struct {
+	Sealed  bool             // the answer is marked as an upstream's own
+	NotRun  bool             // the upstream did not run the request and will not
+	Other   bool             // another upstream has the address now
+	AtFault fleet.UpstreamID // the helper that failed
+	Coded   bool             // the body has an encoding that nobody asked for: it isn't the upstream's
+	Leaving bool             // the upstream closes the connection
+}
+
+// Dialect reads and writes heads in the words of the wire.
+type Dialect interface {
+	// ReadRequest reads a caller's head. An error names the header and value at fault.
+	ReadRequest(h *fasthttp.RequestHeader) (Meta, error)
+	// WriteRequest replaces what only the system says in a copy of the caller's head.
+	WriteRequest(h *fasthttp.RequestHeader, s Send)
+	// Own tells whether an answer belongs to the request with that id.
+	Own(h *fasthttp.ResponseHeader, id string) bool
+	ReadAnswer(h *fasthttp.ResponseHeader) Answer
+	// WriteRefusal marks an answer of the system's own with the request's id.
+	WriteRefusal(h *fasthttp.ResponseHeader, id string)
+}
+
+// Ask is a request for a place on one of a service's upstreams.
+type Ask struct {
+	ID        fleet.RequestID
+	Service   catalog.ServiceName
+	Kind      catalog.Kind
+	Workspace fleet.WorkspaceID
+	Subject   string
+	Priority  int
+	Prompt    int           // tokens
+	Output    int           // most tokens of the answer
+	Aim       time.Duration // left to the answer that earns full credit; may be below zero
+	MaxGap    time.Duration // longest pause between the answer's events
+	Left      time.Duration // left in all
+	Patience  time.Duration // left until the caller gives up without a first event
+	Attempt   int           // 1 for the first
+	Avoid     []fleet.UpstreamID
+}
+
+// Grant is a place on an upstream. Exactly one Done ends it.
+type Grant interface {
+	Upstream() *catalog.Upstream
+	Helpers() []string
+	// Reason says in a word why this upstream.
+	Reason() string
+	// Began tells that the answer, or its first event, came.
+	Began()
+	Done(Outcome)
+}
+
+// Outcome is how a grant's use ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Served   Outcome = iota // answered whole
+	Unsent                  // nothing was sent
+	Rejected                // the upstream said that it did not run it
+	Failed                  // an error answer, a cut or silence
+	Left                    // the caller went away or the time ran out
+)
+
+// String gives the outcome as it stands in log lines.
+func (o Outcome) String() string {
+	return [...]string{"served", "unsent", "rejected", "failed", "left"}[o]
+}
+
+// Placer gives places. Place blocks while the request waits; it gives a *fault.Error with "not run" and a
+// Retry-After the moment the request is given up on.
+type Placer interface {
+	Place(ctx context.Context, a Ask) (Grant, error)
+}
--- /dev/null
+++ b/internal/gateway/life.go
@@ -0,0 +1,373 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/fault"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/upstream"
+)
+
+const (
+	// maxPlain bounds a plain answer that is held until it is whole.
+	maxPlain = 16 << 20
+	// maxBounces bounds how often a place that turns out unusable is given back for another without a send.
+	maxBounces = 8
+	// leastLeft is the least time for which a request is sent: under it the answer can't come back.
+	leastLeft = 5 * time.Millisecond
+)
+
+// Reasons of the gateway's decision lines.
+const (
+	reasonServed    decide.Reason = "served"
+	reasonRefused   decide.Reason = "refused"
+	reasonFailed    decide.Reason = "failed"
+	reasonRetry     decide.Reason = "retry"
+	reasonResume    decide.Reason = "resume"
+	reasonNoRetry   decide.Reason = "no_retry"
+	reasonPassed    decide.Reason = "passed_on"
+	reasonCutStream decide.Reason = "stream_cut"
+	reasonGone      decide.Reason = "caller_gone"
+)
+
+// life is one request from its arrival to its answer's end.
+type life struct {
+	g        *Gateway
+	r        *request
+	ctx      context.Context // ends with the caller's connection or the request's time
+	attempts int             // upstreams that were sent the request
+	arrivals int             // sends that reached an upstream, rejected ones included
+	avoid    []fleet.UpstreamID
+	grant    Grant
+	x        *upstream.Exchange
+	sentAt   time.Time
+	answer   Answer
+	ran      fault.Run // whether any send may have run
+}
+
+// failure is the end of one send.
+type failure struct {
+	outcome Outcome
+	ran     fault.Run
+	cause   error
+	status  int // of a sealed error answer that may be passed on; 0: none
+}
+
+// dispatch finds an upstream that answers, and leaves its exchange in l.x with the head read. The fault is
+// what the caller is told otherwise. lastEvent is where a stream goes on.
+func (l *life) dispatch(lastEvent string) *fault.Error {
+	for bounces := 0; ; {
+		grant, err := l.g.deps.Placer.Place(l.ctx, l.r.ask(time.Now(), l.attempts+1, l.avoid))
+		if err != nil {
+			return l.unplaced(err)
+		}
+		l.grant = grant
+		if reason := l.unusable(grant.Upstream()); reason != "" {
+			grant.Done(Unsent)
+			if bounces++; bounces > maxBounces || l.ctx.Err() != nil {
+				return l.refusal(fault.NoUpstream, "place is not usable: %s", reason)
+			}
+			continue
+		}
+		f := l.send(lastEvent)
+		if f == nil {
+			return nil
+		}
+		if again := l.after(f); !again {
+			return l.verdict(f)
+		}
+	}
+}
+
+// unplaced turns a refusal of the placer into the caller's answer. What ran before stays run.
+func (l *life) unplaced(err error) *fault.Error {
+	f := fault.From(err)
+	if l.ctx.Err() != nil && f.Kind != fault.Infeasible {
+		return l.timeUp()
+	}
+	if l.ran == fault.RunNo {
+		return f
+	}
+	return fault.Ran(fault.UpstreamFailed, l.ran, "no other upstream: %v", f)
+}
+
+// timeUp is the answer when the caller went away or the request's time ran out.
+func (l *life) timeUp() *fault.Error {
+	if errors.Is(context.Cause(l.ctx), errCallerGone) {
+		return fault.Ran(fault.CallerGone, l.ran, "caller closed its connection")
+	}
+	if l.ran == fault.RunNo {
+		return fault.New(fault.Infeasible, "time ran out before an upstream ran the request")
+	}
+	return fault.Ran(fault.DeadlineExceeded, l.ran, "time ran out")
+}
+
+func (l *life) refusal(k fault.Kind, format string, args ...any) *fault.Error {
+	if l.ran == fault.RunNo {
+		return fault.New(k, format, args...)
+	}
+	return fault.Ran(fault.UpstreamFailed, l.ran, format, args...)
+}
+
+// unusable says why the upstream must not be sent to now, by the newest snapshot: the place may have been
+// given by older knowledge.
+func (l *life) unusable(u *catalog.Upstream) string {
+	snap := l.g.deps.Snapshot()
+	now := snap.Upstream(u.ID)
+	switch {
+	case now == nil:
+		return "upstream is gone"
+	case now.Leaving:
+		return "upstream is leaving"
+	case snap.Out[now.Domain]:
+		return "failure domain is out"
+	case now.Service != l.r.service:
+		return "upstream serves another service"
+	case time.Until(l.r.deadline) < leastLeft:
+		return "no time left"
+	default:
+		return ""
+	}
+}
+
+// send sends the request to the granted upstream once. Without a failure, l.x has an answer to pass on.
+func (l *life) send(lastEvent string) *failure {
+	u := l.grant.Upstream()
+	if l.arrivals > 0 && !l.g.deps.Budget.Allow(l.r.service) {
+		l.grant.Done(Unsent)
+		return &failure{outcome: Unsent, ran: fault.RunNo, cause: errBudget}
+	}
+	head := &fasthttp.RequestHeader{}
+	l.r.head.CopyTo(head)
+	head.SetNoDefaultContentType(true)
+	l.sentAt = time.Now()
+	l.g.deps.Dialect.WriteRequest(head, l.r.send(u, l.grant.Helpers(), l.r.deadline.Sub(l.sentAt), lastEvent))
+	l.g.deps.Explain.Record("dispatch", l.r.ID, decide.Reason(l.grant.Reason()), "upstream", u.ID, "attempt", l.attempts+1,
+		"helpers", len(l.grant.Helpers()), "waited_ms", l.sentAt.Sub(l.r.arrived).Milliseconds(), "config", l.r.version,
+		"entry_revision", u.Revision)
+	x, err := l.g.deps.Client.Forward(l.ctx, upstream.Opaque{
+		Addr: u.Addr, Head: head, Body: l.r.body, Fresh: l.r.route.Kind == catalog.NonIdempotent,
+		Own: func(h *fasthttp.ResponseHeader) bool { return l.g.deps.Dialect.Own(h, l.r.ID) },
+	})
+	if err != nil {
+		return l.sendFailed(err)
+	}
+	l.attempts++
+	l.arrivals++
+	l.x, l.answer = x, l.g.deps.Dialect.ReadAnswer(&x.Head)
+	return l.judge()
+}
+
+// sendFailed ends a send without an answer.
+func (l *life) sendFailed(err error) *failure {
+	var ce *upstream.CallError
+	f := &failure{outcome: Failed, ran: fault.RunUnknown, cause: err}
+	if errors.As(err, &ce) && !ce.Sent {
+		f.ran = fault.RunNo
+	} else {
+		l.attempts++
+		l.arrivals++
+	}
+	if l.ctx.Err() != nil {
+		f.outcome = Left
+	}
+	l.end(f)
+	return f
+}
+
+// judge tells a failure from an answer to pass on, by the answer's head.
+func (l *life) judge() *failure {
+	status := l.x.Head.StatusCode()
+	switch {
+	case l.answer.NotRun:
+		// The upstream said that it did not run the request: another one may.
+		l.attempts--
+		f := &failure{outcome: Rejected, ran: fault.RunNo, cause: fmt.Errorf("upstream said not run: status %d", status)}
+		l.tellLeaving()
+		l.drop(f)
+		return f
+	case l.answer.Coded:
+		f := &failure{outcome: Failed, ran: fault.RunUnknown, cause: errors.New("answer has an encoding that nobody asked for")}
+		l.drop(f)
+		return f
+	case status >= 500 && l.r.route.Repeatable():
+		f := &failure{outcome: Failed, ran: fault.RunYes, cause: fmt.Errorf("upstream answered %d", status), status: status}
+		return f
+	default:
+		return nil
+	}
+}
+
+// tellLeaving spreads what an upstream says of itself: another one has its address.
+func (l *life) tellLeaving() {
+	if l.answer.Other {
+		l.g.deps.Left(l.grant.Upstream(), "another upstream has its address")
+	}
+}
+
+// drop ends the exchange and the grant after a failure.
+func (l *life) drop(f *failure) {
+	if l.x != nil {
+		if l.answer.NotRun {
+			// The rejection's body is short; reading it keeps the connection.
+			_, _ = io.Copy(io.Discard, io.LimitReader(l.x, 64<<10))
+		}
+		l.x.Close()
+		l.x = nil
+	}
+	l.end(f)
+}
+
+// end gives the grant back.
+func (l *life) end(f *failure) {
+	l.grant.Done(f.outcome)
+	if f.ran != fault.RunNo {
+		l.ran = max(l.ran, f.ran)
+	}
+}
+
+// after decides whether the request goes to another upstream.
+func (l *life) after(f *failure) bool {
+	u := l.grant.Upstream()
+	again, why := l.mayRepeat(f)
+	reason := reasonNoRetry
+	if again {
+		reason = reasonRetry
+		l.avoid = append(l.avoid, u.ID)
+		if l.x != nil { // an error answer that is not passed on
+			l.drop(f)
+		}
+	}
+	l.g.deps.Explain.Record("after_failure", l.r.ID, reason, "upstream", u.ID, "outcome", f.outcome, "ran", f.ran,
+		"why", why, "attempts", l.attempts, "cause", f.cause, "took_ms", time.Since(l.sentAt).Milliseconds())
+	return again
+}
+
+func (l *life) mayRepeat(f *failure) (bool, string) {
+	switch {
+	case l.ctx.Err() != nil:
+		return false, "no time or caller left"
+	case errors.Is(f.cause, errBudget):
+		return false, "retry budget is spent"
+	case time.Until(l.r.deadline) < leastLeft:
+		return false, "no time left"
+	case f.ran != fault.RunNo && !l.r.route.Repeatable():
+		return false, "may have run and must not run twice"
+	case l.attempts >= l.r.route.Attempts:
+		return false, "attempts are used up"
+	case l.arrivals >= l.r.route.Attempts+1:
+		return false, "was sent often enough"
+	case !l.g.deps.Budget.Has(l.r.service):
+		return false, "retry budget is spent"
+	default:
+		return true, "repeatable"
+	}
+}
+
+// verdict is what the caller is told after the last failure. A sealed error answer that is still open is
+// passed on as the upstream's own.
+func (l *life) verdict(f *failure) *fault.Error {
+	if l.x != nil {
+		return nil
+	}
+	switch {
+	case l.ctx.Err() != nil:
+		return l.timeUp()
+	case l.ran == fault.RunNo:
+		return fault.New(fault.UpstreamBusy, "%v", f.cause)
+	default:
+		return fault.Ran(fault.UpstreamFailed, l.ran, "%v", f.cause)
+	}
+}
+
+// copyAnswerHead copies status and headers of an upstream's answer.
+func copyAnswerHead(to, from *fasthttp.ResponseHeader) {
+	to.SetStatusCode(from.StatusCode())
+	if m := from.StatusMessage(); len(m) > 0 {
+		to.SetStatusMessage(m)
+	}
+	to.SetNoDefaultContentType(true)
+	drop := map[string]bool{fasthttp.HeaderContentLength: true, fasthttp.HeaderTransferEncoding: true}
+	for _, name := range hopByHop {
+		drop[name] = true
+	}
+	for _, token := range headerTokens(from.Peek(fasthttp.HeaderConnection)) {
+		drop[token] = true
+	}
+	for k, v := range from.All() {
+		if !drop[string(k)] {
+			to.AddBytesKV(k, v)
+		}
+	}
+}
+
+// plain answers a request whose answer is held until it is whole, so that a caller never gets a part.
+func (l *life) plain(ctx *fasthttp.RequestCtx) *fault.Error {
+	for {
+		if f := l.dispatch(""); f != nil {
+			return f
+		}
+		l.grant.Began()
+		body, err := io.ReadAll(io.LimitReader(l.x, maxPlain+1))
+		if err == nil && len(body) > maxPlain {
+			err = fmt.Errorf("answer is over %d bytes", maxPlain)
+		}
+		if err == nil {
+			l.pass(ctx, body)
+			return nil
+		}
+		f := &failure{outcome: Failed, ran: fault.RunYes, cause: err}
+		if l.ctx.Err() != nil {
+			f.outcome = Left
+		}
+		l.drop(f)
+		if !l.after(f) {
+			return l.verdict(f)
+		}
+	}
+}
+
+// pass gives the caller a whole answer.
+func (l *life) pass(ctx *fasthttp.RequestCtx, body []byte) {
+	copyAnswerHead(&ctx.Response.Header, &l.x.Head)
+	ctx.Response.SetBodyRaw(body)
+	if l.r.method == fasthttp.MethodHead {
+		ctx.Response.SkipBody = true
+		if n := l.x.Head.ContentLength(); n >= 0 {
+			ctx.Response.Header.SetContentLength(n)
+		}
+	}
+	status := l.x.Head.StatusCode()
+	l.x.Close()
+	outcome := Served
+	if status >= 500 {
+		outcome = Failed
+	}
+	l.grant.Done(outcome)
+	l.finished(reasonPassed, "status", status, "bytes", len(body))
+}
+
+// finished writes the last line of a request.
+func (l *life) finished(reason decide.Reason, fields ...any) {
+	u := fleet.UpstreamID("")
+	if l.grant != nil {
+		u = l.grant.Upstream().ID
+	}
+	l.g.deps.Explain.Record("answer", l.r.ID, reason, append([]any{
+		"kind", l.r.route.Kind, "workspace", l.r.workspace, "upstream", u, "attempts", l.attempts,
+		"took_ms", time.Since(l.r.arrived).Milliseconds(), "left_ms", time.Until(l.r.deadline).Milliseconds()}, fields...)...)
+}
+
+// retryAfter writes a wait in seconds, with fractions.
+func retryAfter(d time.Duration) string {
+	return strconv.FormatFloat(d.Seconds(), 'f', 2, 64)
+}
--- /dev/null
+++ b/internal/gateway/request.go
@@ -0,0 +1,156 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/fault"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+)
+
+const (
+	// defaultWait is how long a request may take where neither caller nor route says.
+	defaultWait = 30 * time.Second
+	// Callers give a stream up that stays silent for the longest of these: a fixed time, some times its aim,
+	// some times the longest pause that is still in time. The figures are the platform's, of its callers.
+	patience     = 2 * time.Second
+	patienceAims = 4
+	patienceGaps = 8
+)
+
+// request is one attempt of a caller, read and matched to a route.
+type request struct {
+	Meta
+	route     *catalog.Route
+	service   catalog.ServiceName
+	workspace fleet.WorkspaceID
+	priority  int
+	version   uint64 // of the configuration that it was matched with
+	arrived   time.Time
+	deadline  time.Time // the caller's or the route's, whichever is first
+	method    string
+	head      fasthttp.RequestHeader // a copy without what concerns one connection only
+	body      []byte
+}
+
+// hopByHop lists the headers that concern one connection only.
+var hopByHop = []string{
+	fasthttp.HeaderConnection, "Keep-Alive", fasthttp.HeaderTE, fasthttp.HeaderTrailer, fasthttp.HeaderTransferEncoding,
+	fasthttp.HeaderUpgrade, "Proxy-Connection", fasthttp.HeaderProxyAuthenticate, fasthttp.HeaderProxyAuthorization,
+	fasthttp.HeaderExpect,
+}
+
+// intake reads a request and matches it with the snapshot. The *fault.Error of a request that goes no
+// further says that it did not run.
+func (g *Gateway) intake(ctx *fasthttp.RequestCtx, snap *catalog.Snapshot, arrived time.Time) (*request, *fault.Error) {
+	r := &request{arrived: arrived, method: string(ctx.Method())}
+	var err error
+	if r.Meta, err = g.deps.Dialect.ReadRequest(&ctx.Request.Header); err != nil {
+		return r, fault.New(fault.BadRequest, "%v", err)
+	}
+	cfg := snap.Config
+	if cfg == nil {
+		return r, fault.New(fault.NotReady, "no configuration is known yet")
+	}
+	r.version = cfg.Version
+	r.route = cfg.Route(string(ctx.Host()), string(ctx.Request.Header.RequestURI()))
+	if r.route == nil {
+		return r, fault.New(fault.NotFound, "no route for host %q and path %q", ctx.Host(), ctx.Path())
+	}
+	r.priority = r.route.Priority
+	if cfg.NeedsKey(r.route) {
+		w := cfg.Workspace(r.Key)
+		if w == nil {
+			return r, fault.New(fault.Unauthorized, "no workspace holds the key")
+		}
+		r.workspace = w.Name
+		if w.Priority >= 0 {
+			r.priority = w.Priority
+		}
+	}
+	r.service = r.route.Pick(rand.Float64())
+	r.deadline = r.latest()
+	r.copyHead(&ctx.Request.Header)
+	r.body = append([]byte(nil), ctx.Request.Body()...)
+	return r, nil
+}
+
+// latest is when the request must have ended.
+func (r *request) latest() time.Time {
+	wait := defaultWait
+	if r.Timed {
+		wait = r.Wait
+	}
+	if r.route.Timeout > 0 {
+		wait = min(wait, r.route.Timeout)
+	}
+	return r.arrived.Add(wait)
+}
+
+// copyHead copies the caller's head without what concerns its connection only.
+func (r *request) copyHead(from *fasthttp.RequestHeader) {
+	from.CopyTo(&r.head)
+	for _, token := range headerTokens(from.Peek(fasthttp.HeaderConnection)) {
+		r.head.Del(token)
+	}
+	for _, name := range hopByHop {
+		r.head.Del(name)
+	}
+	r.head.SetNoDefaultContentType(true)
+	r.head.SetProtocol("HTTP/1.1")
+}
+
+// headerTokens splits a comma-separated list of header names.
+func headerTokens(v []byte) []string {
+	var all []string
+	start := 0
+	for i := 0; i <= len(v); i++ {
+		if i < len(v) && v[i] != ',' {
+			continue
+		}
+		if token := trim(v[start:i]); token != "" && token != "close" && token != "keep-alive" {
+			all = append(all, token)
+		}
+		start = i + 1
+	}
+	return all
+}
+
+func trim(b []byte) string {
+	for len(b) > 0 && (b[0] == ' ' || b[0] == '\t') {
+		b = b[1:]
+	}
+	for len(b) > 0 && (b[len(b)-1] == ' ' || b[len(b)-1] == '\t') {
+		b = b[:len(b)-1]
+	}
+	return string(b)
+}
+
+// ask is the request's need for a place now.
+func (r *request) ask(now time.Time, attempt int, avoid []fleet.UpstreamID) Ask {
+	a := Ask{
+		ID: fleet.RequestID(r.ID), Service: r.service, Kind: r.route.Kind, Workspace: r.workspace, Subject: r.Subject,
+		Priority: r.priority, Prompt: r.Prompt, Output: r.Output, MaxGap: r.route.MaxGap,
+		Left: r.deadline.Sub(now), Attempt: attempt, Avoid: avoid,
+	}
+	if r.route.Aim > 0 {
+		a.Aim = r.arrived.Add(r.route.Aim).Sub(now)
+	}
+	a.Patience = a.Left
+	if r.route.Kind == catalog.Stream {
+		silence := max(patience, patienceAims*r.route.Aim, patienceGaps*r.route.MaxGap)
+		a.Patience = min(a.Left, r.arrived.Add(silence).Sub(now))
+	}
+	return a
+}
+
+// send is what an upstream is told.
+func (r *request) send(u *catalog.Upstream, helpers []string, left time.Duration, lastEvent string) Send {
+	return Send{
+		Upstream: u.ID, Left: left, Workspace: r.workspace, Urgency: min(9, max(0, r.priority)),
+		Helpers: helpers, LastEvent: lastEvent,
+	}
+}
--- /dev/null
+++ b/internal/placement/local.go
@@ -0,0 +1,69 @@
+// Package placement finds places for requests on upstreams.
+package placement
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/fault"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/gateway"
+)
+
+// Local places by what this instance alone knows: the upstream with the least of its own work for its slots.
+type Local struct {
+	snapshot func() *catalog.Snapshot
+
+	mu   sync.Mutex
+	work map[fleet.UpstreamID]int // guarded by mu: own requests in flight
+}
+
+// NewLocal gives a Local.
+func NewLocal(snapshot func() *catalog.Snapshot) *Local {
+	return &Local{snapshot: snapshot, work: map[fleet.UpstreamID]int{}}
+}
+
+// Place implements gateway.Placer. It never waits.
+func (l *Local) Place(_ context.Context, a gateway.Ask) (gateway.Grant, error) {
+	snap := l.snapshot()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var best *catalog.Upstream
+	for _, u := range snap.Upstreams(a.Service) {
+		if !snap.Open(u) || slices.Contains(a.Avoid, u.ID) {
+			continue
+		}
+		if best == nil || l.load(u) < l.load(best) {
+			best = u
+		}
+	}
+	if best == nil {
+		return nil, fault.New(fault.NoUpstream, "no upstream of %s may take the request", a.Service)
+	}
+	l.work[best.ID]++
+	return &localGrant{l: l, u: best}, nil
+}
+
+func (l *Local) load(u *catalog.Upstream) float64 {
+	return float64(l.work[u.ID]) / float64(max(1, u.Slots))
+}
+
+type localGrant struct {
+	l *Local
+	u *catalog.Upstream
+}
+
+func (g *localGrant) Upstream() *catalog.Upstream { return g.u }
+func (g *localGrant) Helpers() []string           { return nil }
+func (g *localGrant) Reason() string              { return "least_own_work" }
+func (g *localGrant) Began()                      {}
+
+func (g *localGrant) Done(gateway.Outcome) {
+	g.l.mu.Lock()
+	defer g.l.mu.Unlock()
+	if g.l.work[g.u.ID]--; g.l.work[g.u.ID] <= 0 {
+		delete(g.l.work, g.u.ID)
+	}
+}
--- /dev/null
+++ b/internal/routed/routed.go
@@ -0,0 +1,197 @@
+// Package routed assembles an instance that forwards routed requests: it follows a metadata store, serves
+// callers through the gateway, and answers the balancer's question.
+package routed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/dig"
+
+	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
+	"github.com/damaskshelf/damaskshelf/internal/explain"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/gateway"
+	"github.com/damaskshelf/damaskshelf/internal/metrics"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/placement"
+	"github.com/damaskshelf/damaskshelf/internal/upstream"
+	"github.com/damaskshelf/damaskshelf/internal/wait"
+	"github.com/damaskshelf/damaskshelf/internal/watch"
+)
+
+// Store is a metadata store that can be closed.
+type Store interface {
+	objects.Store
+	Close()
+}
+
+// Adapter is what speaks the platform's words.
+type Adapter struct {
+	Store   Store
+	Kinds   watch.Kinds
+	Decoder watch.Decoder
+	Dialect gateway.Dialect
+}
+
+// Node is one instance.
+type Node struct {
+	parts parts
+	self  catalog.Member
+
+	work context.Context // of everything that runs beside requests
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+	once sync.Once
+	err  error // of the stop
+}
+
+type parts struct {
+	dig.In
+
+	Settings api.Settings
+	Log      hclog.Logger
+	Adapter  Adapter
+	Follower *watch.Follower
+	Gateway  *gateway.Gateway
+	Side     *side
+	Gate     *gate.Gate
+	Client   *upstream.Client
+}
+
+// New assembles an instance. It opens no connection and binds no address.
+func New(s api.Settings, a Adapter, log hclog.Logger) (*Node, error) {
+	c := dig.New()
+	provides := []any{
+		func() api.Settings { return s },
+		func() Adapter { return a },
+		func() hclog.Logger { return log.Named(s.Instance) },
+		func() *gate.Gate { return &gate.Gate{} },
+		metrics.New,
+		explain.New,
+		upstream.New,
+		newFollower,
+		newPlacer,
+		newGateway,
+		newSide,
+	}
+	for _, p := range provides {
+		if err := c.Provide(p); err != nil {
+			return nil, fmt.Errorf("assemble instance %s: %w", s.Instance, err)
+		}
+	}
+	n := &Node{}
+	if err := c.Invoke(func(p parts) { n.parts = p }); err != nil {
+		return nil, fmt.Errorf("assemble instance %s: %w", s.Instance, err)
+	}
+	n.self = catalog.Member{
+		ID: fleet.InstanceID(s.Instance), Addr: s.Routed.Listen.Peers, Incarnation: uint64(time.Now().UnixNano()),
+		Domain: fleet.DomainID(s.FailureDomain), CPUShare: s.Routed.CPUShare,
+	}
+	n.work, n.stop = context.WithCancel(context.Background())
+	return n, nil
+}
+
+func newFollower(a Adapter, log hclog.Logger) *watch.Follower {
+	return watch.New(watch.Deps{Store: a.Store, Kinds: a.Kinds, Decoder: a.Decoder, Log: log})
+}
+
+func newPlacer(f *watch.Follower) gateway.Placer { return placement.NewLocal(f.Snapshot) }
+
+// writeStall ends callers that take nothing for so long; it is above the longest pause that a lossy link
+// makes and far below a request's time.
+const writeStall = 10 * time.Second
+
+func newGateway(s api.Settings, a Adapter, f *watch.Follower, p gateway.Placer, c *upstream.Client, g *gate.Gate,
+	rec *explain.Recorder, m *metrics.Registry, log hclog.Logger) *gateway.Gateway {
+	l := s.Routed.Limits
+	members := func() int { return len(f.Snapshot().Members) }
+	return gateway.New(gateway.Deps{
+		Snapshot: f.Snapshot, Dialect: a.Dialect, Placer: p, Budget: newBudgets(s.Routed.Retries, members), Client: c,
+		Gate: g, Left: f.Left, Explain: rec, Metrics: m, Log: log,
+		Limits: gateway.Limits{
+			MaxHeaderBytes: l.MaxHeaderBytes, MaxBodyBytes: l.MaxBodyBytes, MaxConnections: l.MaxConnections,
+			ReadTimeout: time.Duration(l.ReadTimeout), IdleTimeout: time.Duration(l.IdleTimeout), WriteStall: writeStall,
+		},
+	})
+}
+
+// Start binds the listeners and begins to serve. Readiness follows once a configuration is in force.
+func (n *Node) Start() error {
+	p := n.parts
+	if err := p.Gateway.Listen(p.Settings.Routed.Listen.Callers); err != nil {
+		return err
+	}
+	if err := p.Side.listen(p.Settings.Routed.Listen); err != nil {
+		return err
+	}
+	n.run(func(context.Context) { p.Gateway.Serve() })
+	n.run(func(context.Context) { p.Side.serve() })
+	n.run(p.Follower.Run)
+	n.run(func(ctx context.Context) { watch.Join(ctx, p.Adapter.Store, n.self, p.Log) })
+	p.Log.Info("started", "instance", p.Settings.Instance, "failure_domain", p.Settings.FailureDomain,
+		"callers", p.Gateway.Addr(), "incarnation", n.self.Incarnation)
+	return nil
+}
+
+func (n *Node) run(f func(ctx context.Context)) {
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		f(n.work)
+	}()
+}
+
+const (
+	// closeMargin is what is left of the grace for closing listeners and connections.
+	closeMargin = 500 * time.Millisecond
+	// leaveTimeout bounds the removal of the own entry; peers drop one that stays.
+	leaveTimeout = time.Second
+)
+
+// Stop is the planned stop: not ready; serve on for the balancer's lag; refuse new requests; let those in
+// flight end; close. Calling it again waits for the first call's end.
+func (n *Node) Stop() error {
+	n.once.Do(func() {
+		n.err = n.drain()
+		n.parts.Log.Info("stopped", "error", n.err)
+	})
+	return n.err
+}
+
+func (n *Node) drain() error {
+	p := n.parts
+	stop := p.Settings.Routed.Stop
+	limit, cancel := context.WithTimeout(context.Background(), time.Duration(stop.Grace)-closeMargin)
+	defer cancel()
+	p.Log.Info("stopping", "in_flight", p.Gate.InFlight())
+	p.Gate.Unready()
+	n.run(func(context.Context) { n.leave(limit) })
+	wait.For(limit, time.Duration(stop.Lag))
+	p.Gate.Refuse()
+	err := p.Gate.Drained(limit)
+	closing, done := context.WithTimeout(context.Background(), closeMargin/2)
+	defer done()
+	err = errors.Join(err, p.Gateway.Shutdown(closing), p.Side.shutdown(closing))
+	n.stop()
+	p.Adapter.Store.Close()
+	p.Client.Close()
+	return err
+}
+
+func (n *Node) leave(limit context.Context) {
+	ctx, cancel := context.WithTimeout(limit, leaveTimeout)
+	defer cancel()
+	if err := watch.Leave(ctx, n.parts.Adapter.Store, n.self); err != nil {
+		n.parts.Log.Warn("own entry is left in the store; peers drop it", "error", err)
+	}
+}
+
+// Abort ends every request in flight with an explicit error.
+func (n *Node) Abort() { n.parts.Gateway.Abort() }
--- /dev/null
+++ b/internal/routed/side.go
@@ -0,0 +1,85 @@
+package routed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/hashicorp/go-hclog"
+	"github.com/valyala/fasthttp"
+
+	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
+	"github.com/damaskshelf/damaskshelf/internal/httplog"
+	"github.com/damaskshelf/damaskshelf/internal/metrics"
+	"github.com/damaskshelf/damaskshelf/internal/watch"
+)
+
+const (
+	sideRead    = 5 * time.Second
+	sideHeaders = 4 << 10
+	pathMetrics = "/metrics"
+)
+
+// side serves what is not for callers: the balancer's question and the metrics, each on a listener.
+type side struct {
+	ready, metrics *fasthttp.Server
+	listeners      []net.Listener
+	served         chan error
+}
+
+func newSide(s api.Settings, f *watch.Follower, g *gate.Gate, m *metrics.Registry, log hclog.Logger) *side {
+	ready := router.New()
+	ready.GET(s.Routed.ReadyPath, func(ctx *fasthttp.RequestCtx) {
+		if why := notReady(f, g); why != "" {
+			ctx.Error(why, fasthttp.StatusServiceUnavailable)
+			return
+		}
+		ctx.SetBodyString("ready\n")
+	})
+	numbers := router.New()
+	numbers.GET(pathMetrics, func(ctx *fasthttp.RequestCtx) { ctx.SetBody(m.Text()) })
+	return &side{ready: sideServer(ready, log), metrics: sideServer(numbers, log), served: make(chan error, 2)}
+}
+
+// notReady says why the balancer should not send callers here now.
+func notReady(f *watch.Follower, g *gate.Gate) string {
+	switch {
+	case !g.Ready():
+		return "this instance is stopping"
+	case f.Snapshot().Config == nil:
+		return "no configuration is known yet"
+	default:
+		return ""
+	}
+}
+
+func sideServer(r *router.Router, log hclog.Logger) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: r.Handler, ReadTimeout: sideRead, ReadBufferSize: sideHeaders,
+		NoDefaultServerHeader: true, Logger: httplog.Logger{Log: log},
+	}
+}
+
+func (s *side) listen(l api.RoutedListen) error {
+	for _, addr := range []string{l.Ready, l.Metrics} {
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			return fmt.Errorf("listen on %s: %w", addr, err)
+		}
+		s.listeners = append(s.listeners, ln)
+	}
+	return nil
+}
+
+func (s *side) serve() {
+	go func() { s.served <- s.ready.Serve(s.listeners[0]) }()
+	s.served <- s.metrics.Serve(s.listeners[1])
+}
+
+func (s *side) shutdown(ctx context.Context) error {
+	return errors.Join(s.ready.ShutdownWithContext(ctx), s.metrics.ShutdownWithContext(ctx))
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -28,6 +28,7 @@
 	addr     string
 	created  time.Time
 	lastUsed time.Time
+	idleEnd  time.Time // the other end closes it then if it stays idle; zero: not stated
 	reader   *bufio.Reader
 	writer   *bufio.Writer
 	sent     atomic.Int64 // bytes handed to the system by the current request
@@ -127,7 +128,8 @@
 // usable tells whether c may carry another request; mu is held.
 func (p *pool) usable(c *conn) bool {
 	now := p.now()
-	return !c.broken.Load() && c.created.After(p.dead[c.addr]) &&
+	stated := c.idleEnd.IsZero() || now.Before(c.idleEnd)
+	return !c.broken.Load() && stated && c.created.After(p.dead[c.addr]) &&
 		now.Sub(c.created) < maxAge && now.Sub(c.lastUsed) < maxIdle
 }
 
--- /dev/null
+++ b/internal/watch/watch.go
@@ -0,0 +1,371 @@
+// Package watch follows the store: configuration, upstreams, failure domains that are taken out, and the
+// other instances. It publishes a catalog.Snapshot whenever one of them changes. What can't be read is
+// logged and leaves the last good state in force.
+package watch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
+	"github.com/damaskshelf/damaskshelf/internal/wait"
+)
+
+// KindMembers is the kind of the instances' own objects.
+const KindMembers = "damaskshelf-instances"
+
+// Kinds are the store's kinds that operators and upstreams write.
+type Kinds struct {
+	Config     string
+	ConfigName string // of the one object that holds the newest configuration
+	Upstreams  string // an object each, named by the upstream's id
+	Out        string // an object for each failure domain that is taken out
+}
+
+// Decoder reads the store's objects. An error names the object, field and value at fault.
+type Decoder interface {
+	Config(o wire.Object) (*catalog.Config, error)
+	// Upstream reads an entry that came at now.
+	Upstream(o wire.Object, now time.Time) (*catalog.Upstream, error)
+}
+
+const (
+	// configWait is the wait of a watch for configurations. A watch that waits is no proof that nothing has
+	// changed: one that hears nothing while the store drops its history answers only at its end. The wait is
+	// half of the shortest time that users give a configuration to be in force.
+	configWait = time.Second
+	// fleetWait is the wait of the other watches, whose bounds are longer.
+	fleetWait = 2 * time.Second
+	// firstPause and longestPause bound the pause after a failed read, which doubles.
+	firstPause   = 50 * time.Millisecond
+	longestPause = 400 * time.Millisecond
+	// expiry is how often lapsed entries are looked for.
+	expiry = 100 * time.Millisecond
+)
+
+// Deps are what a Follower works with.
+type Deps struct {
+	Store   objects.Store
+	Kinds   Kinds
+	Decoder Decoder
+	Log     hclog.Logger
+	Changed func(*catalog.Snapshot) // called in order after each publication; may be nil
+}
+
+// Follower follows the store.
+type Follower struct {
+	deps     Deps
+	log      hclog.Logger
+	snapshot atomic.Pointer[catalog.Snapshot]
+
+	mu        sync.Mutex
+	mirrors   map[string]*mirror                     // guarded by mu
+	config    *catalog.Config                        // guarded by mu: the highest version seen
+	tried     uint64                                 // guarded by mu: revision of the last configuration looked at
+	upstreams map[fleet.UpstreamID]*catalog.Upstream // guarded by mu: decoded entries
+	members   map[fleet.InstanceID]*catalog.Member   // guarded by mu
+	spoiled   map[string]uint64                      // guarded by mu: revision of entries that can't be read
+	left      map[fleet.UpstreamID]*catalog.Upstream // guarded by mu: upstreams that said themselves that they leave
+}
+
+// New gives a Follower that knows nothing yet.
+func New(d Deps) *Follower {
+	f := &Follower{
+		deps: d, log: d.Log.Named("watch"),
+		mirrors: map[string]*mirror{
+			d.Kinds.Config: newMirror(false), d.Kinds.Upstreams: newMirror(true),
+			d.Kinds.Out: newMirror(false), KindMembers: newMirror(false),
+		},
+		upstreams: map[fleet.UpstreamID]*catalog.Upstream{},
+		members:   map[fleet.InstanceID]*catalog.Member{},
+		spoiled:   map[string]uint64{},
+		left:      map[fleet.UpstreamID]*catalog.Upstream{},
+	}
+	f.snapshot.Store(catalog.NewSnapshot(nil, nil, nil, nil, 0))
+	return f
+}
+
+// Snapshot gives what is known now; never nil.
+func (f *Follower) Snapshot() *catalog.Snapshot { return f.snapshot.Load() }
+
+// Run follows every kind until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var all sync.WaitGroup
+	for kind := range f.mirrors {
+		all.Go(func() { f.follow(ctx, kind) })
+	}
+	all.Go(func() { f.expire(ctx) })
+	all.Wait()
+}
+
+func (f *Follower) follow(ctx context.Context, kind string) {
+	pause := time.Duration(0)
+	for wait.For(ctx, pause) {
+		err := f.read(ctx, kind)
+		switch {
+		case err == nil:
+			pause = 0
+		case errors.Is(err, objects.ErrTooOld):
+			f.log.Info("store forgot its history: listing again", "kind", kind)
+			f.forget(kind)
+			pause = 0
+		default:
+			pause = min(max(firstPause, 2*pause), longestPause)
+		}
+	}
+}
+
+// read lists the kind, or waits for its changes, once.
+func (f *Follower) read(ctx context.Context, kind string) error {
+	f.mu.Lock()
+	known, revision := f.mirrors[kind].known, f.mirrors[kind].revision
+	f.mu.Unlock()
+	began := time.Now()
+	if !known {
+		l, err := f.deps.Store.List(ctx, kind)
+		return f.took(kind, l, true, began, err)
+	}
+	longest := fleetWait
+	if kind == f.deps.Kinds.Config {
+		longest = configWait
+	}
+	l, err := f.deps.Store.Watch(ctx, kind, revision, longest)
+	return f.took(kind, l, false, began, err)
+}
+
+// took takes the outcome of a read into the kind's mirror, and publishes what changed.
+func (f *Follower) took(kind string, l wire.List, whole bool, began time.Time, err error) error {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := f.mirrors[kind]
+	if err != nil {
+		if !errors.Is(err, objects.ErrTooOld) && !errors.Is(err, context.Canceled) {
+			f.lost(kind, m, now, err)
+		}
+		return err
+	}
+	if !m.failed.IsZero() {
+		f.log.Info("store regained", "kind", kind, "away", now.Sub(m.failed).Round(time.Millisecond))
+	}
+	m.succeed(began, now)
+	changed := false
+	if whole {
+		changed = m.replace(l, now)
+	} else {
+		changed = m.apply(l, now)
+	}
+	if changed {
+		f.publish(now)
+	}
+	return nil
+}
+
+func (f *Follower) lost(kind string, m *mirror, now time.Time, err error) {
+	if m.failed.IsZero() {
+		f.log.Warn("store lost: the last known state stays in force", "kind", kind, "revision", m.revision, "error", err)
+	}
+	m.fail(now)
+}
+
+// forget makes the next read of the kind a list.
+func (f *Follower) forget(kind string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.mirrors[kind].known = false
+}
+
+func (f *Follower) expire(ctx context.Context) {
+	for wait.For(ctx, expiry) {
+		now := time.Now()
+		f.mu.Lock()
+		if f.mirrors[f.deps.Kinds.Upstreams].expire(now) {
+			f.publish(now)
+		}
+		f.mu.Unlock()
+	}
+}
+
+// Left notes that an upstream said itself that it leaves or is another process by now, which can come
+// before the store says so. It gets no new work under this id and start.
+func (f *Follower) Left(u *catalog.Upstream, sign string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if old := f.left[u.ID]; old != nil && old.Born == u.Born {
+		return
+	}
+	f.log.Info("upstream leaves by its own answer", "upstream", u.ID, "sign", sign, "revision", u.Revision)
+	f.left[u.ID] = u
+	f.publish(time.Now())
+}
+
+// publish builds and stores a snapshot; mu is held.
+func (f *Follower) publish(now time.Time) {
+	k := f.deps.Kinds
+	f.readConfig()
+	upstreams := f.readUpstreams(now)
+	out := map[fleet.DomainID]bool{}
+	for name := range f.mirrors[k.Out].objects {
+		out[fleet.DomainID(name)] = true
+	}
+	f.logOut(out)
+	s := catalog.NewSnapshot(f.config, upstreams, out, f.readMembers(), f.mirrors[k.Upstreams].revision)
+	f.snapshot.Store(s)
+	if f.deps.Changed != nil {
+		f.deps.Changed(s)
+	}
+}
+
+// readConfig puts a newer configuration in force. A lower version is a stale read; it never replaces one
+// that was in force.
+func (f *Follower) readConfig() {
+	o, ok := f.mirrors[f.deps.Kinds.Config].objects[f.deps.Kinds.ConfigName]
+	if !ok || o.Version == f.tried {
+		return
+	}
+	f.tried = o.Version
+	c, err := f.deps.Decoder.Config(o)
+	if err != nil {
+		f.log.Error("configuration can't be read: the last one stays in force", "revision", o.Version, "error", err)
+		return
+	}
+	if f.config != nil && c.Version <= f.config.Version {
+		f.log.Warn("configuration is not newer: kept out", "version", c.Version, "in_force", f.config.Version)
+		return
+	}
+	f.config = c
+	f.log.Info("configuration in force", "version", c.Version, "revision", c.Revision)
+}
+
+func (f *Follower) readUpstreams(now time.Time) []*catalog.Upstream {
+	entries := f.mirrors[f.deps.Kinds.Upstreams].objects
+	all := make([]*catalog.Upstream, 0, len(entries))
+	for name, o := range entries {
+		if u := f.readUpstream(name, o, now); u != nil {
+			all = append(all, u)
+		}
+	}
+	for id := range f.upstreams {
+		if _, ok := entries[string(id)]; !ok {
+			f.log.Info("upstream gone", "upstream", id)
+			delete(f.upstreams, id)
+			delete(f.left, id)
+		}
+	}
+	return all
+}
+
+// readUpstream gives the decoded entry, decoding it only when it changed: its cold time counts from then.
+func (f *Follower) readUpstream(name string, o wire.Object, now time.Time) *catalog.Upstream {
+	id := fleet.UpstreamID(name)
+	old := f.upstreams[id]
+	if old == nil || old.Revision != o.Version {
+		u, err := f.deps.Decoder.Upstream(o, now)
+		if err != nil {
+			if f.spoiled[name] != o.Version {
+				f.spoiled[name] = o.Version
+				f.log.Warn("entry names no upstream", "error", err)
+			}
+			delete(f.upstreams, id)
+			return nil
+		}
+		f.logUpstream(old, u)
+		f.upstreams[id] = u
+		old = u
+	}
+	if sign := f.left[id]; sign != nil && sign.Born == old.Born && !old.Leaving {
+		leaving := *old
+		leaving.Leaving = true
+		return &leaving
+	}
+	return old
+}
+
+func (f *Follower) logUpstream(old, u *catalog.Upstream) {
+	switch {
+	case old == nil:
+		f.log.Info("upstream found", "upstream", u.ID, "service", u.Service, "addr", u.Addr, "domain", u.Domain,
+			"leaving", u.Leaving, "revision", u.Revision)
+	case u.Leaving != old.Leaving || u.Born != old.Born || u.Addr != old.Addr:
+		f.log.Info("upstream changed", "upstream", u.ID, "addr", u.Addr, "leaving", u.Leaving, "born", u.Born,
+			"revision", u.Revision)
+	}
+}
+
+func (f *Follower) logOut(out map[fleet.DomainID]bool) {
+	old := f.snapshot.Load().Out
+	for d := range out {
+		if !old[d] {
+			f.log.Info("failure domain taken out", "domain", d)
+		}
+	}
+	for d := range old {
+		if !out[d] {
+			f.log.Info("failure domain taken back", "domain", d)
+		}
+	}
+}
+
+// memberMessage is the value of an instance's object.
+type memberMessage struct {
+	Addr        string  `json:"peer_addr"`
+	Incarnation uint64  `json:"incarnation"`
+	Domain      string  `json:"failure_domain"`
+	CPUShare    float64 `json:"cpu_share"`
+}
+
+func decodeMember(o wire.Object) (*catalog.Member, error) {
+	var m memberMessage
+	if err := json.Unmarshal(o.Value, &m); err != nil {
+		return nil, fmt.Errorf("instance %q at revision %d: %w", o.Name, o.Version, err)
+	}
+	if _, err := netip.ParseAddrPort(m.Addr); err != nil {
+		return nil, fmt.Errorf("instance %q at revision %d: peer_addr %q is no IP and port", o.Name, o.Version, m.Addr)
+	}
+	return &catalog.Member{
+		ID: fleet.InstanceID(o.Name), Addr: m.Addr, Incarnation: m.Incarnation,
+		Domain: fleet.DomainID(m.Domain), CPUShare: m.CPUShare, Revision: o.Version,
+	}, nil
+}
+
+func encodeMember(m *catalog.Member) ([]byte, error) {
+	return json.Marshal(memberMessage{Addr: m.Addr, Incarnation: m.Incarnation, Domain: string(m.Domain), CPUShare: m.CPUShare})
+}
+
+func (f *Follower) readMembers() []*catalog.Member {
+	entries := f.mirrors[KindMembers].objects
+	all := make([]*catalog.Member, 0, len(entries))
+	for name, o := range entries {
+		id := fleet.InstanceID(name)
+		m := f.members[id]
+		if m == nil || m.Revision != o.Version {
+			d, err := decodeMember(o)
+			if err != nil {
+				f.log.Warn("entry names no instance", "error", err)
+				continue
+			}
+			m = d
+			f.members[id] = m
+			f.log.Info("instance found", "instance", m.ID, "addr", m.Addr, "incarnation", m.Incarnation)
+		}
+		all = append(all, m)
+	}
+	for id := range f.members {
+		if _, ok := entries[string(id)]; !ok {
+			f.log.Info("instance gone", "instance", id)
+			delete(f.members, id)
+		}
+	}
+	return all
+}
