--- /dev/null
+++ b/internal/decide/dispatch/dispatch.go
@@ -0,0 +1,294 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+)
+
+// Job is a request that needs a place.
+type Job struct {
+	ID        fleet.RequestID
+	Entry     fleet.InstanceID // the instance that serves its caller
+	Workspace fleet.WorkspaceID
+	Subject   string
+	Priority  int
+	Prompt    int            // tokens
+	Output    int            // most tokens of the answer
+	Arrived   decide.Instant // at the instance
+	Aim       decide.Instant // the first event is in time until then
+	Patience  decide.Instant // the caller gives up without a first event
+	Deadline  decide.Instant
+	MaxGap    time.Duration // longest pause between events in time; 0: none
+	Attempt   int
+	Avoid     []fleet.UpstreamID
+}
+
+// Upstream is an upstream that may get work.
+type Upstream struct {
+	ID    fleet.UpstreamID
+	Addr  string
+	Slots int
+	Born  int64
+	// ColdUntil is when its cold start ends; before now: it is warm.
+	ColdUntil decide.Instant
+}
+
+// Decision is what becomes of a job.
+type Decision struct {
+	Job        *Job
+	Upstream   fleet.UpstreamID   // empty: refused
+	Helpers    []fleet.UpstreamID // that read parts of the prompt
+	Reason     decide.Reason
+	RetryAfter time.Duration // of a refusal
+}
+
+// Reasons of this package.
+const (
+	Packed     decide.Reason = "packed"      // on the fullest engine whose streams bear it
+	Spread     decide.Reason = "spread"      // read in parts by several engines
+	Alone      decide.Reason = "alone"       // read by one engine
+	LeastWork  decide.Reason = "least_work"  // of a plain service
+	TooLate    decide.Reason = "too_late"    // its caller would have given up
+	TooLarge   decide.Reason = "too_large"   // over every engine's memory
+	NoUpstream decide.Reason = "no_upstream" // none may get work
+	QueueFull  decide.Reason = "queue_full"
+)
+
+// Reasons lists every reason of this package.
+var Reasons = []decide.Reason{Packed, Spread, Alone, LeastWork, TooLate, TooLarge, NoUpstream, QueueFull}
+
+// Params are the policy's figures.
+type Params struct {
+	MaxHelpers  int           // beside the first engine; engines take 16
+	GapShare    float64       // part of the longest pause that a pass may take as planned
+	ShortRead   float64       // ms; a prompt that reads no longer is packed
+	PerHelper   float64       // ms that a helper must save to be worth asking
+	MemoryShare float64       // part of an engine's memory that is planned for
+	ColdPerS    float64       // requests a second that a cold upstream gets; 0: cold ones are not told apart
+	MaxQueue    int           // jobs
+	Margin      time.Duration // between a planned first event and the caller's patience
+}
+
+// DefaultParams are the daemon's.
+func DefaultParams() Params {
+	return Params{
+		MaxHelpers: 16, GapShare: 0.8, ShortRead: 100, PerHelper: 5, MemoryShare: 0.95, MaxQueue: 4096,
+		Margin: 30 * time.Millisecond,
+	}
+}
+
+// run is a job on an upstream.
+type run struct {
+	job     *Job
+	on      *engine
+	helpers []*engine
+	part    float64 // ms that each of its engines reads
+	granted decide.Instant
+	writing bool
+	adopted bool
+}
+
+// engine is an upstream with its work.
+type engine struct {
+	Upstream
+	runs    map[fleet.RequestID]*run // that it answers
+	parts   map[fleet.RequestID]*run // that it helps to read
+	context int                      // tokens that its runs' prompts and answers may take
+	pending float64                  // ms of reading that was given and isn't known to be done
+	gap     time.Duration            // shortest of its runs' longest pauses; 0: none
+	gone    bool                     // gets no new work
+	starts  []decide.Instant         // of the last second, while cold
+	failed  decide.Instant           // last failure
+	fails   int                      // in a row
+}
+
+// State is the dispatcher's knowledge of one service. It is not safe for concurrent use.
+type State struct {
+	model   *Model
+	params  Params
+	engines map[fleet.UpstreamID]*engine
+	order   []*engine // by id, so that decisions repeat
+	queue   []*Job
+	runs    map[fleet.RequestID]*run
+}
+
+// New gives a State without upstreams. model is nil for a plain service.
+func New(model *Model, p Params) *State {
+	return &State{
+		model: model, params: p, engines: map[fleet.UpstreamID]*engine{}, runs: map[fleet.RequestID]*run{},
+	}
+}
+
+// SetModel takes another model or figures, as a new configuration states them.
+func (s *State) SetModel(m *Model, p Params) { s.model, s.params = m, p }
+
+// SetUpstreams takes the upstreams that may get work. One that is no longer listed keeps its work and gets
+// no more; one that started anew under its id has lost it.
+func (s *State) SetUpstreams(open []Upstream) {
+	listed := make(map[fleet.UpstreamID]bool, len(open))
+	for _, u := range open {
+		listed[u.ID] = true
+		e := s.engines[u.ID]
+		if e == nil || e.Born != u.Born {
+			e = &engine{runs: map[fleet.RequestID]*run{}, parts: map[fleet.RequestID]*run{}}
+			s.engines[u.ID] = e
+		}
+		e.Upstream, e.gone = u, false
+	}
+	for id, e := range s.engines {
+		if !listed[id] {
+			e.gone = true
+			if len(e.runs) == 0 {
+				delete(s.engines, id)
+			}
+		}
+	}
+	s.order = s.order[:0]
+	for _, e := range s.engines {
+		s.order = append(s.order, e)
+	}
+	slices.SortFunc(s.order, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// Ask queues a job. One with the id of a job that waits or runs replaces it: the instance asks anew when it
+// doesn't know what became of it.
+func (s *State) Ask(j *Job) {
+	s.Withdraw(j.ID)
+	s.queue = append(s.queue, j)
+}
+
+// Withdraw takes a job out of the queue, or ends its run.
+func (s *State) Withdraw(id fleet.RequestID) {
+	s.queue = slices.DeleteFunc(s.queue, func(j *Job) bool { return j.ID == id })
+	if r := s.runs[id]; r != nil {
+		s.release(r)
+	}
+}
+
+// Began takes that a run's answer, or its first event, came: its prompt is read.
+func (s *State) Began(id fleet.RequestID) {
+	r := s.runs[id]
+	if r == nil || r.writing {
+		return
+	}
+	s.readDone(r)
+	r.writing = true
+	r.on.fails = 0
+}
+
+// Done ends a run. failed tells that its upstream failed it.
+func (s *State) Done(now decide.Instant, id fleet.RequestID, failed bool) {
+	r := s.runs[id]
+	if r == nil {
+		return
+	}
+	if failed {
+		r.on.failed = now
+		r.on.fails++
+	}
+	s.release(r)
+}
+
+// Adopt takes a run that another dispatcher, or the instance by itself, placed.
+func (s *State) Adopt(now decide.Instant, j *Job, on fleet.UpstreamID, helpers []fleet.UpstreamID, writing bool) {
+	s.Withdraw(j.ID)
+	e := s.engines[on]
+	if e == nil {
+		return
+	}
+	var with []*engine
+	for _, id := range helpers {
+		if h := s.engines[id]; h != nil {
+			with = append(with, h)
+		}
+	}
+	r := s.start(now, j, e, with)
+	if writing {
+		s.readDone(r)
+		r.writing = true
+	}
+}
+
+// Forget drops the work of an instance that is gone.
+func (s *State) Forget(entry fleet.InstanceID) {
+	s.queue = slices.DeleteFunc(s.queue, func(j *Job) bool { return j.Entry == entry })
+	for _, r := range s.runs {
+		if r.job.Entry == entry {
+			s.release(r)
+		}
+	}
+}
+
+// Waiting is the number of jobs that wait, and Running of those that run.
+func (s *State) Waiting() int { return len(s.queue) }
+
+// Running is the number of jobs under way.
+func (s *State) Running() int { return len(s.runs) }
+
+// start books a run.
+func (s *State) start(now decide.Instant, j *Job, e *engine, helpers []*engine) *run {
+	r := &run{job: j, on: e, helpers: helpers, granted: now}
+	if s.model != nil {
+		r.part = s.model.read(j.Prompt) / float64(len(helpers)+1)
+	}
+	s.runs[j.ID] = r
+	e.runs[j.ID] = r
+	e.pending += r.part
+	e.context += j.Prompt + j.Output
+	for _, h := range helpers {
+		h.parts[j.ID] = r
+		h.pending += r.part
+	}
+	if e.cold(now) {
+		e.starts = append(e.starts, now)
+	}
+	e.regap()
+	return r
+}
+
+// readDone takes a run's reading off its engines.
+func (s *State) readDone(r *run) {
+	if r.writing {
+		return
+	}
+	r.on.pending = max(0, r.on.pending-r.part)
+	for _, h := range r.helpers {
+		h.pending = max(0, h.pending-r.part)
+		delete(h.parts, r.job.ID)
+	}
+}
+
+// release takes a run off its engines.
+func (s *State) release(r *run) {
+	s.readDone(r)
+	delete(s.runs, r.job.ID)
+	delete(r.on.runs, r.job.ID)
+	r.on.context -= r.job.Prompt + r.job.Output
+	if len(r.on.runs) == 0 {
+		r.on.context = 0
+		if len(r.on.parts) == 0 {
+			r.on.pending = 0
+		}
+	}
+	r.on.regap()
+	if r.on.gone && len(r.on.runs) == 0 && s.engines[r.on.ID] == r.on {
+		delete(s.engines, r.on.ID)
+		s.order = slices.DeleteFunc(s.order, func(e *engine) bool { return e == r.on })
+	}
+}
+
+// regap finds the shortest pause that the engine's runs bear.
+func (e *engine) regap() {
+	e.gap = 0
+	for _, r := range e.runs {
+		if g := r.job.MaxGap; g > 0 && (e.gap == 0 || g < e.gap) {
+			e.gap = g
+		}
+	}
+}
+
+func (e *engine) cold(now decide.Instant) bool { return now.Before(e.ColdUntil) }
--- /dev/null
+++ b/internal/decide/dispatch/place.go
@@ -0,0 +1,306 @@
+package dispatch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+)
+
+const (
+	// failPause is how long an upstream that failed gets less work than others: doubled with each failure in
+	// a row, up to maxFailPause.
+	failPause    = 200 * time.Millisecond
+	maxFailPause = 3 * time.Second
+	// leastRetryAfter and mostRetryAfter bound when a refused caller is told to come back.
+	leastRetryAfter = 200 * time.Millisecond
+	mostRetryAfter  = 3 * time.Second
+	// second is the window of a cold upstream's limit.
+	second = time.Second
+)
+
+// Step decides what can be decided now: places for jobs, most urgent first, and refusals of those that
+// can't be served in time any more.
+func (s *State) Step(now decide.Instant) []Decision {
+	if len(s.queue) == 0 {
+		return nil
+	}
+	s.sort(now)
+	var out []Decision
+	waiting := s.queue[:0]
+	for _, j := range s.queue {
+		d, settled := s.decide(now, j)
+		if settled {
+			out = append(out, d)
+		} else {
+			waiting = append(waiting, j)
+		}
+	}
+	clear(s.queue[len(waiting):])
+	s.queue = waiting
+	return out
+}
+
+// sort puts the jobs in the order in which they get places: by priority; those that can still be in time
+// before those that are late anyway; the least reading first, as that serves most callers soonest.
+func (s *State) sort(now decide.Instant) {
+	slices.SortStableFunc(s.queue, func(a, b *Job) int {
+		if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
+			return c
+		}
+		lateA, lateB := s.late(now, a), s.late(now, b)
+		if lateA != lateB {
+			if lateA {
+				return 1
+			}
+			return -1
+		}
+		if c := cmp.Compare(s.cost(now, a), s.cost(now, b)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.ID, b.ID)
+	})
+}
+
+func (s *State) late(now decide.Instant, j *Job) bool {
+	return j.Aim != 0 && now.Add(s.leastRead(j)) > j.Aim
+}
+
+// leastRead is the shortest time in which the prompt can be read.
+func (s *State) leastRead(j *Job) time.Duration {
+	if s.model == nil {
+		return 0
+	}
+	return fromMs(s.model.read(j.Prompt) / float64(min(s.params.MaxHelpers+1, max(1, len(s.order)))))
+}
+
+// cost is a job's reading, less with the time that it has waited: a large prompt isn't passed over for good.
+func (s *State) cost(now decide.Instant, j *Job) float64 {
+	if s.model == nil {
+		return float64(j.Arrived)
+	}
+	waited, patience := toMs(now.Sub(j.Arrived)), toMs(j.Patience.Sub(j.Arrived))
+	left := 1.0
+	if patience > 0 {
+		left = max(0.05, 1-waited/patience)
+	}
+	return s.model.read(j.Prompt) * left
+}
+
+// decide settles a job if it can be settled now.
+func (s *State) decide(now decide.Instant, j *Job) (Decision, bool) {
+	if now.Add(s.leastRead(j)+s.params.Margin) > j.Patience {
+		return s.refuse(j, TooLate), true
+	}
+	if s.model != nil && float64(j.Prompt+j.Output) > float64(s.model.Memory)*s.params.MemoryShare {
+		return s.refuse(j, TooLarge), true
+	}
+	if !s.any(j) {
+		return s.refuse(j, NoUpstream), true
+	}
+	if s.model == nil {
+		return s.placePlain(now, j)
+	}
+	if s.model.read(j.Prompt) <= s.params.ShortRead {
+		if d, ok := s.pack(now, j); ok {
+			return d, true
+		}
+	} else if d, ok := s.spread(now, j); ok {
+		return d, true
+	}
+	if len(s.queue) > s.params.MaxQueue {
+		return s.refuse(j, QueueFull), true
+	}
+	return Decision{}, false
+}
+
+// any tells whether some upstream could take the job, now or later.
+func (s *State) any(j *Job) bool {
+	for _, e := range s.order {
+		if !e.gone && !slices.Contains(j.Avoid, e.ID) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *State) refuse(j *Job, why decide.Reason) Decision {
+	return Decision{Job: j, Reason: why, RetryAfter: s.retryAfter()}
+}
+
+// retryAfter is when the work that waits and is being read now will have been read.
+func (s *State) retryAfter() time.Duration {
+	if s.model == nil || len(s.order) == 0 {
+		return leastRetryAfter
+	}
+	work := 0.0
+	for _, e := range s.order {
+		work += e.pending
+	}
+	for _, j := range s.queue {
+		work += s.model.read(j.Prompt)
+	}
+	return min(mostRetryAfter, max(leastRetryAfter, fromMs(work/float64(len(s.order)))))
+}
+
+// takes tells whether the upstream may get the job now, its reading aside.
+func (s *State) takes(now decide.Instant, e *engine, j *Job) bool {
+	return !e.gone && len(e.runs) < e.slots(s.model) && !slices.Contains(j.Avoid, e.ID) &&
+		!e.paused(now) && s.warmEnough(now, e)
+}
+
+func (e *engine) slots(m *Model) int {
+	switch {
+	case e.Slots > 0:
+		return e.Slots
+	case m != nil:
+		return m.Slots
+	default:
+		return 1
+	}
+}
+
+// paused tells whether the upstream's failures are too fresh for new work while others have room.
+func (e *engine) paused(now decide.Instant) bool {
+	if e.fails == 0 {
+		return false
+	}
+	pause := failPause << min(e.fails-1, 8)
+	return now.Sub(e.failed) < min(pause, maxFailPause)
+}
+
+// warmEnough tells whether a cold upstream's limit leaves room.
+func (s *State) warmEnough(now decide.Instant, e *engine) bool {
+	if !e.cold(now) || s.params.ColdPerS <= 0 {
+		return true
+	}
+	e.starts = slices.DeleteFunc(e.starts, func(t decide.Instant) bool { return now.Sub(t) > second })
+	return float64(len(e.starts)) < s.params.ColdPerS
+}
+
+// placePlain gives a plain service's job to the upstream with the least work for its slots.
+func (s *State) placePlain(now decide.Instant, j *Job) (Decision, bool) {
+	var best *engine
+	for _, e := range s.order {
+		if s.takes(now, e, j) && (best == nil || e.load(s.model) < best.load(s.model)) {
+			best = e
+		}
+	}
+	if best == nil {
+		return Decision{}, false
+	}
+	s.start(now, j, best, nil)
+	return Decision{Job: j, Upstream: best.ID, Reason: LeastWork}, true
+}
+
+func (e *engine) load(m *Model) float64 { return float64(len(e.runs)) / float64(e.slots(m)) }
+
+// room is how much reading the engine can take into its next passes, in ms: without streams as much as
+// anybody wants, with streams what their pauses leave.
+func (s *State) room(e *engine, gap time.Duration) float64 {
+	if e.gap > 0 && (gap == 0 || e.gap < gap) {
+		gap = e.gap
+	}
+	if len(e.runs) == 0 || gap == 0 {
+		return math.Inf(1)
+	}
+	return toMs(gap)*s.params.GapShare - s.model.pass(len(e.runs), e.context) - e.pending
+}
+
+// fits tells whether the engine has the memory for the job.
+func (s *State) fits(e *engine, j *Job) bool {
+	return float64(e.context+j.Prompt+j.Output) <= float64(s.model.Memory)*s.params.MemoryShare
+}
+
+// pack gives a short prompt to the fullest engine whose streams, and its own, bear it: engines that are
+// left free can read long prompts without making anybody pause.
+func (s *State) pack(now decide.Instant, j *Job) (Decision, bool) {
+	read := s.model.read(j.Prompt)
+	var best *engine
+	for _, e := range s.order {
+		if !s.takes(now, e, j) || !s.fits(e, j) {
+			continue
+		}
+		pass := s.model.pass(len(e.runs)+1, e.context+j.Prompt+j.Output)
+		if s.room(e, j.MaxGap) < read || pass+e.pending+read > toMs(j.MaxGap)*s.params.GapShare {
+			continue
+		}
+		if best == nil || s.fuller(e, best) {
+			best = e
+		}
+	}
+	if best == nil {
+		return Decision{}, false
+	}
+	s.start(now, j, best, nil)
+	return Decision{Job: j, Upstream: best.ID, Reason: Packed}, true
+}
+
+// fuller orders engines for packing.
+func (s *State) fuller(a, b *engine) bool {
+	if len(a.runs) != len(b.runs) {
+		return len(a.runs) > len(b.runs)
+	}
+	return a.pending < b.pending
+}
+
+// spread gives a long prompt to the engines that have it read soonest, in even parts.
+func (s *State) spread(now decide.Instant, j *Job) (Decision, bool) {
+	read := s.model.read(j.Prompt)
+	var with []*engine
+	for _, e := range s.order {
+		if !e.gone && !e.paused(now) && !slices.Contains(j.Avoid, e.ID) && s.room(e, 0) > 0 {
+			with = append(with, e)
+		}
+	}
+	slices.SortStableFunc(with, func(a, b *engine) int { return cmp.Compare(s.delay(a), s.delay(b)) })
+	primary := slices.IndexFunc(with, func(e *engine) bool { return s.takes(now, e, j) && s.fits(e, j) })
+	if primary < 0 {
+		return Decision{}, false
+	}
+	first := with[primary]
+	with = slices.Delete(with, primary, primary+1)
+	helpers, soonest := s.helpers(first, with, read, j.MaxGap)
+	if math.IsInf(soonest, 1) {
+		return Decision{}, false
+	}
+	if j.Aim != 0 && now.Add(fromMs(soonest)) > j.Aim && !s.late(now, j) {
+		// Engines that are busy now read it in time later, or it is late anyway and waits its turn.
+		return Decision{}, false
+	}
+	r := s.start(now, j, first, helpers)
+	d := Decision{Job: j, Upstream: first.ID, Reason: Alone}
+	for _, h := range r.helpers {
+		d.Helpers = append(d.Helpers, h.ID)
+		d.Reason = Spread
+	}
+	return d, true
+}
+
+// delay is how long the engine takes to come to another part.
+func (s *State) delay(e *engine) float64 {
+	return e.pending + s.model.pass(len(e.runs), e.context)
+}
+
+// helpers chooses how many of the engines in with read parts beside first, so that the last part is read
+// soonest, and gives that time in ms; infinite if no number will do.
+func (s *State) helpers(first *engine, with []*engine, read float64, gap time.Duration) ([]*engine, float64) {
+	best, soonest := 0, math.Inf(1)
+	slowest, room := s.delay(first), s.room(first, gap)
+	for k := 0; k <= min(s.params.MaxHelpers, len(with)); k++ {
+		if k > 0 {
+			slowest = max(slowest, s.delay(with[k-1]))
+			room = min(room, s.room(with[k-1], 0))
+		}
+		part := read / float64(k+1)
+		if part > room {
+			continue
+		}
+		if t := slowest + part + s.params.PerHelper*float64(k); t < soonest {
+			best, soonest = k, t
+		}
+	}
+	return with[:best], soonest
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,6 +69,8 @@
 	Priority  int
 	Prompt    int           // tokens
 	Output    int           // most tokens of the answer
+	Waited    time.Duration // since its arrival
+	Aimed     bool          // Aim says something
 	Aim       time.Duration // left to the answer that earns full credit; may be below zero
 	MaxGap    time.Duration // longest pause between the answer's events
 	Left      time.Duration // left in all
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -134,9 +134,10 @@
 	a := Ask{
 		ID: fleet.RequestID(r.ID), Service: r.service, Kind: r.route.Kind, Workspace: r.workspace, Subject: r.Subject,
 		Priority: r.priority, Prompt: r.Prompt, Output: r.Output, MaxGap: r.route.MaxGap,
-		Left: r.deadline.Sub(now), Attempt: attempt, Avoid: avoid,
+		Left: r.deadline.Sub(now), Waited: now.Sub(r.arrived), Attempt: attempt, Avoid: avoid,
 	}
 	if r.route.Aim > 0 {
+		a.Aimed = true
 		a.Aim = r.arrived.Add(r.route.Aim).Sub(now)
 	}
 	a.Patience = a.Left
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -80,7 +80,7 @@
 func (c *Client) Pull(ctx context.Context, addr string, above uint64) (relay.Config, error) {
 	ctx, cancel := context.WithTimeout(ctx, PullTimeout)
 	defer cancel()
-	conn, err := dial(ctx, addr)
+	conn, err := Dial(ctx, addr)
 	if err != nil {
 		return relay.Config{}, err
 	}
@@ -146,7 +146,7 @@
 	if l.conn != nil {
 		return l.conn, nil
 	}
-	conn, err := dial(ctx, addr)
+	conn, err := Dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
@@ -170,7 +170,8 @@
 	}
 }
 
-func dial(ctx context.Context, addr string) (*drpcconn.Conn, error) {
+// Dial connects to an instance at addr. Each write is bounded, and so is the size of a message.
+func Dial(ctx context.Context, addr string) (*drpcconn.Conn, error) {
 	var d net.Dialer
 	raw, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -15,8 +15,9 @@
 	bound int64
 }
 
-func newBoundedListener(l net.Listener, bound int64) *boundedListener {
-	return &boundedListener{Listener: l, bound: bound}
+// Bounded gives a listener of which no more than a fixed number of connections are open.
+func Bounded(l net.Listener) net.Listener {
+	return &boundedListener{Listener: l, bound: maxServed}
 }
 
 // Accept gives the next connection within the bound.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -51,7 +51,7 @@
 
 // Serve answers peers until ctx ends, then closes l and every connection.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	return s.drpc.Serve(ctx, newBoundedListener(l, maxServed))
+	return s.drpc.Serve(ctx, Bounded(l))
 }
 
 type service struct {
--- /dev/null
+++ b/internal/placement/client.go
@@ -0,0 +1,374 @@
+package placement
+
+import (
+	"context"
+	"errors"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/fault"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/gateway"
+	"github.com/damaskshelf/damaskshelf/internal/peer"
+	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
+	"github.com/damaskshelf/damaskshelf/internal/rendezvous"
+	"github.com/damaskshelf/damaskshelf/internal/wait"
+)
+
+const (
+	// rendezvousKey orders the instances as dispatchers.
+	rendezvousKey = "dispatcher"
+	// lookEvery is how often the order of dispatchers is looked at while a session lasts.
+	lookEvery = 200 * time.Millisecond
+	// firstRest and longestRest bound how long an instance that could not be reached is left alone.
+	firstRest   = 500 * time.Millisecond
+	longestRest = 4 * time.Second
+)
+
+// errSilent: nothing came from the dispatcher for too long, or it closed the session.
+var errSilent = errors.New("dispatcher fell silent or closed the session")
+
+// Client places requests through the dispatcher: the instance that rendezvous hashing names among those
+// that can be reached. When it falls silent the next one takes over, and rebuilds its state from what the
+// instances tell of their work under way. Two dispatchers at once place worse and break nothing: every rule
+// is checked where a request is sent.
+type Client struct {
+	self     fleet.InstanceID
+	snapshot func() *catalog.Snapshot
+	log      hclog.Logger
+	hub      *hub
+	local    *Local
+
+	mu      sync.Mutex
+	session *session                        // guarded by mu; nil: none
+	waiting map[fleet.RequestID]*waiting    // guarded by mu
+	running map[fleet.RequestID]*dispatched // guarded by mu
+	rests   map[fleet.InstanceID]rest       // guarded by mu
+}
+
+// rest is how long an instance is left alone.
+type rest struct {
+	until time.Time
+	last  time.Duration
+}
+
+// waiting is a request that waits for a place.
+type waiting struct {
+	ask   gateway.Ask
+	asked time.Time
+	reply chan reply // holds one
+}
+
+type reply struct {
+	place   *pb.Place
+	refused *pb.Refusal
+}
+
+// NewClient gives a Client of instance self.
+func NewClient(self fleet.InstanceID, snapshot func() *catalog.Snapshot, log hclog.Logger) *Client {
+	return &Client{
+		self: self, snapshot: snapshot, log: log.Named("placement"), hub: newHub(snapshot, log), local: NewLocal(snapshot),
+		waiting: map[fleet.RequestID]*waiting{}, running: map[fleet.RequestID]*dispatched{},
+		rests: map[fleet.InstanceID]rest{},
+	}
+}
+
+// Serve answers other instances as a dispatcher until ctx ends, then closes l.
+func (c *Client) Serve(ctx context.Context, l net.Listener) error {
+	mux := drpcmux.New()
+	if err := pb.DRPCRegisterPlacement(mux, service{hub: c.hub}); err != nil {
+		return err
+	}
+	options := drpcserver.Options{Manager: drpcmanager.Options{InactivityTimeout: time.Minute}}
+	return drpcserver.NewWithOptions(mux, options).Serve(ctx, peer.Bounded(l))
+}
+
+// Run keeps a session with the dispatcher until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	var all sync.WaitGroup
+	all.Go(func() { c.hub.run(ctx) })
+	for ctx.Err() == nil {
+		c.follow(ctx)
+		c.mu.Lock()
+		s := c.session
+		c.mu.Unlock()
+		if s == nil {
+			wait.For(ctx, lookEvery/4)
+			continue
+		}
+		select {
+		case <-s.done:
+			c.over(s)
+		case <-time.After(lookEvery):
+		case <-ctx.Done():
+		}
+	}
+	all.Wait()
+}
+
+// candidates gives the members in the order in which they are dispatchers.
+func (c *Client) candidates() []*catalog.Member {
+	members := slices.Clone(c.snapshot().Members)
+	slices.SortFunc(members, func(a, b *catalog.Member) int {
+		sa, sb := rendezvous.Score(rendezvousKey, string(a.ID)), rendezvous.Score(rendezvousKey, string(b.ID))
+		switch {
+		case sa > sb:
+			return -1
+		case sa < sb:
+			return 1
+		default:
+			return strings.Compare(string(a.ID), string(b.ID))
+		}
+	})
+	return members
+}
+
+// follow attaches to the first dispatcher that can be reached, if it isn't the one attached to.
+func (c *Client) follow(ctx context.Context) {
+	for _, m := range c.candidates() {
+		c.mu.Lock()
+		current, resting := c.session, time.Now().Before(c.rests[m.ID].until)
+		c.mu.Unlock()
+		if current != nil && current.with == m.ID {
+			return
+		}
+		if resting || ctx.Err() != nil {
+			continue
+		}
+		s, err := c.open(ctx, m)
+		if err != nil {
+			c.rested(m.ID, err)
+			continue
+		}
+		c.moved(s)
+		return
+	}
+}
+
+// open attaches to a dispatcher, which may be this instance itself.
+func (c *Client) open(ctx context.Context, m *catalog.Member) (*session, error) {
+	if m.ID == c.self {
+		return c.openSelf(ctx), nil
+	}
+	return dialSession(ctx, m.ID, m.Addr, c.first, c.got)
+}
+
+// selfSink passes on what the own hub decides. The hub must not be called back under its lock.
+type selfSink struct{ out *outbox[*pb.ToEntry] }
+
+func (s selfSink) send(m *pb.ToEntry) { s.out.put(m) }
+
+func (c *Client) openSelf(ctx context.Context) *session {
+	life, cancel := context.WithCancel(ctx)
+	to := selfSink{out: newOutbox[*pb.ToEntry]()}
+	from := newOutbox[*pb.FromEntry]()
+	go func() {
+		for items := to.out.take(life); items != nil; items = to.out.take(life) {
+			c.got(merge(items))
+		}
+	}()
+	go func() {
+		c.hub.attach(c.self, to, c.first())
+		defer c.hub.detach(c.self, to)
+		for items := from.take(life); items != nil; items = from.take(life) {
+			c.hub.tell(c.self, to, mergeFrom(items))
+		}
+	}()
+	return &session{with: c.self, tell: func(m *pb.FromEntry) { from.put(m) }, end: cancel, done: life.Done()}
+}
+
+// first is the first message of a session: all work under way, and all that waits.
+func (c *Client) first() *pb.FromEntry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	m := &pb.FromEntry{Entry: string(c.self)}
+	for _, r := range c.running {
+		m.Running = append(m.Running, &pb.Running{
+			Ask: message(&r.ask, r.asked, now), Upstream: string(r.upstream.ID), Helpers: names(r.helpers), Writing: r.writing,
+		})
+	}
+	for _, w := range c.waiting {
+		m.Asks = append(m.Asks, message(&w.ask, w.asked, now))
+	}
+	return m
+}
+
+func (c *Client) rested(id fleet.InstanceID, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.rests[id]
+	if r.last == 0 {
+		c.log.Warn("dispatcher lost", "instance", id, "error", err)
+	}
+	r.last = min(longestRest, max(firstRest, 2*r.last))
+	r.until = time.Now().Add(r.last)
+	c.rests[id] = r
+}
+
+// moved makes s the session. What was told to the old one between the first message and now is told again
+// in whole, as both lists may have changed.
+func (c *Client) moved(s *session) {
+	c.mu.Lock()
+	old := c.session
+	c.session = s
+	delete(c.rests, s.with)
+	now := time.Now()
+	again := &pb.FromEntry{}
+	for _, w := range c.waiting {
+		again.Asks = append(again.Asks, message(&w.ask, w.asked, now))
+	}
+	c.mu.Unlock()
+	c.log.Info("dispatcher", "instance", s.with)
+	if old != nil {
+		old.end()
+	}
+	if len(again.Asks) > 0 {
+		s.tell(again)
+	}
+}
+
+// over takes that a session is over.
+func (c *Client) over(s *session) {
+	c.mu.Lock()
+	if c.session == s {
+		c.session = nil
+	}
+	c.mu.Unlock()
+	c.rested(s.with, errSilent)
+}
+
+// got takes a message of the dispatcher.
+func (c *Client) got(m *pb.ToEntry) {
+	for _, p := range m.Places {
+		c.settle(fleet.RequestID(p.Id), reply{place: p})
+	}
+	for _, r := range m.Refusals {
+		c.settle(fleet.RequestID(r.Id), reply{refused: r})
+	}
+}
+
+// settle hands a reply to the request that waits for it. A place that nobody waits for is given back.
+func (c *Client) settle(id fleet.RequestID, r reply) {
+	c.mu.Lock()
+	w := c.waiting[id]
+	delete(c.waiting, id)
+	_, runs := c.running[id]
+	c.mu.Unlock()
+	if w != nil {
+		w.reply <- r
+		return
+	}
+	if r.place != nil && !runs {
+		c.tell(&pb.FromEntry{Withdrawn: []string{string(id)}})
+	}
+}
+
+func (c *Client) tell(m *pb.FromEntry) {
+	c.mu.Lock()
+	s := c.session
+	c.mu.Unlock()
+	if s != nil {
+		s.tell(m)
+	}
+}
+
+// Place implements gateway.Placer.
+func (c *Client) Place(ctx context.Context, a gateway.Ask) (gateway.Grant, error) {
+	w := &waiting{ask: a, asked: time.Now(), reply: make(chan reply, 1)}
+	c.mu.Lock()
+	s := c.session
+	if s != nil {
+		c.waiting[a.ID] = w
+	}
+	c.mu.Unlock()
+	if s == nil {
+		return c.local.Place(ctx, a)
+	}
+	s.tell(&pb.FromEntry{Asks: []*pb.Ask{message(&a, w.asked, w.asked)}})
+	select {
+	case r := <-w.reply:
+		return c.answer(ctx, w, r)
+	case <-ctx.Done():
+		c.withdraw(a.ID)
+		return nil, fault.New(fault.Infeasible, "waited until its time was over")
+	}
+}
+
+func (c *Client) withdraw(id fleet.RequestID) {
+	c.mu.Lock()
+	delete(c.waiting, id)
+	c.mu.Unlock()
+	c.tell(&pb.FromEntry{Withdrawn: []string{string(id)}})
+}
+
+// answer turns the dispatcher's reply into a grant or a refusal.
+func (c *Client) answer(ctx context.Context, w *waiting, r reply) (gateway.Grant, error) {
+	if r.refused != nil {
+		f := fault.New(fault.Infeasible, "%s", r.refused.Reason)
+		if r.refused.Reason == "no_upstream" {
+			f.Kind = fault.NoUpstream
+		}
+		f.RetryAfter = ms(r.refused.RetryAfterMs)
+		return nil, f
+	}
+	snap := c.snapshot()
+	u := snap.Upstream(fleet.UpstreamID(r.place.Upstream))
+	if u == nil || ctx.Err() != nil {
+		// The dispatcher knows of an upstream that this instance doesn't know yet, or any more.
+		c.tell(&pb.FromEntry{Withdrawn: []string{string(w.ask.ID)}})
+		return c.local.Place(ctx, w.ask)
+	}
+	g := &dispatched{c: c, ask: w.ask, asked: w.asked, upstream: u, reason: r.place.Reason}
+	for _, id := range r.place.Helpers {
+		if h := snap.Upstream(fleet.UpstreamID(id)); h != nil && snap.Open(h) {
+			g.helpers = append(g.helpers, h.ID)
+			g.addrs = append(g.addrs, h.Addr)
+		}
+	}
+	c.mu.Lock()
+	c.running[w.ask.ID] = g
+	c.mu.Unlock()
+	return g, nil
+}
+
+// dispatched is a place that the dispatcher gave.
+type dispatched struct {
+	c        *Client
+	ask      gateway.Ask
+	asked    time.Time
+	upstream *catalog.Upstream
+	helpers  []fleet.UpstreamID
+	addrs    []string
+	reason   string
+	writing  bool // guarded by c.mu
+}
+
+func (g *dispatched) Upstream() *catalog.Upstream { return g.upstream }
+func (g *dispatched) Helpers() []string           { return g.addrs }
+func (g *dispatched) Reason() string              { return g.reason }
+
+func (g *dispatched) Began() {
+	g.c.mu.Lock()
+	g.writing = true
+	g.c.mu.Unlock()
+	g.c.tell(&pb.FromEntry{Began: []string{string(g.ask.ID)}})
+}
+
+func (g *dispatched) Done(o gateway.Outcome) {
+	g.c.mu.Lock()
+	if g.c.running[g.ask.ID] == g {
+		delete(g.c.running, g.ask.ID)
+	}
+	g.c.mu.Unlock()
+	g.c.tell(&pb.FromEntry{Ended: []*pb.Ended{{Id: string(g.ask.ID), Failed: o == gateway.Failed}}})
+}
--- /dev/null
+++ b/internal/placement/convert.go
@@ -0,0 +1,74 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/decide/dispatch"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/gateway"
+	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
+)
+
+// message gives the ask as it goes to the dispatcher at now; a is as of asked.
+func message(a *gateway.Ask, asked, now time.Time) *pb.Ask {
+	since := now.Sub(asked)
+	m := &pb.Ask{
+		Id: string(a.ID), Service: string(a.Service), Workspace: string(a.Workspace), Subject: a.Subject,
+		Priority: int32(a.Priority), Prompt: int32(a.Prompt), Output: int32(a.Output),
+		WaitedMs: (a.Waited + since).Milliseconds(), PatienceMs: (a.Patience - since).Milliseconds(),
+		DeadlineMs: (a.Left - since).Milliseconds(), MaxGapMs: int32(a.MaxGap.Milliseconds()), Attempt: int32(a.Attempt),
+	}
+	if a.Aimed {
+		m.Aimed, m.AimMs = true, (a.Aim - since).Milliseconds()
+	}
+	for _, id := range a.Avoid {
+		m.Avoid = append(m.Avoid, string(id))
+	}
+	return m
+}
+
+func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// job gives an ask that came from entry at now.
+func job(m *pb.Ask, entry fleet.InstanceID, now decide.Instant) *dispatch.Job {
+	j := &dispatch.Job{
+		ID: fleet.RequestID(m.Id), Entry: entry, Workspace: fleet.WorkspaceID(m.Workspace), Subject: m.Subject,
+		Priority: int(m.Priority), Prompt: int(m.Prompt), Output: int(m.Output), Arrived: now.Add(-ms(m.WaitedMs)),
+		Patience: now.Add(ms(m.PatienceMs)), Deadline: now.Add(ms(m.DeadlineMs)),
+		MaxGap: ms(int64(m.MaxGapMs)), Attempt: int(m.Attempt), Avoid: upstreamIDs(m.Avoid),
+	}
+	if m.Aimed {
+		j.Aim = now.Add(ms(m.AimMs))
+	}
+	return j
+}
+
+func upstreamIDs(all []string) []fleet.UpstreamID {
+	out := make([]fleet.UpstreamID, len(all))
+	for i, id := range all {
+		out[i] = fleet.UpstreamID(id)
+	}
+	return out
+}
+
+func names(all []fleet.UpstreamID) []string {
+	out := make([]string, len(all))
+	for i, id := range all {
+		out[i] = string(id)
+	}
+	return out
+}
+
+// model gives a service's engines as the dispatcher reckons with them; nil for a plain service.
+func model(s *catalog.Service) *dispatch.Model {
+	e := s.Engine
+	if e == nil || e.ReadPerMs <= 0 {
+		return nil
+	}
+	return &dispatch.Model{
+		Slots: e.Slots, Memory: e.Memory, Stride: e.Stride, Step: e.Step, PerWriter: e.PerWriter,
+		PerContext: e.PerContext, ReadPerMs: e.ReadPerMs, PairsPerM: e.PairsPerM, Chunk: e.Chunk,
+	}
+}
--- /dev/null
+++ b/internal/placement/hub.go
@@ -0,0 +1,237 @@
+package placement
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/decide/dispatch"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
+	"github.com/damaskshelf/damaskshelf/internal/wait"
+)
+
+const (
+	// tick is how often waiting jobs are looked at without an event: a job is refused when its time is over.
+	tick = 10 * time.Millisecond
+	// beat is the longest silence towards an attached instance.
+	beat = 100 * time.Millisecond
+	// settleTime is how long a dispatcher that has just been attached to waits for the other instances' work:
+	// what it doesn't know of yet it would place beside. Twice the time after which they miss the old one.
+	settleTime = 2 * silence
+)
+
+// sink takes what is due to one attached instance.
+type sink interface{ send(*pb.ToEntry) }
+
+// hub is the dispatcher's side: it holds a dispatch.State for each service, for all attached instances.
+type hub struct {
+	snapshot func() *catalog.Snapshot
+	log      hclog.Logger
+	start    time.Time
+
+	mu       sync.Mutex
+	services map[catalog.ServiceName]*dispatch.State // guarded by mu
+	entries  map[fleet.InstanceID]sink               // guarded by mu
+	seen     *catalog.Snapshot                       // guarded by mu: that the states go by
+	opened   decide.Instant                          // guarded by mu: when the first instance attached
+}
+
+func newHub(snapshot func() *catalog.Snapshot, log hclog.Logger) *hub {
+	return &hub{
+		snapshot: snapshot, log: log.Named("dispatcher"), start: time.Now(),
+		services: map[catalog.ServiceName]*dispatch.State{}, entries: map[fleet.InstanceID]sink{},
+	}
+}
+
+func (h *hub) now() decide.Instant { return decide.Instant(time.Since(h.start)) }
+
+// attach opens the session of an instance; an older one of it ends.
+func (h *hub) attach(entry fleet.InstanceID, s sink, first *pb.FromEntry) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	if len(h.entries) == 0 {
+		h.opened = now
+	}
+	h.entries[entry] = s
+	h.log.Info("instance attached", "entry", entry, "attached", len(h.entries), "running", len(first.Running), "waiting", len(first.Asks))
+	for _, st := range h.services {
+		st.Forget(entry)
+	}
+	h.refresh(now)
+	for _, r := range first.Running {
+		h.of(r.Ask.Service).Adopt(now, job(r.Ask, entry, now), fleet.UpstreamID(r.Upstream), upstreamIDs(r.Helpers), r.Writing)
+	}
+	h.take(now, entry, first)
+}
+
+// detach ends the session s of an instance, with its work: what it still does is told when it attaches anew.
+func (h *hub) detach(entry fleet.InstanceID, s sink) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.entries[entry] != s {
+		return
+	}
+	delete(h.entries, entry)
+	h.log.Info("instance detached", "entry", entry, "attached", len(h.entries))
+	for _, st := range h.services {
+		st.Forget(entry)
+	}
+	h.step(h.now())
+}
+
+// tell takes what an attached instance says.
+func (h *hub) tell(entry fleet.InstanceID, s sink, m *pb.FromEntry) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.entries[entry] != s {
+		return
+	}
+	now := h.now()
+	h.refresh(now)
+	h.take(now, entry, m)
+}
+
+// take carries a message out; mu is held.
+func (h *hub) take(now decide.Instant, entry fleet.InstanceID, m *pb.FromEntry) {
+	for _, id := range m.Began {
+		h.each(func(st *dispatch.State) { st.Began(fleet.RequestID(id)) })
+	}
+	for _, e := range m.Ended {
+		h.each(func(st *dispatch.State) { st.Done(now, fleet.RequestID(e.Id), e.Failed) })
+	}
+	for _, id := range m.Withdrawn {
+		h.each(func(st *dispatch.State) { st.Withdraw(fleet.RequestID(id)) })
+	}
+	for _, a := range m.Asks {
+		h.of(a.Service).Ask(job(a, entry, now))
+	}
+	h.step(now)
+}
+
+func (h *hub) each(f func(*dispatch.State)) {
+	for _, st := range h.services {
+		f(st)
+	}
+}
+
+// of gives the state of a service; mu is held.
+func (h *hub) of(service string) *dispatch.State {
+	name := catalog.ServiceName(service)
+	st := h.services[name]
+	if st == nil {
+		st = dispatch.New(nil, dispatch.DefaultParams())
+		h.services[name] = st
+		h.load(h.now(), name, st)
+	}
+	return st
+}
+
+// refresh takes what is newly known of the fleet; mu is held.
+func (h *hub) refresh(now decide.Instant) {
+	snap := h.snapshot()
+	if snap == h.seen {
+		return
+	}
+	h.seen = snap
+	for name, st := range h.services {
+		h.load(now, name, st)
+	}
+}
+
+// load gives a state its service's figures and upstreams.
+func (h *hub) load(now decide.Instant, name catalog.ServiceName, st *dispatch.State) {
+	snap := h.seen
+	if snap == nil || snap.Config == nil {
+		return
+	}
+	p := dispatch.DefaultParams()
+	if s := snap.Config.Service(name); s != nil {
+		p.ColdPerS = s.ColdPerSecond * coldShare
+		st.SetModel(model(s), p)
+	}
+	var open []dispatch.Upstream
+	wall := time.Now()
+	for _, u := range snap.Upstreams(name) {
+		if snap.Open(u) {
+			open = append(open, dispatch.Upstream{
+				ID: u.ID, Addr: u.Addr, Slots: u.Slots, Born: u.Born, ColdUntil: now.Add(u.ColdUntil.Sub(wall)),
+			})
+		}
+	}
+	st.SetUpstreams(open)
+}
+
+// coldShare is the part of a cold upstream's limit that one dispatcher gives out. Two may do so at once
+// while one takes over from the other, and together they stay under the limit with its allowance of a half.
+const coldShare = 0.7
+
+// step sends out what can be decided now; mu is held.
+func (h *hub) step(now decide.Instant) {
+	if now.Sub(h.opened) < settleTime && len(h.entries) < len(h.snapshot().Members) {
+		return
+	}
+	out := map[fleet.InstanceID]*pb.ToEntry{}
+	for _, st := range h.services {
+		for _, d := range st.Step(now) {
+			m := out[d.Job.Entry]
+			if m == nil {
+				m = &pb.ToEntry{}
+				out[d.Job.Entry] = m
+			}
+			add(m, d)
+		}
+	}
+	for entry, m := range out {
+		if s := h.entries[entry]; s != nil {
+			s.send(m)
+		}
+	}
+}
+
+func add(m *pb.ToEntry, d dispatch.Decision) {
+	if d.Upstream == "" {
+		m.Refusals = append(m.Refusals, &pb.Refusal{
+			Id: string(d.Job.ID), Reason: string(d.Reason), RetryAfterMs: d.RetryAfter.Milliseconds(),
+		})
+		return
+	}
+	m.Places = append(m.Places, &pb.Place{
+		Id: string(d.Job.ID), Upstream: string(d.Upstream), Helpers: names(d.Helpers), Reason: string(d.Reason),
+	})
+}
+
+// run looks at waiting jobs and beats until ctx ends.
+func (h *hub) run(ctx context.Context) {
+	lastBeat := time.Now()
+	for wait.For(ctx, h.pause()) {
+		h.mu.Lock()
+		now := h.now()
+		h.refresh(now)
+		h.step(now)
+		if time.Since(lastBeat) >= beat {
+			lastBeat = time.Now()
+			for _, s := range h.entries {
+				s.send(&pb.ToEntry{})
+			}
+		}
+		h.mu.Unlock()
+	}
+}
+
+// pause is how long nothing needs to be looked at.
+func (h *hub) pause() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, st := range h.services {
+		if st.Waiting() > 0 {
+			return tick
+		}
+	}
+	return beat
+}
--- /dev/null
+++ b/internal/placement/session.go
@@ -0,0 +1,192 @@
+package placement
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/peer"
+	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
+)
+
+const (
+	// attachTimeout bounds connecting to a dispatcher: several trips between the farthest failure domains.
+	attachTimeout = 250 * time.Millisecond
+	// silence is how long a dispatcher may be quiet before the next one is asked: three beats.
+	silence = 3 * beat
+	// maxOutbox bounds what waits to be sent to one instance; one that takes nothing is cut off.
+	maxOutbox = 4096
+)
+
+// outbox is a queue of messages that one goroutine sends. Putting something in never blocks.
+type outbox[T any] struct {
+	mu     sync.Mutex
+	items  []T           // guarded by mu
+	ready  chan struct{} // holds a token while there are items
+	closed bool          // guarded by mu
+}
+
+func newOutbox[T any]() *outbox[T] { return &outbox[T]{ready: make(chan struct{}, 1)} }
+
+// put queues an item, and tells whether it was taken.
+func (o *outbox[T]) put(item T) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.closed || len(o.items) >= maxOutbox {
+		return false
+	}
+	o.items = append(o.items, item)
+	select {
+	case o.ready <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// take gives all items; it waits for the first until ctx ends.
+func (o *outbox[T]) take(ctx context.Context) []T {
+	for {
+		select {
+		case <-o.ready:
+		case <-ctx.Done():
+			return nil
+		}
+		o.mu.Lock()
+		items := o.items
+		o.items = nil
+		o.mu.Unlock()
+		if len(items) > 0 {
+			return items
+		}
+	}
+}
+
+func (o *outbox[T]) close() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.closed = true
+}
+
+// service is the dispatcher's side of the sessions.
+type service struct{ hub *hub }
+
+// remoteSink sends to an instance over its stream.
+type remoteSink struct{ out *outbox[*pb.ToEntry] }
+
+func (s *remoteSink) send(m *pb.ToEntry) { s.out.put(m) }
+
+// Attach implements placementpb.DRPCPlacementServer.
+func (s service) Attach(stream pb.DRPCPlacement_AttachStream) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	entry := fleet.InstanceID(first.Entry)
+	to := &remoteSink{out: newOutbox[*pb.ToEntry]()}
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	go func() {
+		for items := to.out.take(ctx); items != nil; items = to.out.take(ctx) {
+			if err := stream.Send(merge(items)); err != nil {
+				cancel()
+				_ = stream.Close()
+				return
+			}
+		}
+	}()
+	to.send(&pb.ToEntry{}) // shows the instance that it is attached
+	s.hub.attach(entry, to, first)
+	defer s.hub.detach(entry, to)
+	defer to.out.close()
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		s.hub.tell(entry, to, m)
+	}
+}
+
+// merge makes one message of several.
+func merge(items []*pb.ToEntry) *pb.ToEntry {
+	all := items[0]
+	for _, m := range items[1:] {
+		all.Places = append(all.Places, m.Places...)
+		all.Refusals = append(all.Refusals, m.Refusals...)
+	}
+	return all
+}
+
+// session is an instance's side of its session with a dispatcher.
+type session struct {
+	with fleet.InstanceID
+	tell func(*pb.FromEntry) // never blocks
+	end  func()
+	done <-chan struct{} // closed when the session is over
+}
+
+// dialSession attaches to the dispatcher at addr. got is called for each message; first is sent first.
+func dialSession(ctx context.Context, to fleet.InstanceID, addr string, first func() *pb.FromEntry, got func(*pb.ToEntry)) (*session, error) {
+	dialing, cancelDial := context.WithTimeout(ctx, attachTimeout)
+	defer cancelDial()
+	conn, err := peer.Dial(dialing, addr)
+	if err != nil {
+		return nil, err
+	}
+	life, cancel := context.WithCancel(ctx)
+	stop := func() {
+		cancel()
+		_ = conn.Close()
+	}
+	stream, err := pb.NewDRPCPlacementClient(conn).Attach(life)
+	if err != nil {
+		stop()
+		return nil, err
+	}
+	// Silence is the only sign of a connection that something between the ends has lost track of.
+	quiet := time.AfterFunc(attachTimeout, stop)
+	if err := stream.Send(first()); err != nil {
+		stop()
+		return nil, err
+	}
+	m, err := stream.Recv()
+	if err != nil {
+		stop()
+		return nil, err
+	}
+	out := newOutbox[*pb.FromEntry]()
+	go func() {
+		defer stop()
+		for ; err == nil; m, err = stream.Recv() {
+			quiet.Reset(silence)
+			got(m)
+		}
+	}()
+	go func() {
+		defer stop()
+		for items := out.take(life); items != nil; items = out.take(life) {
+			if err := stream.Send(mergeFrom(items)); err != nil {
+				return
+			}
+		}
+	}()
+	return &session{with: to, tell: func(m *pb.FromEntry) {
+		if !out.put(m) {
+			stop()
+		}
+	}, end: stop, done: life.Done()}, nil
+}
+
+// mergeFrom makes one message of several. An ask may follow the end of the same request's last use, and the
+// parts of a message take effect in the order of its fields, so that the order is kept.
+func mergeFrom(items []*pb.FromEntry) *pb.FromEntry {
+	all := items[0]
+	for _, m := range items[1:] {
+		all.Began = append(all.Began, m.Began...)
+		all.Ended = append(all.Ended, m.Ended...)
+		all.Withdrawn = append(all.Withdrawn, m.Withdrawn...)
+		all.Asks = append(all.Asks, m.Asks...)
+	}
+	return all
+}
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"time"
 
@@ -63,6 +64,7 @@
 	Side     *side
 	Gate     *gate.Gate
 	Client   *upstream.Client
+	Placer   *placement.Client
 }
 
 // New assembles an instance. It opens no connection and binds no address.
@@ -102,13 +104,15 @@
 	return watch.New(watch.Deps{Store: a.Store, Kinds: a.Kinds, Decoder: a.Decoder, Log: log})
 }
 
-func newPlacer(f *watch.Follower) gateway.Placer { return placement.NewLocal(f.Snapshot) }
+func newPlacer(s api.Settings, f *watch.Follower, log hclog.Logger) *placement.Client {
+	return placement.NewClient(fleet.InstanceID(s.Instance), f.Snapshot, log)
+}
 
 // writeStall ends callers that take nothing for so long; it is above the longest pause that a lossy link
 // makes and far below a request's time.
 const writeStall = 10 * time.Second
 
-func newGateway(s api.Settings, a Adapter, f *watch.Follower, p gateway.Placer, c *upstream.Client, g *gate.Gate,
+func newGateway(s api.Settings, a Adapter, f *watch.Follower, p *placement.Client, c *upstream.Client, g *gate.Gate,
 	rec *explain.Recorder, m *metrics.Registry, log hclog.Logger) *gateway.Gateway {
 	l := s.Routed.Limits
 	members := func() int { return len(f.Snapshot().Members) }
@@ -131,6 +135,16 @@
 	if err := p.Side.listen(p.Settings.Routed.Listen); err != nil {
 		return err
 	}
+	peers, err := net.Listen("tcp", p.Settings.Routed.Listen.Peers)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	n.run(func(ctx context.Context) {
+		if err := p.Placer.Serve(ctx, peers); err != nil {
+			p.Log.Error("peers' listener ended", "error", err)
+		}
+	})
+	n.run(p.Placer.Run)
 	n.run(func(context.Context) { p.Gateway.Serve() })
 	n.run(func(context.Context) { p.Side.serve() })
 	n.run(p.Follower.Run)
