Few instances read the store and tell the others

Change: the two first instances in the dispatchers' order read; what they see goes over the sessions with the dispatcher, with the revision it follows on and how new it is proven to be. An instance that isn't told in time reads by itself, those behind later. Failures met on the way, each with a test: a second first list was passed on as all there is; proof of a watch counted from its beginning, so that all read every four seconds. Ruled out: shorter waits for all (calls grow with the fleet).

--- a/api/routed.go
+++ b/api/routed.go
@@ -15,6 +15,7 @@
 	ReadyPath string       `json:"ready_path"` // of the balancer's question
 	Store     RoutedStore  `json:"store"`
 	CPUShare  float64      `json:"cpu_share"` // of a core that this machine has
+	LinkMbps  float64      `json:"link_mbps"` // of this machine's own link; 0: not said
 	Retries   Retries      `json:"retries"`
 	Stop      RoutedStop   `json:"stop"`
 	Limits    RoutedLimits `json:"limits,omitempty"`
@@ -100,6 +101,9 @@
 	if r.Retries.Slack < 0 {
 		return badField("routed.retries.slack", r.Retries.Slack, "0 or more")
 	}
+	if r.LinkMbps < 0 {
+		return badField("routed.link_mbps", r.LinkMbps, "0 or more")
+	}
 	if r.CPUShare < 0 {
 		return badField("routed.cpu_share", r.CPUShare, "above 0")
 	}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -123,5 +123,6 @@
 	Incarnation uint64
 	Domain      fleet.DomainID
 	CPUShare    float64 // of a core
+	LinkMbps    float64 // of its machine's own link; 0: not said
 	Revision    uint64
 }
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -22,6 +23,7 @@
 	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
 	"github.com/damaskshelf/damaskshelf/internal/rendezvous"
 	"github.com/damaskshelf/damaskshelf/internal/wait"
+	"github.com/damaskshelf/damaskshelf/internal/watch"
 )
 
 const (
@@ -43,10 +45,12 @@
 // is checked where a request is sent.
 type Client struct {
 	self     fleet.InstanceID
+	follower *watch.Follower
 	snapshot func() *catalog.Snapshot
 	log      hclog.Logger
 	hub      *hub
 	local    *Local
+	news     *outbox[news]
 
 	mu      sync.Mutex
 	session *session                        // guarded by mu; nil: none
@@ -74,11 +78,72 @@
 }
 
 // NewClient gives a Client of instance self.
-func NewClient(self fleet.InstanceID, snapshot func() *catalog.Snapshot, log hclog.Logger) *Client {
-	return &Client{
-		self: self, snapshot: snapshot, log: log.Named("placement"), hub: newHub(snapshot, log), local: NewLocal(snapshot),
+func NewClient(self fleet.InstanceID, f *watch.Follower, log hclog.Logger) *Client {
+	c := &Client{
+		self: self, follower: f, snapshot: f.Snapshot, log: log.Named("placement"), hub: newHub(f, log), local: NewLocal(f.Snapshot),
 		waiting: map[fleet.RequestID]*waiting{}, running: map[fleet.RequestID]*dispatched{},
-		rests: map[fleet.InstanceID]rest{},
+		rests: map[fleet.InstanceID]rest{}, news: newOutbox[news](),
+	}
+	f.SetRank(c.rank)
+	f.SetChanged(c.stateChanged)
+	return c
+}
+
+// rank is the instance's place among those that read the store: behind those that come before it as
+// dispatchers and are not known to be out of reach.
+func (c *Client) rank() int {
+	members := c.candidates()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now, rank := time.Now(), 0
+	for _, m := range members {
+		if m.ID == c.self {
+			return rank
+		}
+		if !now.Before(c.rests[m.ID].until) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// news is what is new of the copies of the store: a change, or how new they are.
+type news struct {
+	change *watch.Change
+	own    bool // the change was read from the store here
+	proofs []watch.Proof
+}
+
+// stateChanged queues a change of the copies. It is called under the Follower's lock, which orders changes
+// and proofs; sending needs other locks.
+func (c *Client) stateChanged(ch watch.Change, own bool) { c.news.put(news{change: &ch, own: own}) }
+
+// beat queues how new the copies are.
+func (c *Client) beat() { c.news.put(news{proofs: c.follower.Proofs()}) }
+
+// tellNews sends what is new: as the dispatcher to all, and what was read here also to the dispatcher.
+func (c *Client) tellNews(ctx context.Context) {
+	for items := c.news.take(ctx); items != nil; items = c.news.take(ctx) {
+		for _, n := range items {
+			c.tellOne(n)
+		}
+	}
+}
+
+func (c *Client) tellOne(n news) {
+	if n.change == nil {
+		proofs := proofMessages(n.proofs)
+		c.hub.spread(func() *pb.ToEntry { return &pb.ToEntry{Proofs: proofs} })
+		return
+	}
+	m, err := changeMessage(*n.change)
+	if err != nil {
+		c.log.Error("state can't be sent", "error", err)
+		return
+	}
+	c.hub.spread(func() *pb.ToEntry { return &pb.ToEntry{Changes: []*pb.Change{m}} })
+	if n.own {
+		c.tell(&pb.FromEntry{Changes: []*pb.Change{m}})
 	}
 }
 
@@ -95,7 +160,8 @@
 // Run keeps a session with the dispatcher until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	var all sync.WaitGroup
-	all.Go(func() { c.hub.run(ctx) })
+	all.Go(func() { c.hub.run(ctx, c.beat) })
+	all.Go(func() { c.tellNews(ctx) })
 	for ctx.Err() == nil {
 		c.follow(ctx)
 		c.mu.Lock()
@@ -115,19 +181,38 @@
 	all.Wait()
 }
 
-// candidates gives the members in the order in which they are dispatchers.
+// strong is the part of the strongest member's power from which a member counts as strong.
+const strong = 0.7
+
+// power is what an instance can bear as a dispatcher: its processor, or its link where that is narrow. A
+// dispatcher sends each instance a few KB a second; 200 Mbit/s bear as much as a core does.
+func power(m *catalog.Member) float64 {
+	if m.LinkMbps <= 0 {
+		return m.CPUShare
+	}
+	return min(m.CPUShare, m.LinkMbps/200)
+}
+
+// candidates gives the members in the order in which they are dispatchers: the strong ones first, each group
+// by rendezvous hashing. All that know the same members agree on it.
 func (c *Client) candidates() []*catalog.Member {
 	members := slices.Clone(c.snapshot().Members)
-	slices.SortFunc(members, func(a, b *catalog.Member) int {
-		sa, sb := rendezvous.Score(rendezvousKey, string(a.ID)), rendezvous.Score(rendezvousKey, string(b.ID))
-		switch {
-		case sa > sb:
-			return -1
-		case sa < sb:
+	most := 0.0
+	for _, m := range members {
+		most = max(most, power(m))
+	}
+	weak := func(m *catalog.Member) int {
+		if power(m) < strong*most {
 			return 1
-		default:
-			return strings.Compare(string(a.ID), string(b.ID))
 		}
+		return 0
+	}
+	slices.SortFunc(members, func(a, b *catalog.Member) int {
+		return cmp.Or(
+			cmp.Compare(weak(a), weak(b)),
+			cmp.Compare(rendezvous.Score(rendezvousKey, string(b.ID)), rendezvous.Score(rendezvousKey, string(a.ID))),
+			strings.Compare(string(a.ID), string(b.ID)),
+		)
 	})
 	return members
 }
@@ -188,10 +273,11 @@
 
 // first is the first message of a session: all work under way, and all that waits.
 func (c *Client) first() *pb.FromEntry {
+	proofs := c.follower.Proofs()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	m := &pb.FromEntry{Entry: string(c.self)}
+	m := &pb.FromEntry{Entry: string(c.self), Proofs: proofMessages(proofs)}
 	for _, r := range c.running {
 		m.Running = append(m.Running, &pb.Running{
 			Ask: message(&r.ask, r.asked, now), Upstream: string(r.upstream.ID), Helpers: names(r.helpers), Writing: r.writing,
@@ -249,6 +335,9 @@
 
 // got takes a message of the dispatcher.
 func (c *Client) got(m *pb.ToEntry) {
+	if len(m.Changes)+len(m.Proofs) > 0 {
+		c.gotState(m)
+	}
 	for _, p := range m.Places {
 		c.settle(fleet.RequestID(p.Id), reply{place: p})
 	}
@@ -257,6 +346,24 @@
 	}
 }
 
+// gotState takes the dispatcher's copies of the store, and asks for what is missing.
+func (c *Client) gotState(m *pb.ToEntry) {
+	needed, err := takeState(c.follower, m.Changes, m.Proofs)
+	if err != nil {
+		c.log.Error("state of the dispatcher can't be read", "error", err)
+	}
+	if len(needed) == 0 {
+		return
+	}
+	var lacks []*pb.Proof
+	for _, p := range proofMessages(c.follower.Proofs()) {
+		if slices.Contains(needed, p.Kind) {
+			lacks = append(lacks, p)
+		}
+	}
+	c.tell(&pb.FromEntry{Proofs: lacks})
+}
+
 // settle hands a reply to the request that waits for it. A place that nobody waits for is given back.
 func (c *Client) settle(id fleet.RequestID, r reply) {
 	c.mu.Lock()
@@ -372,3 +479,13 @@
 	g.c.mu.Unlock()
 	g.c.tell(&pb.FromEntry{Ended: []*pb.Ended{{Id: string(g.ask.ID), Failed: o == gateway.Failed}}})
 }
+
+// Dispatcher is the instance whose session this one has now; empty: none.
+func (c *Client) Dispatcher() fleet.InstanceID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.session == nil {
+		return ""
+	}
+	return c.session.with
+}
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -13,6 +13,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
 	"github.com/damaskshelf/damaskshelf/internal/wait"
+	"github.com/damaskshelf/damaskshelf/internal/watch"
 )
 
 const (
@@ -30,6 +31,7 @@
 
 // hub is the dispatcher's side: it holds a dispatch.State for each service, for all attached instances.
 type hub struct {
+	follower *watch.Follower
 	snapshot func() *catalog.Snapshot
 	log      hclog.Logger
 	start    time.Time
@@ -41,9 +43,9 @@
 	opened   decide.Instant                          // guarded by mu: when the first instance attached
 }
 
-func newHub(snapshot func() *catalog.Snapshot, log hclog.Logger) *hub {
+func newHub(f *watch.Follower, log hclog.Logger) *hub {
 	return &hub{
-		snapshot: snapshot, log: log.Named("dispatcher"), start: time.Now(),
+		follower: f, snapshot: f.Snapshot, log: log.Named("dispatcher"), start: time.Now(),
 		services: map[catalog.ServiceName]*dispatch.State{}, entries: map[fleet.InstanceID]sink{},
 	}
 }
@@ -63,6 +65,7 @@
 	for _, st := range h.services {
 		st.Forget(entry)
 	}
+	h.catchUp(s, first.Proofs)
 	h.refresh(now)
 	for _, r := range first.Running {
 		h.of(r.Ask.Service).Adopt(now, job(r.Ask, entry, now), fleet.UpstreamID(r.Upstream), upstreamIDs(r.Helpers), r.Writing)
@@ -93,10 +96,46 @@
 		return
 	}
 	now := h.now()
+	h.catchUp(s, m.Proofs)
 	h.refresh(now)
 	h.take(now, entry, m)
 }
 
+// catchUp sends an instance what it lacks of the copies here.
+func (h *hub) catchUp(s sink, theirs []*pb.Proof) {
+	if len(theirs) == 0 {
+		return
+	}
+	changes, err := newer(h.follower, theirs)
+	if err != nil {
+		h.log.Error("state can't be sent", "error", err)
+	}
+	if len(changes) > 0 {
+		s.send(&pb.ToEntry{Changes: changes})
+	}
+}
+
+// spread sends every attached instance the same.
+func (h *hub) spread(m func() *pb.ToEntry) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range h.entries {
+		s.send(m())
+	}
+}
+
+// hear takes what an instance that reads the store has seen. It is called without mu: the copies' lock is
+// taken first when a change of them is spread.
+func (h *hub) hear(m *pb.FromEntry) {
+	if len(m.Changes) == 0 {
+		return
+	}
+	// What is missing here is read from the store or comes with the next change.
+	if _, err := takeState(h.follower, m.Changes, nil); err != nil {
+		h.log.Error("state of another instance can't be read", "error", err)
+	}
+}
+
 // take carries a message out; mu is held.
 func (h *hub) take(now decide.Instant, entry fleet.InstanceID, m *pb.FromEntry) {
 	for _, id := range m.Began {
@@ -206,21 +245,20 @@
 	})
 }
 
-// run looks at waiting jobs and beats until ctx ends.
-func (h *hub) run(ctx context.Context) {
+// run looks at waiting jobs, and has beats sent, until ctx ends.
+func (h *hub) run(ctx context.Context, beats func()) {
 	lastBeat := time.Now()
 	for wait.For(ctx, h.pause()) {
 		h.mu.Lock()
 		now := h.now()
 		h.refresh(now)
 		h.step(now)
-		if time.Since(lastBeat) >= beat {
+		attached := len(h.entries)
+		h.mu.Unlock()
+		if attached > 0 && time.Since(lastBeat) >= beat {
 			lastBeat = time.Now()
-			for _, s := range h.entries {
-				s.send(&pb.ToEntry{})
-			}
+			beats()
 		}
-		h.mu.Unlock()
 	}
 }
 
--- a/internal/placement/session.go
+++ b/internal/placement/session.go
@@ -72,9 +72,18 @@
 type service struct{ hub *hub }
 
 // remoteSink sends to an instance over its stream.
-type remoteSink struct{ out *outbox[*pb.ToEntry] }
+type remoteSink struct {
+	out *outbox[*pb.ToEntry]
+	cut func()
+}
 
-func (s *remoteSink) send(m *pb.ToEntry) { s.out.put(m) }
+// send queues m. An instance that takes nothing any more is cut off: it must not believe that it is told
+// everything.
+func (s *remoteSink) send(m *pb.ToEntry) {
+	if !s.out.put(m) {
+		s.cut()
+	}
+}
 
 // Attach implements placementpb.DRPCPlacementServer.
 func (s service) Attach(stream pb.DRPCPlacement_AttachStream) error {
@@ -83,19 +92,20 @@
 		return err
 	}
 	entry := fleet.InstanceID(first.Entry)
-	to := &remoteSink{out: newOutbox[*pb.ToEntry]()}
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
+	to := &remoteSink{out: newOutbox[*pb.ToEntry](), cut: cancel}
 	go func() {
+		defer func() { _ = stream.Close() }()
 		for items := to.out.take(ctx); items != nil; items = to.out.take(ctx) {
 			if err := stream.Send(merge(items)); err != nil {
 				cancel()
-				_ = stream.Close()
 				return
 			}
 		}
 	}()
 	to.send(&pb.ToEntry{}) // shows the instance that it is attached
+	s.hub.hear(first)
 	s.hub.attach(entry, to, first)
 	defer s.hub.detach(entry, to)
 	defer to.out.close()
@@ -104,16 +114,24 @@
 		if err != nil {
 			return err
 		}
+		s.hub.hear(m)
 		s.hub.tell(entry, to, m)
 	}
 }
 
-// merge makes one message of several.
+// merge makes one message of several. Of a kind's whole copies the last one is enough.
 func merge(items []*pb.ToEntry) *pb.ToEntry {
-	all := items[0]
-	for _, m := range items[1:] {
+	if len(items) == 1 {
+		return items[0]
+	}
+	all := &pb.ToEntry{}
+	for _, m := range items {
 		all.Places = append(all.Places, m.Places...)
 		all.Refusals = append(all.Refusals, m.Refusals...)
+		all.Changes = append(all.Changes, m.Changes...)
+		if m.Proofs != nil {
+			all.Proofs = m.Proofs
+		}
 	}
 	return all
 }
@@ -187,6 +205,8 @@
 		all.Ended = append(all.Ended, m.Ended...)
 		all.Withdrawn = append(all.Withdrawn, m.Withdrawn...)
 		all.Asks = append(all.Asks, m.Asks...)
+		all.Changes = append(all.Changes, m.Changes...)
+		all.Proofs = append(all.Proofs, m.Proofs...)
 	}
 	return all
 }
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -94,7 +94,7 @@
 	}
 	n.self = catalog.Member{
 		ID: fleet.InstanceID(s.Instance), Addr: s.Routed.Listen.Peers, Incarnation: uint64(time.Now().UnixNano()),
-		Domain: fleet.DomainID(s.FailureDomain), CPUShare: s.Routed.CPUShare,
+		Domain: fleet.DomainID(s.FailureDomain), CPUShare: s.Routed.CPUShare, LinkMbps: s.Routed.LinkMbps,
 	}
 	n.work, n.stop = context.WithCancel(context.Background())
 	return n, nil
@@ -105,7 +105,7 @@
 }
 
 func newPlacer(s api.Settings, f *watch.Follower, log hclog.Logger) *placement.Client {
-	return placement.NewClient(fleet.InstanceID(s.Instance), f.Snapshot, log)
+	return placement.NewClient(fleet.InstanceID(s.Instance), f, log)
 }
 
 // writeStall ends callers that take nothing for so long; it is above the longest pause that a lossy link
@@ -209,3 +209,6 @@
 
 // Abort ends every request in flight with an explicit error.
 func (n *Node) Abort() { n.parts.Gateway.Abort() }
+
+// Dispatcher is the instance that gives places to this one's requests now; empty: none.
+func (n *Node) Dispatcher() string { return string(n.parts.Placer.Dispatcher()) }
--- a/internal/watch/mirror.go
+++ b/internal/watch/mirror.go
@@ -1,7 +1,6 @@
 package watch
 
 import (
-	"maps"
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
@@ -17,20 +16,39 @@
 	outage = time.Second
 )
 
+// Change is what became different of a kind's objects between two revisions of the store, or all of them.
+// It is not changed once it was made.
+type Change struct {
+	Kind    string
+	Whole   bool   // Objects are all there are
+	From    uint64 // revision of the change before it: it applies to a copy as of then or later
+	To      uint64
+	Objects []wire.Object
+	Deleted []string
+}
+
+func (c *Change) empty() bool { return !c.Whole && len(c.Objects) == 0 && len(c.Deleted) == 0 }
+
 // mirror is a copy of one kind's objects, as of a revision of the store. It is not safe for concurrent use.
 type mirror struct {
+	kind     string
 	objects  map[string]wire.Object
+	deleted  map[string]uint64 // revisions as of which objects were known to be gone
 	revision uint64
+	latest   uint64    // revision of the last change of the copy
 	known    bool      // a whole list was taken
 	proven   time.Time // the copy was the store's newest at this moment
 	failed   time.Time // first failed read since the last good one; zero: none
 	returned time.Time // when reads worked again after an outage
-	lapsing  map[string]bool
+	lapsing  map[string]uint64
 	grace    bool // whether vanished entries are kept for lapseGrace after an outage
 }
 
-func newMirror(grace bool) *mirror {
-	return &mirror{objects: map[string]wire.Object{}, lapsing: map[string]bool{}, grace: grace}
+func newMirror(kind string, grace bool) *mirror {
+	return &mirror{
+		kind: kind, grace: grace,
+		objects: map[string]wire.Object{}, deleted: map[string]uint64{}, lapsing: map[string]uint64{},
+	}
 }
 
 // fail notes a failed read.
@@ -46,75 +64,152 @@
 		m.returned = now
 	}
 	m.failed = time.Time{}
-	if began.After(m.proven) {
-		m.proven = began
+	m.prove(began)
+}
+
+// prove notes that the copy was the store's newest at a moment.
+func (m *mirror) prove(at time.Time) {
+	if at.After(m.proven) {
+		m.proven = at
 	}
 }
 
-// replace takes a whole list, and tells whether the copy changed. A list from before the copy's revision is
-// a stale read.
-func (m *mirror) replace(l wire.List, now time.Time) bool {
+// replace takes a whole list of the store, and gives what it changed. A list from before the copy's
+// revision is a stale read and changes nothing.
+func (m *mirror) replace(l wire.List, now time.Time) Change {
+	c := Change{Kind: m.kind, From: m.latest, To: l.Version}
 	if m.known && l.Version < m.revision {
-		return false
+		c.To = m.revision
+		return c
 	}
-	changed := !m.known
 	listed := make(map[string]bool, len(l.Objects))
 	for _, o := range l.Objects {
 		listed[o.Name] = true
-		changed = m.set(o) || changed
+		m.set(&c, o)
 	}
-	for name := range maps.Clone(m.objects) {
+	for name := range m.objects {
 		if !listed[name] {
-			changed = m.remove(name, now) || changed
+			m.vanished(&c, name, l.Version, now)
 		}
 	}
-	m.known, m.revision = true, l.Version
-	return changed
+	m.revision = l.Version
+	return m.learned(c)
 }
 
-// apply takes the changes after the copy's revision, and tells whether the copy changed.
-func (m *mirror) apply(l wire.List, now time.Time) bool {
-	changed := false
+// follow takes what a watch of the store saw after the copy's revision, and gives what it changed.
+func (m *mirror) follow(l wire.List, now time.Time) Change {
+	c := Change{Kind: m.kind, From: m.latest, To: max(m.revision, l.Version)}
 	for _, o := range l.Objects {
-		changed = m.set(o) || changed
+		m.set(&c, o)
 	}
 	for _, name := range l.Deleted {
-		changed = m.remove(name, now) || changed
+		m.vanished(&c, name, l.Version, now)
+	}
+	m.revision = c.To
+	m.note(&c)
+	return c
+}
+
+// offer takes a change that another instance made to its copy, and gives what it changed here. ok is false
+// where changes before it are missing here.
+func (m *mirror) offer(in Change) (c Change, ok bool) {
+	c = Change{Kind: m.kind, From: m.latest, To: max(m.revision, in.To)}
+	if !in.Whole && (!m.known || m.revision < in.From) {
+		return c, false
+	}
+	listed := map[string]bool{}
+	for _, o := range in.Objects {
+		listed[o.Name] = true
+		m.set(&c, o)
+	}
+	for _, name := range in.Deleted {
+		m.remove(&c, name, in.To)
+	}
+	if in.Whole {
+		for name := range m.objects {
+			if !listed[name] {
+				m.remove(&c, name, in.To)
+			}
+		}
+		m.revision = c.To
+		return m.learned(c), true
 	}
-	m.revision = max(m.revision, l.Version)
-	return changed
+	m.revision = c.To
+	m.note(&c)
+	return c, true
 }
 
-func (m *mirror) set(o wire.Object) bool {
+// whole gives the copy as a change.
+func (m *mirror) whole() Change {
+	c := Change{Kind: m.kind, Whole: true, To: m.revision}
+	for _, o := range m.objects {
+		c.Objects = append(c.Objects, o)
+	}
+	return c
+}
+
+// learned ends a change by which the copy became whole. One that wasn't known before is passed on whole: the
+// change alone lacks what was already here.
+func (m *mirror) learned(c Change) Change {
+	if !m.known {
+		m.known = true
+		c = m.whole()
+	}
+	m.note(&c)
+	return c
+}
+
+// set takes an object unless it is older than what is known of its name. What two readers of the store see
+// reaches the copy in any order: the one that is behind must not bring back what the other saw go.
+func (m *mirror) set(c *Change, o wire.Object) {
+	if o.Version <= m.deleted[o.Name] {
+		return
+	}
 	delete(m.lapsing, o.Name)
 	if old, ok := m.objects[o.Name]; ok && old.Version >= o.Version {
-		return false
+		return
 	}
 	m.objects[o.Name] = o
-	return true
+	c.Objects = append(c.Objects, o)
 }
 
-func (m *mirror) remove(name string, now time.Time) bool {
-	if _, ok := m.objects[name]; !ok {
-		return false
-	}
+// vanished takes that the store no longer has the object as of a revision.
+func (m *mirror) vanished(c *Change, name string, revision uint64, now time.Time) {
 	if m.grace && now.Sub(m.returned) < lapseGrace {
-		m.lapsing[name] = true
-		return false
+		m.lapsing[name] = revision
+		return
+	}
+	m.remove(c, name, revision)
+}
+
+func (m *mirror) remove(c *Change, name string, revision uint64) {
+	o, ok := m.objects[name]
+	if !ok || o.Version > revision {
+		return
 	}
+	m.deleted[name] = max(m.deleted[name], revision)
 	delete(m.objects, name)
 	delete(m.lapsing, name)
-	return true
+	c.Deleted = append(c.Deleted, name)
 }
 
-// expire drops the entries whose grace is over, and tells whether there were any.
-func (m *mirror) expire(now time.Time) bool {
+// expire drops the entries whose grace is over.
+func (m *mirror) expire(now time.Time) Change {
+	c := Change{Kind: m.kind, From: m.latest, To: m.revision}
 	if len(m.lapsing) == 0 || now.Sub(m.returned) < lapseGrace {
-		return false
+		return c
 	}
-	for name := range m.lapsing {
-		delete(m.objects, name)
+	for name, revision := range m.lapsing {
+		m.remove(&c, name, revision)
 	}
 	clear(m.lapsing)
-	return true
+	m.note(&c)
+	return c
+}
+
+// note remembers when the copy last changed.
+func (m *mirror) note(c *Change) {
+	if !c.empty() {
+		m.latest = c.To
+	}
 }
--- /dev/null
+++ b/internal/watch/mirror_test.go
@@ -0,0 +1,106 @@
+package watch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
+)
+
+func object(name string, version uint64) wire.Object {
+	return wire.Object{Kind: "k", Name: name, Version: version, Value: []byte("{}")}
+}
+
+func list(version uint64, all ...wire.Object) wire.List {
+	return wire.List{Version: version, Objects: all}
+}
+
+// Instances vanish from each other's view right after the start, and dispatchers stand side by side. One
+// instance lists the kind, forgets that it knows it, and lists it again; the second list brings one new
+// object. The change that it passes on is marked as all there is, yet holds only the new object, and the
+// others drop the rest.
+func TestASecondFirstListIsPassedOnWhole(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	m := newMirror("k", false)
+	m.replace(list(5, object("a", 3)), now)
+	m.known = false
+	c := m.replace(list(7, object("a", 3), object("b", 6)), now)
+	is.True(c.Whole)
+	is.Equal(len(c.Objects), 2)
+	other := newMirror("k", false)
+	other.replace(list(5, object("a", 3)), now)
+	_, ok := other.offer(c)
+	is.True(ok)
+	is.Equal(len(other.objects), 2)
+}
+
+// An upstream that left gets new work again. Two instances read the store; the one that is ahead tells that
+// the entry is gone, and then the one that is behind tells an earlier change of the same entry.
+func TestAnEarlierChangeBringsNothingBack(t *testing.T) {
+	is := is.New(t)
+	m := newMirror("k", false)
+	m.replace(list(5, object("a", 3)), time.Now())
+	_, ok := m.offer(Change{Kind: "k", From: 5, To: 9, Deleted: []string{"a"}})
+	is.True(ok)
+	m.follow(list(8, object("a", 8)), time.Now())
+	is.Equal(len(m.objects), 0)
+	m.follow(list(12, object("a", 11)), time.Now()) // it is back
+	is.Equal(len(m.objects), 1)
+}
+
+// A change whose predecessor is missing is not taken: the copy would look whole and lack something.
+func TestAGapIsNoticed(t *testing.T) {
+	is := is.New(t)
+	m := newMirror("k", false)
+	m.replace(list(5, object("a", 3)), time.Now())
+	_, ok := m.offer(Change{Kind: "k", From: 8, To: 9, Objects: []wire.Object{object("c", 9)}})
+	is.True(!ok)
+	is.Equal(len(m.objects), 1)
+	is.Equal(m.revision, uint64(5))
+}
+
+// All upstreams seem gone when the store comes back after an outage, and requests are refused for two
+// seconds. The upstreams could not renew their entries while the store was away, so the entries lapsed;
+// living upstreams are back within two seconds.
+func TestLapsedEntriesAreKeptForTheGrace(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	m := newMirror("k", true)
+	m.replace(list(5, object("a", 3), object("b", 4)), start)
+	m.fail(start)
+	back := start.Add(3 * time.Second)
+	m.succeed(back, back)
+	c := m.replace(list(9), back)
+	is.Equal(len(c.Deleted), 0)
+	is.Equal(len(m.objects), 2)
+	m.follow(list(10, object("b", 10)), back.Add(time.Second)) // b is back
+	is.Equal(len(m.expire(back.Add(lapseGrace-time.Millisecond)).Deleted), 0)
+	c = m.expire(back.Add(lapseGrace))
+	is.Equal(c.Deleted, []string{"a"})
+	is.Equal(len(m.objects), 1)
+}
+
+// An upstream whose entry goes while the store is sound is gone at once: there is no outage to blame.
+func TestAnEntryThatGoesInQuietTimesIsGone(t *testing.T) {
+	is := is.New(t)
+	m := newMirror("k", true)
+	now := time.Now()
+	m.replace(list(5, object("a", 3)), now)
+	m.fail(now)
+	m.succeed(now, now.Add(outage/2)) // one lost call is no outage
+	c := m.follow(wire.List{Version: 6, Deleted: []string{"a"}}, now.Add(time.Second))
+	is.Equal(c.Deleted, []string{"a"})
+}
+
+// A list that is older than the copy is a stale read: it must not take newer objects away.
+func TestAStaleListChangesNothing(t *testing.T) {
+	is := is.New(t)
+	m := newMirror("k", false)
+	m.replace(list(9, object("a", 9)), time.Now())
+	c := m.replace(list(7), time.Now())
+	is.True(c.empty())
+	is.Equal(len(m.objects), 1)
+}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -5,10 +5,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,14 +39,16 @@
 
 const (
 	// configWait is the wait of a watch for configurations. A watch that waits is no proof that nothing has
-	// changed: one that hears nothing while the store drops its history answers only at its end. The wait is
-	// half of the shortest time that users give a configuration to be in force.
-	configWait = time.Second
+	// changed: one that hears nothing while the store drops its history answers only at its end. With the
+	// time for a lost answer it stays under the shortest time that users give a configuration to be in force.
+	configWait = 800 * time.Millisecond
 	// fleetWait is the wait of the other watches, whose bounds are longer.
 	fleetWait = 2 * time.Second
+	// answerTime is how long a slow answer of the store is on its way.
+	answerTime = 20 * time.Millisecond
 	// firstPause and longestPause bound the pause after a failed read, which doubles.
 	firstPause   = 50 * time.Millisecond
-	longestPause = 400 * time.Millisecond
+	longestPause = 800 * time.Millisecond
 	// expiry is how often lapsed entries are looked for.
 	expiry = 100 * time.Millisecond
 )
@@ -60,13 +59,18 @@
 	Kinds   Kinds
 	Decoder Decoder
 	Log     hclog.Logger
-	Changed func(*catalog.Snapshot) // called in order after each publication; may be nil
+	// Rank is the instance's place among those that read the store; see reading. nil: it always reads.
+	Rank func() int
+	// Changed is called in order, under the Follower's lock, with each change of its copies; own tells that it
+	// was read from the store here. It may be nil.
+	Changed func(c Change, own bool)
 }
 
-// Follower follows the store.
+// Follower follows the store, by reading it or by what other instances that read it tell.
 type Follower struct {
 	deps     Deps
 	log      hclog.Logger
+	started  time.Time
 	snapshot atomic.Pointer[catalog.Snapshot]
 
 	mu        sync.Mutex
@@ -77,25 +81,34 @@
 	members   map[fleet.InstanceID]*catalog.Member   // guarded by mu
 	spoiled   map[string]uint64                      // guarded by mu: revision of entries that can't be read
 	left      map[fleet.UpstreamID]*catalog.Upstream // guarded by mu: upstreams that said themselves that they leave
+	failing   map[string]time.Time                   // guarded by mu: kinds that the readers can't read, since when
 }
 
 // New gives a Follower that knows nothing yet.
 func New(d Deps) *Follower {
+	k := d.Kinds
 	f := &Follower{
-		deps: d, log: d.Log.Named("watch"),
+		deps: d, log: d.Log.Named("watch"), started: time.Now(),
 		mirrors: map[string]*mirror{
-			d.Kinds.Config: newMirror(false), d.Kinds.Upstreams: newMirror(true),
-			d.Kinds.Out: newMirror(false), KindMembers: newMirror(false),
+			k.Config: newMirror(k.Config, false), k.Upstreams: newMirror(k.Upstreams, true),
+			k.Out: newMirror(k.Out, false), KindMembers: newMirror(KindMembers, false),
 		},
 		upstreams: map[fleet.UpstreamID]*catalog.Upstream{},
 		members:   map[fleet.InstanceID]*catalog.Member{},
 		spoiled:   map[string]uint64{},
 		left:      map[fleet.UpstreamID]*catalog.Upstream{},
+		failing:   map[string]time.Time{},
 	}
 	f.snapshot.Store(catalog.NewSnapshot(nil, nil, nil, nil, 0))
 	return f
 }
 
+// SetRank replaces Deps.Rank and SetChanged Deps.Changed, before Run.
+func (f *Follower) SetRank(rank func() int) { f.deps.Rank = rank }
+
+// SetChanged replaces Deps.Changed, before Run.
+func (f *Follower) SetChanged(changed func(c Change, own bool)) { f.deps.Changed = changed }
+
 // Snapshot gives what is known now; never nil.
 func (f *Follower) Snapshot() *catalog.Snapshot { return f.snapshot.Load() }
 
@@ -112,8 +125,15 @@
 func (f *Follower) follow(ctx context.Context, kind string) {
 	pause := time.Duration(0)
 	for wait.For(ctx, pause) {
+		if !f.reading(kind, time.Now()) {
+			pause = lookEvery
+			continue
+		}
 		err := f.read(ctx, kind)
 		switch {
+		case err == nil && kind == KindMembers && time.Since(f.started) < startTime:
+			f.forget(kind) // more may have joined since: listing costs no more than watching
+			pause = startEvery
 		case err == nil:
 			pause = 0
 		case errors.Is(err, objects.ErrTooOld):
@@ -159,24 +179,39 @@
 	if !m.failed.IsZero() {
 		f.log.Info("store regained", "kind", kind, "away", now.Sub(m.failed).Round(time.Millisecond))
 	}
+	delete(f.failing, kind)
+	if !whole {
+		// A watch's answer is as of its return, also when it saw nothing.
+		began = now.Add(-answerTime)
+	}
 	m.succeed(began, now)
-	changed := false
 	if whole {
-		changed = m.replace(l, now)
+		f.changed(m.replace(l, now), true, now)
 	} else {
-		changed = m.apply(l, now)
-	}
-	if changed {
-		f.publish(now)
+		f.changed(m.follow(l, now), true, now)
 	}
 	return nil
 }
 
+// changed passes a change of a copy on and publishes it; mu is held.
+func (f *Follower) changed(c Change, own bool, now time.Time) {
+	if c.empty() {
+		return
+	}
+	f.publish(now)
+	if f.deps.Changed != nil {
+		f.deps.Changed(c, own)
+	}
+}
+
 func (f *Follower) lost(kind string, m *mirror, now time.Time, err error) {
 	if m.failed.IsZero() {
 		f.log.Warn("store lost: the last known state stays in force", "kind", kind, "revision", m.revision, "error", err)
 	}
 	m.fail(now)
+	if f.failing[kind].IsZero() {
+		f.failing[kind] = now
+	}
 }
 
 // forget makes the next read of the kind a list.
@@ -190,9 +225,7 @@
 	for wait.For(ctx, expiry) {
 		now := time.Now()
 		f.mu.Lock()
-		if f.mirrors[f.deps.Kinds.Upstreams].expire(now) {
-			f.publish(now)
-		}
+		f.changed(f.mirrors[f.deps.Kinds.Upstreams].expire(now), true, now)
 		f.mu.Unlock()
 	}
 }
@@ -222,9 +255,6 @@
 	f.logOut(out)
 	s := catalog.NewSnapshot(f.config, upstreams, out, f.readMembers(), f.mirrors[k.Upstreams].revision)
 	f.snapshot.Store(s)
-	if f.deps.Changed != nil {
-		f.deps.Changed(s)
-	}
 }
 
 // readConfig puts a newer configuration in force. A lower version is a stale read; it never replaces one
@@ -317,32 +347,6 @@
 	}
 }
 
-// memberMessage is the value of an instance's object.
-type memberMessage struct {
-	Addr        string  `json:"peer_addr"`
-	Incarnation uint64  `json:"incarnation"`
-	Domain      string  `json:"failure_domain"`
-	CPUShare    float64 `json:"cpu_share"`
-}
-
-func decodeMember(o wire.Object) (*catalog.Member, error) {
-	var m memberMessage
-	if err := json.Unmarshal(o.Value, &m); err != nil {
-		return nil, fmt.Errorf("instance %q at revision %d: %w", o.Name, o.Version, err)
-	}
-	if _, err := netip.ParseAddrPort(m.Addr); err != nil {
-		return nil, fmt.Errorf("instance %q at revision %d: peer_addr %q is no IP and port", o.Name, o.Version, m.Addr)
-	}
-	return &catalog.Member{
-		ID: fleet.InstanceID(o.Name), Addr: m.Addr, Incarnation: m.Incarnation,
-		Domain: fleet.DomainID(m.Domain), CPUShare: m.CPUShare, Revision: o.Version,
-	}, nil
-}
-
-func encodeMember(m *catalog.Member) ([]byte, error) {
-	return json.Marshal(memberMessage{Addr: m.Addr, Incarnation: m.Incarnation, Domain: string(m.Domain), CPUShare: m.CPUShare})
-}
-
 func (f *Follower) readMembers() []*catalog.Member {
 	entries := f.mirrors[KindMembers].objects
 	all := make([]*catalog.Member, 0, len(entries))
