Blame what is at fault, keep apart what can't reach each other, be ready sooner after a total stop

Change: connection attempts end after 300 ms and are told to the dispatcher, which keeps an entry's domain from upstreams that it can't reach, and mixes no domains in one prompt that are cut apart; the answer's word on who is at fault is used; an upstream that says it is full is left alone for 150 ms; the first two of known instances read at once. Ruled out: the restart itself (instances start within 0.2 s of power).

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 type Job struct {
 	ID        fleet.RequestID
 	Entry     fleet.InstanceID // the instance that serves its caller
+	From      fleet.DomainID   // the entry's failure domain
 	Workspace fleet.WorkspaceID
 	Subject   string
 	Priority  int
@@ -29,10 +30,10 @@
 
 // Upstream is an upstream that may get work.
 type Upstream struct {
-	ID    fleet.UpstreamID
-	Addr  string
-	Slots int
-	Born  int64
+	ID     fleet.UpstreamID
+	Domain fleet.DomainID
+	Slots  int
+	Born   int64
 	// ColdUntil is when its cold start ends; before now: it is warm.
 	ColdUntil decide.Instant
 }
@@ -104,6 +105,9 @@
 	starts  []decide.Instant         // of the last second, while cold
 	failed  decide.Instant           // last failure
 	fails   int                      // in a row
+	full    decide.Instant           // until then it is taken to have no room: it said so
+	// unreached holds when an instance of a failure domain last could not connect to it.
+	unreached map[fleet.DomainID]decide.Instant
 }
 
 // State is the dispatcher's knowledge of one service. It is not safe for concurrent use.
@@ -114,6 +118,10 @@
 	order   []*engine // by id, so that decisions repeat
 	queue   []*Job
 	runs    map[fleet.RequestID]*run
+
+	// Of the survey at the beginning of a step.
+	cuts     map[link]int
+	meanPass float64 // ms
 }
 
 // New gives a State without upstreams. model is nil for a plain service.
@@ -134,7 +142,10 @@
 		listed[u.ID] = true
 		e := s.engines[u.ID]
 		if e == nil || e.Born != u.Born {
-			e = &engine{runs: map[fleet.RequestID]*run{}, parts: map[fleet.RequestID]*run{}}
+			e = &engine{
+				runs: map[fleet.RequestID]*run{}, parts: map[fleet.RequestID]*run{},
+				unreached: map[fleet.DomainID]decide.Instant{},
+			}
 			s.engines[u.ID] = e
 		}
 		e.Upstream, e.gone = u, false
@@ -178,21 +189,52 @@
 	s.readDone(r)
 	r.writing = true
 	r.on.fails = 0
+	delete(r.on.unreached, r.job.From)
+	for _, h := range r.helpers {
+		h.fails = 0
+	}
 }
 
-// Done ends a run. failed tells that its upstream failed it.
-func (s *State) Done(now decide.Instant, id fleet.RequestID, failed bool) {
+// End is how a run ended.
+type End uint8
+
+// The ends of a run.
+const (
+	Whole       End = iota // answered, or its caller left
+	Failed                 // its upstream failed it
+	Unreachable            // its instance could not connect to the upstream
+	Full                   // its upstream said that it has no room
+)
+
+// Done ends a run. atFault is the upstream to blame where it isn't the one that the run was on.
+func (s *State) Done(now decide.Instant, id fleet.RequestID, how End, atFault fleet.UpstreamID) {
 	r := s.runs[id]
 	if r == nil {
 		return
 	}
-	if failed {
-		r.on.failed = now
-		r.on.fails++
+	blamed := r.on
+	if e := s.engines[atFault]; e != nil {
+		blamed = e
+	}
+	switch how {
+	case Failed:
+		blamed.fail(now)
+	case Full:
+		blamed.full = now.Add(fullPause)
+	case Unreachable:
+		blamed.unreached[r.job.From] = now
+		if len(blamed.unreached) > 1 {
+			blamed.fail(now) // not the way to it: it can't be reached from anywhere
+		}
 	}
 	s.release(r)
 }
 
+func (e *engine) fail(now decide.Instant) {
+	e.failed = now
+	e.fails++
+}
+
 // Adopt takes a run that another dispatcher, or the instance by itself, placed.
 func (s *State) Adopt(now decide.Instant, j *Job, on fleet.UpstreamID, helpers []fleet.UpstreamID, writing bool) {
 	s.Withdraw(j.ID)
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
 )
 
 const (
@@ -14,6 +15,18 @@
 	// a row, up to maxFailPause.
 	failPause    = 200 * time.Millisecond
 	maxFailPause = 3 * time.Second
+	// fullPause is how long an upstream that said that it has no room is left alone: other work than what is
+	// known here is on it, and a pass or two of it go by.
+	fullPause = 150 * time.Millisecond
+	// unreachedTime is how long an upstream that could not be connected to is not given to instances of the
+	// same failure domain. Then one request tries it again, and loses the time of a connection attempt.
+	unreachedTime = 2 * time.Second
+	// cutFrom is how many upstreams of a failure domain must be out of another domain's reach for the link
+	// between the two to be taken as cut.
+	cutFrom = 2
+	// passesToFirst is how many passes a request on a busy engine waits for its first event: the one under
+	// way, half of it on average, and its own.
+	passesToFirst = 1.5
 	// leastRetryAfter and mostRetryAfter bound when a refused caller is told to come back.
 	leastRetryAfter = 200 * time.Millisecond
 	mostRetryAfter  = 3 * time.Second
@@ -27,6 +40,7 @@
 	if len(s.queue) == 0 {
 		return nil
 	}
+	s.survey(now)
 	s.sort(now)
 	var out []Decision
 	waiting := s.queue[:0]
@@ -64,8 +78,42 @@
 	})
 }
 
+// survey looks at the upstreams once for a step: the mean pass of busy engines, and links that are cut.
+func (s *State) survey(now decide.Instant) {
+	s.cuts = map[link]int{}
+	total, busy := 0.0, 0
+	for _, e := range s.order {
+		for from, at := range e.unreached {
+			if now.Sub(at) < unreachedTime {
+				s.cuts[link{from, e.Domain}]++
+			} else {
+				delete(e.unreached, from)
+			}
+		}
+		if s.model != nil && len(e.runs) > 0 {
+			total += s.model.pass(len(e.runs), e.context)
+			busy++
+		}
+	}
+	s.meanPass = 0
+	if busy > 0 {
+		s.meanPass = total / float64(busy)
+	}
+}
+
+// link is the way from one failure domain to another.
+type link struct{ from, to fleet.DomainID }
+
+// reaches tells whether instances of a domain can connect to the upstream, as far as is known.
+func (s *State) reaches(from fleet.DomainID, e *engine) bool {
+	if _, unreached := e.unreached[from]; unreached {
+		return false
+	}
+	return s.cuts[link{from, e.Domain}] < cutFrom
+}
+
 func (s *State) late(now decide.Instant, j *Job) bool {
-	return j.Aim != 0 && now.Add(s.leastRead(j)) > j.Aim
+	return j.Aim != 0 && now.Add(s.leastRead(j)+fromMs(passesToFirst*s.meanPass)) > j.Aim
 }
 
 // leastRead is the shortest time in which the prompt can be read.
@@ -148,7 +196,7 @@
 // takes tells whether the upstream may get the job now, its reading aside.
 func (s *State) takes(now decide.Instant, e *engine, j *Job) bool {
 	return !e.gone && len(e.runs) < e.slots(s.model) && !slices.Contains(j.Avoid, e.ID) &&
-		!e.paused(now) && s.warmEnough(now, e)
+		!e.paused(now) && now >= e.full && s.warmEnough(now, e) && s.reaches(j.From, e)
 }
 
 func (e *engine) slots(m *Model) int {
@@ -261,7 +309,7 @@
 		return Decision{}, false
 	}
 	first := with[primary]
-	with = slices.Delete(with, primary, primary+1)
+	with = slices.DeleteFunc(with, func(e *engine) bool { return e == first || !s.reaches(first.Domain, e) })
 	helpers, soonest := s.helpers(first, with, read, j.MaxGap)
 	if math.IsInf(soonest, 1) {
 		return Decision{}, false
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,7 +87,8 @@
 	Reason() string
 	// Began tells that the answer, or its first event, came.
 	Began()
-	Done(Outcome)
+	// Done ends the place. atFault is the upstream to blame where it isn't this one.
+	Done(o Outcome, atFault fleet.UpstreamID)
 }
 
 // Outcome is how a grant's use ended.
@@ -95,16 +96,17 @@
 
 // The outcomes.
 const (
-	Served   Outcome = iota // answered whole
-	Unsent                  // nothing was sent
-	Rejected                // the upstream said that it did not run it
-	Failed                  // an error answer, a cut or silence
-	Left                    // the caller went away or the time ran out
+	Served      Outcome = iota // answered whole
+	Unsent                     // nothing was sent, and the upstream is not to blame
+	Unreachable                // no connection to the upstream
+	Rejected                   // the upstream said that it did not run it
+	Failed                     // an error answer, a cut or silence
+	Left                       // the caller went away or the time ran out
 )
 
 // String gives the outcome as it stands in log lines.
 func (o Outcome) String() string {
-	return [...]string{"served", "unsent", "rejected", "failed", "left"}[o]
+	return [...]string{"served", "unsent", "unreachable", "rejected", "failed", "left"}[o]
 }
 
 // Placer gives places. Place blocks while the request waits; it gives a *fault.Error with "not run" and a
--- a/internal/gateway/life.go
+++ b/internal/gateway/life.go
@@ -59,7 +59,8 @@
 	outcome Outcome
 	ran     fault.Run
 	cause   error
-	status  int // of a sealed error answer that may be passed on; 0: none
+	status  int              // of a sealed error answer that may be passed on; 0: none
+	atFault fleet.UpstreamID // where it isn't the upstream that was sent to
 }
 
 // dispatch finds an upstream that answers, and leaves its exchange in l.x with the head read. The fault is
@@ -72,7 +73,7 @@
 		}
 		l.grant = grant
 		if reason := l.unusable(grant.Upstream()); reason != "" {
-			grant.Done(Unsent)
+			grant.Done(Unsent, "")
 			if bounces++; bounces > maxBounces || l.ctx.Err() != nil {
 				return l.refusal(fault.NoUpstream, "place is not usable: %s", reason)
 			}
@@ -143,7 +144,7 @@
 func (l *life) send(lastEvent string) *failure {
 	u := l.grant.Upstream()
 	if l.arrivals > 0 && !l.g.deps.Budget.Allow(l.r.service) {
-		l.grant.Done(Unsent)
+		l.grant.Done(Unsent, "")
 		return &failure{outcome: Unsent, ran: fault.RunNo, cause: errBudget}
 	}
 	head := &fasthttp.RequestHeader{}
@@ -172,7 +173,7 @@
 	var ce *upstream.CallError
 	f := &failure{outcome: Failed, ran: fault.RunUnknown, cause: err}
 	if errors.As(err, &ce) && !ce.Sent {
-		f.ran = fault.RunNo
+		f.ran, f.outcome = fault.RunNo, Unreachable
 	} else {
 		l.attempts++
 		l.arrivals++
@@ -191,7 +192,11 @@
 	case l.answer.NotRun:
 		// The upstream said that it did not run the request: another one may.
 		l.attempts--
-		f := &failure{outcome: Rejected, ran: fault.RunNo, cause: fmt.Errorf("upstream said not run: status %d", status)}
+		f := &failure{outcome: Rejected, ran: fault.RunNo, cause: fmt.Errorf("upstream said not run: status %d", status),
+			atFault: l.answer.AtFault}
+		if l.answer.AtFault != "" {
+			f.outcome = Failed // not for want of room: the named one could not do its part
+		}
 		l.tellLeaving()
 		l.drop(f)
 		return f
@@ -229,7 +234,7 @@
 
 // end gives the grant back.
 func (l *life) end(f *failure) {
-	l.grant.Done(f.outcome)
+	l.grant.Done(f.outcome, f.atFault)
 	if f.ran != fault.RunNo {
 		l.ran = max(l.ran, f.ran)
 	}
@@ -352,7 +357,7 @@
 	if status >= 500 {
 		outcome = Failed
 	}
-	l.grant.Done(outcome)
+	l.grant.Done(outcome, "")
 	l.finished(reasonPassed, "status", status, "bytes", len(body))
 }
 
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -45,6 +45,7 @@
 // is checked where a request is sent.
 type Client struct {
 	self     fleet.InstanceID
+	domain   fleet.DomainID
 	follower *watch.Follower
 	snapshot func() *catalog.Snapshot
 	log      hclog.Logger
@@ -78,9 +79,9 @@
 }
 
 // NewClient gives a Client of instance self.
-func NewClient(self fleet.InstanceID, f *watch.Follower, log hclog.Logger) *Client {
+func NewClient(self fleet.InstanceID, domain fleet.DomainID, f *watch.Follower, log hclog.Logger) *Client {
 	c := &Client{
-		self: self, follower: f, snapshot: f.Snapshot, log: log.Named("placement"), hub: newHub(f, log), local: NewLocal(f.Snapshot),
+		self: self, domain: domain, follower: f, snapshot: f.Snapshot, log: log.Named("placement"), hub: newHub(f, log), local: NewLocal(f.Snapshot),
 		waiting: map[fleet.RequestID]*waiting{}, running: map[fleet.RequestID]*dispatched{},
 		rests: map[fleet.InstanceID]rest{}, news: newOutbox[news](),
 	}
@@ -277,7 +278,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	m := &pb.FromEntry{Entry: string(c.self), Proofs: proofMessages(proofs)}
+	m := &pb.FromEntry{Entry: string(c.self), Domain: string(c.domain), Proofs: proofMessages(proofs)}
 	for _, r := range c.running {
 		m.Running = append(m.Running, &pb.Running{
 			Ask: message(&r.ask, r.asked, now), Upstream: string(r.upstream.ID), Helpers: names(r.helpers), Writing: r.writing,
@@ -471,13 +472,17 @@
 	g.c.tell(&pb.FromEntry{Began: []string{string(g.ask.ID)}})
 }
 
-func (g *dispatched) Done(o gateway.Outcome) {
+func (g *dispatched) Done(o gateway.Outcome, atFault fleet.UpstreamID) {
 	g.c.mu.Lock()
 	if g.c.running[g.ask.ID] == g {
 		delete(g.c.running, g.ask.ID)
 	}
 	g.c.mu.Unlock()
-	g.c.tell(&pb.FromEntry{Ended: []*pb.Ended{{Id: string(g.ask.ID), Failed: o == gateway.Failed}}})
+	g.c.tell(&pb.FromEntry{Ended: []*pb.Ended{{Id: string(g.ask.ID), How: hows[o], AtFault: string(atFault)}}})
+}
+
+var hows = map[gateway.Outcome]pb.Ended_How{
+	gateway.Failed: pb.Ended_FAILED, gateway.Unreachable: pb.Ended_UNREACHABLE, gateway.Rejected: pb.Ended_FULL,
 }
 
 // Dispatcher is the instance whose session this one has now; empty: none.
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -39,6 +39,7 @@
 	mu       sync.Mutex
 	services map[catalog.ServiceName]*dispatch.State // guarded by mu
 	entries  map[fleet.InstanceID]sink               // guarded by mu
+	domains  map[fleet.InstanceID]fleet.DomainID     // guarded by mu: of the attached instances
 	seen     *catalog.Snapshot                       // guarded by mu: that the states go by
 	opened   decide.Instant                          // guarded by mu: when the first instance attached
 }
@@ -47,6 +48,7 @@
 	return &hub{
 		follower: f, snapshot: f.Snapshot, log: log.Named("dispatcher"), start: time.Now(),
 		services: map[catalog.ServiceName]*dispatch.State{}, entries: map[fleet.InstanceID]sink{},
+		domains: map[fleet.InstanceID]fleet.DomainID{},
 	}
 }
 
@@ -61,6 +63,7 @@
 		h.opened = now
 	}
 	h.entries[entry] = s
+	h.domains[entry] = fleet.DomainID(first.Domain)
 	h.log.Info("instance attached", "entry", entry, "attached", len(h.entries), "running", len(first.Running), "waiting", len(first.Asks))
 	for _, st := range h.services {
 		st.Forget(entry)
@@ -68,7 +71,7 @@
 	h.catchUp(s, first.Proofs)
 	h.refresh(now)
 	for _, r := range first.Running {
-		h.of(r.Ask.Service).Adopt(now, job(r.Ask, entry, now), fleet.UpstreamID(r.Upstream), upstreamIDs(r.Helpers), r.Writing)
+		h.of(r.Ask.Service).Adopt(now, h.job(r.Ask, entry, now), fleet.UpstreamID(r.Upstream), upstreamIDs(r.Helpers), r.Writing)
 	}
 	h.take(now, entry, first)
 }
@@ -81,6 +84,7 @@
 		return
 	}
 	delete(h.entries, entry)
+	delete(h.domains, entry)
 	h.log.Info("instance detached", "entry", entry, "attached", len(h.entries))
 	for _, st := range h.services {
 		st.Forget(entry)
@@ -142,17 +146,31 @@
 		h.each(func(st *dispatch.State) { st.Began(fleet.RequestID(id)) })
 	}
 	for _, e := range m.Ended {
-		h.each(func(st *dispatch.State) { st.Done(now, fleet.RequestID(e.Id), e.Failed) })
+		h.each(func(st *dispatch.State) {
+			st.Done(now, fleet.RequestID(e.Id), ends[e.How], fleet.UpstreamID(e.AtFault))
+		})
 	}
 	for _, id := range m.Withdrawn {
 		h.each(func(st *dispatch.State) { st.Withdraw(fleet.RequestID(id)) })
 	}
 	for _, a := range m.Asks {
-		h.of(a.Service).Ask(job(a, entry, now))
+		h.of(a.Service).Ask(h.job(a, entry, now))
 	}
 	h.step(now)
 }
 
+// job gives an ask of an attached instance; mu is held.
+func (h *hub) job(a *pb.Ask, entry fleet.InstanceID, now decide.Instant) *dispatch.Job {
+	j := job(a, entry, now)
+	j.From = h.domains[entry]
+	return j
+}
+
+var ends = map[pb.Ended_How]dispatch.End{
+	pb.Ended_WHOLE: dispatch.Whole, pb.Ended_FAILED: dispatch.Failed,
+	pb.Ended_UNREACHABLE: dispatch.Unreachable, pb.Ended_FULL: dispatch.Full,
+}
+
 func (h *hub) each(f func(*dispatch.State)) {
 	for _, st := range h.services {
 		f(st)
@@ -199,7 +217,7 @@
 	for _, u := range snap.Upstreams(name) {
 		if snap.Open(u) {
 			open = append(open, dispatch.Upstream{
-				ID: u.ID, Addr: u.Addr, Slots: u.Slots, Born: u.Born, ColdUntil: now.Add(u.ColdUntil.Sub(wall)),
+				ID: u.ID, Domain: u.Domain, Slots: u.Slots, Born: u.Born, ColdUntil: now.Add(u.ColdUntil.Sub(wall)),
 			})
 		}
 	}
--- a/internal/placement/local.go
+++ b/internal/placement/local.go
@@ -60,7 +60,7 @@
 func (g *localGrant) Reason() string              { return "least_own_work" }
 func (g *localGrant) Began()                      {}
 
-func (g *localGrant) Done(gateway.Outcome) {
+func (g *localGrant) Done(gateway.Outcome, fleet.UpstreamID) {
 	g.l.mu.Lock()
 	defer g.l.mu.Unlock()
 	if g.l.work[g.u.ID]--; g.l.work[g.u.ID] <= 0 {
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -105,7 +105,7 @@
 }
 
 func newPlacer(s api.Settings, f *watch.Follower, log hclog.Logger) *placement.Client {
-	return placement.NewClient(fleet.InstanceID(s.Instance), f, log)
+	return placement.NewClient(fleet.InstanceID(s.Instance), fleet.DomainID(s.FailureDomain), f, log)
 }
 
 // writeStall ends callers that take nothing for so long; it is above the longest pause that a lossy link
--- a/internal/upstream/opaque.go
+++ b/internal/upstream/opaque.go
@@ -16,6 +16,9 @@
 )
 
 const (
+	// connectTimeout bounds a connection attempt: some tens of times the trip to the farthest failure domain,
+	// and short against the time in which callers expect an answer. An upstream without power doesn't refuse.
+	connectTimeout = 300 * time.Millisecond
 	// maxStray bounds the answers of other requests that are passed over before an exchange's own.
 	maxStray = 2
 	// maxTrailers bounds the trailer lines after a chunked body.
@@ -83,7 +86,9 @@
 			_ = cn.Close()
 		}
 	}
-	return c.pool.dial(ctx, o.Addr)
+	dialing, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	return c.pool.dial(dialing, o.Addr)
 }
 
 // exchange writes the request and reads the answer's head. An upstream may answer and close before it has
--- a/internal/watch/relay.go
+++ b/internal/watch/relay.go
@@ -47,9 +47,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.mirrors[kind]
-	if now.Sub(f.started) < startTime {
+	if alone := len(f.snapshot.Load().Members) < 2; now.Sub(f.started) < startTime && (alone || kind == KindMembers) {
 		// Without the others' addresses nobody can tell anything.
-		return kind == KindMembers && len(f.snapshot.Load().Members) < 2
+		return alone && kind == KindMembers
 	}
 	if rank < readers {
 		return true
