Prompts over one engine's memory through reservations, where the fleet has slack; late jobs hear sooner that they won't be served

An oversized prompt is taken only while half of the engines read nothing and no other long prompt waits; after 350 ms without that it is refused. A late job is refused after 0.3 of its caller's patience.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -42,11 +42,18 @@
 type Decision struct {
 	Job        *Job
 	Upstream   fleet.UpstreamID   // empty: refused
-	Helpers    []fleet.UpstreamID // that read parts of the prompt
+	Helpers    []fleet.UpstreamID // that read parts of the prompt, holders aside
+	Holders    []Holding          // that hold the memory that the upstream has not, and read parts too
 	Reason     decide.Reason
 	RetryAfter time.Duration // of a refusal
 }
 
+// Holding is memory of a job that an engine holds for another one, in tokens.
+type Holding struct {
+	Upstream fleet.UpstreamID
+	Tokens   int
+}
+
 // Reasons of this package.
 const (
 	Packed     decide.Reason = "packed"      // on the fullest engine whose streams bear it
@@ -55,12 +62,13 @@
 	LeastWork  decide.Reason = "least_work"  // of a plain service
 	TooLate    decide.Reason = "too_late"    // its caller would have given up
 	TooLarge   decide.Reason = "too_large"   // over every engine's memory
+	NoSlack    decide.Reason = "no_slack"    // over one engine's memory, and the fleet is too busy for it
 	NoUpstream decide.Reason = "no_upstream" // none may get work
 	QueueFull  decide.Reason = "queue_full"
 )
 
 // Reasons lists every reason of this package.
-var Reasons = []decide.Reason{Packed, Spread, Alone, LeastWork, TooLate, TooLarge, NoUpstream, QueueFull}
+var Reasons = []decide.Reason{Packed, Spread, Alone, LeastWork, TooLate, TooLarge, NoSlack, NoUpstream, QueueFull}
 
 // Params are the policy's figures.
 type Params struct {
@@ -69,6 +77,9 @@
 	ShortRead   float64       // ms; a prompt that reads no longer is packed
 	PerHelper   float64       // ms that a helper must save to be worth asking
 	MemoryShare float64       // part of an engine's memory that is planned for
+	HoldShare   float64       // part of its caller's patience that a late job waits
+	SlackShare  float64       // part of the engines that must read nothing before an oversized prompt is taken
+	SlackWait   time.Duration // how long an oversized prompt waits for that; then it is refused
 	ColdPerS    float64       // requests a second that a cold upstream gets; 0: cold ones are not told apart
 	MaxQueue    int           // jobs
 	Margin      time.Duration // between a planned first event and the caller's patience
@@ -77,7 +88,7 @@
 // DefaultParams are the daemon's.
 func DefaultParams() Params {
 	return Params{
-		MaxHelpers: 16, GapShare: 0.8, ShortRead: 100, PerHelper: 5, MemoryShare: 0.95, MaxQueue: 4096,
+		MaxHelpers: 16, GapShare: 0.8, ShortRead: 100, PerHelper: 5, MemoryShare: 0.95, SlackShare: 0.5, HoldShare: 0.3, SlackWait: 350 * time.Millisecond, MaxQueue: 4096,
 		Margin: 30 * time.Millisecond,
 	}
 }
@@ -86,11 +97,17 @@
 type run struct {
 	job     *Job
 	on      *engine
-	helpers []*engine
+	helpers []*engine // that read parts, holders included
+	holders []holding
+	context int     // tokens of memory on its own engine
 	part    float64 // ms that each of its engines reads
 	granted decide.Instant
 	writing bool
-	adopted bool
+}
+
+type holding struct {
+	on     *engine
+	tokens int
 }
 
 // engine is an upstream with its work.
@@ -98,7 +115,7 @@
 	Upstream
 	runs    map[fleet.RequestID]*run // that it answers
 	parts   map[fleet.RequestID]*run // that it helps to read
-	context int                      // tokens that its runs' prompts and answers may take
+	context int                      // tokens that its runs' prompts and answers may take, and that it holds
 	pending float64                  // ms of reading that was given and isn't known to be done
 	gap     time.Duration            // shortest of its runs' longest pauses; 0: none
 	gone    bool                     // gets no new work
@@ -236,7 +253,7 @@
 }
 
 // Adopt takes a run that another dispatcher, or the instance by itself, placed.
-func (s *State) Adopt(now decide.Instant, j *Job, on fleet.UpstreamID, helpers []fleet.UpstreamID, writing bool) {
+func (s *State) Adopt(now decide.Instant, j *Job, on fleet.UpstreamID, helpers []fleet.UpstreamID, holders []Holding, writing bool) {
 	s.Withdraw(j.ID)
 	e := s.engines[on]
 	if e == nil {
@@ -248,7 +265,14 @@
 			with = append(with, h)
 		}
 	}
-	r := s.start(now, j, e, with)
+	var held []holding
+	for _, h := range holders {
+		if he := s.engines[h.Upstream]; he != nil {
+			held = append(held, holding{he, h.Tokens})
+			with = append(with, he)
+		}
+	}
+	r := s.start(now, j, e, with, held)
 	if writing {
 		s.readDone(r)
 		r.writing = true
@@ -272,15 +296,19 @@
 func (s *State) Running() int { return len(s.runs) }
 
 // start books a run.
-func (s *State) start(now decide.Instant, j *Job, e *engine, helpers []*engine) *run {
-	r := &run{job: j, on: e, helpers: helpers, granted: now}
+func (s *State) start(now decide.Instant, j *Job, e *engine, helpers []*engine, holders []holding) *run {
+	r := &run{job: j, on: e, helpers: helpers, holders: holders, granted: now, context: j.Prompt + j.Output}
+	for _, h := range holders {
+		r.context -= h.tokens
+		h.on.context += h.tokens
+	}
 	if s.model != nil {
 		r.part = s.model.read(j.Prompt) / float64(len(helpers)+1)
 	}
 	s.runs[j.ID] = r
 	e.runs[j.ID] = r
 	e.pending += r.part
-	e.context += j.Prompt + j.Output
+	e.context += r.context
 	for _, h := range helpers {
 		h.parts[j.ID] = r
 		h.pending += r.part
@@ -309,12 +337,9 @@
 	s.readDone(r)
 	delete(s.runs, r.job.ID)
 	delete(r.on.runs, r.job.ID)
-	r.on.context -= r.job.Prompt + r.job.Output
-	if len(r.on.runs) == 0 {
-		r.on.context = 0
-		if len(r.on.parts) == 0 {
-			r.on.pending = 0
-		}
+	r.on.context -= r.context
+	for _, h := range r.holders {
+		h.on.context -= h.tokens
 	}
 	r.on.regap()
 	if r.on.gone && len(r.on.runs) == 0 && s.engines[r.on.ID] == r.on {
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -27,6 +27,10 @@
 	// passesToFirst is how many passes a request on a busy engine waits for its first event: the one under
 	// way, half of it on average, and its own.
 	passesToFirst = 1.5
+	// idleBelow is the reading in ms under which an engine reads nothing: sums of parts leave fractions.
+	idleBelow = 1.0
+	// leastHolding is the least memory in tokens that is worth a reservation.
+	leastHolding = 20_000
 	// leastRetryAfter and mostRetryAfter bound when a refused caller is told to come back.
 	leastRetryAfter = 200 * time.Millisecond
 	mostRetryAfter  = 3 * time.Second
@@ -139,15 +143,18 @@
 
 // decide settles a job if it can be settled now.
 func (s *State) decide(now decide.Instant, j *Job) (Decision, bool) {
-	if now.Add(s.leastRead(j)+s.params.Margin) > j.Patience {
+	if now.Add(s.leastRead(j)+s.params.Margin) > j.Patience || s.heldEnough(now, j) {
 		return s.refuse(j, TooLate), true
 	}
-	if s.model != nil && float64(j.Prompt+j.Output) > float64(s.model.Memory)*s.params.MemoryShare {
+	if s.model != nil && float64(j.Prompt+j.Output) > float64(s.model.Memory)*s.params.MemoryShare*float64(min(s.params.MaxHelpers+1, len(s.order))) {
 		return s.refuse(j, TooLarge), true
 	}
 	if !s.any(j) {
 		return s.refuse(j, NoUpstream), true
 	}
+	if s.model != nil && s.oversized(j) && (s.late(now, j) || now.Sub(j.Arrived) > s.params.SlackWait) {
+		return s.refuse(j, NoSlack), true
+	}
 	if s.model == nil {
 		return s.placePlain(now, j)
 	}
@@ -164,6 +171,12 @@
 	return Decision{}, false
 }
 
+// heldEnough tells whether a job that is late anyway has waited so long that it should hear so and come back.
+func (s *State) heldEnough(now decide.Instant, j *Job) bool {
+	patience := j.Patience.Sub(j.Arrived)
+	return s.late(now, j) && toMs(now.Sub(j.Arrived)) > s.params.HoldShare*toMs(patience)
+}
+
 // any tells whether some upstream could take the job, now or later.
 func (s *State) any(j *Job) bool {
 	for _, e := range s.order {
@@ -239,7 +252,7 @@
 	if best == nil {
 		return Decision{}, false
 	}
-	s.start(now, j, best, nil)
+	s.start(now, j, best, nil, nil)
 	return Decision{Job: j, Upstream: best.ID, Reason: LeastWork}, true
 }
 
@@ -259,7 +272,7 @@
 
 // fits tells whether the engine has the memory for the job.
 func (s *State) fits(e *engine, j *Job) bool {
-	return float64(e.context+j.Prompt+j.Output) <= float64(s.model.Memory)*s.params.MemoryShare
+	return j.Prompt+j.Output <= s.free(e)
 }
 
 // pack gives a short prompt to the fullest engine whose streams, and its own, bear it: engines that are
@@ -282,7 +295,7 @@
 	if best == nil {
 		return Decision{}, false
 	}
-	s.start(now, j, best, nil)
+	s.start(now, j, best, nil, nil)
 	return Decision{Job: j, Upstream: best.ID, Reason: Packed}, true
 }
 
@@ -294,8 +307,12 @@
 	return a.pending < b.pending
 }
 
-// spread gives a long prompt to the engines that have it read soonest, in even parts.
+// spread gives a long prompt to the engines that have it read soonest, in even parts. Where it is over one
+// engine's memory, others hold the rest.
 func (s *State) spread(now decide.Instant, j *Job) (Decision, bool) {
+	if s.oversized(j) && !s.slack(j) {
+		return Decision{}, false
+	}
 	read := s.model.read(j.Prompt)
 	var with []*engine
 	for _, e := range s.order {
@@ -304,13 +321,18 @@
 		}
 	}
 	slices.SortStableFunc(with, func(a, b *engine) int { return cmp.Compare(s.delay(a), s.delay(b)) })
-	primary := slices.IndexFunc(with, func(e *engine) bool { return s.takes(now, e, j) && s.fits(e, j) })
-	if primary < 0 {
+	first, holders := s.first(now, with, j)
+	if first == nil {
 		return Decision{}, false
 	}
-	first := with[primary]
-	with = slices.DeleteFunc(with, func(e *engine) bool { return e == first || !s.reaches(first.Domain, e) })
-	helpers, soonest := s.helpers(first, with, read, j.MaxGap)
+	var must []*engine
+	for _, h := range holders {
+		must = append(must, h.on)
+	}
+	with = slices.DeleteFunc(with, func(e *engine) bool {
+		return e == first || slices.Contains(must, e) || !s.reaches(first.Domain, e)
+	})
+	helpers, soonest := s.helpers(first, must, with, read, j.MaxGap)
 	if math.IsInf(soonest, 1) {
 		return Decision{}, false
 	}
@@ -318,37 +340,110 @@
 		// Engines that are busy now read it in time later, or it is late anyway and waits its turn.
 		return Decision{}, false
 	}
-	r := s.start(now, j, first, helpers)
+	s.start(now, j, first, helpers, holders)
 	d := Decision{Job: j, Upstream: first.ID, Reason: Alone}
-	for _, h := range r.helpers {
+	for _, h := range helpers[len(must):] {
 		d.Helpers = append(d.Helpers, h.ID)
+	}
+	for _, h := range holders {
+		d.Holders = append(d.Holders, Holding{Upstream: h.on.ID, Tokens: h.tokens})
+	}
+	if len(helpers) > 0 {
 		d.Reason = Spread
 	}
 	return d, true
 }
 
+// first gives the engine that answers the job, and those that hold the memory that it lacks; nil if there
+// is none now. A prompt that fits one engine goes to the first that has the room.
+func (s *State) first(now decide.Instant, with []*engine, j *Job) (*engine, []holding) {
+	if !s.oversized(j) {
+		i := slices.IndexFunc(with, func(e *engine) bool { return s.takes(now, e, j) && s.fits(e, j) })
+		if i < 0 {
+			return nil, nil
+		}
+		return with[i], nil
+	}
+	roomiest := slices.Clone(with)
+	slices.SortStableFunc(roomiest, func(a, b *engine) int { return cmp.Compare(a.context, b.context) })
+	i := slices.IndexFunc(roomiest, func(e *engine) bool { return s.takes(now, e, j) })
+	if i < 0 {
+		return nil, nil
+	}
+	first := roomiest[i]
+	var holders []holding
+	need := j.Prompt + j.Output - s.free(first)
+	for _, e := range roomiest {
+		if need <= 0 || len(holders) >= s.params.MaxHelpers {
+			break
+		}
+		if e == first || !s.reaches(j.From, e) || !s.reaches(first.Domain, e) || s.free(e) < leastHolding {
+			continue
+		}
+		h := holding{e, min(need, s.free(e))}
+		holders = append(holders, h)
+		need -= h.tokens
+	}
+	if need > 0 {
+		return nil, nil
+	}
+	return first, holders
+}
+
+// slack tells whether so much of the fleet reads nothing, and nothing else waits to be read, that a prompt
+// which takes all of it for seconds keeps nobody else from being in time. Such a prompt is worth a few
+// times a usual one, and costs ten times as much: under load others would pay for it.
+func (s *State) slack(j *Job) bool {
+	idle := 0
+	for _, e := range s.order {
+		if !e.gone && e.pending < idleBelow {
+			idle++
+		}
+	}
+	if float64(idle) < s.params.SlackShare*float64(len(s.order)) {
+		return false
+	}
+	for _, o := range s.queue {
+		if o != j && !s.oversized(o) && s.model.read(o.Prompt) > s.params.ShortRead {
+			return false
+		}
+	}
+	return true
+}
+
+// oversized tells whether no engine has the memory for the job.
+func (s *State) oversized(j *Job) bool {
+	return float64(j.Prompt+j.Output) > float64(s.model.Memory)*s.params.MemoryShare
+}
+
+// free is the engine's memory that may be planned for, in tokens.
+func (s *State) free(e *engine) int {
+	return int(float64(s.model.Memory)*s.params.MemoryShare) - e.context
+}
+
 // delay is how long the engine takes to come to another part.
 func (s *State) delay(e *engine) float64 {
 	return e.pending + s.model.pass(len(e.runs), e.context)
 }
 
-// helpers chooses how many of the engines in with read parts beside first, so that the last part is read
-// soonest, and gives that time in ms; infinite if no number will do.
-func (s *State) helpers(first *engine, with []*engine, read float64, gap time.Duration) ([]*engine, float64) {
+// helpers chooses how many engines read parts beside first: those in must, and as many of with that the
+// last part is read soonest. It gives that time in ms; infinite if no number will do.
+func (s *State) helpers(first *engine, must, with []*engine, read float64, gap time.Duration) ([]*engine, float64) {
+	all := slices.Concat(must, with)
 	best, soonest := 0, math.Inf(1)
 	slowest, room := s.delay(first), s.room(first, gap)
-	for k := 0; k <= min(s.params.MaxHelpers, len(with)); k++ {
+	for k := 0; k <= min(s.params.MaxHelpers, len(all)); k++ {
 		if k > 0 {
-			slowest = max(slowest, s.delay(with[k-1]))
-			room = min(room, s.room(with[k-1], 0))
+			slowest = max(slowest, s.delay(all[k-1]))
+			room = min(room, s.room(all[k-1], 0))
 		}
 		part := read / float64(k+1)
-		if part > room {
+		if k < len(must) || part > room {
 			continue
 		}
 		if t := slowest + part + s.params.PerHelper*float64(k); t < soonest {
 			best, soonest = k, t
 		}
 	}
-	return with[:best], soonest
+	return all[:best], soonest
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,7 +32,7 @@
 	Left      time.Duration // time left for the request
 	Workspace fleet.WorkspaceID
 	Urgency   int      // 0 is the most urgent; below 0: not said
-	Helpers   []string // engines that read parts of the prompt
+	Helpers   []Helper // engines that read parts of the prompt; those that hold its memory come first
 	LastEvent string   // the stream goes on after this event
 }
 
@@ -82,6 +82,9 @@
 // Grant is a place on an upstream. Exactly one Done ends it.
 type Grant interface {
 	Upstream() *catalog.Upstream
+	// Holders hold memory of a prompt that is over the upstream's own; it must be reserved before the send.
+	Holders() []Holder
+	// Helpers are addresses of engines that read parts of the prompt beside the upstream and the holders.
 	Helpers() []string
 	// Reason says in a word why this upstream.
 	Reason() string
--- a/internal/gateway/life.go
+++ b/internal/gateway/life.go
@@ -48,6 +48,7 @@
 	arrivals int             // sends that reached an upstream, rejected ones included
 	avoid    []fleet.UpstreamID
 	grant    Grant
+	held     *reservations // of the current send; nil: none
 	x        *upstream.Exchange
 	sentAt   time.Time
 	answer   Answer
@@ -147,13 +148,17 @@
 		l.grant.Done(Unsent, "")
 		return &failure{outcome: Unsent, ran: fault.RunNo, cause: errBudget}
 	}
+	helpers, f := l.reserve()
+	if f != nil {
+		return f
+	}
 	head := &fasthttp.RequestHeader{}
 	l.r.head.CopyTo(head)
 	head.SetNoDefaultContentType(true)
 	l.sentAt = time.Now()
-	l.g.deps.Dialect.WriteRequest(head, l.r.send(u, l.grant.Helpers(), l.r.deadline.Sub(l.sentAt), lastEvent))
+	l.g.deps.Dialect.WriteRequest(head, l.r.send(u, helpers, l.r.deadline.Sub(l.sentAt), lastEvent))
 	l.g.deps.Explain.Record("dispatch", l.r.ID, decide.Reason(l.grant.Reason()), "upstream", u.ID, "attempt", l.attempts+1,
-		"helpers", len(l.grant.Helpers()), "waited_ms", l.sentAt.Sub(l.r.arrived).Milliseconds(), "config", l.r.version,
+		"helpers", len(helpers), "holders", len(l.grant.Holders()), "waited_ms", l.sentAt.Sub(l.r.arrived).Milliseconds(), "config", l.r.version,
 		"entry_revision", u.Revision)
 	x, err := l.g.deps.Client.Forward(l.ctx, upstream.Opaque{
 		Addr: u.Addr, Head: head, Body: l.r.body, Fresh: l.r.route.Kind == catalog.NonIdempotent,
@@ -168,6 +173,44 @@
 	return l.judge()
 }
 
+// reserve reserves the memory that the grant asks for on other engines, and gives all helpers of the send.
+func (l *life) reserve() ([]Helper, *failure) {
+	var helpers []Helper
+	if holders := l.grant.Holders(); len(holders) > 0 {
+		name := fmt.Sprintf("%s-%d-%d", l.r.ID, l.arrivals, time.Now().UnixMilli()%reservationNames)
+		held, err := reserve(l.ctx, l.g.deps.Memory, name, holders, l.logOrder)
+		if err != nil {
+			f := &failure{outcome: Rejected, ran: fault.RunNo, cause: fmt.Errorf("reserve memory: %w", err)}
+			l.end(f)
+			return nil, f
+		}
+		l.held = held
+		for i, h := range holders {
+			helpers = append(helpers, Helper{Addr: h.Upstream.Addr, Ticket: held.tickets[i]})
+		}
+	}
+	for _, addr := range l.grant.Helpers() {
+		helpers = append(helpers, Helper{Addr: addr})
+	}
+	return helpers, nil
+}
+
+// reservationNames bounds the number that tells a request's reservations apart.
+const reservationNames = 1_000_000
+
+func (l *life) logOrder(what string, h Holder, err error) {
+	l.g.log.Warn(what, "request", l.r.ID, "upstream", h.Upstream.ID, "tokens", h.Tokens, "error", err)
+}
+
+// finish gives the grant and the memory reserved for it back.
+func (l *life) finish(o Outcome, atFault fleet.UpstreamID) {
+	if l.held != nil {
+		l.held.release()
+		l.held = nil
+	}
+	l.grant.Done(o, atFault)
+}
+
 // sendFailed ends a send without an answer.
 func (l *life) sendFailed(err error) *failure {
 	var ce *upstream.CallError
@@ -234,7 +277,7 @@
 
 // end gives the grant back.
 func (l *life) end(f *failure) {
-	l.grant.Done(f.outcome, f.atFault)
+	l.finish(f.outcome, f.atFault)
 	if f.ran != fault.RunNo {
 		l.ran = max(l.ran, f.ran)
 	}
@@ -357,7 +400,7 @@
 	if status >= 500 {
 		outcome = Failed
 	}
-	l.grant.Done(outcome, "")
+	l.finish(outcome, "")
 	l.finished(reasonPassed, "status", status, "bytes", len(body))
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -149,7 +149,7 @@
 }
 
 // send is what an upstream is told.
-func (r *request) send(u *catalog.Upstream, helpers []string, left time.Duration, lastEvent string) Send {
+func (r *request) send(u *catalog.Upstream, helpers []Helper, left time.Duration, lastEvent string) Send {
 	return Send{
 		Upstream: u.ID, Left: left, Workspace: r.workspace, Urgency: min(9, max(0, r.priority)),
 		Helpers: helpers, LastEvent: lastEvent,
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -44,6 +44,7 @@
 	Placer   Placer
 	Budget   Budget
 	Client   *upstream.Client
+	Memory   Memory
 	Gate     *gate.Gate
 	Left     func(u *catalog.Upstream, sign string) // an upstream said that it leaves
 	Explain  *explain.Recorder
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -171,11 +171,11 @@
 	switch {
 	case s.end == io.EOF && len(s.out) == 0:
 		l.x.Close()
-		l.grant.Done(Served, "")
+		l.finish(Served, "")
 		l.finished(reasonServed, "events", s.count)
 	case l.x != nil:
 		l.x.Close()
-		l.grant.Done(Left, "")
+		l.finish(Left, "")
 		l.finished(reasonGone, "events", s.count, "cause", l.ctx.Err())
 	default:
 		l.finished(reasonCutStream, "events", s.count)
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -281,7 +281,7 @@
 	m := &pb.FromEntry{Entry: string(c.self), Domain: string(c.domain), Proofs: proofMessages(proofs)}
 	for _, r := range c.running {
 		m.Running = append(m.Running, &pb.Running{
-			Ask: message(&r.ask, r.asked, now), Upstream: string(r.upstream.ID), Helpers: names(r.helpers), Writing: r.writing,
+			Ask: message(&r.ask, r.asked, now), Upstream: string(r.upstream.ID), Helpers: names(r.helpers), Writing: r.writing, Holders: holdings(r.holders),
 		})
 	}
 	for _, w := range c.waiting {
@@ -443,6 +443,15 @@
 			g.addrs = append(g.addrs, h.Addr)
 		}
 	}
+	for _, m := range r.place.Holders {
+		h := snap.Upstream(fleet.UpstreamID(m.Upstream))
+		if h == nil || !snap.Open(h) {
+			// Without all of its memory the prompt can't be read: another place is needed.
+			c.tell(&pb.FromEntry{Withdrawn: []string{string(w.ask.ID)}})
+			return nil, fault.New(fault.NoUpstream, "holder %s is not open here", m.Upstream)
+		}
+		g.holders = append(g.holders, gateway.Holder{Upstream: h, Tokens: int(m.Tokens)})
+	}
 	c.mu.Lock()
 	c.running[w.ask.ID] = g
 	c.mu.Unlock()
@@ -457,12 +466,14 @@
 	upstream *catalog.Upstream
 	helpers  []fleet.UpstreamID
 	addrs    []string
+	holders  []gateway.Holder
 	reason   string
 	writing  bool // guarded by c.mu
 }
 
 func (g *dispatched) Upstream() *catalog.Upstream { return g.upstream }
 func (g *dispatched) Helpers() []string           { return g.addrs }
+func (g *dispatched) Holders() []gateway.Holder   { return g.holders }
 func (g *dispatched) Reason() string              { return g.reason }
 
 func (g *dispatched) Began() {
@@ -481,6 +492,14 @@
 	g.c.tell(&pb.FromEntry{Ended: []*pb.Ended{{Id: string(g.ask.ID), How: hows[o], AtFault: string(atFault)}}})
 }
 
+func holdings(all []gateway.Holder) []*pb.Holding {
+	out := make([]*pb.Holding, len(all))
+	for i, h := range all {
+		out[i] = &pb.Holding{Upstream: string(h.Upstream.ID), Tokens: int32(h.Tokens)}
+	}
+	return out
+}
+
 var hows = map[gateway.Outcome]pb.Ended_How{
 	gateway.Failed: pb.Ended_FAILED, gateway.Unreachable: pb.Ended_UNREACHABLE, gateway.Rejected: pb.Ended_FULL,
 }
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -71,7 +71,7 @@
 	h.catchUp(s, first.Proofs)
 	h.refresh(now)
 	for _, r := range first.Running {
-		h.of(r.Ask.Service).Adopt(now, h.job(r.Ask, entry, now), fleet.UpstreamID(r.Upstream), upstreamIDs(r.Helpers), r.Writing)
+		h.of(r.Ask.Service).Adopt(now, h.job(r.Ask, entry, now), fleet.UpstreamID(r.Upstream), upstreamIDs(r.Helpers), holdingsOf(r.Holders), r.Writing)
 	}
 	h.take(now, entry, first)
 }
@@ -258,9 +258,21 @@
 		})
 		return
 	}
-	m.Places = append(m.Places, &pb.Place{
+	p := &pb.Place{
 		Id: string(d.Job.ID), Upstream: string(d.Upstream), Helpers: names(d.Helpers), Reason: string(d.Reason),
-	})
+	}
+	for _, h := range d.Holders {
+		p.Holders = append(p.Holders, &pb.Holding{Upstream: string(h.Upstream), Tokens: int32(h.Tokens)})
+	}
+	m.Places = append(m.Places, p)
+}
+
+func holdingsOf(all []*pb.Holding) []dispatch.Holding {
+	out := make([]dispatch.Holding, len(all))
+	for i, m := range all {
+		out[i] = dispatch.Holding{Upstream: fleet.UpstreamID(m.Upstream), Tokens: int(m.Tokens)}
+	}
+	return out
 }
 
 // run looks at waiting jobs, and has beats sent, until ctx ends.
--- a/internal/placement/local.go
+++ b/internal/placement/local.go
@@ -57,6 +57,7 @@
 
 func (g *localGrant) Upstream() *catalog.Upstream { return g.u }
 func (g *localGrant) Helpers() []string           { return nil }
+func (g *localGrant) Holders() []gateway.Holder   { return nil }
 func (g *localGrant) Reason() string              { return "least_own_work" }
 func (g *localGrant) Began()                      {}
 
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -39,6 +39,7 @@
 	Kinds   watch.Kinds
 	Decoder watch.Decoder
 	Dialect gateway.Dialect
+	Memory  func(*upstream.Client) gateway.Memory
 }
 
 // Node is one instance.
@@ -117,7 +118,7 @@
 	l := s.Routed.Limits
 	members := func() int { return len(f.Snapshot().Members) }
 	return gateway.New(gateway.Deps{
-		Snapshot: f.Snapshot, Dialect: a.Dialect, Placer: p, Budget: newBudgets(s.Routed.Retries, members), Client: c,
+		Snapshot: f.Snapshot, Dialect: a.Dialect, Placer: p, Budget: newBudgets(s.Routed.Retries, members), Client: c, Memory: a.Memory(c),
 		Gate: g, Left: f.Left, Explain: rec, Metrics: m, Log: log,
 		Limits: gateway.Limits{
 			MaxHeaderBytes: l.MaxHeaderBytes, MaxBodyBytes: l.MaxBodyBytes, MaxConnections: l.MaxConnections,
