--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -213,3 +213,12 @@
 
 // Dispatcher is the instance that gives places to this one's requests now; empty: none.
 func (n *Node) Dispatcher() string { return string(n.parts.Placer.Dispatcher()) }
+
+// Snapshot is what the instance knows of the fleet now.
+func (n *Node) Snapshot() *catalog.Snapshot { return n.parts.Follower.Snapshot() }
+
+// CallersAddr is where callers connect.
+func (n *Node) CallersAddr() string { return n.parts.Gateway.Addr() }
+
+// ReadyAddr is where the balancer asks.
+func (n *Node) ReadyAddr() string { return n.parts.Side.listeners[0].Addr().String() }
