--- a/cmd/damaskshelfd/main.go
+++ b/cmd/damaskshelfd/main.go
@@ -7,6 +7,7 @@
 package main
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"io"
@@ -31,6 +32,15 @@
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
+// catchSignals asks for all signals that the process handles. A hangup whose default stays in force would
+// end the process with the requests in flight.
+func catchSignals() (hangups, stops <-chan os.Signal) {
+	h, s := make(chan os.Signal, 4), make(chan os.Signal, 2)
+	signal.Notify(h, syscall.SIGHUP)
+	signal.Notify(s, syscall.SIGTERM, os.Interrupt)
+	return h, s
+}
+
 // run reads the arguments and settings and serves; it gives the exit status.
 func run(args []string, out, errOut io.Writer) int {
 	flags := flag.NewFlagSet("damaskshelfd", flag.ContinueOnError)
@@ -44,6 +54,7 @@
 		flags.Usage()
 		return exitUsage
 	}
+	hangups, stops := catchSignals()
 	s, err := api.LoadSettings(*path)
 	if err != nil {
 		fmt.Fprintln(errOut, "damaskshelfd:", err)
@@ -54,7 +65,7 @@
 		return exitDone
 	}
 	log := hclog.New(&hclog.LoggerOptions{Name: "damaskshelfd", Level: hclog.LevelFromString(s.LogLevel)})
-	return serve(s, log)
+	return serve(s, *path, log, hangups, stops)
 }
 
 // instance is what the settings make of this process.
@@ -62,6 +73,8 @@
 	Start() error
 	Stop() error
 	Abort()
+	// Reload puts what can change in force, and says what needs a restart.
+	Reload(api.Settings)
 }
 
 func assemble(s api.Settings, log hclog.Logger) (instance, error) {
@@ -71,9 +84,7 @@
 	return routed.New(s, platform.Adapter(s.Routed.Store.Address), log)
 }
 
-func serve(s api.Settings, log hclog.Logger) int {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+func serve(s api.Settings, path string, log hclog.Logger, hangups, signals <-chan os.Signal) int {
 	n, err := assemble(s, log)
 	if err == nil {
 		err = n.Start()
@@ -82,6 +93,10 @@
 		log.Error("not started", "error", err)
 		return exitFailed
 	}
+	reloading, endReloads := context.WithCancel(context.Background())
+	defer endReloads()
+	r := &reloader{path: path, log: log.Named("settings"), apply: n.Reload}
+	go r.run(reloading, hangups)
 	log.Info("signal", "name", <-signals)
 	stopped := make(chan error, 1)
 	go func() { stopped <- n.Stop() }()
--- a/internal/decide/retry/budget.go
+++ b/internal/decide/retry/budget.go
@@ -55,7 +55,7 @@
 
 // Budget allows retries as a share of the requests of the last Window. It is safe for concurrent use.
 type Budget struct {
-	percent  int64 // retries allowed for each hundred requests
+	percent  atomic.Int64 // retries allowed for each hundred requests
 	least    atomic.Int64
 	requests counter
 	retries  counter
@@ -64,11 +64,15 @@
 // NewBudget gives a budget of percent retries for each hundred requests, and of least in a Window whatever
 // the number of requests.
 func NewBudget(percent, least int64) *Budget {
-	b := &Budget{percent: percent}
+	b := &Budget{}
+	b.SetPercent(percent)
 	b.SetLeast(least)
 	return b
 }
 
+// SetPercent changes the number of retries allowed for each hundred requests.
+func (b *Budget) SetPercent(n int64) { b.percent.Store(n) }
+
 // SetLeast changes the number of retries that are always allowed in a Window.
 func (b *Budget) SetLeast(n int64) { b.least.Store(n) }
 
@@ -79,7 +83,7 @@
 // and retries over a bit more, so that the bound holds for every ten seconds and not just for those that
 // begin with a bucket.
 func (b *Budget) Left(now decide.Instant) int64 {
-	allowed := max(b.least.Load(), b.requests.since(now, inWindow-2)*b.percent/100)
+	allowed := max(b.least.Load(), b.requests.since(now, inWindow-2)*b.percent.Load()/100)
 	return allowed - b.retries.since(now, inWindow)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -151,6 +151,11 @@
 // ConfigVersion is the version of the configuration in force on this instance.
 func (n *Node) ConfigVersion() uint64 { return n.parts.Keeper.View().ConfigVersion }
 
+// Reload takes changed settings. None of an instance that serves completions comes in force without a restart.
+func (n *Node) Reload(api.Settings) {
+	n.parts.Log.Warn("settings have changed: restart the instance to put them in force")
+}
+
 // closeWait bounds what a stop does once no request is in flight any more, or all were aborted.
 const closeWait = 5 * time.Second
 
--- a/internal/routed/budget.go
+++ b/internal/routed/budget.go
@@ -8,6 +8,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/decide/retry"
+	"github.com/damaskshelf/damaskshelf/internal/watch"
 )
 
 const (
@@ -20,16 +21,24 @@
 
 // budgets are an instance's shares of the retries that the fleet may make, by service.
 type budgets struct {
-	rules   api.Retries
 	members func() int
 	start   time.Time
 
-	mu  sync.Mutex
-	all map[catalog.ServiceName]*retry.Budget // guarded by mu
+	mu    sync.Mutex
+	rules api.Retries                           // guarded by mu
+	all   map[catalog.ServiceName]*retry.Budget // guarded by mu
 }
 
-func newBudgets(rules api.Retries, members func() int) *budgets {
-	return &budgets{rules: rules, members: members, start: time.Now(), all: map[catalog.ServiceName]*retry.Budget{}}
+func newBudgets(s api.Settings, f *watch.Follower) *budgets {
+	members := func() int { return len(f.Snapshot().Members) }
+	return &budgets{rules: s.Routed.Retries, members: members, start: time.Now(), all: map[catalog.ServiceName]*retry.Budget{}}
+}
+
+// setRules puts other rules in force, for all services.
+func (b *budgets) setRules(r api.Retries) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.rules = r
 }
 
 func (b *budgets) now() decide.Instant { return decide.Instant(time.Since(b.start)) }
@@ -39,9 +48,10 @@
 	defer b.mu.Unlock()
 	budget := b.all[s]
 	if budget == nil {
-		budget = retry.NewBudget(int64(b.rules.Ratio*shareUsed), 0)
+		budget = retry.NewBudget(0, 0)
 		b.all[s] = budget
 	}
+	budget.SetPercent(int64(b.rules.Ratio * shareUsed))
 	budget.SetLeast(int64(b.rules.Slack * shareUsed / percent / max(1, b.members())))
 	return budget
 }
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -44,8 +45,9 @@
 
 // Node is one instance.
 type Node struct {
-	parts parts
-	self  catalog.Member
+	parts    parts
+	self     catalog.Member
+	settings atomic.Pointer[api.Settings] // in force
 
 	work context.Context // of everything that runs beside requests
 	stop context.CancelFunc
@@ -66,6 +68,7 @@
 	Gate     *gate.Gate
 	Client   *upstream.Client
 	Placer   *placement.Client
+	Budgets  *budgets
 }
 
 // New assembles an instance. It opens no connection and binds no address.
@@ -80,6 +83,7 @@
 		explain.New,
 		upstream.New,
 		newFollower,
+		newBudgets,
 		newPlacer,
 		newGateway,
 		newSide,
@@ -90,6 +94,7 @@
 		}
 	}
 	n := &Node{}
+	n.settings.Store(&s)
 	if err := c.Invoke(func(p parts) { n.parts = p }); err != nil {
 		return nil, fmt.Errorf("assemble instance %s: %w", s.Instance, err)
 	}
@@ -113,12 +118,11 @@
 // makes and far below a request's time.
 const writeStall = 10 * time.Second
 
-func newGateway(s api.Settings, a Adapter, f *watch.Follower, p *placement.Client, c *upstream.Client, g *gate.Gate,
+func newGateway(s api.Settings, a Adapter, f *watch.Follower, p *placement.Client, c *upstream.Client, b *budgets, g *gate.Gate,
 	rec *explain.Recorder, m *metrics.Registry, log hclog.Logger) *gateway.Gateway {
 	l := s.Routed.Limits
-	members := func() int { return len(f.Snapshot().Members) }
 	return gateway.New(gateway.Deps{
-		Snapshot: f.Snapshot, Dialect: a.Dialect, Placer: p, Budget: newBudgets(s.Routed.Retries, members), Client: c, Memory: a.Memory(c),
+		Snapshot: f.Snapshot, Dialect: a.Dialect, Placer: p, Budget: b, Client: c, Memory: a.Memory(c),
 		Gate: g, Left: f.Left, Explain: rec, Metrics: m, Log: log,
 		Limits: gateway.Limits{
 			MaxHeaderBytes: l.MaxHeaderBytes, MaxBodyBytes: l.MaxBodyBytes, MaxConnections: l.MaxConnections,
@@ -182,7 +186,7 @@
 
 func (n *Node) drain() error {
 	p := n.parts
-	stop := p.Settings.Routed.Stop
+	stop := n.settings.Load().Routed.Stop
 	limit, cancel := context.WithTimeout(context.Background(), time.Duration(stop.Grace)-closeMargin)
 	defer cancel()
 	p.Log.Info("stopping", "in_flight", p.Gate.InFlight())
@@ -208,6 +212,23 @@
 	}
 }
 
+// Reload puts changed settings in force where that is possible while requests run: retries, the times of a
+// stop, and the level of the log. Anything else that differs is named in the log and needs a restart.
+func (n *Node) Reload(s api.Settings) {
+	old := n.settings.Load()
+	if s.Routed == nil {
+		n.parts.Log.Error("settings have no part 'routed' any more: those in force stay")
+		return
+	}
+	n.parts.Budgets.setRules(s.Routed.Retries)
+	n.parts.Log.SetLevel(hclog.LevelFromString(s.LogLevel))
+	n.settings.Store(&s)
+	fixed := old.Instance != s.Instance || old.FailureDomain != s.FailureDomain || old.Routed.Listen != s.Routed.Listen ||
+		old.Routed.Store != s.Routed.Store || old.Routed.Limits != s.Routed.Limits || old.Routed.ReadyPath != s.Routed.ReadyPath
+	n.parts.Log.Info("settings reloaded", "retry_ratio", s.Routed.Retries.Ratio, "retry_slack", s.Routed.Retries.Slack,
+		"grace", time.Duration(s.Routed.Stop.Grace), "log_level", s.LogLevel, "restart_needed", fixed)
+}
+
 // Abort ends every request in flight with an explicit error.
 func (n *Node) Abort() { n.parts.Gateway.Abort() }
 
