Log through a bounded sink that never blocks

Cause: lines went to standard error in place; a collector that stops reading would have stopped every request.

--- a/cmd/damaskshelfd/main.go
+++ b/cmd/damaskshelfd/main.go
@@ -14,10 +14,12 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/logsink"
 	"github.com/damaskshelf/damaskshelf/internal/node"
 	"github.com/damaskshelf/damaskshelf/internal/routed"
 	"github.com/damaskshelf/damaskshelf/platform"
@@ -30,6 +32,9 @@
 	exitUsage  = 2
 )
 
+// logFlush bounds the writing of the last lines at the end.
+const logFlush = 200 * time.Millisecond
+
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
 // catchSignals asks for all signals that the process handles. A hangup whose default stays in force would
@@ -64,7 +69,9 @@
 		fmt.Fprintln(out, "settings are good")
 		return exitDone
 	}
-	log := hclog.New(&hclog.LoggerOptions{Name: "damaskshelfd", Level: hclog.LevelFromString(s.LogLevel)})
+	sink := logsink.New(out)
+	defer sink.Close(logFlush)
+	log := hclog.New(&hclog.LoggerOptions{Name: "damaskshelfd", Level: hclog.LevelFromString(s.LogLevel), Output: sink})
 	return serve(s, *path, log, hangups, stops)
 }
 
