Test the dispatcher's decisions; a held job is refused only if it gets no place

Cause: the dispatcher's rules had no tests of their own; writing them showed that a job past its share of patience was refused even when a place was free at that very step, and that a service without upstreams called prompts too large. Change: the order of the checks; tests of blame, cut links, cold limits, refusals, oversized prompts, adoption, repeatability, and a randomized check that no plan takes a pass over the shortest pause of an engine's streams.

--- /dev/null
+++ b/internal/decide/dispatch/dispatch_test.go
@@ -0,0 +1,288 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/decide/dispatch"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+)
+
+func upstreams(n int, domain fleet.DomainID) []dispatch.Upstream {
+	var all []dispatch.Upstream
+	for i := range n {
+		all = append(all, dispatch.Upstream{ID: fleet.UpstreamID(fmt.Sprintf("%s%02d", domain, i)), Domain: domain, Slots: 16})
+	}
+	return all
+}
+
+func plain(n int) *dispatch.State {
+	s := dispatch.New(nil, dispatch.DefaultParams())
+	s.SetUpstreams(upstreams(n, "a"))
+	return s
+}
+
+func engines(n int) *dispatch.State {
+	m := coteau
+	s := dispatch.New(&m, dispatch.DefaultParams())
+	s.SetUpstreams(upstreams(n, "a"))
+	return s
+}
+
+func newJob(id string, prompt int) *dispatch.Job {
+	return &dispatch.Job{
+		ID: fleet.RequestID(id), Entry: "entry", From: "a", Prompt: prompt, Output: 800,
+		Aim: at(3000), Patience: at(12_000), Deadline: at(15_000), MaxGap: 800 * time.Millisecond,
+	}
+}
+
+// one decides a single job.
+func one(t *testing.T, s *dispatch.State, now float64, j *dispatch.Job) dispatch.Decision {
+	t.Helper()
+	s.Ask(j)
+	all := s.Step(at(now))
+	if len(all) != 1 {
+		t.Fatalf("%d decisions for one job", len(all))
+	}
+	return all[0]
+}
+
+// A job whose upstream fails it is not given to that upstream again, nor are others for a while.
+func TestAFailedUpstreamIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	s := plain(2)
+	first := one(t, s, 0, newJob("j1", 0))
+	s.Done(at(1), "j1", dispatch.Failed, "")
+	for i := range 4 {
+		d := one(t, s, 2, newJob(fmt.Sprint("k", i), 0))
+		is.True(d.Upstream != first.Upstream)
+	}
+	d := one(t, s, 1000, newJob("later", 0)) // the other has four jobs
+	is.Equal(d.Upstream, first.Upstream)
+}
+
+// A helper that breaks down is blamed, and not the engine that asked it.
+func TestTheHelperAtFaultIsBlamed(t *testing.T) {
+	is := is.New(t)
+	s := engines(4)
+	d := one(t, s, 0, newJob("long", 200_000))
+	is.True(len(d.Helpers) > 0)
+	bad := d.Helpers[0]
+	s.Done(at(10), "long", dispatch.Failed, bad)
+	d = one(t, s, 11, newJob("next", 200_000))
+	is.True(d.Upstream != bad)
+	for _, h := range d.Helpers {
+		is.True(h != bad)
+	}
+}
+
+// unreachable has an instance of domain a fail to connect to upstreams.
+func unreachable(s *dispatch.State, all ...fleet.UpstreamID) {
+	for _, id := range all {
+		j := newJob("probe of "+string(id), 0)
+		s.Adopt(0, j, id, nil, nil, false)
+		s.Done(at(1), j.ID, dispatch.Unreachable, "")
+	}
+}
+
+// Requests lose a third of a second each: their instance can't connect to any upstream of a failure domain,
+// because the link between the two is cut. After two of them nothing more goes that way, while instances of
+// other domains still use the upstreams.
+func TestACutLinkIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	s := dispatch.New(nil, dispatch.DefaultParams())
+	s.SetUpstreams(append(upstreams(3, "a"), upstreams(3, "b")...))
+	unreachable(s, "b00", "b01")
+	for i := range 6 {
+		is.Equal(one(t, s, 2, newJob(fmt.Sprint("j", i), 0)).Upstream[0], byte('a'))
+	}
+	other := newJob("other", 0)
+	other.From = "c"
+	is.Equal(one(t, s, 3, other).Upstream[0], byte('b')) // they have the least work
+	again := newJob("again", 0)
+	again.Arrived, again.Aim = at(5000), at(8000)
+	is.Equal(one(t, s, 5000, again).Upstream[0], byte('b')) // tried again after a while
+}
+
+// No prompt is read by engines that can't reach each other.
+func TestPartsStayOnOneSideOfACut(t *testing.T) {
+	is := is.New(t)
+	m := coteau
+	s := dispatch.New(&m, dispatch.DefaultParams())
+	s.SetUpstreams(append(upstreams(3, "a"), upstreams(3, "b")...))
+	unreachable(s, "b00", "b01")
+	d := one(t, s, 2, newJob("long", 300_000))
+	for _, h := range d.Helpers {
+		is.Equal(h[0], d.Upstream[0])
+	}
+}
+
+// A cold upstream falls over: more requests reach it in a second than it can bear.
+func TestAColdUpstreamsLimit(t *testing.T) {
+	is := is.New(t)
+	p := dispatch.DefaultParams()
+	p.ColdPerS = 10
+	s := dispatch.New(nil, p)
+	s.SetUpstreams([]dispatch.Upstream{{ID: "cold", Domain: "a", Slots: 100, ColdUntil: at(60_000)}})
+	given := 0
+	for i := range 50 {
+		s.Ask(newJob(fmt.Sprint("j", i), 0))
+	}
+	for now := 0.0; now < 1000; now += 10 {
+		given += len(s.Step(at(now)))
+	}
+	is.Equal(given, 10)
+	is.Equal(len(s.Step(at(1001))), 10) // the next second's
+}
+
+// A job that nobody can serve is refused at once, with a time to come back.
+func TestWhatCantBeServedIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := engines(2)
+	none := engines(0)
+	d := one(t, none, 0, newJob("j", 10))
+	is.Equal(d.Reason, dispatch.NoUpstream)
+	is.True(d.RetryAfter > 0)
+	impatient := newJob("impatient", 400_000)
+	impatient.Patience = at(500)
+	d = one(t, s, 0, impatient)
+	is.Equal(d.Reason, dispatch.TooLate)
+	huge := newJob("huge", 5_000_000)
+	huge.Patience = at(1e9)
+	is.Equal(one(t, s, 0, huge).Reason, dispatch.TooLarge)
+}
+
+// A prompt over one engine's memory gets the rest on others, as much as is missing, in all.
+func TestAnOversizedPromptIsHeldTogether(t *testing.T) {
+	is := is.New(t)
+	s := engines(17)
+	big := newJob("big", 900_000)
+	big.Aim = at(6000)
+	d := one(t, s, 0, big)
+	is.True(d.Upstream != "")
+	held := 0
+	for _, h := range d.Holders {
+		is.True(h.Upstream != d.Upstream)
+		held += h.Tokens
+	}
+	is.True(900_000+800-held <= coteau.Memory)
+	is.True(held > 0)
+}
+
+// A new dispatcher knows what the instances tell it: it doesn't place beside work it was told of.
+func TestAdoptedWorkCounts(t *testing.T) {
+	is := is.New(t)
+	s := plain(2)
+	for i := range 3 {
+		s.Adopt(0, newJob(fmt.Sprint("old", i), 0), "a00", nil, nil, true)
+	}
+	for i := range 3 {
+		is.Equal(one(t, s, 1, newJob(fmt.Sprint("j", i), 0)).Upstream, fleet.UpstreamID("a01"))
+	}
+	s.Forget("entry")
+	is.Equal(s.Running(), 0)
+}
+
+// Streams on an engine pause longer than their callers bear, because a read was put beside them. Whatever is
+// asked, begun, ended and adopted in whatever order, no plan takes a pass over the shortest pause of the
+// engine's streams, and no engine gets more runs than slots.
+func TestNoPlanOverfillsAPass(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := engines(5)
+		now, n := 0.0, 0
+		live := map[fleet.RequestID]dispatch.Decision{}
+		writing := map[fleet.RequestID]bool{}
+		t.Repeat(map[string]func(*rapid.T){
+			"ask": func(t *rapid.T) {
+				n++
+				j := newJob(fmt.Sprint("j", n), rapid.IntRange(100, 420_000).Draw(t, "prompt"))
+				j.MaxGap = time.Duration(rapid.SampledFrom([]int{200, 500, 800}).Draw(t, "gap")) * time.Millisecond
+				j.Arrived, j.Aim, j.Patience = at(now), at(now+3000), at(now+12_000)
+				s.Ask(j)
+			},
+			"step": func(t *rapid.T) {
+				now += rapid.Float64Range(1, 50).Draw(t, "ms")
+				for _, d := range s.Step(at(now)) {
+					if d.Upstream != "" {
+						live[d.Job.ID] = d
+						check(t, d, live, writing)
+					}
+				}
+			},
+			"began": func(t *rapid.T) {
+				for id := range live {
+					s.Began(id)
+					writing[id] = true
+					break
+				}
+			},
+			"done": func(t *rapid.T) {
+				for id := range live {
+					s.Done(at(now), id, dispatch.Whole, "")
+					delete(live, id)
+					delete(writing, id)
+					break
+				}
+			},
+		})
+	})
+}
+
+// check adds up the passes of a new decision's engines, as the plan has them. An engine on which nobody else
+// writes or is to write may read as long as it likes.
+func check(t *rapid.T, d dispatch.Decision, live map[fleet.RequestID]dispatch.Decision, writing map[fleet.RequestID]bool) {
+	for _, id := range append([]fleet.UpstreamID{d.Upstream}, d.Helpers...) {
+		runs, context, reading, gap, others := 0, 0, 0.0, time.Duration(0), 0
+		for jobID, l := range live {
+			n := float64(l.Job.Prompt)
+			part := (n/coteau.ReadPerMs + n*n/2/1e6*coteau.PairsPerM) / float64(len(l.Helpers)+1)
+			if l.Upstream == id || slices.Contains(l.Helpers, id) {
+				if !writing[jobID] {
+					reading += part
+				}
+			}
+			if l.Upstream != id {
+				continue
+			}
+			runs++
+			context += l.Job.Prompt + l.Job.Output
+			if jobID != d.Job.ID {
+				others++
+			}
+			if gap == 0 || l.Job.MaxGap < gap {
+				gap = l.Job.MaxGap
+			}
+		}
+		if runs > coteau.Slots {
+			t.Fatalf("%s has %d runs", id, runs)
+		}
+		pass := float64(coteau.Stride)*(coteau.Step+coteau.PerWriter*float64(runs)+coteau.PerContext*float64(context)/1000) + reading
+		if others > 0 && pass > float64(gap)/float64(time.Millisecond) {
+			t.Fatalf("%s: a pass of %.0f ms beside %d streams that bear %s", id, pass, others, gap)
+		}
+	}
+}
+
+// Decisions repeat: the same events give the same decisions, whatever the order of maps.
+func TestDecisionsRepeat(t *testing.T) {
+	is := is.New(t)
+	play := func() []fleet.UpstreamID {
+		s := engines(7)
+		var out []fleet.UpstreamID
+		for i := range 40 {
+			s.Ask(newJob(fmt.Sprint("j", i), 1000*(1+i*i)))
+			for _, d := range s.Step(decide.Instant(i) * 1e6) {
+				out = append(out, d.Upstream)
+				out = append(out, d.Helpers...)
+			}
+		}
+		return out
+	}
+	is.Equal(play(), play())
+}
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -143,15 +143,15 @@
 
 // decide settles a job if it can be settled now.
 func (s *State) decide(now decide.Instant, j *Job) (Decision, bool) {
-	if now.Add(s.leastRead(j)+s.params.Margin) > j.Patience || s.heldEnough(now, j) {
+	if now.Add(s.leastRead(j)+s.params.Margin) > j.Patience {
 		return s.refuse(j, TooLate), true
 	}
-	if s.model != nil && float64(j.Prompt+j.Output) > float64(s.model.Memory)*s.params.MemoryShare*float64(min(s.params.MaxHelpers+1, len(s.order))) {
-		return s.refuse(j, TooLarge), true
-	}
 	if !s.any(j) {
 		return s.refuse(j, NoUpstream), true
 	}
+	if s.model != nil && float64(j.Prompt+j.Output) > float64(s.model.Memory)*s.params.MemoryShare*float64(min(s.params.MaxHelpers+1, len(s.order))) {
+		return s.refuse(j, TooLarge), true
+	}
 	if s.model != nil && s.oversized(j) && (s.late(now, j) || now.Sub(j.Arrived) > s.params.SlackWait) {
 		return s.refuse(j, NoSlack), true
 	}
@@ -165,6 +165,9 @@
 	} else if d, ok := s.spread(now, j); ok {
 		return d, true
 	}
+	if s.heldEnough(now, j) {
+		return s.refuse(j, TooLate), true
+	}
 	if len(s.queue) > s.params.MaxQueue {
 		return s.refuse(j, QueueFull), true
 	}
