--- a/api/routed.go
+++ b/api/routed.go
@@ -27,6 +27,8 @@
 	Ready   string `json:"ready"`
 	Peers   string `json:"peers"`
 	Metrics string `json:"metrics"`
+	// Advertised is where other instances connect, where that isn't Peers; empty: Peers.
+	Advertised string `json:"advertised,omitempty"`
 }
 
 // RoutedStore is the metadata store.
@@ -72,6 +74,9 @@
 	orInt(&r.Limits.MaxConnections, defaultConnections)
 	orDuration(&r.Limits.ReadTimeout, defaultHeaderTimeout)
 	orDuration(&r.Limits.IdleTimeout, defaultRoutedIdle)
+	if r.Listen.Advertised == "" {
+		r.Listen.Advertised = r.Listen.Peers
+	}
 	orDuration(&r.Stop.Lag, defaultRoutedLag)
 	orDuration(&r.Stop.Grace, defaultRoutedGrace)
 	if r.CPUShare == 0 {
@@ -85,6 +90,7 @@
 		{"routed.listen.ready", r.Listen.Ready},
 		{"routed.listen.peers", r.Listen.Peers},
 		{"routed.listen.metrics", r.Listen.Metrics},
+		{"routed.listen.advertised", r.Listen.Advertised},
 		{"routed.store.address", r.Store.Address},
 	}
 	for _, a := range addresses {
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -99,7 +99,7 @@
 		return nil, fmt.Errorf("assemble instance %s: %w", s.Instance, err)
 	}
 	n.self = catalog.Member{
-		ID: fleet.InstanceID(s.Instance), Addr: s.Routed.Listen.Peers, Incarnation: uint64(time.Now().UnixNano()),
+		ID: fleet.InstanceID(s.Instance), Addr: s.Routed.Listen.Advertised, Incarnation: uint64(time.Now().UnixNano()),
 		Domain: fleet.DomainID(s.FailureDomain), CPUShare: s.Routed.CPUShare, LinkMbps: s.Routed.LinkMbps,
 	}
 	n.work, n.stop = context.WithCancel(context.Background())
