Instances that can't reach the dispatcher reach it through one that does

TestADispatcherIsReachedThroughAThird fails without seek. Ruled out: moving the dispatcher (no instance knows whom the others reach).

--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -31,6 +31,10 @@
 	rendezvousKey = "dispatcher"
 	// lookEvery is how often the order of dispatchers is looked at while a session lasts.
 	lookEvery = 200 * time.Millisecond
+	// seekEvery is how often an instance that is its own dispatcher looks for a way to one before it, and
+	// seekMost how many others it asks then.
+	seekEvery = time.Second
+	seekMost  = 3
 	// firstRest and longestRest bound how long an instance that could not be reached is left alone.
 	firstRest   = 500 * time.Millisecond
 	longestRest = 4 * time.Second
@@ -54,10 +58,12 @@
 	news     *outbox[news]
 
 	mu      sync.Mutex
-	session *session                        // guarded by mu; nil: none
-	waiting map[fleet.RequestID]*waiting    // guarded by mu
-	running map[fleet.RequestID]*dispatched // guarded by mu
-	rests   map[fleet.InstanceID]rest       // guarded by mu
+	session *session                         // guarded by mu; nil: none
+	waiting map[fleet.RequestID]*waiting     // guarded by mu
+	running map[fleet.RequestID]*dispatched  // guarded by mu
+	rests   map[fleet.InstanceID]rest        // guarded by mu
+	behind  map[fleet.InstanceID]*remoteSink // guarded by mu: instances whose messages are passed on
+	sought  time.Time                        // guarded by mu: when a way to a dispatcher before this one was last sought
 }
 
 // rest is how long an instance is left alone.
@@ -83,7 +89,7 @@
 	c := &Client{
 		self: self, domain: domain, follower: f, snapshot: f.Snapshot, log: log.Named("placement"), hub: newHub(f, log), local: NewLocal(f.Snapshot),
 		waiting: map[fleet.RequestID]*waiting{}, running: map[fleet.RequestID]*dispatched{},
-		rests: map[fleet.InstanceID]rest{}, news: newOutbox[news](),
+		rests: map[fleet.InstanceID]rest{}, behind: map[fleet.InstanceID]*remoteSink{}, news: newOutbox[news](),
 	}
 	f.SetRank(c.rank)
 	f.SetChanged(c.stateChanged)
@@ -151,7 +157,7 @@
 // Serve answers other instances as a dispatcher until ctx ends, then closes l.
 func (c *Client) Serve(ctx context.Context, l net.Listener) error {
 	mux := drpcmux.New()
-	if err := pb.DRPCRegisterPlacement(mux, service{hub: c.hub}); err != nil {
+	if err := pb.DRPCRegisterPlacement(mux, service{c: c}); err != nil {
 		return err
 	}
 	options := drpcserver.Options{Manager: drpcmanager.Options{InactivityTimeout: time.Minute}}
@@ -220,10 +226,17 @@
 
 // follow attaches to the first dispatcher that can be reached, if it isn't the one attached to.
 func (c *Client) follow(ctx context.Context) {
-	for _, m := range c.candidates() {
+	members := c.candidates()
+	for i, m := range members {
 		c.mu.Lock()
 		current, resting := c.session, time.Now().Before(c.rests[m.ID].until)
 		c.mu.Unlock()
+		if m.ID == c.self && i > 0 {
+			if s := c.seek(ctx, members[i+1:]); s != nil {
+				c.moved(s)
+				return
+			}
+		}
 		if current != nil && current.with == m.ID {
 			return
 		}
@@ -240,6 +253,42 @@
 	}
 }
 
+// seek looks for an instance that reaches a dispatcher before this one, which this one doesn't: nil if there
+// is none. Instances of other failure domains come first: the own one's are usually cut off with this one.
+func (c *Client) seek(ctx context.Context, others []*catalog.Member) *session {
+	c.mu.Lock()
+	due := time.Since(c.sought) > seekEvery
+	if due {
+		c.sought = time.Now()
+	}
+	c.mu.Unlock()
+	if !due {
+		return nil
+	}
+	ways := slices.Clone(others)
+	slices.SortStableFunc(ways, func(a, b *catalog.Member) int {
+		return cmp.Compare(sameDomain(a, c.domain), sameDomain(b, c.domain))
+	})
+	first := func() *pb.FromEntry {
+		m := c.first()
+		m.OnlyToPass = true
+		return m
+	}
+	for _, m := range ways[:min(seekMost, len(ways))] {
+		if s, err := dialSession(ctx, m.ID, m.Addr, first, c.got); err == nil {
+			return s
+		}
+	}
+	return nil
+}
+
+func sameDomain(m *catalog.Member, domain fleet.DomainID) int {
+	if m.Domain == domain {
+		return 1
+	}
+	return 0
+}
+
 // open attaches to a dispatcher, which may be this instance itself.
 func (c *Client) open(ctx context.Context, m *catalog.Member) (*session, error) {
 	if m.ID == c.self {
@@ -336,6 +385,7 @@
 
 // got takes a message of the dispatcher.
 func (c *Client) got(m *pb.ToEntry) {
+	c.gotBack(m.Back)
 	if len(m.Changes)+len(m.Proofs) > 0 {
 		c.gotState(m)
 	}
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -78,6 +78,7 @@
 
 // detach ends the session s of an instance, with its work: what it still does is told when it attaches anew.
 func (h *hub) detach(entry fleet.InstanceID, s sink) {
+	h.detachBehind(s)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.entries[entry] != s {
@@ -94,6 +95,7 @@
 
 // tell takes what an attached instance says.
 func (h *hub) tell(entry fleet.InstanceID, s sink, m *pb.FromEntry) {
+	h.passed(s, m.Passed)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.entries[entry] != s {
--- /dev/null
+++ b/internal/placement/pass.go
@@ -0,0 +1,130 @@
+package placement
+
+import (
+	"errors"
+	"slices"
+
+	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
+)
+
+// Two failure domains can be cut apart while a third reaches both. An instance that can't reach the
+// dispatcher then attaches to another one that does, which passes its messages on: otherwise two dispatchers
+// would place on the same engines, each blind to half of the work, and every stream on them would pause.
+
+// errNotThrough refuses an instance that wanted to reach a dispatcher before it, and wouldn't here.
+var errNotThrough = errors.New("no dispatcher before the instance is reached through this one")
+
+// admit decides about an instance that attaches: as its dispatcher (through is nil), by passing its messages
+// on through the session with the dispatcher, or not at all.
+func (c *Client) admit(entry fleet.InstanceID, first *pb.FromEntry) (through *session, ok bool) {
+	c.mu.Lock()
+	s := c.session
+	c.mu.Unlock()
+	if s == nil || s.with == c.self || s.with == entry {
+		return nil, !first.OnlyToPass
+	}
+	if !first.OnlyToPass {
+		return s, true
+	}
+	return s, s.fresh() && c.before(s.with, entry)
+}
+
+// before tells whether a comes before b as a dispatcher.
+func (c *Client) before(a, b fleet.InstanceID) bool {
+	members := c.candidates()
+	at := func(id fleet.InstanceID) int {
+		return slices.IndexFunc(members, func(m *catalog.Member) bool { return m.ID == id })
+	}
+	return at(a) >= 0 && at(a) < at(b)
+}
+
+// pass passes an attached instance's messages on until either session is over.
+func (c *Client) pass(stream pb.DRPCPlacement_AttachStream, entry fleet.InstanceID, to *remoteSink, through *session, first *pb.FromEntry) error {
+	c.mu.Lock()
+	c.behind[entry] = to
+	c.mu.Unlock()
+	c.log.Info("passing on for an instance that can't reach the dispatcher", "entry", entry, "dispatcher", through.with)
+	go func() {
+		select {
+		case <-through.done:
+			to.cut() // the instance finds another way
+		case <-stream.Context().Done():
+		}
+	}()
+	defer func() {
+		c.mu.Lock()
+		if c.behind[entry] == to {
+			delete(c.behind, entry)
+		}
+		c.mu.Unlock()
+		through.tell(&pb.FromEntry{Passed: []*pb.Passed{{Entry: string(entry), Ended: true}}})
+	}()
+	for m := first; ; {
+		through.tell(&pb.FromEntry{Passed: []*pb.Passed{{Entry: string(entry), Message: m}}})
+		var err error
+		if m, err = stream.Recv(); err != nil {
+			return err
+		}
+	}
+}
+
+// gotBack hands messages on to the instances behind this one.
+func (c *Client) gotBack(all []*pb.Back) {
+	for _, b := range all {
+		c.mu.Lock()
+		to := c.behind[fleet.InstanceID(b.Entry)]
+		c.mu.Unlock()
+		if to != nil {
+			to.send(b.Message)
+		}
+	}
+}
+
+// passedSink sends to an instance through the one that it is attached to.
+type passedSink struct {
+	via   sink
+	entry fleet.InstanceID
+}
+
+func (s *passedSink) send(m *pb.ToEntry) {
+	s.via.send(&pb.ToEntry{Back: []*pb.Back{{Entry: string(s.entry), Message: m}}})
+}
+
+// passed takes the messages that an attached instance passes on.
+func (h *hub) passed(via sink, all []*pb.Passed) {
+	for _, p := range all {
+		entry := fleet.InstanceID(p.Entry)
+		h.mu.Lock()
+		s, _ := h.entries[entry].(*passedSink)
+		h.mu.Unlock()
+		known := s != nil && s.via == via
+		switch {
+		case p.Ended && known:
+			h.detach(entry, s)
+		case p.Ended || p.Message == nil:
+		case p.Message.Entry != "":
+			h.hear(p.Message)
+			h.attach(entry, &passedSink{via: via, entry: entry}, p.Message)
+		case known:
+			h.hear(p.Message)
+			h.tell(entry, s, p.Message)
+		}
+	}
+}
+
+// detachBehind ends the sessions of all instances that were attached through via.
+func (h *hub) detachBehind(via sink) {
+	h.mu.Lock()
+	behind := map[fleet.InstanceID]sink{}
+	for entry, s := range h.entries {
+		if p, ok := s.(*passedSink); ok && p.via == via {
+			behind[entry] = s
+		}
+	}
+	h.mu.Unlock()
+	for entry, s := range behind {
+		h.detach(entry, s)
+	}
+}
--- /dev/null
+++ b/internal/placement/pass_test.go
@@ -0,0 +1,132 @@
+package placement
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
+	"github.com/damaskshelf/damaskshelf/internal/watch"
+)
+
+// party is a Client that serves on loopback. Each has a copy of the members of its own, so that what one
+// can't reach the others can.
+type party struct {
+	*Client
+	addr string
+}
+
+const deadAddr = "127.0.0.1:1"
+
+func newParty(t *testing.T, id fleet.InstanceID, domain fleet.DomainID) *party {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := watch.New(watch.Deps{Kinds: watch.Kinds{Config: "c", Upstreams: "u", Out: "o"}, Log: hclog.NewNullLogger()})
+	p := &party{Client: NewClient(id, domain, f, hclog.NewNullLogger()), addr: l.Addr().String()}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 2)
+	go func() { done <- p.Serve(ctx, l) }()
+	go func() {
+		p.Run(ctx)
+		done <- nil
+	}()
+	t.Cleanup(func() {
+		cancel()
+		for range 2 {
+			if err := <-done; err != nil {
+				t.Errorf("serve: %v", err)
+			}
+		}
+	})
+	return p
+}
+
+// members tells a party of instances at addresses.
+func (p *party) members(t *testing.T, revision uint64, addrs map[fleet.InstanceID]string) {
+	t.Helper()
+	c := watch.Change{Kind: watch.KindMembers, Whole: true, To: revision}
+	for id, addr := range addrs {
+		raw, err := json.Marshal(map[string]any{"peer_addr": addr, "cpu_share": 1, "failure_domain": "d-" + string(id)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Objects = append(c.Objects, wire.Object{Kind: watch.KindMembers, Name: string(id), Version: revision, Value: raw})
+	}
+	p.follower.Offer(c)
+}
+
+func (p *party) attached(id fleet.InstanceID) bool {
+	p.hub.mu.Lock()
+	defer p.hub.mu.Unlock()
+	return p.hub.entries[id] != nil
+}
+
+func soon(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+// three gives parties in the order in which they are dispatchers.
+func three(t *testing.T) (first, second, third *party) {
+	t.Helper()
+	all := map[fleet.InstanceID]*party{}
+	addrs := map[fleet.InstanceID]string{}
+	for _, id := range []fleet.InstanceID{"i1", "i2", "i3"} {
+		all[id] = newParty(t, id, "d-"+fleet.DomainID(id))
+		addrs[id] = all[id].addr
+	}
+	all["i1"].members(t, 1, addrs)
+	var order []*party
+	for _, m := range all["i1"].candidates() {
+		order = append(order, all[m.ID])
+	}
+	return order[0], order[1], order[2]
+}
+
+// Streams pause while two failure domains are cut apart and a third reaches both: the instances of one side
+// take the next dispatcher, and both place on the same engines. An instance that can't reach the first
+// dispatcher finds it through one that does, even if it is itself the next in the order.
+func TestADispatcherIsReachedThroughAThird(t *testing.T) {
+	is := is.New(t)
+	first, second, third := three(t)
+	addrs := map[fleet.InstanceID]string{first.self: first.addr, second.self: second.addr, third.self: third.addr}
+	for _, p := range []*party{first, third} {
+		p.members(t, 2, addrs)
+	}
+	soon(t, "the third is attached", func() bool { return first.attached(third.self) })
+	addrs[first.self] = deadAddr
+	second.members(t, 2, addrs)
+	soon(t, "the second is attached through the third", func() bool {
+		return second.Dispatcher() == third.self && first.attached(second.self)
+	})
+	is.True(!second.attached(second.self))
+	// The way is open again: it goes there by itself.
+	addrs[first.self] = first.addr
+	second.members(t, 3, addrs)
+	soon(t, "the second attaches to the first", func() bool { return second.Dispatcher() == first.self })
+}
+
+// All wait for a dispatcher that is dead, each pointing to another one. Whoever can't reach it must not be
+// sent in a circle: the next in the order takes over.
+func TestADeadDispatcherIsFollowedByTheNext(t *testing.T) {
+	first, second, third := three(t)
+	addrs := map[fleet.InstanceID]string{first.self: deadAddr, second.self: second.addr, third.self: third.addr}
+	second.members(t, 2, addrs)
+	third.members(t, 2, addrs)
+	soon(t, "the second takes over", func() bool {
+		return second.Dispatcher() == second.self && third.Dispatcher() == second.self
+	})
+}
--- a/internal/placement/session.go
+++ b/internal/placement/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
@@ -68,8 +69,8 @@
 	o.closed = true
 }
 
-// service is the dispatcher's side of the sessions.
-type service struct{ hub *hub }
+// service is the other side of sessions: that of the dispatcher, or of an instance that passes on.
+type service struct{ c *Client }
 
 // remoteSink sends to an instance over its stream.
 type remoteSink struct {
@@ -104,18 +105,26 @@
 			}
 		}
 	}()
+	through, ok := s.c.admit(entry, first)
+	if !ok {
+		return errNotThrough
+	}
 	to.send(&pb.ToEntry{}) // shows the instance that it is attached
-	s.hub.hear(first)
-	s.hub.attach(entry, to, first)
-	defer s.hub.detach(entry, to)
 	defer to.out.close()
+	if through != nil {
+		return s.c.pass(stream, entry, to, through, first)
+	}
+	h := s.c.hub
+	h.hear(first)
+	h.attach(entry, to, first)
+	defer h.detach(entry, to)
 	for {
 		m, err := stream.Recv()
 		if err != nil {
 			return err
 		}
-		s.hub.hear(m)
-		s.hub.tell(entry, to, m)
+		h.hear(m)
+		h.tell(entry, to, m)
 	}
 }
 
@@ -129,6 +138,7 @@
 		all.Places = append(all.Places, m.Places...)
 		all.Refusals = append(all.Refusals, m.Refusals...)
 		all.Changes = append(all.Changes, m.Changes...)
+		all.Back = append(all.Back, m.Back...)
 		if m.Proofs != nil {
 			all.Proofs = m.Proofs
 		}
@@ -142,6 +152,13 @@
 	tell func(*pb.FromEntry) // never blocks
 	end  func()
 	done <-chan struct{} // closed when the session is over
+
+	heard atomic.Int64 // Unix ns of the last message; the wall clock's jumps cost one decision at most
+}
+
+// fresh tells whether the dispatcher was heard of so lately that it lives.
+func (s *session) fresh() bool {
+	return time.Since(time.Unix(0, s.heard.Load())) < beat+beat/2
 }
 
 // dialSession attaches to the dispatcher at addr. got is called for each message; first is sent first.
@@ -174,10 +191,17 @@
 		return nil, err
 	}
 	out := newOutbox[*pb.FromEntry]()
+	opened := &session{with: to, end: stop, done: life.Done(), tell: func(m *pb.FromEntry) {
+		if !out.put(m) {
+			stop()
+		}
+	}}
+	opened.heard.Store(time.Now().UnixNano())
 	go func() {
 		defer stop()
 		for ; err == nil; m, err = stream.Recv() {
 			quiet.Reset(silence)
+			opened.heard.Store(time.Now().UnixNano())
 			got(m)
 		}
 	}()
@@ -189,11 +213,7 @@
 			}
 		}
 	}()
-	return &session{with: to, tell: func(m *pb.FromEntry) {
-		if !out.put(m) {
-			stop()
-		}
-	}, end: stop, done: life.Done()}, nil
+	return opened, nil
 }
 
 // mergeFrom makes one message of several. An ask may follow the end of the same request's last use, and the
@@ -207,6 +227,7 @@
 		all.Asks = append(all.Asks, m.Asks...)
 		all.Changes = append(all.Changes, m.Changes...)
 		all.Proofs = append(all.Proofs, m.Proofs...)
+		all.Passed = append(all.Passed, m.Passed...)
 	}
 	return all
 }
