--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -563,3 +563,12 @@
 	}
 	return c.session.with
 }
+
+// Absent gives the members of which this instance, as the dispatcher, has had no session for so long; none
+// while it is not the dispatcher.
+func (c *Client) Absent(long time.Duration) []*catalog.Member {
+	if c.Dispatcher() != c.self {
+		return nil
+	}
+	return c.hub.absent(c.snapshot().Members, long)
+}
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -41,13 +41,14 @@
 	entries  map[fleet.InstanceID]sink               // guarded by mu
 	domains  map[fleet.InstanceID]fleet.DomainID     // guarded by mu: of the attached instances
 	seen     *catalog.Snapshot                       // guarded by mu: that the states go by
+	missed   map[fleet.InstanceID]decide.Instant     // guarded by mu: since when members have had no session
 	opened   decide.Instant                          // guarded by mu: when the first instance attached
 }
 
 func newHub(f *watch.Follower, log hclog.Logger) *hub {
 	return &hub{
 		follower: f, snapshot: f.Snapshot, log: log.Named("dispatcher"), start: time.Now(),
-		services: map[catalog.ServiceName]*dispatch.State{}, entries: map[fleet.InstanceID]sink{},
+		services: map[catalog.ServiceName]*dispatch.State{}, entries: map[fleet.InstanceID]sink{}, missed: map[fleet.InstanceID]decide.Instant{},
 		domains: map[fleet.InstanceID]fleet.DomainID{},
 	}
 }
@@ -161,6 +162,30 @@
 	h.step(now)
 }
 
+// absent gives the members without a session for so long, as far as this instance has looked.
+func (h *hub) absent(members []*catalog.Member, long time.Duration) []*catalog.Member {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.now()
+	missed := make(map[fleet.InstanceID]decide.Instant, len(members))
+	var out []*catalog.Member
+	for _, m := range members {
+		if h.entries[m.ID] != nil {
+			continue
+		}
+		since, ok := h.missed[m.ID]
+		if !ok {
+			since = now
+		}
+		missed[m.ID] = since
+		if now.Sub(since) > long {
+			out = append(out, m)
+		}
+	}
+	h.missed = missed
+	return out
+}
+
 // job gives an ask of an attached instance; mu is held.
 func (h *hub) job(a *pb.Ask, entry fleet.InstanceID, now decide.Instant) *dispatch.Job {
 	j := job(a, entry, now)
--- a/internal/placement/pass_test.go
+++ b/internal/placement/pass_test.go
@@ -88,9 +88,12 @@
 		all[id] = newParty(t, id, "d-"+fleet.DomainID(id))
 		addrs[id] = all[id].addr
 	}
-	all["i1"].members(t, 1, addrs)
+	// One that only knows the others and is no member tells the order.
+	f := watch.New(watch.Deps{Kinds: watch.Kinds{Config: "c", Upstreams: "u", Out: "o"}, Log: hclog.NewNullLogger()})
+	probe := &party{Client: NewClient("probe", "d", f, hclog.NewNullLogger())}
+	probe.members(t, 1, addrs)
 	var order []*party
-	for _, m := range all["i1"].candidates() {
+	for _, m := range probe.candidates() {
 		order = append(order, all[m.ID])
 	}
 	return order[0], order[1], order[2]
@@ -130,3 +133,20 @@
 		return second.Dispatcher() == second.self && third.Dispatcher() == second.self
 	})
 }
+
+// Entries of instances that were replaced for good pile up in the store, and each takes a share of the
+// fleet's limits. The dispatcher names those that it has had no session of for long, and nobody else does.
+func TestTheDispatcherNamesAbsentMembers(t *testing.T) {
+	is := is.New(t)
+	first, second, third := three(t)
+	addrs := map[fleet.InstanceID]string{first.self: first.addr, second.self: second.addr, third.self: deadAddr}
+	first.members(t, 2, addrs)
+	second.members(t, 2, addrs)
+	soon(t, "the second is attached", func() bool { return first.attached(second.self) && first.attached(first.self) })
+	is.Equal(len(first.Absent(50*time.Millisecond)), 0)
+	soon(t, "the third is named", func() bool {
+		absent := first.Absent(50 * time.Millisecond)
+		return len(absent) == 1 && absent[0].ID == third.self
+	})
+	is.Equal(len(second.Absent(0)), 0)
+}
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -153,7 +153,7 @@
 	n.run(func(context.Context) { p.Gateway.Serve() })
 	n.run(func(context.Context) { p.Side.serve() })
 	n.run(p.Follower.Run)
-	n.run(func(ctx context.Context) { watch.Join(ctx, p.Adapter.Store, n.self, p.Log) })
+	n.run(n.keepMembership)
 	p.Log.Info("started", "instance", p.Settings.Instance, "failure_domain", p.Settings.FailureDomain,
 		"callers", p.Gateway.Addr(), "incarnation", n.self.Incarnation)
 	return nil
--- a/internal/watch/join.go
+++ b/internal/watch/join.go
@@ -68,3 +68,12 @@
 	}
 	return s.Delete(ctx, memberKey(&self), o.Version)
 }
+
+// Remove removes an instance's entry if it is still the one at that revision.
+func Remove(ctx context.Context, s objects.Store, m *catalog.Member) error {
+	err := s.Delete(ctx, memberKey(m), m.Revision)
+	if errors.Is(err, objects.ErrNotFound) {
+		return nil
+	}
+	return err
+}
