A paused process proves what it knows before it sends

Cause: an instance that was frozen went on by what it knew before: upstreams that had left, keys that were taken away. Change: the boot-time clock shows a pause to whoever sends; reads of the store under way are broken off for one that answers at once, and requests wait up to 250 ms for the proof, then hear 'not run'. Found on the way: a read's deadline can wake just before the request's, and the caller heard 502 instead of 504 (once in TestTheRoutesTimeBinds); both count as the time being over now. Calls of the store end with their context.

--- a/internal/gateway/life.go
+++ b/internal/gateway/life.go
@@ -15,6 +15,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
+	"github.com/damaskshelf/damaskshelf/internal/wait"
 )
 
 const (
@@ -22,6 +23,9 @@
 	maxPlain = 16 << 20
 	// maxBounces bounds how often a place that turns out unusable is given back for another without a send.
 	maxBounces = 8
+	// proofTime bounds the wait for proof after a pause: a store's answer, or two beats of the dispatcher.
+	proofTime = 250 * time.Millisecond
+	proofPoll = 5 * time.Millisecond
 	// leastLeft is the least time for which a request is sent: under it the answer can't come back.
 	leastLeft = 5 * time.Millisecond
 )
@@ -68,6 +72,9 @@
 // what the caller is told otherwise. lastEvent is where a stream goes on.
 func (l *life) dispatch(lastEvent string) *fault.Error {
 	for bounces := 0; ; {
+		if !l.trusted() {
+			return l.refusal(fault.StaleInstance, "this instance was paused and is catching up")
+		}
 		grant, err := l.g.deps.Placer.Place(l.ctx, l.r.ask(time.Now(), l.attempts+1, l.avoid))
 		if err != nil {
 			return l.unplaced(err)
@@ -90,6 +97,17 @@
 	}
 }
 
+// trusted waits, after a pause of the process, until what it knows is proven; false: it wasn't in time.
+// Requests that came in during the pause are all read at that moment, and the proof takes a trip or two.
+func (l *life) trusted() bool {
+	for end := time.Now().Add(proofTime); l.g.deps.Doubtful(); {
+		if time.Now().After(end) || !wait.For(l.ctx, proofPoll) {
+			return false
+		}
+	}
+	return true
+}
+
 // unplaced turns a refusal of the placer into the caller's answer. What ran before stays run.
 func (l *life) unplaced(err error) *fault.Error {
 	f := fault.From(err)
@@ -132,6 +150,8 @@
 		return "upstream is leaving"
 	case snap.Out[now.Domain]:
 		return "failure domain is out"
+	case l.g.deps.Doubtful():
+		return "this instance was paused meanwhile"
 	case now.Service != l.r.service:
 		return "upstream serves another service"
 	case time.Until(l.r.deadline) < leastLeft:
@@ -221,13 +241,19 @@
 		l.attempts++
 		l.arrivals++
 	}
-	if l.ctx.Err() != nil {
+	if l.over() {
 		f.outcome = Left
 	}
 	l.end(f)
 	return f
 }
 
+// over tells whether the caller went away or the request's time is over. The connection's own deadline can
+// wake a read just before the context's does; the caller is told the same in both cases.
+func (l *life) over() bool {
+	return l.ctx.Err() != nil || time.Until(l.r.deadline) < leastLeft
+}
+
 // judge tells a failure from an answer to pass on, by the answer's head.
 func (l *life) judge() *failure {
 	status := l.x.Head.StatusCode()
@@ -302,12 +328,10 @@
 
 func (l *life) mayRepeat(f *failure) (bool, string) {
 	switch {
-	case l.ctx.Err() != nil:
+	case l.over():
 		return false, "no time or caller left"
 	case errors.Is(f.cause, errBudget):
 		return false, "retry budget is spent"
-	case time.Until(l.r.deadline) < leastLeft:
-		return false, "no time left"
 	case f.ran != fault.RunNo && !l.r.route.Repeatable():
 		return false, "may have run and must not run twice"
 	case l.attempts >= l.r.route.Attempts:
@@ -328,7 +352,7 @@
 		return nil
 	}
 	switch {
-	case l.ctx.Err() != nil:
+	case l.over():
 		return l.timeUp()
 	case l.ran == fault.RunNo:
 		return fault.New(fault.UpstreamBusy, "%v", f.cause)
@@ -374,7 +398,7 @@
 			return nil
 		}
 		f := &failure{outcome: Failed, ran: fault.RunYes, cause: err}
-		if l.ctx.Err() != nil {
+		if l.over() {
 			f.outcome = Left
 		}
 		l.drop(f)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -40,6 +40,7 @@
 // Deps are what a Gateway works with.
 type Deps struct {
 	Snapshot func() *catalog.Snapshot
+	Doubtful func() bool // the process was paused, and what it knows may be over
 	Dialect  Dialect
 	Placer   Placer
 	Budget   Budget
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -57,7 +57,7 @@
 // cut ends an exchange whose answer broke off.
 func (l *life) cut(err error) *failure {
 	f := &failure{outcome: Failed, ran: fault.RunYes, cause: err}
-	if l.ctx.Err() != nil {
+	if l.over() {
 		f.outcome = Left
 	}
 	l.drop(f)
--- a/internal/objects/call/call.go
+++ b/internal/objects/call/call.go
@@ -66,8 +66,8 @@
 	RetryAfter string // header, as it came
 }
 
-// Do sends one call in the caller's goroutine. An error that wraps objects.ErrUnavailable says that nothing
-// was sent; after any other error the call may have taken effect.
+// Do sends one call. An error that wraps objects.ErrUnavailable says that nothing was sent; after any other
+// error, the end of ctx included, the call may have taken effect.
 func (c *Caller) Do(ctx context.Context, q Request) (Answer, error) {
 	if err := ctx.Err(); err != nil {
 		return Answer{}, fmt.Errorf("%w: %w", objects.ErrUnavailable, err)
@@ -76,6 +76,25 @@
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
+	type outcome struct {
+		answer Answer
+		err    error
+	}
+	done := make(chan outcome, 1)
+	// The library can't be told to give a call up: its goroutine ends with the call's own deadline.
+	go func() {
+		a, err := c.send(q, deadline)
+		done <- outcome{a, err}
+	}()
+	select {
+	case o := <-done:
+		return o.answer, o.err
+	case <-ctx.Done():
+		return Answer{}, fmt.Errorf("%s %s: %w", q.Method, q.URL, ctx.Err())
+	}
+}
+
+func (c *Caller) send(q Request, deadline time.Time) (Answer, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -122,7 +122,7 @@
 	rec *explain.Recorder, m *metrics.Registry, log hclog.Logger) *gateway.Gateway {
 	l := s.Routed.Limits
 	return gateway.New(gateway.Deps{
-		Snapshot: f.Snapshot, Dialect: a.Dialect, Placer: p, Budget: b, Client: c, Memory: a.Memory(c),
+		Snapshot: f.Snapshot, Doubtful: f.Doubtful, Dialect: a.Dialect, Placer: p, Budget: b, Client: c, Memory: a.Memory(c),
 		Gate: g, Left: f.Left, Explain: rec, Metrics: m, Log: log,
 		Limits: gateway.Limits{
 			MaxHeaderBytes: l.MaxHeaderBytes, MaxBodyBytes: l.MaxBodyBytes, MaxConnections: l.MaxConnections,
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -44,6 +44,8 @@
 	configWait = 800 * time.Millisecond
 	// fleetWait is the wait of the other watches, whose bounds are longer.
 	fleetWait = 2 * time.Second
+	// proofWait is the wait of a watch that is to prove that nothing has changed.
+	proofWait = time.Millisecond
 	// answerTime is how long a slow answer of the store is on its way.
 	answerTime = 20 * time.Millisecond
 	// firstPause and longestPause bound the pause after a failed read, which doubles.
@@ -72,6 +74,7 @@
 	log      hclog.Logger
 	started  time.Time
 	snapshot atomic.Pointer[catalog.Snapshot]
+	doubt    *doubt
 
 	mu        sync.Mutex
 	mirrors   map[string]*mirror                     // guarded by mu
@@ -81,6 +84,7 @@
 	members   map[fleet.InstanceID]*catalog.Member   // guarded by mu
 	spoiled   map[string]uint64                      // guarded by mu: revision of entries that can't be read
 	left      map[fleet.UpstreamID]*catalog.Upstream // guarded by mu: upstreams that said themselves that they leave
+	breaks    chan struct{}                          // guarded by mu: closed when reads under way are to end
 	failing   map[string]time.Time                   // guarded by mu: kinds that the readers can't read, since when
 }
 
@@ -88,7 +92,7 @@
 func New(d Deps) *Follower {
 	k := d.Kinds
 	f := &Follower{
-		deps: d, log: d.Log.Named("watch"), started: time.Now(),
+		deps: d, log: d.Log.Named("watch"), started: time.Now(), doubt: newDoubt(),
 		mirrors: map[string]*mirror{
 			k.Config: newMirror(k.Config, false), k.Upstreams: newMirror(k.Upstreams, true),
 			k.Out: newMirror(k.Out, false), KindMembers: newMirror(KindMembers, false),
@@ -98,6 +102,7 @@
 		spoiled:   map[string]uint64{},
 		left:      map[fleet.UpstreamID]*catalog.Upstream{},
 		failing:   map[string]time.Time{},
+		breaks:    make(chan struct{}),
 	}
 	f.snapshot.Store(catalog.NewSnapshot(nil, nil, nil, nil, 0))
 	return f
@@ -160,10 +165,46 @@
 	if kind == f.deps.Kinds.Config {
 		longest = configWait
 	}
-	l, err := f.deps.Store.Watch(ctx, kind, revision, longest)
+	if f.Doubtful() {
+		longest = proofWait // only the proof is wanted
+	}
+	reading, stop := f.breakable(ctx)
+	defer stop()
+	l, err := f.deps.Store.Watch(reading, kind, revision, longest)
+	if err != nil && reading.Err() != nil && ctx.Err() == nil {
+		return nil // broken off for a new one
+	}
 	return f.took(kind, l, false, began, err)
 }
 
+// breakable gives a context that also ends when reads are broken off.
+func (f *Follower) breakable(ctx context.Context) (context.Context, func()) {
+	f.mu.Lock()
+	breaks := f.breaks
+	f.mu.Unlock()
+	reading, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		select {
+		case <-breaks:
+			cancel()
+		case <-done:
+		}
+	}()
+	return reading, func() {
+		close(done)
+		cancel()
+	}
+}
+
+// breakReads ends the watches under way: their answers would prove too little too late.
+func (f *Follower) breakReads() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.breaks)
+	f.breaks = make(chan struct{})
+}
+
 // took takes the outcome of a read into the kind's mirror, and publishes what changed.
 func (f *Follower) took(kind string, l wire.List, whole bool, began time.Time, err error) error {
 	now := time.Now()
@@ -223,6 +264,10 @@
 
 func (f *Follower) expire(ctx context.Context) {
 	for wait.For(ctx, expiry) {
+		if paused := f.doubt.notice(); paused > 0 {
+			f.log.Warn("process was paused: nothing is sent until what is known is proven", "for", paused)
+			f.breakReads()
+		}
 		now := time.Now()
 		f.mu.Lock()
 		f.changed(f.mirrors[f.deps.Kinds.Upstreams].expire(now), true, now)
