--- a/cmd/damaskctl/client.go
+++ b/cmd/damaskctl/client.go
@@ -26,6 +26,7 @@
 
 // environment is where a verb prints.
 type environment struct {
+	in  io.Reader
 	out io.Writer
 	err io.Writer
 }
--- a/cmd/damaskctl/main.go
+++ b/cmd/damaskctl/main.go
@@ -28,7 +28,7 @@
 		subcommands.Register(c, "")
 	}
 	flag.Parse()
-	os.Exit(int(subcommands.Execute(context.Background(), environment{out: os.Stdout, err: os.Stderr})))
+	os.Exit(int(subcommands.Execute(context.Background(), environment{in: os.Stdin, out: os.Stdout, err: os.Stderr})))
 }
 
 // verbs lists every verb; each has its own file.
