A stream that goes on elsewhere comes first

Change: times of a resumed stream count from its last event, its aim is the pause that is in time, and it goes before what has not begun, without waiting for slack.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -25,6 +25,7 @@
 	Deadline  decide.Instant
 	MaxGap    time.Duration // longest pause between events in time; 0: none
 	Attempt   int
+	Resumed   bool // a stream that broke off goes on; Arrived and Aim count from its last event
 	Avoid     []fleet.UpstreamID
 }
 
--- a/internal/decide/dispatch/dispatch_test.go
+++ b/internal/decide/dispatch/dispatch_test.go
@@ -269,6 +269,30 @@
 	}
 }
 
+// A caller has all but a few events of an answer, and gets no more. Its engine broke off, and the dispatcher
+// held the rest to the aim of a first event, which was long over: late prompts wait for slack. A stream that
+// goes on comes before what has not begun, and is never held back for being late.
+func TestAStreamThatGoesOnComesFirst(t *testing.T) {
+	is := is.New(t)
+	s := engines(2)
+	for i := range 2 {
+		busy := newJob(fmt.Sprint("busy", i), 200_000)
+		busy.Aim = at(4000)
+		s.Adopt(0, busy, fleet.UpstreamID(fmt.Sprintf("a%02d", i)), nil, nil, false)
+		s.Began(busy.ID)
+	}
+	waiting := newJob("waiting", 150_000)
+	waiting.Aim = at(8000)
+	s.Ask(waiting)
+	resumed := newJob("resumed", 60_000)
+	resumed.Arrived, resumed.Aim, resumed.Resumed = at(5000), at(5001), true // its pause is over any moment
+	s.Ask(resumed)
+	all := s.Step(at(5010))
+	is.True(len(all) > 0)
+	is.Equal(all[0].Job.ID, resumed.ID)
+	is.True(all[0].Upstream != "")
+}
+
 // Decisions repeat: the same events give the same decisions, whatever the order of maps.
 func TestDecisionsRepeat(t *testing.T) {
 	is := is.New(t)
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -61,10 +61,17 @@
 	return out
 }
 
-// sort puts the jobs in the order in which they get places: by priority; those that can still be in time
+// sort puts the jobs in the order in which they get places: streams that go on first, since what their
+// callers have is lost without the rest; by priority; those that can still be in time
 // before those that are late anyway; the least reading first, as that serves most callers soonest.
 func (s *State) sort(now decide.Instant) {
 	slices.SortStableFunc(s.queue, func(a, b *Job) int {
+		if a.Resumed != b.Resumed {
+			if b.Resumed {
+				return 1
+			}
+			return -1
+		}
 		if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
 			return c
 		}
@@ -117,7 +124,7 @@
 }
 
 func (s *State) late(now decide.Instant, j *Job) bool {
-	return j.Aim != 0 && now.Add(s.leastRead(j)+fromMs(passesToFirst*s.meanPass)) > j.Aim
+	return !j.Resumed && j.Aim != 0 && now.Add(s.leastRead(j)+fromMs(passesToFirst*s.meanPass)) > j.Aim
 }
 
 // leastRead is the shortest time in which the prompt can be read.
@@ -152,7 +159,7 @@
 	if s.model != nil && float64(j.Prompt+j.Output) > float64(s.model.Memory)*s.params.MemoryShare*float64(min(s.params.MaxHelpers+1, len(s.order))) {
 		return s.refuse(j, TooLarge), true
 	}
-	if s.model != nil && s.oversized(j) && (s.late(now, j) || now.Sub(j.Arrived) > s.params.SlackWait) {
+	if s.model != nil && !j.Resumed && s.oversized(j) && (s.late(now, j) || now.Sub(j.Arrived) > s.params.SlackWait) {
 		return s.refuse(j, NoSlack), true
 	}
 	if s.model == nil {
@@ -313,7 +320,7 @@
 // spread gives a long prompt to the engines that have it read soonest, in even parts. Where it is over one
 // engine's memory, others hold the rest.
 func (s *State) spread(now decide.Instant, j *Job) (Decision, bool) {
-	if (s.oversized(j) || s.late(now, j)) && !s.slack(j) {
+	if !j.Resumed && (s.oversized(j) || s.late(now, j)) && !s.slack(j) {
 		return Decision{}, false
 	}
 	read := s.model.read(j.Prompt)
@@ -339,7 +346,7 @@
 	if math.IsInf(soonest, 1) {
 		return Decision{}, false
 	}
-	if j.Aim != 0 && now.Add(fromMs(soonest)) > j.Aim && !s.late(now, j) {
+	if !j.Resumed && j.Aim != 0 && now.Add(fromMs(soonest)) > j.Aim && !s.late(now, j) {
 		// Engines that are busy now read it in time later, or it is late anyway and waits its turn.
 		return Decision{}, false
 	}
--- a/internal/explain/logs.go
+++ b/internal/explain/logs.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	// around is how long before a request's first line, and after its last, what an instance came to believe
-	// is shown too: news of an upstream is acted on within seconds.
-	around = 5 * time.Second
+	// before a request's first line, and after its last, what an instance came to believe is shown too: news
+	// is acted on within seconds, and a cause that is noticed late is noticed soon after.
+	before = 5 * time.Second
+	after  = time.Second
 	// maxLine bounds one line of a log.
 	maxLine = 1 << 20
 )
@@ -68,7 +69,7 @@
 	if len(own) == 0 {
 		return nil
 	}
-	from, to := own[0].At.Add(-around), own[len(own)-1].At.Add(around)
+	from, to := own[0].At.Add(-before), own[len(own)-1].At.Add(after)
 	upstreams, instances := met(own)
 	var story []Line
 	for _, l := range all {
--- /dev/null
+++ b/internal/explain/logs_test.go
@@ -0,0 +1,48 @@
+package explain_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/damaskshelf/damaskshelf/internal/explain"
+)
+
+// An on-call engineer has a request's id and the logs of several instances, in one heap. The lines that
+// explain it come out in order, with what its instance came to believe around it and nothing of others.
+func TestStoriesOfFailedRequests(t *testing.T) {
+	for name, id := range map[string]string{
+		"lost_with_its_upstream": "335dda003c6e423d",
+		"refused_under_load":     "e9066ddce3e388ea",
+		"turned_away_by_key":     "f2451a8ba19c5012",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			file, err := os.Open("testdata/instances.log")
+			is.NoErr(err)
+			defer func() { _ = file.Close() }()
+			all, err := explain.ReadLines(file)
+			is.NoErr(err)
+			var got strings.Builder
+			for _, l := range explain.Story(all, id) {
+				got.WriteString(l.String() + "\n")
+			}
+			want, err := os.ReadFile("testdata/" + name + ".golden")
+			is.NoErr(err)
+			is.Equal(got.String(), string(want))
+		})
+	}
+}
+
+// An id that is the beginning of another one names nothing, and bytes that are no log line are passed over.
+func TestOnlyWholeIDsCount(t *testing.T) {
+	is := is.New(t)
+	all, err := explain.ReadLines(strings.NewReader(
+		"junk\n2026-04-11T09:40:38.269Z [INFO]  damaskshelfd.e.decision: answer: subject=abc1 reason=served\n"))
+	is.NoErr(err)
+	is.Equal(len(all), 1)
+	is.Equal(len(explain.Story(all, "abc")), 0)
+	is.Equal(len(explain.Story(all, "abc1")), 1)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,6 +69,7 @@
 	Priority  int
 	Prompt    int           // tokens
 	Output    int           // most tokens of the answer
+	Resumed   bool          // a stream that broke off goes on: its times count from its last event
 	Waited    time.Duration // since its arrival
 	Aimed     bool          // Aim says something
 	Aim       time.Duration // left to the answer that earns full credit; may be below zero
--- a/internal/gateway/life.go
+++ b/internal/gateway/life.go
@@ -45,18 +45,19 @@
 
 // life is one request from its arrival to its answer's end.
 type life struct {
-	g        *Gateway
-	r        *request
-	ctx      context.Context // ends with the caller's connection or the request's time
-	attempts int             // upstreams that were sent the request
-	arrivals int             // sends that reached an upstream, rejected ones included
-	avoid    []fleet.UpstreamID
-	grant    Grant
-	held     *reservations // of the current send; nil: none
-	x        *upstream.Exchange
-	sentAt   time.Time
-	answer   Answer
-	ran      fault.Run // whether any send may have run
+	g         *Gateway
+	r         *request
+	ctx       context.Context // ends with the caller's connection or the request's time
+	attempts  int             // upstreams that were sent the request
+	arrivals  int             // sends that reached an upstream, rejected ones included
+	avoid     []fleet.UpstreamID
+	grant     Grant
+	held      *reservations // of the current send; nil: none
+	x         *upstream.Exchange
+	sentAt    time.Time
+	lastEvent time.Time // when the last event of a stream came; zero: none yet
+	answer    Answer
+	ran       fault.Run // whether any send may have run
 }
 
 // failure is the end of one send.
@@ -75,7 +76,7 @@
 		if !l.trusted() {
 			return l.refusal(fault.StaleInstance, "this instance was paused and is catching up")
 		}
-		grant, err := l.g.deps.Placer.Place(l.ctx, l.r.ask(time.Now(), l.attempts+1, l.avoid))
+		grant, err := l.g.deps.Placer.Place(l.ctx, l.r.ask(time.Now(), l.lastEvent, l.attempts+1, l.avoid))
 		if err != nil {
 			return l.unplaced(err)
 		}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -129,21 +129,27 @@
 	return string(b)
 }
 
-// ask is the request's need for a place now.
-func (r *request) ask(now time.Time, attempt int, avoid []fleet.UpstreamID) Ask {
+// ask is the request's need for a place now. resumed is when the last event of a stream came that goes on
+// elsewhere; zero: the answer has not begun.
+func (r *request) ask(now, resumed time.Time, attempt int, avoid []fleet.UpstreamID) Ask {
+	since, aim := r.arrived, r.route.Aim
+	if !resumed.IsZero() {
+		// The caller has waited since the last event, and the pause that is in time takes the aim's place.
+		since, aim = resumed, r.route.MaxGap
+	}
 	a := Ask{
 		ID: fleet.RequestID(r.ID), Service: r.service, Kind: r.route.Kind, Workspace: r.workspace, Subject: r.Subject,
-		Priority: r.priority, Prompt: r.Prompt, Output: r.Output, MaxGap: r.route.MaxGap,
-		Left: r.deadline.Sub(now), Waited: now.Sub(r.arrived), Attempt: attempt, Avoid: avoid,
+		Priority: r.priority, Prompt: r.Prompt, Output: r.Output, MaxGap: r.route.MaxGap, Resumed: !resumed.IsZero(),
+		Left: r.deadline.Sub(now), Waited: now.Sub(since), Attempt: attempt, Avoid: avoid,
 	}
-	if r.route.Aim > 0 {
+	if aim > 0 {
 		a.Aimed = true
-		a.Aim = r.arrived.Add(r.route.Aim).Sub(now)
+		a.Aim = since.Add(aim).Sub(now)
 	}
 	a.Patience = a.Left
 	if r.route.Kind == catalog.Stream {
 		silence := max(patience, patienceAims*r.route.Aim, patienceGaps*r.route.MaxGap)
-		a.Patience = min(a.Left, r.arrived.Add(silence).Sub(now))
+		a.Patience = min(a.Left, since.Add(silence).Sub(now))
 	}
 	return a
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -99,6 +99,7 @@
 		s.last = e.id
 	}
 	s.count++
+	s.l.lastEvent = time.Now()
 	s.out = append(s.out, e.raw...)
 }
 
--- a/internal/placement/convert.go
+++ b/internal/placement/convert.go
@@ -18,7 +18,7 @@
 		Id: string(a.ID), Service: string(a.Service), Workspace: string(a.Workspace), Subject: a.Subject,
 		Priority: int32(a.Priority), Prompt: int32(a.Prompt), Output: int32(a.Output),
 		WaitedMs: (a.Waited + since).Milliseconds(), PatienceMs: (a.Patience - since).Milliseconds(),
-		DeadlineMs: (a.Left - since).Milliseconds(), MaxGapMs: int32(a.MaxGap.Milliseconds()), Attempt: int32(a.Attempt),
+		DeadlineMs: (a.Left - since).Milliseconds(), MaxGapMs: int32(a.MaxGap.Milliseconds()), Attempt: int32(a.Attempt), Resumed: a.Resumed,
 	}
 	if a.Aimed {
 		m.Aimed, m.AimMs = true, (a.Aim - since).Milliseconds()
@@ -37,7 +37,7 @@
 		ID: fleet.RequestID(m.Id), Entry: entry, Workspace: fleet.WorkspaceID(m.Workspace), Subject: m.Subject,
 		Priority: int(m.Priority), Prompt: int(m.Prompt), Output: int(m.Output), Arrived: now.Add(-ms(m.WaitedMs)),
 		Patience: now.Add(ms(m.PatienceMs)), Deadline: now.Add(ms(m.DeadlineMs)),
-		MaxGap: ms(int64(m.MaxGapMs)), Attempt: int(m.Attempt), Avoid: upstreamIDs(m.Avoid),
+		MaxGap: ms(int64(m.MaxGapMs)), Attempt: int(m.Attempt), Resumed: m.Resumed, Avoid: upstreamIDs(m.Avoid),
 	}
 	if m.Aimed {
 		j.Aim = now.Add(ms(m.AimMs))
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -263,6 +263,7 @@
 	out := map[fleet.InstanceID]*pb.ToEntry{}
 	for _, st := range h.services {
 		for _, d := range st.Step(now) {
+			h.logRefusal(now, st, d)
 			m := out[d.Job.Entry]
 			if m == nil {
 				m = &pb.ToEntry{}
@@ -278,6 +279,24 @@
 	}
 }
 
+// logRefusal writes the line of a refusal with what decided it; places are logged where they are used.
+func (h *hub) logRefusal(now decide.Instant, st *dispatch.State, d dispatch.Decision) {
+	if d.Upstream != "" {
+		return
+	}
+	j := d.Job
+	h.log.Info("refused", "request", j.ID, "reason", d.Reason, "entry", j.Entry, "prompt", j.Prompt,
+		"waited_ms", now.Sub(j.Arrived).Milliseconds(), "patience_left_ms", j.Patience.Sub(now).Milliseconds(),
+		"waiting", st.Waiting(), "running", st.Running(), "fleet_revision", h.fleetRevision(), "retry_after_ms", d.RetryAfter.Milliseconds())
+}
+
+func (h *hub) fleetRevision() uint64 {
+	if h.seen == nil {
+		return 0
+	}
+	return h.seen.FleetVersion
+}
+
 func add(m *pb.ToEntry, d dispatch.Decision) {
 	if d.Upstream == "" {
 		m.Refusals = append(m.Refusals, &pb.Refusal{
