--- a/cmd/damaskshelfd/main.go
+++ b/cmd/damaskshelfd/main.go
@@ -72,7 +72,7 @@
 	sink := logsink.New(out)
 	defer sink.Close(logFlush)
 	log := hclog.New(&hclog.LoggerOptions{Name: "damaskshelfd", Level: hclog.LevelFromString(s.LogLevel), Output: sink})
-	return serve(s, *path, log, hangups, stops)
+	return serve(s, *path, log, sink, hangups, stops)
 }
 
 // instance is what the settings make of this process.
@@ -84,15 +84,15 @@
 	Reload(api.Settings)
 }
 
-func assemble(s api.Settings, log hclog.Logger) (instance, error) {
+func assemble(s api.Settings, log hclog.Logger, sink *logsink.Sink) (instance, error) {
 	if s.Routed == nil {
 		return node.New(s, node.Options{Log: log})
 	}
-	return routed.New(s, platform.Adapter(s.Routed.Store.Address), log)
+	return routed.New(s, platform.Adapter(s.Routed.Store.Address), routed.Options{Log: log, DroppedLines: sink.Dropped})
 }
 
-func serve(s api.Settings, path string, log hclog.Logger, hangups, signals <-chan os.Signal) int {
-	n, err := assemble(s, log)
+func serve(s api.Settings, path string, log hclog.Logger, sink *logsink.Sink, hangups, signals <-chan os.Signal) int {
+	n, err := assemble(s, log, sink)
 	if err == nil {
 		err = n.Start()
 	}
--- a/internal/gateway/life.go
+++ b/internal/gateway/life.go
@@ -177,6 +177,9 @@
 	l.r.head.CopyTo(head)
 	head.SetNoDefaultContentType(true)
 	l.sentAt = time.Now()
+	if l.arrivals == 0 {
+		l.g.observeWait(l.r, l.sentAt.Sub(l.r.arrived))
+	}
 	l.g.deps.Dialect.WriteRequest(head, l.r.send(u, helpers, l.r.deadline.Sub(l.sentAt), lastEvent))
 	l.g.deps.Explain.Record("dispatch", l.r.ID, decide.Reason(l.grant.Reason()), "upstream", u.ID, "attempt", l.attempts+1,
 		"helpers", len(helpers), "holders", len(l.grant.Holders()), "waited_ms", l.sentAt.Sub(l.r.arrived).Milliseconds(), "config", l.r.version,
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -195,6 +195,33 @@
 	g.deps.Metrics.Histogram("answer_ms", "kind", r.route.Kind.String()).Update(took.Milliseconds())
 }
 
+// observeWait counts the time until a request is sent to its first upstream.
+func (g *Gateway) observeWait(r *request, waited time.Duration) {
+	g.deps.Metrics.Histogram("waited_ms", "kind", r.route.Kind.String()).Update(waited.Milliseconds())
+}
+
+// Bounds of the classes of prompts, in tokens, by which first events are measured.
+const (
+	shortPrompt  = 16_000
+	mediumPrompt = 128_000
+)
+
+func promptClass(tokens int) string {
+	switch {
+	case tokens < shortPrompt:
+		return "short"
+	case tokens < mediumPrompt:
+		return "medium"
+	default:
+		return "long"
+	}
+}
+
+// observeFirst counts the time to a stream's first event.
+func (g *Gateway) observeFirst(r *request) {
+	g.deps.Metrics.Histogram("first_event_ms", "class", promptClass(r.Prompt)).Update(time.Since(r.arrived).Milliseconds())
+}
+
 // refusalBody is the body of an answer of the system's own.
 type refusalBody struct {
 	Error  string `json:"error"`
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -35,6 +35,7 @@
 			continue
 		}
 		l.grant.Began()
+		l.g.observeFirst(l.r)
 		s.take(first, err)
 		copyAnswerHead(&ctx.Response.Header, &l.x.Head)
 		ctx.Response.SetBodyStream(s, -1)
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -71,13 +71,20 @@
 	Budgets  *budgets
 }
 
+// Options are what the process gives its instance.
+type Options struct {
+	Log          hclog.Logger
+	DroppedLines func() int // log lines dropped since the start; nil: none are
+}
+
 // New assembles an instance. It opens no connection and binds no address.
-func New(s api.Settings, a Adapter, log hclog.Logger) (*Node, error) {
+func New(s api.Settings, a Adapter, o Options) (*Node, error) {
 	c := dig.New()
 	provides := []any{
 		func() api.Settings { return s },
 		func() Adapter { return a },
-		func() hclog.Logger { return log.Named(s.Instance) },
+		func() hclog.Logger { return o.Log.Named(s.Instance) },
+		func() Options { return o },
 		func() *gate.Gate { return &gate.Gate{} },
 		metrics.New,
 		explain.New,
@@ -243,3 +250,6 @@
 
 // ReadyAddr is where the balancer asks.
 func (n *Node) ReadyAddr() string { return n.parts.Side.listeners[0].Addr().String() }
+
+// MetricsAddr is where the metrics are served.
+func (n *Node) MetricsAddr() string { return n.parts.Side.listeners[1].Addr().String() }
--- a/internal/routed/side.go
+++ b/internal/routed/side.go
@@ -31,7 +31,7 @@
 	served         chan error
 }
 
-func newSide(s api.Settings, f *watch.Follower, g *gate.Gate, m *metrics.Registry, log hclog.Logger) *side {
+func newSide(s api.Settings, o Options, f *watch.Follower, g *gate.Gate, m *metrics.Registry, log hclog.Logger) *side {
 	ready := router.New()
 	ready.GET(s.Routed.ReadyPath, func(ctx *fasthttp.RequestCtx) {
 		if why := notReady(f, g); why != "" {
@@ -41,7 +41,12 @@
 		ctx.SetBodyString("ready\n")
 	})
 	numbers := router.New()
-	numbers.GET(pathMetrics, func(ctx *fasthttp.RequestCtx) { ctx.SetBody(m.Text()) })
+	numbers.GET(pathMetrics, func(ctx *fasthttp.RequestCtx) {
+		if o.DroppedLines != nil {
+			m.Gauge("log_dropped").Update(int64(o.DroppedLines()))
+		}
+		ctx.SetBody(m.Text())
+	})
 	return &side{ready: sideServer(ready, log), metrics: sideServer(numbers, log), served: make(chan error, 2)}
 }
 
