Tests let the system choose ports

Cause: TestABrokenAnswerIsNotPassedOn failed once beside load, at the start: 'address already in use': its port had been free a moment before and was another connection's by then. Change: instances in tests bind port 0, and an instance advertises the port it got; the soak's daemons, whose ports must be known before they start, take them below the range of outgoing connections.

--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -151,6 +152,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
+	n.self.Addr = advertised(n.self.Addr, peers.Addr())
 	n.run(func(ctx context.Context) {
 		if err := p.Placer.Serve(ctx, peers); err != nil {
 			p.Log.Error("peers' listener ended", "error", err)
@@ -166,6 +168,15 @@
 	return nil
 }
 
+// advertised gives the address that other instances connect to: where the settings leave the port to the
+// system, the one that was given.
+func advertised(set string, bound net.Addr) string {
+	if a, err := netip.ParseAddrPort(set); err == nil && a.Port() == 0 {
+		return bound.String()
+	}
+	return set
+}
+
 func (n *Node) run(f func(ctx context.Context)) {
 	n.wg.Add(1)
 	go func() {
--- a/test/soak/daemon_test.go
+++ b/test/soak/daemon_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -44,14 +45,21 @@
 	done    chan struct{} // closed when the process is over
 }
 
+// freeAddr gives a loopback address that is free, with a port below those that the system gives to outgoing
+// connections: one of theirs may be taken again before the daemon binds it.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	const lowest, ports = 20_000, 10_000
+	for range 100 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(ports)))
+		if err != nil {
+			continue
+		}
+		defer func() { _ = l.Close() }()
+		return l.Addr().String()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // newDaemon writes the settings of an instance that reaches the store at store, and is reached by its peers
