Bound what a dispatcher sends and looks at; find out silent ends

Change: copies are packed as a whole, once for all, sent only if a change is missing, and asked for at most once a second; messages up to 8 MB; one step for all messages that came meanwhile, at most a third of the processor; at most 34 candidates a read, 16 tries a step, and no second look for a short prompt that needs more than one that found no place. Connections to upstreams probe a silent end (1 s, twice 0.4 s) and bound unacknowledged bytes (1.8 s). Ruled out: reading the list from the store in each instance (1,800 calls at each start).

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -139,7 +139,18 @@
 
 	// Of the survey at the beginning of a step.
 	cuts     map[link]int
-	meanPass float64 // ms
+	meanPass float64                    // ms
+	longs    int                        // jobs waiting for a long read, oversized ones aside
+	tried    int                        // long reads that found no place
+	unpacked map[fleet.DomainID]packing // what found no place on any engine
+
+	reading int // engines that read something
+}
+
+// packing is what a short prompt needs of an engine.
+type packing struct {
+	prompt int
+	gap    time.Duration
 }
 
 // New gives a State without upstreams. model is nil for a plain service.
@@ -176,6 +187,12 @@
 			}
 		}
 	}
+	s.reading = 0
+	for _, e := range s.engines {
+		if e.pending >= idleBelow {
+			s.reading++
+		}
+	}
 	s.order = s.order[:0]
 	for _, e := range s.engines {
 		s.order = append(s.order, e)
@@ -308,11 +325,11 @@
 	}
 	s.runs[j.ID] = r
 	e.runs[j.ID] = r
-	e.pending += r.part
+	s.addReading(e, r.part)
 	e.context += r.context
 	for _, h := range helpers {
 		h.parts[j.ID] = r
-		h.pending += r.part
+		s.addReading(h, r.part)
 	}
 	if e.cold(now) {
 		e.starts = append(e.starts, now)
@@ -321,14 +338,27 @@
 	return r
 }
 
+// addReading changes what an engine has to read, in ms.
+func (s *State) addReading(e *engine, ms float64) {
+	was := e.pending >= idleBelow
+	e.pending = max(0, e.pending+ms)
+	if is := e.pending >= idleBelow; is != was && s.engines[e.ID] == e {
+		if is {
+			s.reading++
+		} else {
+			s.reading--
+		}
+	}
+}
+
 // readDone takes a run's reading off its engines.
 func (s *State) readDone(r *run) {
 	if r.writing {
 		return
 	}
-	r.on.pending = max(0, r.on.pending-r.part)
+	s.addReading(r.on, -r.part)
 	for _, h := range r.helpers {
-		h.pending = max(0, h.pending-r.part)
+		s.addReading(h, -r.part)
 		delete(h.parts, r.job.ID)
 	}
 }
@@ -344,6 +374,9 @@
 	}
 	r.on.regap()
 	if r.on.gone && len(r.on.runs) == 0 && s.engines[r.on.ID] == r.on {
+		if r.on.pending >= idleBelow {
+			s.reading--
+		}
 		delete(s.engines, r.on.ID)
 		s.order = slices.DeleteFunc(s.order, func(e *engine) bool { return e == r.on })
 	}
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -27,6 +27,9 @@
 	// passesToFirst is how many passes a request on a busy engine waits for its first event: the one under
 	// way, half of it on average, and its own.
 	passesToFirst = 1.5
+	// maxTried bounds the long reads that are looked at without finding a place in one step: those behind are
+	// longer, and find one even less.
+	maxTried = 16
 	// idleBelow is the reading in ms under which an engine reads nothing: sums of parts leave fractions.
 	idleBelow = 1.0
 	// leastHolding is the least memory in tokens that is worth a reservation.
@@ -106,6 +109,14 @@
 			busy++
 		}
 	}
+	s.tried, s.unpacked, s.longs = 0, map[fleet.DomainID]packing{}, 0
+	if s.model != nil {
+		for _, j := range s.queue {
+			if s.isLong(j) && !s.oversized(j) {
+				s.longs++
+			}
+		}
+	}
 	s.meanPass = 0
 	if busy > 0 {
 		s.meanPass = total / float64(busy)
@@ -165,7 +176,7 @@
 	if s.model == nil {
 		return s.placePlain(now, j)
 	}
-	if s.model.read(j.Prompt) <= s.params.ShortRead {
+	if !s.isLong(j) {
 		if d, ok := s.pack(now, j); ok {
 			return d, true
 		}
@@ -288,6 +299,9 @@
 // pack gives a short prompt to the fullest engine whose streams, and its own, bear it: engines that are
 // left free can read long prompts without making anybody pause.
 func (s *State) pack(now decide.Instant, j *Job) (Decision, bool) {
+	if s.hopeless(j) {
+		return Decision{}, false
+	}
 	read := s.model.read(j.Prompt)
 	var best *engine
 	for _, e := range s.order {
@@ -303,12 +317,23 @@
 		}
 	}
 	if best == nil {
+		if len(j.Avoid) == 0 {
+			s.unpacked[j.From] = packing{j.Prompt, j.MaxGap}
+		}
 		return Decision{}, false
 	}
 	s.start(now, j, best, nil, nil)
 	return Decision{Job: j, Upstream: best.ID, Reason: Packed}, true
 }
 
+// hopeless tells whether a prompt that needs no more than this one has found no place in this step: under
+// overload hundreds wait, and looking at every engine for each of them would cost the dispatcher its
+// processor. Places are only taken in a step, never given back.
+func (s *State) hopeless(j *Job) bool {
+	u, ok := s.unpacked[j.From]
+	return ok && j.Prompt >= u.prompt && j.MaxGap <= u.gap
+}
+
 // fuller orders engines for packing.
 func (s *State) fuller(a, b *engine) bool {
 	if len(a.runs) != len(b.runs) {
@@ -323,16 +348,14 @@
 	if !j.Resumed && (s.oversized(j) || s.late(now, j)) && !s.slack(j) {
 		return Decision{}, false
 	}
-	read := s.model.read(j.Prompt)
-	var with []*engine
-	for _, e := range s.order {
-		if !e.gone && !e.paused(now) && !slices.Contains(j.Avoid, e.ID) && s.room(e, 0) > 0 {
-			with = append(with, e)
-		}
+	if s.tried >= maxTried && !j.Resumed {
+		return Decision{}, false
 	}
-	slices.SortStableFunc(with, func(a, b *engine) int { return cmp.Compare(s.delay(a), s.delay(b)) })
+	read := s.model.read(j.Prompt)
+	with := s.soonest(now, j)
 	first, holders := s.first(now, with, j)
 	if first == nil {
+		s.tried++
 		return Decision{}, false
 	}
 	var must []*engine
@@ -344,10 +367,12 @@
 	})
 	helpers, soonest := s.helpers(first, must, with, read, j.MaxGap)
 	if math.IsInf(soonest, 1) {
+		s.tried++
 		return Decision{}, false
 	}
 	if !j.Resumed && j.Aim != 0 && now.Add(fromMs(soonest)) > j.Aim && !s.late(now, j) {
 		// Engines that are busy now read it in time later, or it is late anyway and waits its turn.
+		s.tried++
 		return Decision{}, false
 	}
 	s.start(now, j, first, helpers, holders)
@@ -364,6 +389,44 @@
 	return d, true
 }
 
+// soonest gives the engines that may read for the job, those that come to it first in front: all where there
+// are few, and otherwise as many as can be of use, with the first that could answer it.
+func (s *State) soonest(now decide.Instant, j *Job) []*engine {
+	most := len(s.order)
+	if !s.oversized(j) {
+		most = min(most, 2*(s.params.MaxHelpers+1))
+	}
+	var best []*engine
+	var first *engine
+	for _, e := range s.order {
+		if e.gone || e.paused(now) || slices.Contains(j.Avoid, e.ID) || s.room(e, 0) <= 0 {
+			continue
+		}
+		if (first == nil || s.delay(e) < s.delay(first)) && s.takes(now, e, j) && s.fits(e, j) {
+			first = e
+		}
+		best = s.insert(best, e, most)
+	}
+	if first != nil && !slices.Contains(best, first) {
+		best = append(best, first)
+	}
+	return best
+}
+
+// insert puts an engine into a list of at most so many, ordered by delay and then as they come.
+func (s *State) insert(best []*engine, e *engine, most int) []*engine {
+	delay := s.delay(e)
+	if len(best) == most && delay >= s.delay(best[most-1]) {
+		return best
+	}
+	at := len(best)
+	for at > 0 && s.delay(best[at-1]) > delay {
+		at--
+	}
+	best = slices.Insert(best, at, e)
+	return best[:min(most, len(best))]
+}
+
 // first gives the engine that answers the job, and those that hold the memory that it lacks; nil if there
 // is none now. A prompt that fits one engine goes to the first that has the room.
 func (s *State) first(now decide.Instant, with []*engine, j *Job) (*engine, []holding) {
@@ -406,23 +469,19 @@
 // Placing late prompts at once instead lost 0.07 of the fleet's worth over days that flip between long and
 // short prompts.
 func (s *State) slack(j *Job) bool {
-	idle := 0
-	for _, e := range s.order {
-		if !e.gone && e.pending < idleBelow {
-			idle++
-		}
-	}
-	if float64(idle) < s.params.SlackShare*float64(len(s.order)) {
+	if float64(len(s.order)-s.reading) < s.params.SlackShare*float64(len(s.order)) {
 		return false
 	}
-	for _, o := range s.queue {
-		if o != j && !s.oversized(o) && s.model.read(o.Prompt) > s.params.ShortRead {
-			return false
-		}
+	others := s.longs
+	if !s.oversized(j) {
+		others-- // j itself
 	}
-	return true
+	return others <= 0
 }
 
+// isLong tells whether the prompt is spread, and not packed.
+func (s *State) isLong(j *Job) bool { return s.model.read(j.Prompt) > s.params.ShortRead }
+
 // oversized tells whether no engine has the memory for the job.
 func (s *State) oversized(j *Job) bool {
 	return float64(j.Prompt+j.Output) > float64(s.model.Memory)*s.params.MemoryShare
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -178,6 +178,6 @@
 		return nil, err
 	}
 	return drpcconn.NewWithOptions(&timedConn{Conn: raw}, drpcconn.Options{Manager: drpcmanager.Options{
-		Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessage},
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessage},
 	}}), nil
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -43,7 +43,7 @@
 		return nil, err
 	}
 	options := drpcserver.Options{Manager: drpcmanager.Options{
-		Reader:            drpcwire.ReaderOptions{MaximumBufferSize: maxMessage},
+		Reader:            drpcwire.ReaderOptions{MaximumBufferSize: MaxMessage},
 		InactivityTimeout: idleTimeout,
 	}}
 	return &Server{drpc: drpcserver.NewWithOptions(mux, options)}, nil
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
@@ -35,6 +36,8 @@
 	// seekMost how many others it asks then.
 	seekEvery = time.Second
 	seekMost  = 3
+	// askAgain is how long a copy that was asked for may take to come.
+	askAgain = time.Second
 	// firstRest and longestRest bound how long an instance that could not be reached is left alone.
 	firstRest   = 500 * time.Millisecond
 	longestRest = 4 * time.Second
@@ -64,6 +67,7 @@
 	rests   map[fleet.InstanceID]rest        // guarded by mu
 	behind  map[fleet.InstanceID]*remoteSink // guarded by mu: instances whose messages are passed on
 	sought  time.Time                        // guarded by mu: when a way to a dispatcher before this one was last sought
+	lacked  map[string]time.Time             // guarded by mu: when a kind was last asked for
 }
 
 // rest is how long an instance is left alone.
@@ -89,7 +93,7 @@
 	c := &Client{
 		self: self, domain: domain, follower: f, snapshot: f.Snapshot, log: log.Named("placement"), hub: newHub(f, log), local: NewLocal(f.Snapshot),
 		waiting: map[fleet.RequestID]*waiting{}, running: map[fleet.RequestID]*dispatched{},
-		rests: map[fleet.InstanceID]rest{}, behind: map[fleet.InstanceID]*remoteSink{}, news: newOutbox[news](),
+		rests: map[fleet.InstanceID]rest{}, behind: map[fleet.InstanceID]*remoteSink{}, lacked: map[string]time.Time{}, news: newOutbox[news](),
 	}
 	f.SetRank(c.rank)
 	f.SetChanged(c.stateChanged)
@@ -160,7 +164,9 @@
 	if err := pb.DRPCRegisterPlacement(mux, service{c: c}); err != nil {
 		return err
 	}
-	options := drpcserver.Options{Manager: drpcmanager.Options{InactivityTimeout: time.Minute}}
+	options := drpcserver.Options{Manager: drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: peer.MaxMessage}, InactivityTimeout: time.Minute,
+	}}
 	return drpcserver.NewWithOptions(mux, options).Serve(ctx, peer.Bounded(l))
 }
 
@@ -403,6 +409,7 @@
 	if err != nil {
 		c.log.Error("state of the dispatcher can't be read", "error", err)
 	}
+	needed = c.unasked(needed)
 	if len(needed) == 0 {
 		return
 	}
@@ -415,6 +422,22 @@
 	c.tell(&pb.FromEntry{Proofs: lacks})
 }
 
+// unasked gives the kinds that were not asked for a moment ago. A long copy takes its time over a narrow
+// link, and each beat until it comes shows again that it is missing: asking each time would fill the link.
+func (c *Client) unasked(kinds []string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	var out []string
+	for _, kind := range kinds {
+		if now.Sub(c.lacked[kind]) > askAgain {
+			c.lacked[kind] = now
+			out = append(out, kind)
+		}
+	}
+	return out
+}
+
 // settle hands a reply to the request that waits for it. A place that nobody waits for is given back.
 func (c *Client) settle(id fleet.RequestID, r reply) {
 	c.mu.Lock()
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -21,6 +21,8 @@
 	tick = 10 * time.Millisecond
 	// beat is the longest silence towards an attached instance.
 	beat = 100 * time.Millisecond
+	// longStep is a step's time from which the next one is put off.
+	longStep = time.Millisecond
 	// settleTime is how long a dispatcher that has just been attached to waits for the other instances' work:
 	// what it doesn't know of yet it would place beside. Twice the time after which they miss the old one.
 	settleTime = 2 * silence
@@ -42,6 +44,8 @@
 	domains  map[fleet.InstanceID]fleet.DomainID     // guarded by mu: of the attached instances
 	seen     *catalog.Snapshot                       // guarded by mu: that the states go by
 	missed   map[fleet.InstanceID]decide.Instant     // guarded by mu: since when members have had no session
+	dirty    chan struct{}                           // holds a token while something has changed since the last step
+	wholes   wholes                                  // guarded by mu
 	opened   decide.Instant                          // guarded by mu: when the first instance attached
 }
 
@@ -49,6 +53,7 @@
 	return &hub{
 		follower: f, snapshot: f.Snapshot, log: log.Named("dispatcher"), start: time.Now(),
 		services: map[catalog.ServiceName]*dispatch.State{}, entries: map[fleet.InstanceID]sink{}, missed: map[fleet.InstanceID]decide.Instant{},
+		wholes:  wholes{},
 		domains: map[fleet.InstanceID]fleet.DomainID{},
 	}
 }
@@ -91,7 +96,7 @@
 	for _, st := range h.services {
 		st.Forget(entry)
 	}
-	h.step(h.now())
+	h.wake()
 }
 
 // tell takes what an attached instance says.
@@ -113,7 +118,7 @@
 	if len(theirs) == 0 {
 		return
 	}
-	changes, err := newer(h.follower, theirs)
+	changes, err := newer(h.follower, h.wholes, theirs)
 	if err != nil {
 		h.log.Error("state can't be sent", "error", err)
 	}
@@ -159,7 +164,15 @@
 	for _, a := range m.Asks {
 		h.of(a.Service).Ask(h.job(a, entry, now))
 	}
-	h.step(now)
+	h.wake()
+}
+
+// wake has waiting jobs looked at soon.
+func (h *hub) wake() {
+	select {
+	case h.dirty <- struct{}{}:
+	default:
+	}
 }
 
 // absent gives the members without a session for so long, as far as this instance has looked.
@@ -321,10 +334,12 @@
 	return out
 }
 
-// run looks at waiting jobs, and has beats sent, until ctx ends.
+// run looks at waiting jobs whenever something has changed, and has beats sent, until ctx ends.
 func (h *hub) run(ctx context.Context, beats func()) {
 	lastBeat := time.Now()
-	for wait.For(ctx, h.pause()) {
+	for ctx.Err() == nil {
+		h.sleep(ctx)
+		began := time.Now()
 		h.mu.Lock()
 		now := h.now()
 		h.refresh(now)
@@ -335,6 +350,22 @@
 			lastBeat = time.Now()
 			beats()
 		}
+		// A step that takes long, as with thousands of engines under overload, must leave time for the messages
+		// that it decides about: steps take a third of the processor at most.
+		if took := time.Since(began); took > longStep {
+			wait.For(ctx, 2*took)
+		}
+	}
+}
+
+// sleep waits until something has changed or jobs must be looked at anyway.
+func (h *hub) sleep(ctx context.Context) {
+	t := time.NewTimer(h.pause())
+	defer t.Stop()
+	select {
+	case <-h.dirty:
+	case <-t.C:
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -1,50 +1,111 @@
 package placement
 
 import (
+	"bytes"
+	"compress/gzip"
 	"fmt"
+	"io"
+
+	"google.golang.org/protobuf/proto"
 
 	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
-	"github.com/damaskshelf/damaskshelf/internal/peer"
 	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
 	"github.com/damaskshelf/damaskshelf/internal/watch"
 )
 
-// packFrom is the value's length in bytes from which it is sent packed: a configuration of many routes goes
-// to every instance, and the links of small ones are narrow.
-const packFrom = 2 << 10
+const (
+	// packFrom is the length in bytes of a change's values from which they are sent packed: a configuration of
+	// many routes, or a long list of upstreams, goes to every instance, and the links of small ones are narrow.
+	packFrom = 2 << 10
+	// maxUnpacked bounds what a change may unpack to: some tens of thousands of entries.
+	maxUnpacked = 64 << 20
+)
 
 func changeMessage(c watch.Change) (*pb.Change, error) {
 	m := &pb.Change{Kind: c.Kind, Whole: c.Whole, From: c.From, To: c.To, Deleted: c.Deleted}
+	length := 0
 	for _, o := range c.Objects {
-		sent := &pb.Object{Name: o.Name, Version: o.Version, Value: o.Value}
-		if len(o.Value) >= packFrom {
-			packed, err := peer.Pack(o.Value)
-			if err != nil {
-				return nil, fmt.Errorf("pack %s/%s: %w", c.Kind, o.Name, err)
-			}
-			sent.Value, sent.Packed = packed, true
-		}
-		m.Objects = append(m.Objects, sent)
+		m.Objects = append(m.Objects, &pb.Object{Name: o.Name, Version: o.Version, Value: o.Value})
+		length += len(o.Value)
+	}
+	if length < packFrom {
+		return m, nil
+	}
+	raw, err := proto.Marshal(&pb.Objects{Objects: m.Objects})
+	if err != nil {
+		return nil, fmt.Errorf("encode %s: %w", c.Kind, err)
+	}
+	if m.Packed, err = pack(raw); err != nil {
+		return nil, fmt.Errorf("pack %s: %w", c.Kind, err)
 	}
+	m.Objects = nil
 	return m, nil
 }
 
+// pack compresses fast: the dispatcher packs each change once, at the moment at which all wait for it.
+func pack(raw []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(raw); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+func unpack(packed []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, err
+	}
+	raw, err := io.ReadAll(io.LimitReader(r, maxUnpacked+1))
+	if err == nil && len(raw) > maxUnpacked {
+		err = fmt.Errorf("over %d bytes", maxUnpacked)
+	}
+	return raw, err
+}
+
 func readChange(m *pb.Change) (watch.Change, error) {
 	c := watch.Change{Kind: m.Kind, Whole: m.Whole, From: m.From, To: m.To, Deleted: m.Deleted}
-	for _, o := range m.Objects {
-		value := o.Value
-		if o.Packed {
-			raw, err := peer.Unpack(o.Value)
-			if err != nil {
-				return c, fmt.Errorf("%s/%s: %w", m.Kind, o.Name, err)
-			}
-			value = raw
+	all := m.Objects
+	if len(m.Packed) > 0 {
+		raw, err := unpack(m.Packed)
+		if err != nil {
+			return c, fmt.Errorf("unpack %s: %w", m.Kind, err)
+		}
+		var objects pb.Objects
+		if err := proto.Unmarshal(raw, &objects); err != nil {
+			return c, fmt.Errorf("decode %s: %w", m.Kind, err)
 		}
-		c.Objects = append(c.Objects, wire.Object{Kind: m.Kind, Name: o.Name, Version: o.Version, Value: value})
+		all = objects.Objects
+	}
+	for _, o := range all {
+		c.Objects = append(c.Objects, wire.Object{Kind: m.Kind, Name: o.Name, Version: o.Version, Value: o.Value})
 	}
 	return c, nil
 }
 
+// wholes keeps the last message of each kind's whole copy: many instances that attach at one time are sent
+// the same bytes. It is not safe for concurrent use.
+type wholes map[string]*pb.Change
+
+// of gives the message of a whole copy.
+func (w wholes) of(c watch.Change) (*pb.Change, error) {
+	if m := w[c.Kind]; m != nil && m.From == c.From {
+		return m, nil
+	}
+	m, err := changeMessage(c)
+	if err == nil {
+		w[c.Kind] = m
+	}
+	return m, err
+}
+
 func proofMessages(all []watch.Proof) []*pb.Proof {
 	out := make([]*pb.Proof, len(all))
 	for i, p := range all {
@@ -84,18 +145,18 @@
 }
 
 // newer gives all of the kinds of which the sender of the proofs lacks something.
-func newer(f *watch.Follower, theirs []*pb.Proof) ([]*pb.Change, error) {
+func newer(f *watch.Follower, sent wholes, theirs []*pb.Proof) ([]*pb.Change, error) {
 	var out []*pb.Change
-	for _, m := range theirs {
-		c, ok := f.Whole(m.Kind)
-		if !ok || (m.Known && m.Revision >= c.To) {
+	for _, theirs := range theirs {
+		c, ok := f.Whole(theirs.Kind)
+		if !ok || (theirs.Known && theirs.Revision >= c.From) {
 			continue
 		}
-		sent, err := changeMessage(c)
+		m, err := sent.of(c)
 		if err != nil {
 			return out, err
 		}
-		out = append(out, sent)
+		out = append(out, m)
 	}
 	return out, nil
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -11,7 +11,10 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -22,6 +25,24 @@
 	bufferSize  = 16 << 10
 )
 
+// probes find out that the other end is gone without a word: a machine that lost power, or a way that is cut.
+// While an answer is awaited nothing else shows it, and the request, with memory reserved for it on other
+// engines, would wait for its whole time. Two probes unanswered are about two seconds.
+var probes = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 400 * time.Millisecond, Count: 2}
+
+// unanswered is how long the other end may leave sent bytes without acknowledgement: the same for a request
+// that is being sent.
+const unanswered = 1800 * time.Millisecond
+
+// boundUnanswered sets the bound on a new connection.
+func boundUnanswered(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unanswered.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
 // conn is one connection to an upstream, used by one request at a time.
 type conn struct {
 	net.Conn
@@ -96,7 +117,7 @@
 }
 
 func (p *pool) dial(ctx context.Context, addr string) (*conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
+	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: probes, Control: boundUnanswered}
 	created := p.now()
 	raw, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
--- a/internal/watch/mirror.go
+++ b/internal/watch/mirror.go
@@ -139,9 +139,9 @@
 	return c, true
 }
 
-// whole gives the copy as a change.
+// whole gives the copy as a change. From is the revision of the last change in it.
 func (m *mirror) whole() Change {
-	c := Change{Kind: m.kind, Whole: true, To: m.revision}
+	c := Change{Kind: m.kind, Whole: true, From: m.latest, To: m.revision}
 	for _, o := range m.objects {
 		c.Objects = append(c.Objects, o)
 	}
