Find slow engines out by their first events

Cause: an engine that works four times slower says nothing of it; being the fullest it got every next short prompt. Ruled out: asking every engine for its report (a probe each second and engine, 0.2 s old).

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -103,6 +103,7 @@
 	context int     // tokens of memory on its own engine
 	part    float64 // ms that each of its engines reads
 	granted decide.Instant
+	planned float64 // ms from the grant to the first event, as its engine's work and pace had it
 	writing bool
 }
 
@@ -123,6 +124,8 @@
 	starts  []decide.Instant         // of the last second, while cold
 	failed  decide.Instant           // last failure
 	fails   int                      // in a row
+	slow    float64                  // how many times longer than planned it has taken lately, at least 1
+	slowAt  decide.Instant           // when that was learnt
 	full    decide.Instant           // until then it is taken to have no room: it said so
 	// unreached holds when an instance of a failure domain last could not connect to it.
 	unreached map[fleet.DomainID]decide.Instant
@@ -137,6 +140,8 @@
 	queue   []*Job
 	runs    map[fleet.RequestID]*run
 
+	now decide.Instant // of the step under way
+
 	// Of the survey at the beginning of a step.
 	cuts     map[link]int
 	meanPass float64                    // ms
@@ -216,11 +221,12 @@
 }
 
 // Began takes that a run's answer, or its first event, came: its prompt is read.
-func (s *State) Began(id fleet.RequestID) {
+func (s *State) Began(now decide.Instant, id fleet.RequestID) {
 	r := s.runs[id]
 	if r == nil || r.writing {
 		return
 	}
+	s.learn(now, r)
 	s.readDone(r)
 	r.writing = true
 	r.on.fails = 0
@@ -316,6 +322,9 @@
 // start books a run.
 func (s *State) start(now decide.Instant, j *Job, e *engine, helpers []*engine, holders []holding) *run {
 	r := &run{job: j, on: e, helpers: helpers, holders: holders, granted: now, context: j.Prompt + j.Output}
+	if s.model != nil {
+		r.planned = e.pending + s.model.read(j.Prompt) + passesToFirst*s.model.pass(len(e.runs)+1, e.context+r.context) + tripMs
+	}
 	for _, h := range holders {
 		r.context -= h.tokens
 		h.on.context += h.tokens
--- a/internal/decide/dispatch/dispatch_test.go
+++ b/internal/decide/dispatch/dispatch_test.go
@@ -217,7 +217,7 @@
 			},
 			"began": func(t *rapid.T) {
 				for id := range live {
-					s.Began(id)
+					s.Began(at(now), id)
 					writing[id] = true
 					break
 				}
@@ -279,7 +279,7 @@
 		busy := newJob(fmt.Sprint("busy", i), 200_000)
 		busy.Aim = at(4000)
 		s.Adopt(0, busy, fleet.UpstreamID(fmt.Sprintf("a%02d", i)), nil, nil, false)
-		s.Began(busy.ID)
+		s.Began(0, busy.ID)
 	}
 	waiting := newJob("waiting", 150_000)
 	waiting.Aim = at(8000)
@@ -293,6 +293,32 @@
 	is.True(all[0].Upstream != "")
 }
 
+// Short answers pause for the rest of the day. One engine of six works four times slower than it says, and it
+// is the fullest: every new short prompt is packed onto it. Its first events tell, and it gets no more until
+// what was learnt has faded; then it is tried again.
+func TestASlowEngineIsFoundOut(t *testing.T) {
+	is := is.New(t)
+	s := engines(3)
+	now := 0.0
+	short := func(i int) dispatch.Decision {
+		j := newJob(fmt.Sprint("j", i), 5000)
+		j.Arrived, j.Aim, j.Patience, j.MaxGap = at(now), at(now+300), at(now+2000), 200*time.Millisecond
+		return one(t, s, now, j)
+	}
+	slow := short(0).Upstream
+	is.Equal(short(1).Upstream, slow) // packed
+	now = 700                         // a first event is due after about 150 ms
+	s.Began(at(now), "j0")
+	for i := 2; i < 5; i++ {
+		is.True(short(i).Upstream != slow)
+	}
+	now = 60_000
+	for i := range 5 {
+		s.Done(at(now), fleet.RequestID(fmt.Sprint("j", i)), dispatch.Whole, "")
+	}
+	is.Equal(short(20).Upstream, slow) // all are empty: the first by id
+}
+
 // Decisions repeat: the same events give the same decisions, whatever the order of maps.
 func TestDecisionsRepeat(t *testing.T) {
 	is := is.New(t)
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -47,6 +47,7 @@
 	if len(s.queue) == 0 {
 		return nil
 	}
+	s.now = now
 	s.survey(now)
 	s.sort(now)
 	var out []Decision
@@ -282,13 +283,14 @@
 // room is how much reading the engine can take into its next passes, in ms: without streams as much as
 // anybody wants, with streams what their pauses leave.
 func (s *State) room(e *engine, gap time.Duration) float64 {
+	pace := e.pace(s.now)
 	if e.gap > 0 && (gap == 0 || e.gap < gap) {
 		gap = e.gap
 	}
 	if len(e.runs) == 0 || gap == 0 {
 		return math.Inf(1)
 	}
-	return toMs(gap)*s.params.GapShare - s.model.pass(len(e.runs), e.context) - e.pending
+	return toMs(gap)*s.params.GapShare/pace - s.model.pass(len(e.runs), e.context) - e.pending
 }
 
 // fits tells whether the engine has the memory for the job.
@@ -309,7 +311,7 @@
 			continue
 		}
 		pass := s.model.pass(len(e.runs)+1, e.context+j.Prompt+j.Output)
-		if s.room(e, j.MaxGap) < read || pass+e.pending+read > toMs(j.MaxGap)*s.params.GapShare {
+		if s.room(e, j.MaxGap) < read || (pass+e.pending+read)*e.pace(now) > toMs(j.MaxGap)*s.params.GapShare {
 			continue
 		}
 		if best == nil || s.fuller(e, best) {
@@ -494,7 +496,7 @@
 
 // delay is how long the engine takes to come to another part.
 func (s *State) delay(e *engine) float64 {
-	return e.pending + s.model.pass(len(e.runs), e.context)
+	return (e.pending + s.model.pass(len(e.runs), e.context)) * e.pace(s.now)
 }
 
 // helpers chooses how many engines read parts beside first: those in must, and as many of with that the
@@ -502,17 +504,18 @@
 func (s *State) helpers(first *engine, must, with []*engine, read float64, gap time.Duration) ([]*engine, float64) {
 	all := slices.Concat(must, with)
 	best, soonest := 0, math.Inf(1)
-	slowest, room := s.delay(first), s.room(first, gap)
+	slowest, room, pace := s.delay(first), s.room(first, gap), first.pace(s.now)
 	for k := 0; k <= min(s.params.MaxHelpers, len(all)); k++ {
 		if k > 0 {
 			slowest = max(slowest, s.delay(all[k-1]))
 			room = min(room, s.room(all[k-1], 0))
+			pace = max(pace, all[k-1].pace(s.now))
 		}
 		part := read / float64(k+1)
 		if k < len(must) || part > room {
 			continue
 		}
-		if t := slowest + part + s.params.PerHelper*float64(k); t < soonest {
+		if t := slowest + part*pace + s.params.PerHelper*float64(k); t < soonest {
 			best, soonest = k, t
 		}
 	}
--- a/internal/decide/dispatch/sim_test.go
+++ b/internal/decide/dispatch/sim_test.go
@@ -184,7 +184,7 @@
 			j.first, j.last = now, now
 			j.events--
 			j.on.writers = append(j.on.writers, j)
-			s.news(now, func() { s.state.Began(j.ID) })
+			s.news(now, func() { s.state.Began(at(now), j.ID) })
 		}
 	}
 }
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -151,7 +151,7 @@
 // take carries a message out; mu is held.
 func (h *hub) take(now decide.Instant, entry fleet.InstanceID, m *pb.FromEntry) {
 	for _, id := range m.Began {
-		h.each(func(st *dispatch.State) { st.Began(fleet.RequestID(id)) })
+		h.each(func(st *dispatch.State) { st.Began(now, fleet.RequestID(id)) })
 	}
 	for _, e := range m.Ended {
 		h.each(func(st *dispatch.State) {
