--- /dev/null
+++ b/internal/decide/dispatch/spread.go
@@ -0,0 +1,188 @@
+package dispatch
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+)
+
+// spread gives a long prompt to the engines that have it read soonest, in even parts. Where it is over one
+// engine's memory, others hold the rest.
+func (s *State) spread(now decide.Instant, j *Job) (Decision, bool) {
+	if !j.Resumed && (s.oversized(j) || s.late(now, j)) && !s.slack(j) {
+		return Decision{}, false
+	}
+	if s.tried >= maxTried && !j.Resumed {
+		return Decision{}, false
+	}
+	read := s.model.read(j.Prompt)
+	with := s.soonest(now, j)
+	first, holders := s.first(now, with, j)
+	if first == nil {
+		s.tried++
+		return Decision{}, false
+	}
+	var must []*engine
+	for _, h := range holders {
+		must = append(must, h.on)
+	}
+	with = slices.DeleteFunc(with, func(e *engine) bool {
+		return e == first || slices.Contains(must, e) || !s.reaches(first.Domain, e)
+	})
+	helpers, soonest := s.helpers(first, must, with, read, j.MaxGap)
+	if math.IsInf(soonest, 1) {
+		s.tried++
+		return Decision{}, false
+	}
+	if !j.Resumed && j.Aim != 0 && now.Add(fromMs(soonest)) > j.Aim && !s.late(now, j) {
+		// Engines that are busy now read it in time later, or it is late anyway and waits its turn.
+		s.tried++
+		return Decision{}, false
+	}
+	s.start(now, j, first, helpers, holders)
+	d := Decision{Job: j, Upstream: first.ID, Reason: Alone}
+	for _, h := range helpers[len(must):] {
+		d.Helpers = append(d.Helpers, h.ID)
+	}
+	for _, h := range holders {
+		d.Holders = append(d.Holders, Holding{Upstream: h.on.ID, Tokens: h.tokens})
+	}
+	if len(helpers) > 0 {
+		d.Reason = Spread
+	}
+	return d, true
+}
+
+// soonest gives the engines that may read for the job, those that come to it first in front: all where there
+// are few, and otherwise as many as can be of use, with the first that could answer it.
+func (s *State) soonest(now decide.Instant, j *Job) []*engine {
+	most := len(s.order)
+	if !s.oversized(j) {
+		most = min(most, 2*(s.params.MaxHelpers+1))
+	}
+	var best []*engine
+	var first *engine
+	for _, e := range s.order {
+		if e.gone || e.paused(now) || slices.Contains(j.Avoid, e.ID) || s.room(e, 0) <= 0 {
+			continue
+		}
+		if (first == nil || s.delay(e) < s.delay(first)) && s.takes(now, e, j) && s.fits(e, j) {
+			first = e
+		}
+		best = s.insert(best, e, most)
+	}
+	if first != nil && !slices.Contains(best, first) {
+		best = append(best, first)
+	}
+	return best
+}
+
+// insert puts an engine into a list of at most so many, ordered by delay and then as they come.
+func (s *State) insert(best []*engine, e *engine, most int) []*engine {
+	delay := s.delay(e)
+	if len(best) == most && delay >= s.delay(best[most-1]) {
+		return best
+	}
+	at := len(best)
+	for at > 0 && s.delay(best[at-1]) > delay {
+		at--
+	}
+	best = slices.Insert(best, at, e)
+	return best[:min(most, len(best))]
+}
+
+// first gives the engine that answers the job, and those that hold the memory that it lacks; nil if there
+// is none now. A prompt that fits one engine goes to the first that has the room.
+func (s *State) first(now decide.Instant, with []*engine, j *Job) (*engine, []holding) {
+	if !s.oversized(j) {
+		i := slices.IndexFunc(with, func(e *engine) bool { return s.takes(now, e, j) && s.fits(e, j) })
+		if i < 0 {
+			return nil, nil
+		}
+		return with[i], nil
+	}
+	roomiest := slices.Clone(with)
+	slices.SortStableFunc(roomiest, func(a, b *engine) int { return cmp.Compare(a.context, b.context) })
+	i := slices.IndexFunc(roomiest, func(e *engine) bool { return s.takes(now, e, j) })
+	if i < 0 {
+		return nil, nil
+	}
+	first := roomiest[i]
+	var holders []holding
+	need := j.Prompt + j.Output - s.free(first)
+	for _, e := range roomiest {
+		if need <= 0 || len(holders) >= s.params.MaxHelpers {
+			break
+		}
+		if e == first || !s.reaches(j.From, e) || !s.reaches(first.Domain, e) || s.free(e) < leastHolding {
+			continue
+		}
+		h := holding{e, min(need, s.free(e))}
+		holders = append(holders, h)
+		need -= h.tokens
+	}
+	if need > 0 {
+		return nil, nil
+	}
+	return first, holders
+}
+
+// slack tells whether so much of the fleet reads nothing, and nothing else waits to be read, that a long read
+// keeps nobody else from being in time. An oversized prompt is worth a few times a usual one and costs ten
+// times as much, and one that is late anyway is worth a quarter: under load others would pay for them.
+// Placing late prompts at once instead lost 0.07 of the fleet's worth over days that flip between long and
+// short prompts.
+func (s *State) slack(j *Job) bool {
+	if float64(len(s.order)-s.reading) < s.params.SlackShare*float64(len(s.order)) {
+		return false
+	}
+	others := s.longs
+	if !s.oversized(j) {
+		others-- // j itself
+	}
+	return others <= 0
+}
+
+// isLong tells whether the prompt is spread, and not packed.
+func (s *State) isLong(j *Job) bool { return s.model.read(j.Prompt) > s.params.ShortRead }
+
+// oversized tells whether no engine has the memory for the job.
+func (s *State) oversized(j *Job) bool {
+	return float64(j.Prompt+j.Output) > float64(s.model.Memory)*s.params.MemoryShare
+}
+
+// free is the engine's memory that may be planned for, in tokens.
+func (s *State) free(e *engine) int {
+	return int(float64(s.model.Memory)*s.params.MemoryShare) - e.context
+}
+
+// delay is how long the engine takes to come to another part.
+func (s *State) delay(e *engine) float64 {
+	return (e.pending + s.model.pass(len(e.runs), e.context)) * e.pace(s.now)
+}
+
+// helpers chooses how many engines read parts beside first: those in must, and as many of with that the
+// last part is read soonest. It gives that time in ms; infinite if no number will do.
+func (s *State) helpers(first *engine, must, with []*engine, read float64, gap time.Duration) ([]*engine, float64) {
+	all := slices.Concat(must, with)
+	best, soonest := 0, math.Inf(1)
+	slowest, room, pace := s.delay(first), s.room(first, gap), first.pace(s.now)
+	for k := 0; k <= min(s.params.MaxHelpers, len(all)); k++ {
+		if k > 0 {
+			slowest = max(slowest, s.delay(all[k-1]))
+			room = min(room, s.room(all[k-1], 0))
+			pace = max(pace, all[k-1].pace(s.now))
+		}
+		part := read / float64(k+1)
+		if k < len(must) || part > room {
+			continue
+		}
+		if t := slowest + part*pace + s.params.PerHelper*float64(k); t < soonest {
+			best, soonest = k, t
+		}
+	}
+	return all[:best], soonest
+}
--- /dev/null
+++ b/internal/decide/dispatch/survey.go
@@ -0,0 +1,79 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+)
+
+// survey looks at the upstreams once for a step: the mean pass of busy engines, and links that are cut.
+func (s *State) survey(now decide.Instant) {
+	s.cuts = map[link]int{}
+	total, busy := 0.0, 0
+	for _, e := range s.order {
+		for from, at := range e.unreached {
+			if now.Sub(at) < unreachedTime {
+				s.cuts[link{from, e.Domain}]++
+			} else {
+				delete(e.unreached, from)
+			}
+		}
+		if s.model != nil && len(e.runs) > 0 {
+			total += s.model.pass(len(e.runs), e.context)
+			busy++
+		}
+	}
+	s.tried, s.unpacked, s.longs = 0, map[fleet.DomainID]packing{}, 0
+	if s.model != nil {
+		for _, j := range s.queue {
+			if s.isLong(j) && !s.oversized(j) {
+				s.longs++
+			}
+		}
+	}
+	s.meanPass = 0
+	if busy > 0 {
+		s.meanPass = total / float64(busy)
+	}
+}
+
+// link is the way from one failure domain to another.
+type link struct{ from, to fleet.DomainID }
+
+// reaches tells whether instances of a domain can connect to the upstream, as far as is known.
+func (s *State) reaches(from fleet.DomainID, e *engine) bool {
+	if _, unreached := e.unreached[from]; unreached {
+		return false
+	}
+	return s.cuts[link{from, e.Domain}] < cutFrom
+}
+
+// sort puts the jobs in the order in which they get places: streams that go on first, since what their
+// callers have is lost without the rest; by priority; those that can still be in time
+// before those that are late anyway; the least reading first, as that serves most callers soonest.
+func (s *State) sort(now decide.Instant) {
+	slices.SortStableFunc(s.queue, func(a, b *Job) int {
+		if a.Resumed != b.Resumed {
+			if b.Resumed {
+				return 1
+			}
+			return -1
+		}
+		if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
+			return c
+		}
+		lateA, lateB := s.late(now, a), s.late(now, b)
+		if lateA != lateB {
+			if lateA {
+				return 1
+			}
+			return -1
+		}
+		if c := cmp.Compare(s.cost(now, a), s.cost(now, b)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.ID, b.ID)
+	})
+}
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/wait"
 )
 
@@ -142,3 +143,32 @@
 		}
 	}
 }
+
+// reserve reserves the memory that the grant asks for on other engines, and gives all helpers of the send.
+func (l *life) reserve() ([]Helper, *failure) {
+	var helpers []Helper
+	if holders := l.grant.Holders(); len(holders) > 0 {
+		name := fmt.Sprintf("%s-%d-%d", l.r.ID, l.arrivals, time.Now().UnixMilli()%reservationNames)
+		held, err := reserve(l.ctx, l.g.deps.Memory, name, holders, l.logOrder)
+		if err != nil {
+			f := &failure{outcome: Rejected, ran: fault.RunNo, cause: fmt.Errorf("reserve memory: %w", err)}
+			l.end(f)
+			return nil, f
+		}
+		l.held = held
+		for i, h := range holders {
+			helpers = append(helpers, Helper{Addr: h.Upstream.Addr, Ticket: held.tickets[i]})
+		}
+	}
+	for _, addr := range l.grant.Helpers() {
+		helpers = append(helpers, Helper{Addr: addr})
+	}
+	return helpers, nil
+}
+
+// reservationNames bounds the number that tells a request's reservations apart.
+const reservationNames = 1_000_000
+
+func (l *life) logOrder(what string, h Holder, err error) {
+	l.g.log.Warn(what, "request", l.r.ID, "upstream", h.Upstream.ID, "tokens", h.Tokens, "error", err)
+}
--- /dev/null
+++ b/internal/gateway/plain.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/fault"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+)
+
+// copyAnswerHead copies status and headers of an upstream's answer.
+func copyAnswerHead(to, from *fasthttp.ResponseHeader) {
+	to.SetStatusCode(from.StatusCode())
+	if m := from.StatusMessage(); len(m) > 0 {
+		to.SetStatusMessage(m)
+	}
+	to.SetNoDefaultContentType(true)
+	drop := map[string]bool{fasthttp.HeaderContentLength: true, fasthttp.HeaderTransferEncoding: true}
+	for _, name := range hopByHop {
+		drop[name] = true
+	}
+	for _, token := range headerTokens(from.Peek(fasthttp.HeaderConnection)) {
+		drop[token] = true
+	}
+	for k, v := range from.All() {
+		if !drop[string(k)] {
+			to.AddBytesKV(k, v)
+		}
+	}
+}
+
+// plain answers a request whose answer is held until it is whole, so that a caller never gets a part.
+func (l *life) plain(ctx *fasthttp.RequestCtx) *fault.Error {
+	for {
+		if f := l.dispatch(""); f != nil {
+			return f
+		}
+		l.grant.Began()
+		body, err := io.ReadAll(io.LimitReader(l.x, maxPlain+1))
+		if err == nil && len(body) > maxPlain {
+			err = fmt.Errorf("answer is over %d bytes", maxPlain)
+		}
+		if err == nil {
+			l.pass(ctx, body)
+			return nil
+		}
+		f := &failure{outcome: Failed, ran: fault.RunYes, cause: err}
+		if l.over() {
+			f.outcome = Left
+		}
+		l.drop(f)
+		if !l.after(f) {
+			return l.verdict(f)
+		}
+	}
+}
+
+// pass gives the caller a whole answer.
+func (l *life) pass(ctx *fasthttp.RequestCtx, body []byte) {
+	copyAnswerHead(&ctx.Response.Header, &l.x.Head)
+	ctx.Response.SetBodyRaw(body)
+	if l.r.method == fasthttp.MethodHead {
+		ctx.Response.SkipBody = true
+		if n := l.x.Head.ContentLength(); n >= 0 {
+			ctx.Response.Header.SetContentLength(n)
+		}
+	}
+	status := l.x.Head.StatusCode()
+	l.x.Close()
+	outcome := Served
+	if status >= 500 {
+		outcome = Failed
+	}
+	l.finish(outcome, "")
+	l.finished(reasonPassed, "status", status, "bytes", len(body))
+}
+
+// finished writes the last line of a request.
+func (l *life) finished(reason decide.Reason, fields ...any) {
+	u := fleet.UpstreamID("")
+	if l.grant != nil {
+		u = l.grant.Upstream().ID
+	}
+	l.g.deps.Explain.Record("answer", l.r.ID, reason, append([]any{
+		"kind", l.r.route.Kind, "workspace", l.r.workspace, "upstream", u, "attempts", l.attempts,
+		"took_ms", time.Since(l.r.arrived).Milliseconds(), "left_ms", time.Until(l.r.deadline).Milliseconds()}, fields...)...)
+}
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -1,12 +1,9 @@
 package placement
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"net"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -22,7 +19,6 @@
 	"github.com/damaskshelf/damaskshelf/internal/gateway"
 	"github.com/damaskshelf/damaskshelf/internal/peer"
 	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
-	"github.com/damaskshelf/damaskshelf/internal/rendezvous"
 	"github.com/damaskshelf/damaskshelf/internal/wait"
 	"github.com/damaskshelf/damaskshelf/internal/watch"
 )
@@ -118,46 +114,6 @@
 	return rank
 }
 
-// news is what is new of the copies of the store: a change, or how new they are.
-type news struct {
-	change *watch.Change
-	own    bool // the change was read from the store here
-	proofs []watch.Proof
-}
-
-// stateChanged queues a change of the copies. It is called under the Follower's lock, which orders changes
-// and proofs; sending needs other locks.
-func (c *Client) stateChanged(ch watch.Change, own bool) { c.news.put(news{change: &ch, own: own}) }
-
-// beat queues how new the copies are.
-func (c *Client) beat() { c.news.put(news{proofs: c.follower.Proofs()}) }
-
-// tellNews sends what is new: as the dispatcher to all, and what was read here also to the dispatcher.
-func (c *Client) tellNews(ctx context.Context) {
-	for items := c.news.take(ctx); items != nil; items = c.news.take(ctx) {
-		for _, n := range items {
-			c.tellOne(n)
-		}
-	}
-}
-
-func (c *Client) tellOne(n news) {
-	if n.change == nil {
-		proofs := proofMessages(n.proofs)
-		c.hub.spread(func() *pb.ToEntry { return &pb.ToEntry{Proofs: proofs} })
-		return
-	}
-	m, err := changeMessage(*n.change)
-	if err != nil {
-		c.log.Error("state can't be sent", "error", err)
-		return
-	}
-	c.hub.spread(func() *pb.ToEntry { return &pb.ToEntry{Changes: []*pb.Change{m}} })
-	if n.own {
-		c.tell(&pb.FromEntry{Changes: []*pb.Change{m}})
-	}
-}
-
 // Serve answers other instances as a dispatcher until ctx ends, then closes l.
 func (c *Client) Serve(ctx context.Context, l net.Listener) error {
 	mux := drpcmux.New()
@@ -194,42 +150,6 @@
 	all.Wait()
 }
 
-// strong is the part of the strongest member's power from which a member counts as strong.
-const strong = 0.7
-
-// power is what an instance can bear as a dispatcher: its processor, or its link where that is narrow. A
-// dispatcher sends each instance a few KB a second; 200 Mbit/s bear as much as a core does.
-func power(m *catalog.Member) float64 {
-	if m.LinkMbps <= 0 {
-		return m.CPUShare
-	}
-	return min(m.CPUShare, m.LinkMbps/200)
-}
-
-// candidates gives the members in the order in which they are dispatchers: the strong ones first, each group
-// by rendezvous hashing. All that know the same members agree on it.
-func (c *Client) candidates() []*catalog.Member {
-	members := slices.Clone(c.snapshot().Members)
-	most := 0.0
-	for _, m := range members {
-		most = max(most, power(m))
-	}
-	weak := func(m *catalog.Member) int {
-		if power(m) < strong*most {
-			return 1
-		}
-		return 0
-	}
-	slices.SortFunc(members, func(a, b *catalog.Member) int {
-		return cmp.Or(
-			cmp.Compare(weak(a), weak(b)),
-			cmp.Compare(rendezvous.Score(rendezvousKey, string(b.ID)), rendezvous.Score(rendezvousKey, string(a.ID))),
-			strings.Compare(string(a.ID), string(b.ID)),
-		)
-	})
-	return members
-}
-
 // follow attaches to the first dispatcher that can be reached, if it isn't the one attached to.
 func (c *Client) follow(ctx context.Context) {
 	members := c.candidates()
@@ -259,42 +179,6 @@
 	}
 }
 
-// seek looks for an instance that reaches a dispatcher before this one, which this one doesn't: nil if there
-// is none. Instances of other failure domains come first: the own one's are usually cut off with this one.
-func (c *Client) seek(ctx context.Context, others []*catalog.Member) *session {
-	c.mu.Lock()
-	due := time.Since(c.sought) > seekEvery
-	if due {
-		c.sought = time.Now()
-	}
-	c.mu.Unlock()
-	if !due {
-		return nil
-	}
-	ways := slices.Clone(others)
-	slices.SortStableFunc(ways, func(a, b *catalog.Member) int {
-		return cmp.Compare(sameDomain(a, c.domain), sameDomain(b, c.domain))
-	})
-	first := func() *pb.FromEntry {
-		m := c.first()
-		m.OnlyToPass = true
-		return m
-	}
-	for _, m := range ways[:min(seekMost, len(ways))] {
-		if s, err := dialSession(ctx, m.ID, m.Addr, first, c.got); err == nil {
-			return s
-		}
-	}
-	return nil
-}
-
-func sameDomain(m *catalog.Member, domain fleet.DomainID) int {
-	if m.Domain == domain {
-		return 1
-	}
-	return 0
-}
-
 // open attaches to a dispatcher, which may be this instance itself.
 func (c *Client) open(ctx context.Context, m *catalog.Member) (*session, error) {
 	if m.ID == c.self {
@@ -403,41 +287,6 @@
 	}
 }
 
-// gotState takes the dispatcher's copies of the store, and asks for what is missing.
-func (c *Client) gotState(m *pb.ToEntry) {
-	needed, err := takeState(c.follower, m.Changes, m.Proofs)
-	if err != nil {
-		c.log.Error("state of the dispatcher can't be read", "error", err)
-	}
-	needed = c.unasked(needed)
-	if len(needed) == 0 {
-		return
-	}
-	var lacks []*pb.Proof
-	for _, p := range proofMessages(c.follower.Proofs()) {
-		if slices.Contains(needed, p.Kind) {
-			lacks = append(lacks, p)
-		}
-	}
-	c.tell(&pb.FromEntry{Proofs: lacks})
-}
-
-// unasked gives the kinds that were not asked for a moment ago. A long copy takes its time over a narrow
-// link, and each beat until it comes shows again that it is missing: asking each time would fill the link.
-func (c *Client) unasked(kinds []string) []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	var out []string
-	for _, kind := range kinds {
-		if now.Sub(c.lacked[kind]) > askAgain {
-			c.lacked[kind] = now
-			out = append(out, kind)
-		}
-	}
-	return out
-}
-
 // settle hands a reply to the request that waits for it. A place that nobody waits for is given back.
 func (c *Client) settle(id fleet.RequestID, r reply) {
 	c.mu.Lock()
@@ -531,52 +380,6 @@
 	return g, nil
 }
 
-// dispatched is a place that the dispatcher gave.
-type dispatched struct {
-	c        *Client
-	ask      gateway.Ask
-	asked    time.Time
-	upstream *catalog.Upstream
-	helpers  []fleet.UpstreamID
-	addrs    []string
-	holders  []gateway.Holder
-	reason   string
-	writing  bool // guarded by c.mu
-}
-
-func (g *dispatched) Upstream() *catalog.Upstream { return g.upstream }
-func (g *dispatched) Helpers() []string           { return g.addrs }
-func (g *dispatched) Holders() []gateway.Holder   { return g.holders }
-func (g *dispatched) Reason() string              { return g.reason }
-
-func (g *dispatched) Began() {
-	g.c.mu.Lock()
-	g.writing = true
-	g.c.mu.Unlock()
-	g.c.tell(&pb.FromEntry{Began: []string{string(g.ask.ID)}})
-}
-
-func (g *dispatched) Done(o gateway.Outcome, atFault fleet.UpstreamID) {
-	g.c.mu.Lock()
-	if g.c.running[g.ask.ID] == g {
-		delete(g.c.running, g.ask.ID)
-	}
-	g.c.mu.Unlock()
-	g.c.tell(&pb.FromEntry{Ended: []*pb.Ended{{Id: string(g.ask.ID), How: hows[o], AtFault: string(atFault)}}})
-}
-
-func holdings(all []gateway.Holder) []*pb.Holding {
-	out := make([]*pb.Holding, len(all))
-	for i, h := range all {
-		out[i] = &pb.Holding{Upstream: string(h.Upstream.ID), Tokens: int32(h.Tokens)}
-	}
-	return out
-}
-
-var hows = map[gateway.Outcome]pb.Ended_How{
-	gateway.Failed: pb.Ended_FAILED, gateway.Unreachable: pb.Ended_UNREACHABLE, gateway.Rejected: pb.Ended_FULL,
-}
-
 // Dispatcher is the instance whose session this one has now; empty: none.
 func (c *Client) Dispatcher() fleet.InstanceID {
 	c.mu.Lock()
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -1,8 +1,11 @@
 package placement
 
 import (
+	"cmp"
+	"context"
 	"errors"
 	"slices"
+	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
@@ -128,3 +131,39 @@
 		h.detach(entry, s)
 	}
 }
+
+// seek looks for an instance that reaches a dispatcher before this one, which this one doesn't: nil if there
+// is none. Instances of other failure domains come first: the own one's are usually cut off with this one.
+func (c *Client) seek(ctx context.Context, others []*catalog.Member) *session {
+	c.mu.Lock()
+	due := time.Since(c.sought) > seekEvery
+	if due {
+		c.sought = time.Now()
+	}
+	c.mu.Unlock()
+	if !due {
+		return nil
+	}
+	ways := slices.Clone(others)
+	slices.SortStableFunc(ways, func(a, b *catalog.Member) int {
+		return cmp.Compare(sameDomain(a, c.domain), sameDomain(b, c.domain))
+	})
+	first := func() *pb.FromEntry {
+		m := c.first()
+		m.OnlyToPass = true
+		return m
+	}
+	for _, m := range ways[:min(seekMost, len(ways))] {
+		if s, err := dialSession(ctx, m.ID, m.Addr, first, c.got); err == nil {
+			return s
+		}
+	}
+	return nil
+}
+
+func sameDomain(m *catalog.Member, domain fleet.DomainID) int {
+	if m.Domain == domain {
+		return 1
+	}
+	return 0
+}
--- a/test/soak/promises_test.go
+++ b/test/soak/promises_test.go
@@ -46,7 +46,7 @@
 
 // reply answers as a worker: mostly whole, now and then in one of the ways that workers fail.
 func (b *book) reply(c *standin.WorkerConn, a standin.Arrival) bool {
-	id := a.Header.Get("Attempt-Id")
+	id := a.ID()
 	stream := strings.HasPrefix(a.Path, "/stream/") || strings.HasPrefix(a.Path, "/once/")
 	luck := rand.IntN(100)
 	if luck < 4 {
@@ -114,16 +114,14 @@
 func (w *world) one(conn net.Conn, in *bufio.Reader, kind, id string, r *rand.Rand) bool {
 	began := time.Now()
 	_ = conn.SetDeadline(began.Add(deadline + slack + 4*time.Second))
-	tokens := ""
+	c := standin.Call{Method: http.MethodPost, Path: "/" + kind + "/x", Host: host, ID: id, Wait: deadline, Body: "hi"}
 	if kind == "stream" || kind == "once" {
-		n := 1000
+		c.Prompt, c.Output = 1000, 200
 		if r.IntN(10) == 0 {
-			n = 500_000 // over one engine's memory
+			c.Prompt = 500_000 // over one engine's memory
 		}
-		tokens = fmt.Sprintf("Token-Count: %d,200\r\n", n)
 	}
-	_, err := fmt.Fprintf(conn, "POST /%s/x HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n%sContent-Length: 2\r\n\r\nhi",
-		kind, host, id, deadline.Milliseconds(), tokens)
+	err := c.Write(conn)
 	if err != nil {
 		return false
 	}
@@ -144,10 +142,10 @@
 	if took > deadline+slack {
 		w.book.problem("%s: answered after %s", id, took)
 	}
-	if got := resp.Header.Get("Attempt-Id"); got != "" && got != id {
+	if got := standin.AnswerID(resp.Header); got != "" && got != id {
 		w.book.problem("%s: got the answer of %s", id, got)
 	}
-	sealed := resp.Header.Get("Server-Seal") != ""
+	sealed := standin.Sealed(resp.Header)
 	switch {
 	case resp.StatusCode >= 400 && resp.StatusCode < 500 && resp.StatusCode != http.StatusTooManyRequests && resp.StatusCode != http.StatusRequestTimeout:
 		w.book.problem("%s: a proper request is refused with %d", id, resp.StatusCode)
@@ -209,7 +207,9 @@
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(deadline + slack))
-	_, _ = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n\r\n", path, host, id, deadline.Milliseconds())
+	if err := (standin.Call{Method: http.MethodGet, Path: path, Host: host, ID: id, Wait: deadline}).Write(conn); err != nil {
+		return 0
+	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return 0
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -45,6 +45,7 @@
 	workers = 4
 	callers = 12
 	host    = "soak.example"
+	gap     = 500 * time.Millisecond // longest pause of a stream in time
 )
 
 // world is one played seed.
@@ -139,37 +140,23 @@
 	if i%2 == 1 {
 		service = "engines"
 	}
-	w.store.Put("servers", w.workers[i].ID, map[string]any{
-		"service": service, "address": w.ways[i].addr(), "zone": "a", "slots": 16, "state": state, "cold_left_ms": 0, "sequence": 1,
-	})
+	w.store.PutWorker(w.workers[i].ID, service, w.ways[i].addr(), state)
 }
 
 func (w *world) putConfig() {
-	routeOf := func(name, kind, service string, more map[string]any) map[string]any {
-		r := map[string]any{
-			"name": name, "host": host, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 3000, "target_latency_ms": 1000,
-			"service": service, "max_attempts": 2, "public": true,
+	route := func(name, kind, service string) standin.Route {
+		return standin.Route{
+			Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, Service: service, Attempts: 2, Public: true,
+			Timeout: 3 * time.Second, Aim: time.Second,
 		}
-		for k, v := range more {
-			r[k] = v
-		}
-		return r
 	}
-	w.store.Put("config", "main", map[string]any{
-		"version": w.version,
-		"routes": []any{
-			routeOf("safe", "idempotent", "plain", nil), routeOf("unsafe", "non_idempotent", "plain", map[string]any{"max_attempts": 1}),
-			routeOf("stream", "streaming", "engines", map[string]any{"resumable": true, "target_gap_ms": 500}),
-			routeOf("once", "streaming", "engines", map[string]any{"target_gap_ms": 500}),
-			routeOf(fmt.Sprintf("v%d", w.version), "idempotent", "plain", nil),
-		},
-		"services": []any{map[string]any{"name": "plain", "max_conns": 1000}, map[string]any{
-			"name": "engines", "max_conns": 1000, "engine": map[string]any{
-				"slots": 16, "kv_capacity_tokens": 400_000, "stride": 46, "step_ms": 0.9, "read_per_s": 256_000_000.0, "chunk": 2048,
-			},
-		}},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20},
-	})
+	unsafe := route("unsafe", "non_idempotent", "plain")
+	unsafe.Attempts = 1
+	stream, once := route("stream", "streaming", "engines"), route("once", "streaming", "engines")
+	stream.Resumable, stream.Gap, once.Gap = true, gap, gap
+	w.store.PutConfig(w.version, []standin.Route{
+		route("safe", "idempotent", "plain"), unsafe, stream, once, route(fmt.Sprintf("v%d", w.version), "idempotent", "plain"),
+	}, []standin.Service{{Name: "plain"}, {Name: "engines", Memory: 400_000}}, nil)
 }
 
 // faults injects faults in series that overlap, for a time.
