Step at each message unless steps take long

Change: a message steps at once, as before; after a step of over 1 ms the loop steps for all that came meanwhile.

--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -44,6 +44,7 @@
 	domains  map[fleet.InstanceID]fleet.DomainID     // guarded by mu: of the attached instances
 	seen     *catalog.Snapshot                       // guarded by mu: that the states go by
 	missed   map[fleet.InstanceID]decide.Instant     // guarded by mu: since when members have had no session
+	stepTook time.Duration                           // guarded by mu: by the last step
 	dirty    chan struct{}                           // holds a token while something has changed since the last step
 	wholes   wholes                                  // guarded by mu
 	opened   decide.Instant                          // guarded by mu: when the first instance attached
@@ -164,7 +165,11 @@
 	for _, a := range m.Asks {
 		h.of(a.Service).Ask(h.job(a, entry, now))
 	}
-	h.wake()
+	if h.stepTook > longStep {
+		h.wake() // one step for all messages that come meanwhile
+		return
+	}
+	h.step(now)
 }
 
 // wake has waiting jobs looked at soon.
@@ -273,6 +278,8 @@
 	if now.Sub(h.opened) < settleTime && len(h.entries) < len(h.snapshot().Members) {
 		return
 	}
+	began := time.Now()
+	defer func() { h.stepTook = time.Since(began) }()
 	out := map[fleet.InstanceID]*pb.ToEntry{}
 	for _, st := range h.services {
 		for _, d := range st.Step(now) {
@@ -339,12 +346,11 @@
 	lastBeat := time.Now()
 	for ctx.Err() == nil {
 		h.sleep(ctx)
-		began := time.Now()
 		h.mu.Lock()
 		now := h.now()
 		h.refresh(now)
 		h.step(now)
-		attached := len(h.entries)
+		attached, took := len(h.entries), h.stepTook
 		h.mu.Unlock()
 		if attached > 0 && time.Since(lastBeat) >= beat {
 			lastBeat = time.Now()
@@ -352,7 +358,7 @@
 		}
 		// A step that takes long, as with thousands of engines under overload, must leave time for the messages
 		// that it decides about: steps take a third of the processor at most.
-		if took := time.Since(began); took > longStep {
+		if took > longStep {
 			wait.For(ctx, 2*took)
 		}
 	}
