One packing for configuration and copies

Cause: duplicates showed placement/state.go and peer/message.go compressing alike. Change: internal/packed serves both. Behaviour unchanged; their tests pass untouched.

--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -3,14 +3,12 @@
 package peer
 
 import (
-	"bytes"
-	"compress/gzip"
 	"fmt"
-	"io"
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/decide/relay"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/packed"
 	"github.com/damaskshelf/damaskshelf/internal/peer/peerpb"
 )
 
@@ -53,33 +51,7 @@
 }
 
 // Pack compresses a configuration once, where it enters the fleet; it is relayed as it is.
-func Pack(raw []byte) ([]byte, error) {
-	var out bytes.Buffer
-	w, err := gzip.NewWriterLevel(&out, gzip.BestCompression)
-	if err != nil {
-		return nil, err
-	}
-	if _, err := w.Write(raw); err != nil {
-		return nil, err
-	}
-	if err := w.Close(); err != nil {
-		return nil, err
-	}
-	return out.Bytes(), nil
-}
+func Pack(raw []byte) ([]byte, error) { return packed.Pack(raw, packed.Small) }
 
 // Unpack gives the configuration's bytes, at most a megabyte of them.
-func Unpack(packed []byte) ([]byte, error) {
-	r, err := gzip.NewReader(bytes.NewReader(packed))
-	if err != nil {
-		return nil, fmt.Errorf("unpack configuration: %w", err)
-	}
-	raw, err := io.ReadAll(io.LimitReader(r, maxUnpacked+1))
-	if err != nil {
-		return nil, fmt.Errorf("unpack configuration: %w", err)
-	}
-	if len(raw) > maxUnpacked {
-		return nil, fmt.Errorf("unpack configuration: over %d bytes", maxUnpacked)
-	}
-	return raw, nil
-}
+func Unpack(in []byte) ([]byte, error) { return packed.Unpack(in, maxUnpacked) }
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -1,14 +1,12 @@
 package placement
 
 import (
-	"bytes"
-	"compress/gzip"
 	"fmt"
-	"io"
 
 	"google.golang.org/protobuf/proto"
 
 	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
+	"github.com/damaskshelf/damaskshelf/internal/packed"
 	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
 	"github.com/damaskshelf/damaskshelf/internal/watch"
 )
@@ -35,46 +33,18 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode %s: %w", c.Kind, err)
 	}
-	if m.Packed, err = pack(raw); err != nil {
+	if m.Packed, err = packed.Pack(raw, packed.Fast); err != nil {
 		return nil, fmt.Errorf("pack %s: %w", c.Kind, err)
 	}
 	m.Objects = nil
 	return m, nil
 }
 
-// pack compresses fast: the dispatcher packs each change once, at the moment at which all wait for it.
-func pack(raw []byte) ([]byte, error) {
-	var out bytes.Buffer
-	w, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
-	if _, err := w.Write(raw); err != nil {
-		return nil, err
-	}
-	if err := w.Close(); err != nil {
-		return nil, err
-	}
-	return out.Bytes(), nil
-}
-
-func unpack(packed []byte) ([]byte, error) {
-	r, err := gzip.NewReader(bytes.NewReader(packed))
-	if err != nil {
-		return nil, err
-	}
-	raw, err := io.ReadAll(io.LimitReader(r, maxUnpacked+1))
-	if err == nil && len(raw) > maxUnpacked {
-		err = fmt.Errorf("over %d bytes", maxUnpacked)
-	}
-	return raw, err
-}
-
 func readChange(m *pb.Change) (watch.Change, error) {
 	c := watch.Change{Kind: m.Kind, Whole: m.Whole, From: m.From, To: m.To, Deleted: m.Deleted}
 	all := m.Objects
 	if len(m.Packed) > 0 {
-		raw, err := unpack(m.Packed)
+		raw, err := packed.Unpack(m.Packed, maxUnpacked)
 		if err != nil {
 			return c, fmt.Errorf("unpack %s: %w", m.Kind, err)
 		}
