--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -150,26 +150,29 @@
 	g.run(ctx, r)
 }
 
-// run answers an admitted request.
+// run answers an admitted request. A stream that was handed over ends with its body; anything else ends here,
+// also when it meets a defect: a request that is never counted out would hold up the planned stop.
 func (g *Gateway) run(ctx *fasthttp.RequestCtx, r *request) {
 	life, end := g.begin(ctx, r)
-	if !r.streams() {
-		f := life.plain(ctx)
-		end()
-		if f != nil {
-			g.refuse(ctx, r, f)
+	handed := false
+	defer func() {
+		if !handed {
+			end()
 		}
-		g.observe(r, time.Since(r.arrived))
-		return
+	}()
+	var f *fault.Error
+	if r.streams() {
+		handed, f = life.stream(ctx, end)
+	} else {
+		f = life.plain(ctx)
 	}
-	handed, f := life.stream(ctx, end)
 	if handed {
 		return
 	}
-	end()
 	if f != nil {
 		g.refuse(ctx, r, f)
 	}
+	g.observe(r, time.Since(r.arrived))
 }
 
 func (r *request) streams() bool { return r.route.Kind == catalog.Stream }
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -79,6 +79,7 @@
 	reply chan reply // holds one
 }
 
+// reply is the dispatcher's answer; neither part: there is no dispatcher.
 type reply struct {
 	place   *pb.Place
 	refused *pb.Refusal
@@ -137,6 +138,7 @@
 		s := c.session
 		c.mu.Unlock()
 		if s == nil {
+			c.freeWaiting()
 			wait.For(ctx, lookEvery/4)
 			continue
 		}
@@ -211,6 +213,18 @@
 	return &session{with: c.self, tell: func(m *pb.FromEntry) { from.put(m) }, end: cancel, done: life.Done()}
 }
 
+// freeWaiting has the requests that wait for a dispatcher placed by this instance's own view: there is none
+// that it can reach, and nobody would ever answer them.
+func (c *Client) freeWaiting() {
+	c.mu.Lock()
+	free := c.waiting
+	c.waiting = map[fleet.RequestID]*waiting{}
+	c.mu.Unlock()
+	for _, w := range free {
+		w.reply <- reply{}
+	}
+}
+
 // first is the first message of a session: all work under way, and all that waits.
 func (c *Client) first() *pb.FromEntry {
 	proofs := c.follower.Proofs()
@@ -351,6 +365,9 @@
 		f.RetryAfter = ms(r.refused.RetryAfterMs)
 		return nil, f
 	}
+	if r.place == nil {
+		return c.local.Place(ctx, w.ask)
+	}
 	snap := c.snapshot()
 	u := snap.Upstream(fleet.UpstreamID(r.place.Upstream))
 	if u == nil || ctx.Err() != nil {
--- a/internal/placement/local.go
+++ b/internal/placement/local.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
@@ -46,8 +47,15 @@
 	return &localGrant{l: l, u: best}, nil
 }
 
+// coldLoad puts a cold upstream behind every warm one: alone, an instance doesn't know what others send there.
+const coldLoad = 1000
+
 func (l *Local) load(u *catalog.Upstream) float64 {
-	return float64(l.work[u.ID]) / float64(max(1, u.Slots))
+	load := float64(l.work[u.ID]) / float64(max(1, u.Slots))
+	if time.Now().Before(u.ColdUntil) {
+		load += coldLoad
+	}
+	return load
 }
 
 type localGrant struct {
--- a/internal/placement/pass_test.go
+++ b/internal/placement/pass_test.go
@@ -10,8 +10,11 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
+	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/gateway"
 	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
+	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
 	"github.com/damaskshelf/damaskshelf/internal/watch"
 )
 
@@ -134,6 +137,33 @@
 	})
 }
 
+// Requests wait until their time is over, and nobody answers them. Their instance's session with the
+// dispatcher ended, and it can reach no other; it must place them by what it knows itself.
+func TestWithoutAnyDispatcherRequestsArePlaced(t *testing.T) {
+	is := is.New(t)
+	f := watch.New(watch.Deps{Kinds: watch.Kinds{Config: "c", Upstreams: "u", Out: "o"}, Log: hclog.NewNullLogger()})
+	c := NewClient("i1", "d", f, hclog.NewNullLogger())
+	told := make(chan struct{}, 1)
+	over := make(chan struct{})
+	c.session = &session{with: "gone", done: over, end: func() {}, tell: func(*pb.FromEntry) { told <- struct{}{} }}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	answered := make(chan error, 1)
+	go func() {
+		_, err := c.Place(ctx, gateway.Ask{ID: "r1", Service: "s"})
+		answered <- err
+	}()
+	<-told
+	close(over) // nobody is left: the copies name no instance at all
+	go c.Run(ctx)
+	select {
+	case err := <-answered:
+		is.True(fault.Is(err, fault.NoUpstream)) // by its own view: the service has no upstreams
+	case <-time.After(5 * time.Second):
+		t.Fatal("the request still waits")
+	}
+}
+
 // Entries of instances that were replaced for good pile up in the store, and each takes a share of the
 // fleet's limits. The dispatcher names those that it has had no session of for long, and nobody else does.
 func TestTheDispatcherNamesAbsentMembers(t *testing.T) {
