--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -63,20 +63,15 @@
 
 // Engine is how a service's model engines work, as its operators state it.
 type Engine struct {
-	Slots         int     // requests that are processed at once
-	Memory        int     // tokens of KV cache
-	Stride        int     // steps of a pass that has writers; an event comes at the end of a pass
-	Step          float64 // ms of a step
-	PerWriter     float64 // ms of a step for each request that writes
-	PerContext    float64 // ms of a step for each 1,000 tokens of a writer's context
-	ReadPerMs     float64 // prompt tokens read in a ms
-	PairsPerM     float64 // ms for a million pairs of a token and any earlier one
-	Chunk         int     // prompt tokens read in a step, at most
-	Hop           float64 // ms a step costs more while the memory is spread over engines
-	UsualPrompt   int     // mean tokens of a prompt
-	UsualAnswer   int     // mean tokens of an answer
-	ReportLag     time.Duration
-	HelpersInTurn bool
+	Slots      int     // requests that are processed at once
+	Memory     int     // tokens of KV cache
+	Stride     int     // steps of a pass that has writers; an event comes at the end of a pass
+	Step       float64 // ms of a step
+	PerWriter  float64 // ms of a step for each request that writes
+	PerContext float64 // ms of a step for each 1,000 tokens of a writer's context
+	ReadPerMs  float64 // prompt tokens read in a ms
+	PairsPerM  float64 // ms for a million pairs of a token and any earlier one
+	Chunk      int     // prompt tokens read in a step, at most
 }
 
 // Service is a set of like upstreams.
