Mend what a read of the whole change found; no behaviour changes

Found: plain answers ended a broken exchange with a copy of what streams call; the engine that answers a read was sought twice; a header list was split by hand and a map of names built for each answer; a message for all instances was made anew for each; the time to come back was worked out and thrown away; rank and change callbacks could be set in two ways; fields, constants and two methods that nobody read; a comment that told of a lock order that no longer stands. Ruled out: one shared loop over the outboxes (four callers, four ways to end), the generated messages that look alike.

--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -138,11 +138,11 @@
 }
 
 func (s *State) refuse(j *Job, why decide.Reason) Decision {
-	after := s.retryAfter()
 	if why == NoSlack {
-		after = mostRetryAfter // slack comes with another mix, and not within a moment
+		// Slack comes with another mix, and not within a moment.
+		return Decision{Job: j, Reason: why, RetryAfter: mostRetryAfter}
 	}
-	return Decision{Job: j, Reason: why, RetryAfter: after}
+	return Decision{Job: j, Reason: why, RetryAfter: s.retryAfter()}
 }
 
 // retryAfter is when the work that waits and is being read now will have been read.
--- a/internal/decide/dispatch/spread.go
+++ b/internal/decide/dispatch/spread.go
@@ -19,8 +19,11 @@
 		return Decision{}, false
 	}
 	read := s.model.read(j.Prompt)
-	with := s.soonest(now, j)
-	first, holders := s.first(now, with, j)
+	with, first := s.soonest(now, j)
+	var holders []holding
+	if s.oversized(j) {
+		first, holders = s.together(now, with, j)
+	}
 	if first == nil {
 		s.tried++
 		return Decision{}, false
@@ -57,14 +60,13 @@
 }
 
 // soonest gives the engines that may read for the job, those that come to it first in front: all where there
-// are few, and otherwise as many as can be of use, with the first that could answer it.
-func (s *State) soonest(now decide.Instant, j *Job) []*engine {
+// are few, and otherwise as many as can be of use. first is the soonest that has the room to answer it; nil:
+// none has.
+func (s *State) soonest(now decide.Instant, j *Job) (best []*engine, first *engine) {
 	most := len(s.order)
 	if !s.oversized(j) {
 		most = min(most, 2*(s.params.MaxHelpers+1))
 	}
-	var best []*engine
-	var first *engine
 	for _, e := range s.order {
 		if e.gone || e.paused(now) || slices.Contains(j.Avoid, e.ID) || s.room(e, 0) <= 0 {
 			continue
@@ -74,10 +76,7 @@
 		}
 		best = s.insert(best, e, most)
 	}
-	if first != nil && !slices.Contains(best, first) {
-		best = append(best, first)
-	}
-	return best
+	return best, first
 }
 
 // insert puts an engine into a list of at most so many, ordered by delay and then as they come.
@@ -94,16 +93,9 @@
 	return best[:min(most, len(best))]
 }
 
-// first gives the engine that answers the job, and those that hold the memory that it lacks; nil if there
-// is none now. A prompt that fits one engine goes to the first that has the room.
-func (s *State) first(now decide.Instant, with []*engine, j *Job) (*engine, []holding) {
-	if !s.oversized(j) {
-		i := slices.IndexFunc(with, func(e *engine) bool { return s.takes(now, e, j) && s.fits(e, j) })
-		if i < 0 {
-			return nil, nil
-		}
-		return with[i], nil
-	}
+// together gives the engine that answers an oversized job, the one with most memory free, and those that hold
+// what it lacks; nil if they have not the memory now.
+func (s *State) together(now decide.Instant, with []*engine, j *Job) (*engine, []holding) {
 	roomiest := slices.Clone(with)
 	slices.SortStableFunc(roomiest, func(a, b *engine) int { return cmp.Compare(a.context, b.context) })
 	i := slices.IndexFunc(roomiest, func(e *engine) bool { return s.takes(now, e, j) })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,7 +21,6 @@
 	Timed     bool
 	Prompt    int    // tokens of the prompt; 0: not a prompt, or not said
 	Output    int    // most tokens of the answer
-	Hint      int    // the caller's guess of the answer's tokens; 0: none
 	Subject   string // what the prompt is about: its last shared part
 	LastEvent string // a stream goes on after this event; empty: from its start
 }
@@ -43,7 +42,6 @@
 	Other   bool             // another upstream has the address now
 	AtFault fleet.UpstreamID // the helper that failed
 	Coded   bool             // the body has an encoding that nobody asked for: it isn't the upstream's
-	Leaving bool             // the upstream closes the connection
 }
 
 // Dialect reads and writes heads in the words of the wire.
--- a/internal/gateway/life.go
+++ b/internal/gateway/life.go
@@ -34,7 +34,6 @@
 const (
 	reasonServed    decide.Reason = "served"
 	reasonRefused   decide.Reason = "refused"
-	reasonFailed    decide.Reason = "failed"
 	reasonRetry     decide.Reason = "retry"
 	reasonResume    decide.Reason = "resume"
 	reasonNoRetry   decide.Reason = "no_retry"
@@ -65,7 +64,6 @@
 	outcome Outcome
 	ran     fault.Run
 	cause   error
-	status  int              // of a sealed error answer that may be passed on; 0: none
 	atFault fleet.UpstreamID // where it isn't the upstream that was sent to
 }
 
@@ -249,7 +247,7 @@
 		l.drop(f)
 		return f
 	case status >= 500 && l.r.route.Repeatable():
-		f := &failure{outcome: Failed, ran: fault.RunYes, cause: fmt.Errorf("upstream answered %d", status), status: status}
+		f := &failure{outcome: Failed, ran: fault.RunYes, cause: fmt.Errorf("upstream answered %d", status)}
 		return f
 	default:
 		return nil
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -19,15 +20,10 @@
 		to.SetStatusMessage(m)
 	}
 	to.SetNoDefaultContentType(true)
-	drop := map[string]bool{fasthttp.HeaderContentLength: true, fasthttp.HeaderTransferEncoding: true}
-	for _, name := range hopByHop {
-		drop[name] = true
-	}
-	for _, token := range headerTokens(from.Peek(fasthttp.HeaderConnection)) {
-		drop[token] = true
-	}
+	named := headerTokens(from.Peek(fasthttp.HeaderConnection))
 	for k, v := range from.All() {
-		if !drop[string(k)] {
+		name := string(k)
+		if name != fasthttp.HeaderContentLength && !slices.Contains(hopByHop, name) && !slices.Contains(named, name) {
 			to.AddBytesKV(k, v)
 		}
 	}
@@ -48,11 +44,7 @@
 			l.pass(ctx, body)
 			return nil
 		}
-		f := &failure{outcome: Failed, ran: fault.RunYes, cause: err}
-		if l.over() {
-			f.outcome = Left
-		}
-		l.drop(f)
+		f := l.cut(err)
 		if !l.after(f) {
 			return l.verdict(f)
 		}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -103,30 +105,16 @@
 	r.head.SetProtocol("HTTP/1.1")
 }
 
-// headerTokens splits a comma-separated list of header names.
+// headerTokens splits a comma-separated list of header names; what only says whether the connection stays
+// open is left out.
 func headerTokens(v []byte) []string {
-	var all []string
-	start := 0
-	for i := 0; i <= len(v); i++ {
-		if i < len(v) && v[i] != ',' {
-			continue
-		}
-		if token := trim(v[start:i]); token != "" && token != "close" && token != "keep-alive" {
-			all = append(all, token)
-		}
-		start = i + 1
-	}
-	return all
-}
-
-func trim(b []byte) string {
-	for len(b) > 0 && (b[0] == ' ' || b[0] == '\t') {
-		b = b[1:]
-	}
-	for len(b) > 0 && (b[len(b)-1] == ' ' || b[len(b)-1] == '\t') {
-		b = b[:len(b)-1]
+	all := strings.Split(string(v), ",")
+	for i := range all {
+		all[i] = strings.Trim(all[i], " \t")
 	}
-	return string(b)
+	return slices.DeleteFunc(all, func(token string) bool {
+		return token == "" || token == "close" || token == "keep-alive"
+	})
 }
 
 // ask is the request's need for a place now. resumed is when the last event of a stream came that goes on
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -92,8 +92,7 @@
 		waiting: map[fleet.RequestID]*waiting{}, running: map[fleet.RequestID]*dispatched{},
 		rests: map[fleet.InstanceID]rest{}, behind: map[fleet.InstanceID]*remoteSink{}, lacked: map[string]time.Time{}, news: newOutbox[news](),
 	}
-	f.SetRank(c.rank)
-	f.SetChanged(c.stateChanged)
+	f.Share(c.rank, c.stateChanged)
 	return c
 }
 
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -129,16 +129,16 @@
 }
 
 // spread sends every attached instance the same.
-func (h *hub) spread(m func() *pb.ToEntry) {
+func (h *hub) spread(m *pb.ToEntry) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, s := range h.entries {
-		s.send(m())
+		s.send(m)
 	}
 }
 
-// hear takes what an instance that reads the store has seen. It is called without mu: the copies' lock is
-// taken first when a change of them is spread.
+// hear takes what an instance that reads the store has seen. It is called without mu: decoding a long copy
+// must not hold up who asks for places.
 func (h *hub) hear(m *pb.FromEntry) {
 	if len(m.Changes) == 0 {
 		return
--- a/internal/placement/news.go
+++ b/internal/placement/news.go
@@ -35,7 +35,7 @@
 func (c *Client) tellOne(n news) {
 	if n.change == nil {
 		proofs := proofMessages(n.proofs)
-		c.hub.spread(func() *pb.ToEntry { return &pb.ToEntry{Proofs: proofs} })
+		c.hub.spread(&pb.ToEntry{Proofs: proofs})
 		return
 	}
 	m, err := changeMessage(*n.change)
@@ -43,7 +43,7 @@
 		c.log.Error("state can't be sent", "error", err)
 		return
 	}
-	c.hub.spread(func() *pb.ToEntry { return &pb.ToEntry{Changes: []*pb.Change{m}} })
+	c.hub.spread(&pb.ToEntry{Changes: []*pb.Change{m}})
 	if n.own {
 		c.tell(&pb.FromEntry{Changes: []*pb.Change{m}})
 	}
--- a/internal/upstream/opaque.go
+++ b/internal/upstream/opaque.go
@@ -172,9 +172,6 @@
 	return n, err
 }
 
-// Whole tells whether the body was read to its end.
-func (x *Exchange) Whole() bool { return x.whole }
-
 // Close ends the exchange. The connection is kept if the answer was read whole and nothing lies behind it;
 // closing it otherwise tells the upstream to stop the work.
 func (x *Exchange) Close() {
@@ -249,15 +246,3 @@
 	}
 	return n, errors.New("too many trailers")
 }
-
-// Idle gives the time since the last use of a connection to addr that could carry a request now; ok is
-// false without one.
-func (c *Client) Idle(addr string) (since time.Duration, ok bool) {
-	c.pool.mu.Lock()
-	defer c.pool.mu.Unlock()
-	list := c.pool.idle[addr]
-	if len(list) == 0 {
-		return 0, false
-	}
-	return c.pool.now().Sub(list[len(list)-1].lastUsed), true
-}
--- a/internal/watch/relay.go
+++ b/internal/watch/relay.go
@@ -40,10 +40,10 @@
 
 // reading tells whether this instance reads the kind from the store now.
 func (f *Follower) reading(kind string, now time.Time) bool {
-	if f.deps.Rank == nil {
+	if f.rank == nil {
 		return true
 	}
-	rank := f.deps.Rank()
+	rank := f.rank()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.mirrors[kind]
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -61,20 +61,17 @@
 	Kinds   Kinds
 	Decoder Decoder
 	Log     hclog.Logger
-	// Rank is the instance's place among those that read the store; see reading. nil: it always reads.
-	Rank func() int
-	// Changed is called in order, under the Follower's lock, with each change of its copies; own tells that it
-	// was read from the store here. It may be nil.
-	Changed func(c Change, own bool)
 }
 
 // Follower follows the store, by reading it or by what other instances that read it tell.
 type Follower struct {
-	deps     Deps
-	log      hclog.Logger
-	started  time.Time
-	snapshot atomic.Pointer[catalog.Snapshot]
-	doubt    *doubt
+	deps       Deps
+	log        hclog.Logger
+	started    time.Time
+	snapshot   atomic.Pointer[catalog.Snapshot]
+	doubt      *doubt
+	rank       func() int               // nil: it shares with nobody
+	tellChange func(c Change, own bool) // nil: it shares with nobody
 
 	mu        sync.Mutex
 	mirrors   map[string]*mirror                     // guarded by mu
@@ -108,11 +105,12 @@
 	return f
 }
 
-// SetRank replaces Deps.Rank and SetChanged Deps.Changed, before Run.
-func (f *Follower) SetRank(rank func() int) { f.deps.Rank = rank }
-
-// SetChanged replaces Deps.Changed, before Run.
-func (f *Follower) SetChanged(changed func(c Change, own bool)) { f.deps.Changed = changed }
+// Share makes the Follower one of several that share the reading of the store. It is called before Run; alone
+// a Follower reads everything. rank gives its place among them (see reading). changed is called in order,
+// under the Follower's lock, with each change of its copies; own tells that it was read from the store here.
+func (f *Follower) Share(rank func() int, changed func(c Change, own bool)) {
+	f.rank, f.tellChange = rank, changed
+}
 
 // Snapshot gives what is known now; never nil.
 func (f *Follower) Snapshot() *catalog.Snapshot { return f.snapshot.Load() }
@@ -240,8 +238,8 @@
 		return
 	}
 	f.publish(now)
-	if f.deps.Changed != nil {
-		f.deps.Changed(c, own)
+	if f.tellChange != nil {
+		f.tellChange(c, own)
 	}
 }
 
