--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -121,6 +121,7 @@
 	pending float64                  // ms of reading that was given and isn't known to be done
 	gap     time.Duration            // shortest of its runs' longest pauses; 0: none
 	gone    bool                     // gets no new work
+	known   bool                     // was listed once
 	starts  []decide.Instant         // of the last second, while cold
 	failed  decide.Instant           // last failure
 	fails   int                      // in a row
@@ -166,7 +167,27 @@
 }
 
 // SetModel takes another model or figures, as a new configuration states them.
-func (s *State) SetModel(m *Model, p Params) { s.model, s.params = m, p }
+func (s *State) SetModel(m *Model, p Params) {
+	first := s.model == nil && m != nil
+	s.model, s.params = m, p
+	if !first {
+		return
+	}
+	for _, r := range s.runs { // adopted before it was known how long they read
+		if !r.writing {
+			s.read(r)
+		}
+	}
+}
+
+// read books the reading of a run on its engines.
+func (s *State) read(r *run) {
+	r.part = s.model.read(r.job.Prompt) / float64(len(r.helpers)+1)
+	s.addReading(r.on, r.part)
+	for _, h := range r.helpers {
+		s.addReading(h, r.part)
+	}
+}
 
 // SetUpstreams takes the upstreams that may get work. One that is no longer listed keeps its work and gets
 // no more; one that started anew under its id has lost it.
@@ -174,15 +195,12 @@
 	listed := make(map[fleet.UpstreamID]bool, len(open))
 	for _, u := range open {
 		listed[u.ID] = true
-		e := s.engines[u.ID]
-		if e == nil || e.Born != u.Born {
-			e = &engine{
-				runs: map[fleet.RequestID]*run{}, parts: map[fleet.RequestID]*run{},
-				unreached: map[fleet.DomainID]decide.Instant{},
-			}
-			s.engines[u.ID] = e
+		e := s.engine(u.ID)
+		if e.known && e.Born != u.Born {
+			delete(s.engines, u.ID)
+			e = s.engine(u.ID)
 		}
-		e.Upstream, e.gone = u, false
+		e.Upstream, e.known, e.gone = u, true, false
 	}
 	for id, e := range s.engines {
 		if !listed[id] {
@@ -205,6 +223,20 @@
 	slices.SortFunc(s.order, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
 }
 
+// engine gives an upstream with its work. One that isn't known yet gets no new work.
+func (s *State) engine(id fleet.UpstreamID) *engine {
+	e := s.engines[id]
+	if e == nil {
+		e = &engine{
+			Upstream: Upstream{ID: id}, gone: true,
+			runs: map[fleet.RequestID]*run{}, parts: map[fleet.RequestID]*run{},
+			unreached: map[fleet.DomainID]decide.Instant{},
+		}
+		s.engines[id] = e
+	}
+	return e
+}
+
 // Ask queues a job. One with the id of a job that waits or runs replaces it: the instance asks anew when it
 // doesn't know what became of it.
 func (s *State) Ask(j *Job) {
@@ -276,27 +308,22 @@
 	e.fails++
 }
 
-// Adopt takes a run that another dispatcher, or the instance by itself, placed.
+// Adopt takes a run that another dispatcher, or the instance by itself, placed. Its upstream need not be known
+// yet: a dispatcher that has just started hears of the fleet's work first, and what it dropped of that it would
+// place once more.
 func (s *State) Adopt(now decide.Instant, j *Job, on fleet.UpstreamID, helpers []fleet.UpstreamID, holders []Holding, writing bool) {
 	s.Withdraw(j.ID)
-	e := s.engines[on]
-	if e == nil {
-		return
-	}
 	var with []*engine
 	for _, id := range helpers {
-		if h := s.engines[id]; h != nil {
-			with = append(with, h)
-		}
+		with = append(with, s.engine(id))
 	}
 	var held []holding
 	for _, h := range holders {
-		if he := s.engines[h.Upstream]; he != nil {
-			held = append(held, holding{he, h.Tokens})
-			with = append(with, he)
-		}
+		he := s.engine(h.Upstream)
+		held = append(held, holding{he, h.Tokens})
+		with = append(with, he)
 	}
-	r := s.start(now, j, e, with, held)
+	r := s.start(now, j, s.engine(on), with, held)
 	if writing {
 		s.readDone(r)
 		r.writing = true
@@ -329,16 +356,14 @@
 		r.context -= h.tokens
 		h.on.context += h.tokens
 	}
-	if s.model != nil {
-		r.part = s.model.read(j.Prompt) / float64(len(helpers)+1)
-	}
 	s.runs[j.ID] = r
 	e.runs[j.ID] = r
-	s.addReading(e, r.part)
 	e.context += r.context
 	for _, h := range helpers {
 		h.parts[j.ID] = r
-		s.addReading(h, r.part)
+	}
+	if s.model != nil {
+		s.read(r)
 	}
 	if e.cold(now) {
 		e.starts = append(e.starts, now)
--- a/internal/decide/dispatch/dispatch_test.go
+++ b/internal/decide/dispatch/dispatch_test.go
@@ -336,3 +336,25 @@
 	}
 	is.Equal(play(), play())
 }
+
+// All streams pause for a second after the first dispatcher's instance was restarted: the others tell it of
+// their work before it knows any upstream, it drops that, and fills engines that are full.
+func TestWorkOnUpstreamsNotYetKnownIsKept(t *testing.T) {
+	is := is.New(t)
+	m := coteau
+	for name, model := range map[string]*dispatch.Model{"plain": nil, "engines": &m} {
+		s := dispatch.New(nil, dispatch.DefaultParams())
+		for i := range 16 {
+			s.Adopt(0, newJob(fmt.Sprint("old", i), 1000), "a00", nil, nil, true)
+		}
+		s.SetModel(model, dispatch.DefaultParams())
+		s.SetUpstreams(upstreams(2, "a"))
+		is.Equal(s.Running(), 16) // name
+		d := one(t, s, 1, newJob("new "+name, 1000))
+		is.Equal(d.Upstream, fleet.UpstreamID("a01"))
+		for i := range 16 {
+			s.Done(at(2), fleet.RequestID(fmt.Sprint("old", i)), dispatch.Whole, "")
+		}
+		is.Equal(s.Running(), 1)
+	}
+}
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -37,6 +37,9 @@
 	// firstRest and longestRest bound how long an instance that could not be reached is left alone.
 	firstRest   = 500 * time.Millisecond
 	longestRest = 4 * time.Second
+	// handoverPause is how long an instance waits before it follows one that gave its session up right away:
+	// the two learn of a change of the members some ms apart.
+	handoverPause = 10 * time.Millisecond
 )
 
 // errSilent: nothing came from the dispatcher for too long, or it closed the session.
@@ -64,6 +67,7 @@
 	behind  map[fleet.InstanceID]*remoteSink // guarded by mu: instances whose messages are passed on
 	sought  time.Time                        // guarded by mu: when a way to a dispatcher before this one was last sought
 	lacked  map[string]time.Time             // guarded by mu: when a kind was last asked for
+	changed chan struct{}                    // holds a token while members have changed since the order was last looked at
 }
 
 // rest is how long an instance is left alone.
@@ -91,6 +95,7 @@
 		self: self, domain: domain, follower: f, snapshot: f.Snapshot, log: log.Named("placement"), hub: newHub(f, log), local: NewLocal(f.Snapshot),
 		waiting: map[fleet.RequestID]*waiting{}, running: map[fleet.RequestID]*dispatched{},
 		rests: map[fleet.InstanceID]rest{}, behind: map[fleet.InstanceID]*remoteSink{}, lacked: map[string]time.Time{}, news: newOutbox[news](),
+		changed: make(chan struct{}, 1),
 	}
 	f.Share(c.rank, c.stateChanged)
 	return c
@@ -143,7 +148,8 @@
 		}
 		select {
 		case <-s.done:
-			c.over(s)
+			c.over(ctx, s)
+		case <-c.changed:
 		case <-time.After(lookEvery):
 		case <-ctx.Done():
 		}
@@ -276,14 +282,22 @@
 	}
 }
 
-// over takes that a session is over.
-func (c *Client) over(s *session) {
+// over ends a session. One that the other side gave up in order is followed by the next at once: the
+// dispatcher changed there. Resting that instance as if it were lost made this one a dispatcher of its own for
+// half a second at each planned stop of the dispatcher, and short prompts on all engines were late.
+func (c *Client) over(ctx context.Context, s *session) {
 	c.mu.Lock()
 	if c.session == s {
 		c.session = nil
 	}
 	c.mu.Unlock()
-	c.rested(s.with, errSilent)
+	if !s.handedOver.Load() {
+		c.rested(s.with, errSilent)
+		return
+	}
+	if time.Since(s.opened) < beat {
+		wait.For(ctx, handoverPause)
+	}
 }
 
 // got takes a message of the dispatcher.
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -24,8 +24,9 @@
 	// longStep is a step's time from which the next one is put off.
 	longStep = time.Millisecond
 	// settleTime is how long a dispatcher that has just been attached to waits for the other instances' work:
-	// what it doesn't know of yet it would place beside. Twice the time after which they miss the old one.
-	settleTime = 2 * silence
+	// what it doesn't know of yet it would place beside. Those that live miss the old dispatcher within a beat
+	// of each other, and attach within another. A member that died with it never attaches.
+	settleTime = 2 * beat
 )
 
 // sink takes what is due to one attached instance.
@@ -273,9 +274,14 @@
 // while one takes over from the other, and together they stay under the limit with its allowance of a half.
 const coldShare = 0.7
 
+// settled tells whether the other instances' work is known, or as much of it as will come; mu is held.
+func (h *hub) settled(now decide.Instant) bool {
+	return now.Sub(h.opened) >= settleTime || len(h.entries) >= len(h.snapshot().Members)
+}
+
 // step sends out what can be decided now; mu is held.
 func (h *hub) step(now decide.Instant) {
-	if now.Sub(h.opened) < settleTime && len(h.entries) < len(h.snapshot().Members) {
+	if !h.settled(now) {
 		return
 	}
 	began := time.Now()
--- a/internal/placement/news.go
+++ b/internal/placement/news.go
@@ -18,7 +18,15 @@
 
 // stateChanged queues a change of the copies. It is called under the Follower's lock, which orders changes
 // and proofs; sending needs other locks.
-func (c *Client) stateChanged(ch watch.Change, own bool) { c.news.put(news{change: &ch, own: own}) }
+func (c *Client) stateChanged(ch watch.Change, own bool) {
+	c.news.put(news{change: &ch, own: own})
+	if ch.Kind == watch.KindMembers {
+		select {
+		case c.changed <- struct{}{}:
+		default:
+		}
+	}
+}
 
 // beat queues how new the copies are.
 func (c *Client) beat() { c.news.put(news{proofs: c.follower.Proofs()}) }
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -19,19 +19,35 @@
 // errNotThrough refuses an instance that wanted to reach a dispatcher before it, and wouldn't here.
 var errNotThrough = errors.New("no dispatcher before the instance is reached through this one")
 
+// errKnowsLess refuses an instance that knows parts of the store's state that this one hasn't read yet.
+var errKnowsLess = errors.New("this instance has just started and knows less than the one that asks")
+
 // admit decides about an instance that attaches: as its dispatcher (through is nil), by passing its messages
 // on through the session with the dispatcher, or not at all.
-func (c *Client) admit(entry fleet.InstanceID, first *pb.FromEntry) (through *session, ok bool) {
+func (c *Client) admit(entry fleet.InstanceID, first *pb.FromEntry) (through *session, _ error) {
 	c.mu.Lock()
 	s := c.session
 	c.mu.Unlock()
 	if s == nil || s.with == c.self || s.with == entry {
-		return nil, !first.OnlyToPass
+		return nil, c.mayDispatchFor(entry, first)
+	}
+	if first.OnlyToPass && !(s.fresh() && c.before(s.with, entry)) {
+		return nil, errNotThrough
+	}
+	return s, nil
+}
+
+// mayDispatchFor tells whether this instance may be the dispatcher of one that attaches. One that has just
+// started may not: while it doesn't know the upstreams it would refuse every request, and it comes first in
+// the order again the moment it has joined.
+func (c *Client) mayDispatchFor(entry fleet.InstanceID, first *pb.FromEntry) error {
+	if first.OnlyToPass {
+		return errNotThrough
 	}
-	if !first.OnlyToPass {
-		return s, true
+	if entry != c.self && !knowsAll(c.follower.Proofs(), first.Proofs) {
+		return errKnowsLess
 	}
-	return s, s.fresh() && c.before(s.with, entry)
+	return nil
 }
 
 // before tells whether a comes before b as a dispatcher.
@@ -43,19 +59,13 @@
 	return at(a) >= 0 && at(a) < at(b)
 }
 
-// pass passes an attached instance's messages on until either session is over.
+// pass passes an attached instance's messages on until either session is over. When this instance's own is,
+// the attached one's ends in order, which tells it to follow.
 func (c *Client) pass(stream pb.DRPCPlacement_AttachStream, entry fleet.InstanceID, to *remoteSink, through *session, first *pb.FromEntry) error {
 	c.mu.Lock()
 	c.behind[entry] = to
 	c.mu.Unlock()
 	c.log.Info("passing on for an instance that can't reach the dispatcher", "entry", entry, "dispatcher", through.with)
-	go func() {
-		select {
-		case <-through.done:
-			to.cut() // the instance finds another way
-		case <-stream.Context().Done():
-		}
-	}()
 	defer func() {
 		c.mu.Lock()
 		if c.behind[entry] == to {
@@ -64,6 +74,18 @@
 		c.mu.Unlock()
 		through.tell(&pb.FromEntry{Passed: []*pb.Passed{{Entry: string(entry), Ended: true}}})
 	}()
+	lost := make(chan error, 1)
+	go func() { lost <- passOn(stream, entry, through, first) }()
+	select {
+	case <-through.done:
+		return nil
+	case err := <-lost:
+		return err
+	}
+}
+
+// passOn passes messages on until the attached instance's session is over.
+func passOn(stream pb.DRPCPlacement_AttachStream, entry fleet.InstanceID, through *session, first *pb.FromEntry) error {
 	for m := first; ; {
 		through.tell(&pb.FromEntry{Passed: []*pb.Passed{{Entry: string(entry), Message: m}}})
 		var err error
--- a/internal/placement/pass_test.go
+++ b/internal/placement/pass_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -180,3 +181,88 @@
 	})
 	is.Equal(len(second.Absent(0)), 0)
 }
+
+// Short prompts are late for half a second at each planned stop of the dispatcher's instance. Instances learn
+// of its leaving one after the other; whoever is first attaches to the next dispatcher, which doesn't know yet
+// and passes on to the old one. When it takes over, it ends that session, and the instance took it for lost
+// and became a dispatcher of its own, beside the one of all others.
+func TestAHandoverLeavesNobodyAlone(t *testing.T) {
+	is := is.New(t)
+	first, second, third := three(t)
+	addrs := map[fleet.InstanceID]string{first.self: first.addr, second.self: second.addr, third.self: third.addr}
+	for _, p := range []*party{first, second, third} {
+		p.members(t, 2, addrs)
+	}
+	soon(t, "all are attached to the first", func() bool {
+		return first.attached(first.self) && first.attached(second.self) && first.attached(third.self)
+	})
+	delete(addrs, first.self)
+	third.members(t, 3, addrs)
+	soon(t, "the third goes through the second", func() bool { return third.Dispatcher() == second.self })
+	var alone atomic.Bool
+	watched, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() {
+		for watched.Err() == nil {
+			if third.Dispatcher() == third.self {
+				alone.Store(true)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	second.members(t, 3, addrs)
+	first.members(t, 3, addrs)
+	soon(t, "the third is the second's own", func() bool { return second.direct(third.self) && second.direct(second.self) })
+	is.True(!alone.Load())
+}
+
+// direct tells whether an instance has a session of its own with this one as the dispatcher.
+func (p *party) direct(id fleet.InstanceID) bool {
+	p.hub.mu.Lock()
+	defer p.hub.mu.Unlock()
+	s := p.hub.entries[id]
+	_, passed := s.(*passedSink)
+	return s != nil && !passed
+}
+
+// All requests of the fleet wait for more than half a second after the dispatcher's machine has lost power:
+// its entry still stands in the store, and the next dispatcher waits for it to attach. Whoever lives attaches
+// within a beat of the others.
+func TestADeadMemberDoesNotHoldUpTheNextDispatcher(t *testing.T) {
+	is := is.New(t)
+	f := watch.New(watch.Deps{Kinds: watch.Kinds{Config: "c", Upstreams: "u", Out: "o"}, Log: hclog.NewNullLogger()})
+	h := newHub(f, hclog.NewNullLogger())
+	p := &party{Client: &Client{follower: f, hub: h}}
+	p.members(t, 2, map[fleet.InstanceID]string{"dead": deadAddr, "i1": deadAddr, "i2": deadAddr})
+	h.start = time.Now().Add(-time.Minute)
+	for _, id := range []fleet.InstanceID{"i1", "i2"} {
+		h.attach(id, selfSink{out: newOutbox[*pb.ToEntry]()}, &pb.FromEntry{Entry: string(id), Domain: "d"})
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	is.True(!h.settled(h.opened.Add(beat))) // the others' work isn't known yet
+	is.True(h.settled(h.opened.Add(2*beat + beat/2)))
+}
+
+// Every request is refused, or placed beside work that was forgotten, when the first dispatcher's instance
+// is back after a restart: it comes first in the order as soon as it has joined, and knows no upstream yet.
+func TestAnInstanceThatKnowsLessDoesNotDispatch(t *testing.T) {
+	is := is.New(t)
+	first, second, third := three(t)
+	addrs := map[fleet.InstanceID]string{first.self: first.addr, second.self: second.addr, third.self: third.addr}
+	for _, p := range []*party{second, third} {
+		p.knowsUpstreams()
+	}
+	for _, p := range []*party{first, second, third} {
+		p.members(t, 2, addrs)
+	}
+	soon(t, "the second dispatches", func() bool { return second.direct(second.self) && second.direct(third.self) })
+	is.True(!first.attached(second.self) && !first.attached(third.self))
+	first.knowsUpstreams()
+	soon(t, "the first dispatches", func() bool { return first.direct(second.self) && first.direct(third.self) })
+}
+
+// knowsUpstreams gives a party a copy of the upstreams: there are none.
+func (p *party) knowsUpstreams() {
+	p.follower.Offer(watch.Change{Kind: "u", Whole: true, To: 1})
+}
--- a/internal/placement/session.go
+++ b/internal/placement/session.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -105,9 +107,9 @@
 			}
 		}
 	}()
-	through, ok := s.c.admit(entry, first)
-	if !ok {
-		return errNotThrough
+	through, err := s.c.admit(entry, first)
+	if err != nil {
+		return err
 	}
 	to.send(&pb.ToEntry{}) // shows the instance that it is attached
 	defer to.out.close()
@@ -153,7 +155,9 @@
 	end  func()
 	done <-chan struct{} // closed when the session is over
 
-	heard atomic.Int64 // Unix ns of the last message; the wall clock's jumps cost one decision at most
+	opened     time.Time
+	handedOver atomic.Bool  // the other side ended the session in order: it has another dispatcher now
+	heard      atomic.Int64 // Unix ns of the last message; the wall clock's jumps cost one decision at most
 }
 
 // fresh tells whether the dispatcher was heard of so lately that it lives.
@@ -191,7 +195,7 @@
 		return nil, err
 	}
 	out := newOutbox[*pb.FromEntry]()
-	opened := &session{with: to, end: stop, done: life.Done(), tell: func(m *pb.FromEntry) {
+	opened := &session{with: to, opened: time.Now(), end: stop, done: life.Done(), tell: func(m *pb.FromEntry) {
 		if !out.put(m) {
 			stop()
 		}
@@ -204,6 +208,7 @@
 			opened.heard.Store(time.Now().UnixNano())
 			got(m)
 		}
+		opened.handedOver.Store(errors.Is(err, io.EOF))
 	}()
 	go func() {
 		defer stop()
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -93,6 +94,15 @@
 	}
 }
 
+// knowsAll tells whether every kind that another instance's copies hold is known here.
+func knowsAll(own []watch.Proof, theirs []*pb.Proof) bool {
+	known := map[string]bool{}
+	for _, p := range own {
+		known[p.Kind] = p.Known
+	}
+	return !slices.ContainsFunc(theirs, func(p *pb.Proof) bool { return p.Known && !known[p.Kind] })
+}
+
 // takeState takes what another instance tells of its copies, and gives the kinds that are needed whole.
 func takeState(f *watch.Follower, changes []*pb.Change, proofs []*pb.Proof) (needed []string, err error) {
 	for _, m := range changes {
