--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,6 +46,7 @@
 	metrics  *metrics.Registry
 	log      hclog.Logger
 	listener net.Listener
+	idle     callerconn.Idle
 	served   chan error
 }
 
@@ -74,6 +75,7 @@
 		MaxRequestBodySize:    d.Limits.MaxBodyBytes,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
+		ConnState:             s.idle.Note,
 		Logger:                httplog.Logger{Log: s.log},
 	}
 	return s
@@ -156,6 +158,9 @@
 	s.served <- s.http.Serve(watched)
 }
 
+// CloseIdle closes the connections on which no caller waits, and gives how many.
+func (s *Server) CloseIdle() int { return s.idle.Close() }
+
 // Shutdown stops listening and waits until open connections are idle and closed, or ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
 	if err := s.http.ShutdownWithContext(ctx); err != nil {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -86,6 +86,14 @@
 	maybe   = []Run{RunUnknown, RunYes}
 )
 
+const (
+	// elsewhere is the wait after a refusal that concerns one instance only: another one has room now.
+	elsewhere = 20 * time.Millisecond
+	// startTime is how long an instance takes from its start until it knows a configuration, where the store
+	// answers: 0.1 s as measured, and as much again.
+	startTime = 200 * time.Millisecond
+)
+
 var rules = [kindCount]Rule{
 	Internal:         {"internal", 500, started, NoRetry},
 	BadRequest:       {"bad_request", 400, notRun, NoRetry},
@@ -101,9 +109,9 @@
 	WorkspaceLimit:   {"workspace_limit", 429, notRun, time.Second},
 	NoUpstream:       {"no_upstream", 503, notRun, 2 * time.Second},
 	NoMemory:         {"no_memory", 503, notRun, 2 * time.Second},
-	Stopping:         {"stopping", 503, notRun, time.Second},
-	NotReady:         {"not_ready", 503, notRun, time.Second},
-	StaleInstance:    {"stale_instance", 503, notRun, time.Second},
+	Stopping:         {"stopping", 503, notRun, elsewhere},
+	NotReady:         {"not_ready", 503, notRun, startTime},
+	StaleInstance:    {"stale_instance", 503, notRun, elsewhere},
 	UpstreamBusy:     {"upstream_busy", 503, notRun, time.Second},
 	UpstreamFailed:   {"upstream_failed", 502, maybe, time.Second},
 	IncompleteAnswer: {"incomplete_answer", 502, maybe, time.Second},
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -69,6 +69,7 @@
 	deps     Deps
 	http     *fasthttp.Server
 	listener net.Listener
+	idle     callerconn.Idle
 	served   chan error
 	log      hclog.Logger
 	work     context.Context // of every request
@@ -90,6 +91,7 @@
 		NoDefaultContentType:  true,
 		NoDefaultDate:         true,
 		CloseOnShutdown:       true,
+		ConnState:             g.idle.Note,
 		Logger:                httplog.Logger{Log: g.log},
 	}
 	return g
@@ -117,6 +119,9 @@
 	g.served <- g.http.Serve(watched)
 }
 
+// CloseIdle closes the connections on which no caller waits, and gives how many.
+func (g *Gateway) CloseIdle() int { return g.idle.Close() }
+
 // Shutdown stops listening and waits until open connections are idle and closed, or ctx ends.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	if err := g.http.ShutdownWithContext(ctx); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -195,6 +195,7 @@
 	p.Gate.Unready()
 	wait.For(limit, lag)
 	p.Gate.Refuse()
+	p.Log.Info("refusing new requests", "in_flight", p.Gate.InFlight(), "idle_closed", p.Callers.CloseIdle())
 	err := p.Gate.Drained(limit)
 	if err == nil {
 		return nil
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -212,6 +212,7 @@
 	n.run(func(context.Context) { n.leave(limit) })
 	wait.For(limit, time.Duration(stop.Lag))
 	p.Gate.Refuse()
+	p.Log.Info("refusing new requests", "in_flight", p.Gate.InFlight(), "idle_closed", p.Gateway.CloseIdle())
 	err := p.Gate.Drained(limit)
 	closing, done := context.WithTimeout(context.Background(), closeMargin/2)
 	defer done()
