--- a/internal/watch/mirror.go
+++ b/internal/watch/mirror.go
@@ -117,6 +117,9 @@
 	if !in.Whole && (!m.known || m.revision < in.From) {
 		return c, false
 	}
+	if in.Whole && in.To < m.revision {
+		return c, m.known // of before this copy: it holds what is gone here
+	}
 	listed := map[string]bool{}
 	for _, o := range in.Objects {
 		listed[o.Name] = true
@@ -148,25 +151,27 @@
 	return c
 }
 
-// learned ends a change by which the copy became whole. One that wasn't known before is passed on whole: the
-// change alone lacks what was already here.
+// learned ends a change by which the copy became whole. It is passed on whole: a list doesn't tell what came
+// and went between this copy's revision and its own, and a copy in between holds that.
 func (m *mirror) learned(c Change) Change {
-	if !m.known {
-		m.known = true
-		c = m.whole()
+	if m.known && c.empty() {
+		return c
 	}
-	m.note(&c)
-	return c
+	m.known = true
+	m.latest = c.To
+	return m.whole()
 }
 
 // set takes an object unless it is older than what is known of its name. What two readers of the store see
-// reaches the copy in any order: the one that is behind must not bring back what the other saw go.
+// reaches the copy in any order: the one that is behind must not bring back what the other saw go, or what was
+// gone before this copy began.
 func (m *mirror) set(c *Change, o wire.Object) {
-	if o.Version <= m.deleted[o.Name] {
+	old, held := m.objects[o.Name]
+	if o.Version <= m.deleted[o.Name] || !held && m.known && o.Version <= m.revision {
 		return
 	}
 	delete(m.lapsing, o.Name)
-	if old, ok := m.objects[o.Name]; ok && old.Version >= o.Version {
+	if held && old.Version >= o.Version {
 		return
 	}
 	m.objects[o.Name] = o
@@ -175,16 +180,18 @@
 
 // vanished takes that the store no longer has the object as of a revision.
 func (m *mirror) vanished(c *Change, name string, revision uint64, now time.Time) {
-	if m.grace && now.Sub(m.returned) < lapseGrace {
+	if _, held := m.objects[name]; held && m.grace && now.Sub(m.returned) < lapseGrace {
 		m.lapsing[name] = revision
 		return
 	}
 	m.remove(c, name, revision)
 }
 
+// remove takes that an object is gone as of a revision. That of one not held here is passed on too: a copy
+// that is behind may hold it.
 func (m *mirror) remove(c *Change, name string, revision uint64) {
-	o, ok := m.objects[name]
-	if !ok || o.Version > revision {
+	o, held := m.objects[name]
+	if held && o.Version > revision || !held && revision <= m.deleted[name] {
 		return
 	}
 	m.deleted[name] = max(m.deleted[name], revision)
--- a/internal/watch/mirror_test.go
+++ b/internal/watch/mirror_test.go
@@ -104,3 +104,41 @@
 	is.True(c.empty())
 	is.Equal(len(m.objects), 1)
 }
+
+// A failure domain that was taken back stays out, on one instance and for good. The instance has listed the
+// store after the domain's entry went, and then gets a message of before: it never held the entry, and took it
+// for new.
+func TestAMessageOfBeforeTheCopyBringsNothingBack(t *testing.T) {
+	is := is.New(t)
+	m := newMirror("k", false)
+	m.replace(list(9), time.Now())
+	c, ok := m.offer(Change{Kind: "k", From: 2, To: 5, Objects: []wire.Object{object("north", 5)}})
+	is.True(ok)
+	is.True(c.empty())
+	m.known = false // listing again
+	_, ok = m.offer(Change{Kind: "k", Whole: true, From: 2, To: 5, Objects: []wire.Object{object("north", 5)}})
+	is.True(!ok)
+	is.Equal(len(m.objects), 0)
+}
+
+// An instance sends to an upstream that is gone. The upstream came and went between two reads of the instance
+// that tells the others, which never held it and told them nothing of it; theirs did.
+func TestWhatCameAndWentIsTold(t *testing.T) {
+	is := is.New(t)
+	for _, watched := range []bool{true, false} {
+		behind := newMirror("k", false)
+		behind.replace(list(3, object("a", 3)), time.Now())
+		reader := newMirror("k", false)
+		reader.replace(list(2), time.Now())
+		var c Change
+		if watched {
+			c = reader.follow(wire.List{Version: 5, Deleted: []string{"a"}, Objects: []wire.Object{object("b", 5)}}, time.Now())
+		} else {
+			c = reader.replace(list(5, object("b", 5)), time.Now())
+		}
+		_, ok := behind.offer(c)
+		is.True(ok)
+		_, held := behind.objects["a"]
+		is.True(!held)
+	}
+}
