--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -127,7 +127,8 @@
 	}
 	a := Ask{
 		ID: fleet.RequestID(r.ID), Service: r.service, Kind: r.route.Kind, Workspace: r.workspace, Subject: r.Subject,
-		Priority: r.priority, Prompt: r.Prompt, Output: r.Output, MaxGap: r.route.MaxGap, Resumed: !resumed.IsZero(),
+		Priority: r.priority, Prompt: r.Prompt, Output: r.Output, MaxGap: r.route.MaxGap,
+		Resumed: !resumed.IsZero() || r.LastEvent != "", // here, or by its caller on another connection
 		Left: r.deadline.Sub(now), Waited: now.Sub(since), Attempt: attempt, Avoid: avoid,
 	}
 	if aim > 0 {
