--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -129,7 +129,7 @@
 		ID: fleet.RequestID(r.ID), Service: r.service, Kind: r.route.Kind, Workspace: r.workspace, Subject: r.Subject,
 		Priority: r.priority, Prompt: r.Prompt, Output: r.Output, MaxGap: r.route.MaxGap,
 		Resumed: !resumed.IsZero() || r.LastEvent != "", // here, or by its caller on another connection
-		Left: r.deadline.Sub(now), Waited: now.Sub(since), Attempt: attempt, Avoid: avoid,
+		Left:    r.deadline.Sub(now), Waited: now.Sub(since), Attempt: attempt, Avoid: avoid,
 	}
 	if aim > 0 {
 		a.Aimed = true
