--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -282,21 +282,25 @@
 	}
 }
 
-// over ends a session. One that the other side gave up in order is followed by the next at once: the
-// dispatcher changed there. Resting that instance as if it were lost made this one a dispatcher of its own for
-// half a second at each planned stop of the dispatcher, and short prompts on all engines were late.
+// over ends a session. One that the other side gave up in order, or that was reset, is followed by another at
+// once, with the same instance if that still answers. Resting it as if it were lost made this one a dispatcher
+// of its own for half a second at each planned stop of the dispatcher, or left a dispatcher alone with its own
+// requests when its connections were reset, and short prompts on all engines were late.
 func (c *Client) over(ctx context.Context, s *session) {
 	c.mu.Lock()
 	if c.session == s {
 		c.session = nil
 	}
 	c.mu.Unlock()
-	if !s.handedOver.Load() {
-		c.rested(s.with, errSilent)
-		return
-	}
-	if time.Since(s.opened) < beat {
+	brief := time.Since(s.opened) < beat
+	switch {
+	case s.handedOver.Load() && brief:
 		wait.For(ctx, handoverPause)
+	case s.handedOver.Load():
+	case s.silent.Load() || brief:
+		c.rested(s.with, errSilent)
+	default:
+		c.log.Warn("session with the dispatcher was reset", "instance", s.with)
 	}
 }
 
--- a/internal/placement/pass_test.go
+++ b/internal/placement/pass_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -23,19 +24,46 @@
 // can't reach the others can.
 type party struct {
 	*Client
-	addr string
+	addr     string
+	listener *cutter
+}
+
+// cutter is a listener that can close all connections that it accepted.
+type cutter struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn // guarded by mu
+}
+
+func (l *cutter) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.mu.Lock()
+		l.conns = append(l.conns, c)
+		l.mu.Unlock()
+	}
+	return c, err
+}
+
+func (l *cutter) cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		_ = c.Close()
+	}
 }
 
 const deadAddr = "127.0.0.1:1"
 
 func newParty(t *testing.T, id fleet.InstanceID, domain fleet.DomainID) *party {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	bound, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	l := &cutter{Listener: bound}
 	f := watch.New(watch.Deps{Kinds: watch.Kinds{Config: "c", Upstreams: "u", Out: "o"}, Log: hclog.NewNullLogger()})
-	p := &party{Client: NewClient(id, domain, f, hclog.NewNullLogger()), addr: l.Addr().String()}
+	p := &party{Client: NewClient(id, domain, f, hclog.NewNullLogger()), addr: l.Addr().String(), listener: l}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 2)
 	go func() { done <- p.Serve(ctx, l) }()
@@ -266,3 +294,31 @@
 func (p *party) knowsUpstreams() {
 	p.follower.Offer(watch.Change{Kind: "u", Whole: true, To: 1})
 }
+
+// Short prompts are late for half a second after connections were reset: all instances but the dispatcher take
+// the next one, it stays its own, and both place on the same engines. Instances whose session was reset try
+// the same dispatcher again first.
+func TestAResetSessionIsOpenedAgain(t *testing.T) {
+	is := is.New(t)
+	first, second, third := three(t)
+	addrs := map[fleet.InstanceID]string{first.self: first.addr, second.self: second.addr, third.self: third.addr}
+	for _, p := range []*party{first, second, third} {
+		p.members(t, 2, addrs)
+	}
+	both := func() bool { return first.direct(second.self) && first.direct(third.self) }
+	soon(t, "all are attached to the first", both)
+	time.Sleep(2 * beat) // sessions that end right away are taken for lost
+	current := func(p *party) *session {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.session
+	}
+	was := [2]*session{current(second), current(third)}
+	first.listener.cut()
+	soon(t, "both have other sessions", func() bool {
+		now := [2]*session{current(second), current(third)}
+		return now[0] != nil && now[1] != nil && now[0] != was[0] && now[1] != was[1]
+	})
+	is.Equal(second.Dispatcher(), first.self)
+	is.Equal(third.Dispatcher(), first.self)
+}
--- a/internal/placement/session.go
+++ b/internal/placement/session.go
@@ -157,6 +157,7 @@
 
 	opened     time.Time
 	handedOver atomic.Bool  // the other side ended the session in order: it has another dispatcher now
+	silent     atomic.Bool  // the session was given up because nothing was heard
 	heard      atomic.Int64 // Unix ns of the last message; the wall clock's jumps cost one decision at most
 }
 
@@ -184,7 +185,11 @@
 		return nil, err
 	}
 	// Silence is the only sign of a connection that something between the ends has lost track of.
-	quiet := time.AfterFunc(attachTimeout, stop)
+	opened := &session{with: to, opened: time.Now(), end: stop, done: life.Done()}
+	quiet := time.AfterFunc(attachTimeout, func() {
+		opened.silent.Store(true)
+		stop()
+	})
 	if err := stream.Send(first()); err != nil {
 		stop()
 		return nil, err
@@ -195,11 +200,11 @@
 		return nil, err
 	}
 	out := newOutbox[*pb.FromEntry]()
-	opened := &session{with: to, opened: time.Now(), end: stop, done: life.Done(), tell: func(m *pb.FromEntry) {
+	opened.tell = func(m *pb.FromEntry) {
 		if !out.put(m) {
 			stop()
 		}
-	}}
+	}
 	opened.heard.Store(time.Now().UnixNano())
 	go func() {
 		defer stop()
