--- a/cmd/damaskctl/status.go
+++ b/cmd/damaskctl/status.go
@@ -14,24 +14,36 @@
 	"github.com/damaskshelf/damaskshelf/internal/operate"
 )
 
-type statusVerb struct{ target }
+type statusVerb struct {
+	target
+	storeTarget
+}
 
 func (*statusVerb) Name() string     { return "status" }
 func (*statusVerb) Synopsis() string { return "show what one instance knows of the fleet" }
 func (*statusVerb) Usage() string {
 	return `damaskctl status [-addr IP:PORT] [-token-file FILE] [-o json]
+damaskctl status -store IP:PORT [-o json]
 Shows the configuration in force, the plan that made it and how far it is worked off, failure domains
 taken out, and how many upstreams serve each model. It answers while the platform's store is down.
+With -store: what the metadata store says of a fleet that forwards routed requests: the configuration's
+version, the instances in the order in which they dispatch, each service's upstreams, failure domains out.
 `
 }
 
-func (v *statusVerb) SetFlags(f *flag.FlagSet) { v.setFlags(f) }
+func (v *statusVerb) SetFlags(f *flag.FlagSet) {
+	v.setFlags(f)
+	v.setStoreFlag(f)
+}
 
 func (v *statusVerb) Execute(_ context.Context, f *flag.FlagSet, args ...any) subcommands.ExitStatus {
 	e := envOf(args)
 	if !v.usage(e, f, 0) {
 		return exitUsage
 	}
+	if v.storeAddr != "" {
+		return v.fleetStatus(e)
+	}
 	var s api.Status
 	if err := v.call(fasthttp.MethodGet, operate.PathStatus, nil, &s); err != nil {
 		return exit(e, err)
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -21,10 +21,10 @@
 	return min(m.CPUShare, m.LinkMbps/200)
 }
 
-// candidates gives the members in the order in which they are dispatchers: the strong ones first, each group
-// by rendezvous hashing. All that know the same members agree on it.
-func (c *Client) candidates() []*catalog.Member {
-	members := slices.Clone(c.snapshot().Members)
+// Order gives the members in the order in which they are dispatchers: the strong ones first, each group by
+// rendezvous hashing. All that know the same members agree on it.
+func Order(all []*catalog.Member) []*catalog.Member {
+	members := slices.Clone(all)
 	most := 0.0
 	for _, m := range members {
 		most = max(most, power(m))
@@ -44,3 +44,5 @@
 	})
 	return members
 }
+
+func (c *Client) candidates() []*catalog.Member { return Order(c.snapshot().Members) }
