--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -27,6 +27,8 @@
 	Attempt   int
 	Resumed   bool // a stream that broke off goes on; Arrived and Aim count from its last event
 	Avoid     []fleet.UpstreamID
+
+	returned bool // its caller was refused a while ago
 }
 
 // Upstream is an upstream that may get work.
@@ -89,7 +91,7 @@
 // DefaultParams are the daemon's.
 func DefaultParams() Params {
 	return Params{
-		MaxHelpers: 16, GapShare: 0.8, ShortRead: 100, PerHelper: 5, MemoryShare: 0.95, SlackShare: 0.5, HoldShare: 0.3, SlackWait: 350 * time.Millisecond, MaxQueue: 4096,
+		MaxHelpers: 16, GapShare: 0.9, ShortRead: 100, PerHelper: 5, MemoryShare: 0.95, SlackShare: 0.5, HoldShare: 0.3, SlackWait: 350 * time.Millisecond, MaxQueue: 4096,
 		Margin: 30 * time.Millisecond,
 	}
 }
@@ -141,6 +143,8 @@
 	queue   []*Job
 	runs    map[fleet.RequestID]*run
 
+	turnedAway map[visit]decide.Instant // when prompts were refused last
+
 	now decide.Instant // of the step under way
 
 	// Of the survey at the beginning of a step.
@@ -163,6 +167,7 @@
 func New(model *Model, p Params) *State {
 	return &State{
 		model: model, params: p, engines: map[fleet.UpstreamID]*engine{}, runs: map[fleet.RequestID]*run{},
+		turnedAway: map[visit]decide.Instant{},
 	}
 }
 
@@ -241,6 +246,7 @@
 // doesn't know what became of it.
 func (s *State) Ask(j *Job) {
 	s.Withdraw(j.ID)
+	j.returned = s.returned(j)
 	s.queue = append(s.queue, j)
 }
 
--- a/internal/decide/dispatch/dispatch_test.go
+++ b/internal/decide/dispatch/dispatch_test.go
@@ -358,3 +358,29 @@
 		is.Equal(s.Running(), 1)
 	}
 }
+
+// A caller is refused under load, comes back when it was told to, and is refused again while prompts that came
+// for the first time are served. It is served before new ones that take up to four times as little reading.
+func TestWhoComesBackIsServedFirst(t *testing.T) {
+	is := is.New(t)
+	s := engines(1)
+	s.Adopt(0, newJob("busy", 400_000), "a00", nil, nil, false) // 8.9 s of reading
+	visitor := func(id string, prompt int, at0 float64) *dispatch.Job {
+		j := newJob(id, prompt)
+		j.Subject = id[:1]
+		j.Arrived, j.Aim, j.Patience, j.Deadline = at(at0), at(at0+1500), at(at0+6000), at(at0+10_000)
+		return j
+	}
+	s.Ask(visitor("a1", 60_000, 0))
+	is.Equal(len(s.Step(at(100))), 0)
+	refused := s.Step(at(3000))
+	is.Equal(len(refused), 1)
+	is.Equal(refused[0].Reason, dispatch.TooLate)
+	s.Ask(visitor("b1", 50_000, 4000)) // never came before
+	s.Ask(visitor("a2", 60_000, 4000)) // is back
+	is.Equal(len(s.Step(at(4001))), 0)
+	s.Done(at(4002), "busy", dispatch.Whole, "")
+	served := s.Step(at(4002))
+	is.True(len(served) >= 1)
+	is.Equal(served[0].Job.ID, fleet.RequestID("a2"))
+}
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -53,6 +53,9 @@
 	for _, j := range s.queue {
 		d, settled := s.decide(now, j)
 		if settled {
+			if d.Upstream == "" {
+				s.remember(now, j)
+			}
 			out = append(out, d)
 		} else {
 			waiting = append(waiting, j)
@@ -85,6 +88,9 @@
 	if patience > 0 {
 		left = max(0.05, 1-waited/patience)
 	}
+	if j.returned {
+		left *= returnedShare
+	}
 	return s.model.read(j.Prompt) * left
 }
 
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -37,6 +37,9 @@
 	// firstRest and longestRest bound how long an instance that could not be reached is left alone.
 	firstRest   = 500 * time.Millisecond
 	longestRest = 4 * time.Second
+	// sessionWait is how long a request waits while its instance has no session: usually it has the next one within
+	// some ms, and a place given without the dispatcher is given beside what all others have.
+	sessionWait = 100 * time.Millisecond
 	// handoverPause is how long an instance waits before it follows one that gave its session up right away:
 	// the two learn of a change of the members some ms apart.
 	handoverPause = 10 * time.Millisecond
@@ -348,21 +351,37 @@
 	w := &waiting{ask: a, asked: time.Now(), reply: make(chan reply, 1)}
 	c.mu.Lock()
 	s := c.session
+	c.waiting[a.ID] = w
+	c.mu.Unlock()
 	if s != nil {
-		c.waiting[a.ID] = w
+		s.tell(&pb.FromEntry{Asks: []*pb.Ask{message(&a, w.asked, w.asked)}})
 	}
-	c.mu.Unlock()
-	if s == nil {
-		return c.local.Place(ctx, a)
+	alone := time.NewTimer(sessionWait)
+	defer alone.Stop()
+	for {
+		select {
+		case r := <-w.reply:
+			return c.answer(ctx, w, r)
+		case <-alone.C:
+			if c.withdrawAlone(w) {
+				return c.local.Place(ctx, a)
+			}
+		case <-ctx.Done():
+			c.withdraw(a.ID)
+			return nil, fault.New(fault.Infeasible, "waited until its time was over")
+		}
 	}
-	s.tell(&pb.FromEntry{Asks: []*pb.Ask{message(&a, w.asked, w.asked)}})
-	select {
-	case r := <-w.reply:
-		return c.answer(ctx, w, r)
-	case <-ctx.Done():
-		c.withdraw(a.ID)
-		return nil, fault.New(fault.Infeasible, "waited until its time was over")
+}
+
+// withdrawAlone takes a request back that no dispatcher can have been asked for; false: one was.
+func (c *Client) withdrawAlone(w *waiting) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.session != nil || c.waiting[w.ask.ID] != w {
+		return false
 	}
+	delete(c.waiting, w.ask.ID)
+	return true
 }
 
 func (c *Client) withdraw(id fleet.RequestID) {
--- a/internal/placement/pass_test.go
+++ b/internal/placement/pass_test.go
@@ -322,3 +322,31 @@
 	is.Equal(second.Dispatcher(), first.self)
 	is.Equal(third.Dispatcher(), first.self)
 }
+
+// Engines get more than they bear each time the dispatcher changes: for some ms its entries have no session, and
+// each places what comes by its own work alone. Requests wait for the next session, which is told of them.
+func TestRequestsWaitForTheNextSession(t *testing.T) {
+	is := is.New(t)
+	f := watch.New(watch.Deps{Kinds: watch.Kinds{Config: "c", Upstreams: "u", Out: "o"}, Log: hclog.NewNullLogger()})
+	c := NewClient("i1", "d", f, hclog.NewNullLogger())
+	answered := make(chan error, 1)
+	go func() {
+		_, err := c.Place(context.Background(), gateway.Ask{ID: "r1", Service: "s"})
+		answered <- err
+	}()
+	soon(t, "the request waits, or is answered", func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return len(c.waiting) == 1 || len(answered) == 1
+	})
+	told := make(chan *pb.FromEntry, 1)
+	c.moved(&session{with: "next", end: func() {}, tell: func(m *pb.FromEntry) { told <- m }})
+	select {
+	case m := <-told:
+		is.Equal(m.Asks[0].Id, "r1")
+	case err := <-answered:
+		t.Fatalf("placed without a dispatcher: %v", err)
+	}
+	c.settle("r1", reply{refused: &pb.Refusal{Reason: "too_late"}})
+	is.True(<-answered != nil)
+}
