--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"storj.io/drpc/drpcerr"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -35,6 +36,9 @@
 	// firstRest and longestRest bound how long an instance that could not be reached is left alone.
 	firstRest   = 500 * time.Millisecond
 	longestRest = 4 * time.Second
+	// startRest is how long an instance is left alone that has just started: it is told the store's state within
+	// 50 ms as measured, and until the others come it dispatches for itself.
+	startRest = 50 * time.Millisecond
 	// sessionWait is how long a request waits while its instance has no session: usually it has the next one within
 	// some ms, and a place given without the dispatcher is given beside what all others have.
 	sessionWait = 100 * time.Millisecond
@@ -165,6 +169,10 @@
 			continue
 		}
 		s, err := c.open(ctx, m)
+		if drpcerr.Code(err) == codeKnowsLess {
+			c.startsYet(m.ID)
+			continue
+		}
 		if err != nil {
 			c.rested(m.ID, err)
 			continue
@@ -224,6 +232,7 @@
 	return m
 }
 
+// rested leaves an instance alone that could not be reached, each time twice as long.
 func (c *Client) rested(id fleet.InstanceID, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -236,6 +245,14 @@
 	c.rests[id] = r
 }
 
+// startsYet leaves an instance alone that can't be a dispatcher yet: it reads the store in a moment.
+func (c *Client) startsYet(id fleet.InstanceID) {
+	c.log.Info("instance has just started and isn't asked yet", "instance", id)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rests[id] = rest{until: time.Now().Add(startRest)}
+}
+
 // moved makes s the session. What was told to the old one between the first message and now is told again
 // in whole, as both lists may have changed.
 func (c *Client) moved(s *session) {
--- a/internal/placement/pass.go
+++ b/internal/placement/pass.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"storj.io/drpc/drpcerr"
+
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
@@ -19,8 +21,11 @@
 // errNotThrough refuses an instance that wanted to reach a dispatcher before it, and wouldn't here.
 var errNotThrough = errors.New("no dispatcher before the instance is reached through this one")
 
-// errKnowsLess refuses an instance that knows parts of the store's state that this one hasn't read yet.
-var errKnowsLess = errors.New("this instance has just started and knows less than the one that asks")
+// errKnowsLess refuses an instance that knows parts of the store's state that this one hasn't read yet. It
+// crosses the wire as its code.
+var errKnowsLess = drpcerr.WithCode(errors.New("this instance has just started and knows less than the one that asks"), codeKnowsLess)
+
+const codeKnowsLess = 1
 
 // admit decides about an instance that attaches: as its dispatcher (through is nil), by passing its messages
 // on through the session with the dispatcher, or not at all.
