--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -72,13 +72,14 @@
 	behind  map[fleet.InstanceID]*remoteSink // guarded by mu: instances whose messages are passed on
 	sought  time.Time                        // guarded by mu: when a way to a dispatcher before this one was last sought
 	lacked  map[string]time.Time             // guarded by mu: when a kind was last asked for
-	changed chan struct{}                    // holds a token while members have changed since the order was last looked at
+	look    chan struct{}                    // holds a token while the order of dispatchers should be looked at
 }
 
 // rest is how long an instance is left alone.
 type rest struct {
-	until time.Time
-	last  time.Duration
+	incarnation uint64 // that could not be reached
+	until       time.Time
+	last        time.Duration
 }
 
 // NewClient gives a Client of instance self.
@@ -87,7 +88,7 @@
 		self: self, domain: domain, follower: f, snapshot: f.Snapshot, log: log.Named("placement"), hub: newHub(f, log), local: NewLocal(f.Snapshot),
 		waiting: map[fleet.RequestID]*waiting{}, running: map[fleet.RequestID]*dispatched{},
 		rests: map[fleet.InstanceID]rest{}, behind: map[fleet.InstanceID]*remoteSink{}, lacked: map[string]time.Time{}, news: newOutbox[news](),
-		changed: make(chan struct{}, 1),
+		look: make(chan struct{}, 1),
 	}
 	f.Share(c.rank, c.stateChanged)
 	return c
@@ -96,15 +97,12 @@
 // rank is the instance's place among those that read the store: behind those that come before it as
 // dispatchers and are not known to be out of reach.
 func (c *Client) rank() int {
-	members := c.candidates()
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	now, rank := time.Now(), 0
-	for _, m := range members {
+	for _, m := range c.candidates() {
 		if m.ID == c.self {
 			return rank
 		}
-		if !now.Before(c.rests[m.ID].until) {
+		if !c.resting(m, now) {
 			rank++
 		}
 	}
@@ -141,7 +139,7 @@
 		select {
 		case <-s.done:
 			c.over(ctx, s)
-		case <-c.changed:
+		case <-c.look:
 		case <-time.After(lookEvery):
 		case <-ctx.Done():
 		}
@@ -153,8 +151,9 @@
 func (c *Client) follow(ctx context.Context) {
 	members := c.candidates()
 	for i, m := range members {
+		resting := c.resting(m, time.Now())
 		c.mu.Lock()
-		current, resting := c.session, time.Now().Before(c.rests[m.ID].until)
+		current := c.session
 		c.mu.Unlock()
 		if m.ID == c.self && i > 0 {
 			if s := c.seek(ctx, members[i+1:]); s != nil {
@@ -234,23 +233,54 @@
 
 // rested leaves an instance alone that could not be reached, each time twice as long.
 func (c *Client) rested(id fleet.InstanceID, err error) {
+	incarnation := c.incarnation(id)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.rests[id]
-	if r.last == 0 {
+	if r.last == 0 || r.incarnation != incarnation {
 		c.log.Warn("dispatcher lost", "instance", id, "error", err)
+		r = rest{incarnation: incarnation}
 	}
 	r.last = min(longestRest, max(firstRest, 2*r.last))
 	r.until = time.Now().Add(r.last)
 	c.rests[id] = r
 }
 
+// incarnation is what the store says of an instance; 0: nothing.
+func (c *Client) incarnation(id fleet.InstanceID) uint64 {
+	for _, m := range c.snapshot().Members {
+		if m.ID == id {
+			return m.Incarnation
+		}
+	}
+	return 0
+}
+
+// resting tells whether an instance is to be left alone. One that has started anew is not: nobody has tried to
+// reach it yet, and as the first in the order it dispatches for all that are told of it.
+func (c *Client) resting(m *catalog.Member, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.rests[m.ID]
+	return r.incarnation == m.Incarnation && now.Before(r.until)
+}
+
 // startsYet leaves an instance alone that can't be a dispatcher yet: it reads the store in a moment.
 func (c *Client) startsYet(id fleet.InstanceID) {
 	c.log.Info("instance has just started and isn't asked yet", "instance", id)
+	incarnation := c.incarnation(id)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.rests[id] = rest{until: time.Now().Add(startRest)}
+	c.rests[id] = rest{until: time.Now().Add(startRest), incarnation: incarnation}
+	time.AfterFunc(startRest, c.lookNow)
+}
+
+// lookNow has the order of dispatchers looked at without waiting for the next time.
+func (c *Client) lookNow() {
+	select {
+	case c.look <- struct{}{}:
+	default:
+	}
 }
 
 // moved makes s the session. What was told to the old one between the first message and now is told again
--- a/internal/placement/news.go
+++ b/internal/placement/news.go
@@ -21,10 +21,7 @@
 func (c *Client) stateChanged(ch watch.Change, own bool) {
 	c.news.put(news{change: &ch, own: own})
 	if ch.Kind == watch.KindMembers {
-		select {
-		case c.changed <- struct{}{}:
-		default:
-		}
+		c.lookNow()
 	}
 }
 
--- a/internal/placement/pass_test.go
+++ b/internal/placement/pass_test.go
@@ -84,10 +84,16 @@
 
 // members tells a party of instances at addresses.
 func (p *party) members(t *testing.T, revision uint64, addrs map[fleet.InstanceID]string) {
+	t.Helper()
+	p.membersOf(t, revision, 0, addrs)
+}
+
+// membersOf tells a party of instances that started as an incarnation.
+func (p *party) membersOf(t *testing.T, revision, incarnation uint64, addrs map[fleet.InstanceID]string) {
 	t.Helper()
 	c := watch.Change{Kind: watch.KindMembers, Whole: true, To: revision}
 	for id, addr := range addrs {
-		raw, err := json.Marshal(map[string]any{"peer_addr": addr, "cpu_share": 1, "failure_domain": "d-" + string(id)})
+		raw, err := json.Marshal(map[string]any{"peer_addr": addr, "cpu_share": 1, "incarnation": incarnation, "failure_domain": "d-" + string(id)})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -350,3 +356,26 @@
 	c.settle("r1", reply{refused: &pb.Refusal{Reason: "too_late"}})
 	is.True(<-answered != nil)
 }
+
+// Two dispatchers stand side by side for half a second or more after a machine that lost power is back: those
+// that could not reach it leave it alone yet, and it is the first in the order for all others. One that has
+// started anew is asked at once.
+func TestAnInstanceThatStartedAnewIsAsked(t *testing.T) {
+	is := is.New(t)
+	f := watch.New(watch.Deps{Kinds: watch.Kinds{Config: "c", Upstreams: "u", Out: "o"}, Log: hclog.NewNullLogger()})
+	p := &party{Client: NewClient("i1", "d", f, hclog.NewNullLogger())}
+	addrs := map[fleet.InstanceID]string{"i1": deadAddr, "i2": deadAddr}
+	resting := func() bool {
+		for _, m := range p.candidates() {
+			if m.ID == "i2" {
+				return p.resting(m, time.Now())
+			}
+		}
+		return false
+	}
+	p.membersOf(t, 2, 7, addrs)
+	p.rested("i2", errSilent)
+	is.True(resting())
+	p.membersOf(t, 3, 8, addrs)
+	is.True(!resting())
+}
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -94,13 +94,16 @@
 	}
 }
 
-// knowsAll tells whether every kind that another instance's copies hold is known here.
+// knowsAll tells whether every kind that another instance's copies hold is known here. Members don't count: an
+// instance that has just started lists them anew for half a second, and a dispatcher needs them for nothing.
 func knowsAll(own []watch.Proof, theirs []*pb.Proof) bool {
 	known := map[string]bool{}
 	for _, p := range own {
 		known[p.Kind] = p.Known
 	}
-	return !slices.ContainsFunc(theirs, func(p *pb.Proof) bool { return p.Known && !known[p.Kind] })
+	return !slices.ContainsFunc(theirs, func(p *pb.Proof) bool {
+		return p.Known && p.Kind != watch.KindMembers && !known[p.Kind]
+	})
 }
 
 // takeState takes what another instance tells of its copies, and gives the kinds that are needed whole.
--- a/internal/placement/state_test.go
+++ b/internal/placement/state_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
+	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
 	"github.com/damaskshelf/damaskshelf/internal/watch"
 )
 
@@ -60,3 +61,12 @@
 	_, err = readChange(m)
 	is.True(err != nil)
 }
+
+// An instance that has just started lists the members anew for half a second. That must not keep it from being
+// the dispatcher: it is the first in the order, and meanwhile it dispatches for itself, beside another one.
+func TestMembersDontDecideWhoKnowsLess(t *testing.T) {
+	is := is.New(t)
+	theirs := []*pb.Proof{{Kind: watch.KindMembers, Known: true}, {Kind: "u", Known: true}, {Kind: "c"}}
+	is.True(knowsAll([]watch.Proof{{Kind: "u", Known: true}}, theirs))
+	is.True(!knowsAll([]watch.Proof{{Kind: "u"}, {Kind: watch.KindMembers, Known: true}}, theirs))
+}
