--- a/internal/decide/dispatch/job.go
+++ b/internal/decide/dispatch/job.go
@@ -80,7 +80,7 @@
 	MemoryShare float64       // part of an engine's memory that is planned for
 	HoldShare   float64       // part of its caller's patience that a late job waits
 	SlackShare  float64       // part of the engines that must read nothing before an oversized prompt is taken
-	SlackWait   time.Duration // how long an oversized prompt waits for that; then it is refused
+	SlackWait   time.Duration // how long an oversized prompt waits for that; then it is refused. Half of the longest prompts' aim: it is read in a second then
 	ColdPerS    float64       // requests a second that a cold upstream gets; 0: cold ones are not told apart
 	MaxQueue    int           // jobs
 	Margin      time.Duration // between a planned first event and the caller's patience
@@ -89,7 +89,7 @@
 // DefaultParams are the daemon's.
 func DefaultParams() Params {
 	return Params{
-		MaxHelpers: 16, GapShare: 0.9, ShortRead: 100, PerHelper: 5, MemoryShare: 0.95, SlackShare: 0.5, HoldShare: 0.3, SlackWait: 350 * time.Millisecond, MaxQueue: 4096,
+		MaxHelpers: 16, GapShare: 0.9, ShortRead: 100, PerHelper: 5, MemoryShare: 0.95, SlackShare: 0.5, HoldShare: 0.3, SlackWait: 1500 * time.Millisecond, MaxQueue: 4096,
 		Margin: 30 * time.Millisecond,
 	}
 }
