--- a/internal/decide/dispatch/job.go
+++ b/internal/decide/dispatch/job.go
@@ -91,7 +91,7 @@
 	return Params{
 		MaxHelpers:  16,                      // engines take no more
 		GapShare:    0.9,                     // worth 0.7176 at 0.8, 0.7231 at 0.9; the rest is for the trip
-		ShortRead:   100,                     // above a short prompt of 24,000 tokens
+		ShortRead:   100,                     // about 19,000 tokens
 		PerHelper:   5,                       // a few trips between instance and engine
 		MemoryShare: 0.95,                    // what an answer takes is known only as its most
 		HoldShare:   0.3,                     // no gain from 0.6 or 0.8
