--- a/cmd/damaskctl/store.go
+++ b/cmd/damaskctl/store.go
@@ -37,14 +37,21 @@
 	f.StringVar(&t.storeAddr, "store", "", "`address` of the metadata store, IP and port, instead of an instance's")
 }
 
-// open gives the store; the context bounds its use.
-func (t *storeTarget) open() (context.Context, func(), *platform.Store, error) {
+// withFleet calls do with the store and what it holds of the fleet.
+func (t *storeTarget) withFleet(e environment, do func(context.Context, *platform.Store, *catalog.Snapshot) subcommands.ExitStatus) subcommands.ExitStatus {
 	if _, err := netip.ParseAddrPort(t.storeAddr); err != nil {
-		return nil, nil, nil, fmt.Errorf("-store %s: no IP address and port", t.storeAddr)
+		fmt.Fprintf(e.err, "-store %s: no IP address and port\n", t.storeAddr)
+		return exitUsage
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), storeTime)
+	defer cancel()
 	s := platform.NewStore(t.storeAddr)
-	return ctx, func() { cancel(); s.Close() }, s, nil
+	defer s.Close()
+	snap, err := readFleet(ctx, s)
+	if err != nil {
+		return exit(e, err)
+	}
+	return do(ctx, s, snap)
 }
 
 // readFleet reads all that the store holds of the fleet.
@@ -71,19 +78,11 @@
 
 // fleetStatus prints what the store says of the fleet.
 func (v *statusVerb) fleetStatus(e environment) subcommands.ExitStatus {
-	ctx, done, s, err := v.open()
-	if err != nil {
-		fmt.Fprintln(e.err, err)
-		return exitUsage
-	}
-	defer done()
-	snap, err := readFleet(ctx, s)
-	if err != nil {
-		return exit(e, err)
-	}
-	status := fleetStatusOf(snap, time.Now())
-	v.print(e, status, func(w io.Writer) { printFleet(w, status) })
-	return exitDone
+	return v.withFleet(e, func(_ context.Context, _ *platform.Store, snap *catalog.Snapshot) subcommands.ExitStatus {
+		status := fleetStatusOf(snap, time.Now())
+		v.print(e, status, func(w io.Writer) { printFleet(w, status) })
+		return exitDone
+	})
 }
 
 func fleetStatusOf(snap *catalog.Snapshot, now time.Time) api.FleetStatus {
@@ -146,30 +145,22 @@
 
 // move takes a failure domain out of service, or back, at once: what is written to the store counts as confirmed.
 func (t *storeTarget) move(e environment, domain string, out bool) subcommands.ExitStatus {
-	ctx, done, s, err := t.open()
-	if err != nil {
-		fmt.Fprintln(e.err, err)
-		return exitUsage
-	}
-	defer done()
-	snap, err := readFleet(ctx, s)
-	if err != nil {
-		return exit(e, err)
-	}
-	id := fleet.DomainID(domain)
-	if known := domainsOf(snap); !slices.Contains(known, id) {
-		fmt.Fprintf(e.err, "failure domain %q is not known; known: %v\n", domain, known)
-		return exitUsage
-	}
-	act, what := s.TakeBack, "taken back: its upstreams may be cold, and get work again"
-	if out {
-		act, what = s.TakeOut, "taken out: its upstreams get no new work within seconds"
-	}
-	if err := act(ctx, id); err != nil {
-		return exit(e, &unreachable{cause: err})
-	}
-	fmt.Fprintf(e.out, "failure domain %s is %s\n", domain, what)
-	return exitDone
+	return t.withFleet(e, func(ctx context.Context, s *platform.Store, snap *catalog.Snapshot) subcommands.ExitStatus {
+		id := fleet.DomainID(domain)
+		if known := domainsOf(snap); !slices.Contains(known, id) {
+			fmt.Fprintf(e.err, "failure domain %q is not known; known: %v\n", domain, known)
+			return exitUsage
+		}
+		act, what := s.TakeBack, "taken back: its upstreams may be cold, and get work again"
+		if out {
+			act, what = s.TakeOut, "taken out: its upstreams get no new work within seconds"
+		}
+		if err := act(ctx, id); err != nil {
+			return exit(e, &unreachable{cause: err})
+		}
+		fmt.Fprintf(e.out, "failure domain %s is %s\n", domain, what)
+		return exitDone
+	})
 }
 
 // domainsOf lists the failure domains of instances and upstreams, and those that are out.
--- a/internal/placement/pass_test.go
+++ b/internal/placement/pass_test.go
@@ -138,6 +138,17 @@
 	return order[0], order[1], order[2]
 }
 
+// threeTogether gives parties that know each other.
+func threeTogether(t *testing.T) (first, second, third *party, addrs map[fleet.InstanceID]string) {
+	t.Helper()
+	first, second, third = three(t)
+	addrs = map[fleet.InstanceID]string{first.self: first.addr, second.self: second.addr, third.self: third.addr}
+	for _, p := range []*party{first, second, third} {
+		p.members(t, 2, addrs)
+	}
+	return first, second, third, addrs
+}
+
 // Streams pause while two failure domains are cut apart and a third reaches both: the instances of one side
 // take the next dispatcher, and both place on the same engines. An instance that can't reach the first
 // dispatcher finds it through one that does, even if it is itself the next in the order.
@@ -223,11 +234,7 @@
 // and became a dispatcher of its own, beside the one of all others.
 func TestAHandoverLeavesNobodyAlone(t *testing.T) {
 	is := is.New(t)
-	first, second, third := three(t)
-	addrs := map[fleet.InstanceID]string{first.self: first.addr, second.self: second.addr, third.self: third.addr}
-	for _, p := range []*party{first, second, third} {
-		p.members(t, 2, addrs)
-	}
+	first, second, third, addrs := threeTogether(t)
 	soon(t, "all are attached to the first", func() bool {
 		return first.attached(first.self) && first.attached(second.self) && first.attached(third.self)
 	})
@@ -307,11 +314,7 @@
 // the same dispatcher again first.
 func TestAResetSessionIsOpenedAgain(t *testing.T) {
 	is := is.New(t)
-	first, second, third := three(t)
-	addrs := map[fleet.InstanceID]string{first.self: first.addr, second.self: second.addr, third.self: third.addr}
-	for _, p := range []*party{first, second, third} {
-		p.members(t, 2, addrs)
-	}
+	first, second, third, _ := threeTogether(t)
 	both := func() bool { return first.direct(second.self) && first.direct(third.self) }
 	soon(t, "all are attached to the first", both)
 	time.Sleep(2 * beat) // sessions that end right away are taken for lost
