--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -20,6 +20,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/httplog"
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
+	"github.com/damaskshelf/damaskshelf/internal/wait"
 )
 
 var (
@@ -71,6 +72,7 @@
 	listener net.Listener
 	idle     callerconn.Idle
 	served   chan error
+	began    time.Time // when callers could first connect
 	log      hclog.Logger
 	work     context.Context // of every request
 	abort    context.CancelFunc
@@ -104,6 +106,7 @@
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	g.listener = l
+	g.began = time.Now()
 	return nil
 }
 
@@ -141,7 +144,7 @@
 		// Callers of a stopping instance, the balancer first, use another connection next.
 		ctx.SetConnectionClose()
 	}
-	r, f := g.intake(ctx, g.deps.Snapshot(), arrived)
+	r, f := g.intake(ctx, g.known(), arrived)
 	if f == nil {
 		if err := g.deps.Gate.Enter(); err != nil {
 			f = fault.From(err)
@@ -155,6 +158,27 @@
 	g.run(ctx, r)
 }
 
+// startTime is how long after its start an instance has requests wait for a configuration and upstreams instead of
+// refusing them. It knows both within 0.1 s, 0.35 s where it tries a dead instance first; callers come back once
+// only. After all machines of a day had lost power, 76 requests were refused in that time.
+const (
+	startTime = 600 * time.Millisecond
+	startPoll = 5 * time.Millisecond
+)
+
+// known gives what is known of the fleet; an instance that has just started waits for it.
+func (g *Gateway) known() *catalog.Snapshot {
+	for {
+		snap := g.deps.Snapshot()
+		if snap.Config != nil && snap.FleetVersion > 0 || time.Since(g.began) > startTime {
+			return snap
+		}
+		if !wait.For(g.work, startPoll) {
+			return snap
+		}
+	}
+}
+
 // run answers an admitted request. A stream that was handed over ends with its body; anything else ends here,
 // also when it meets a defect: a request that is never counted out would hold up the planned stop.
 func (g *Gateway) run(ctx *fasthttp.RequestCtx, r *request) {
