--- a/cmd/damaskbench/main.go
+++ b/cmd/damaskbench/main.go
@@ -17,6 +17,7 @@
 	subcommands.Register(&vary{}, "")
 	subcommands.Register(&outageCommand{}, "")
 	subcommands.Register(&plotCommand{}, "")
+	subcommands.Register(&flipCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
