--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -111,7 +111,7 @@
 	NoMemory:         {"no_memory", 503, notRun, 2 * time.Second},
 	Stopping:         {"stopping", 503, notRun, elsewhere},
 	NotReady:         {"not_ready", 503, notRun, startTime},
-	StaleInstance:    {"stale_instance", 503, notRun, elsewhere},
+	StaleInstance:    {"stale_instance", 503, notRun, time.Second},
 	UpstreamBusy:     {"upstream_busy", 503, notRun, time.Second},
 	UpstreamFailed:   {"upstream_failed", 502, maybe, time.Second},
 	IncompleteAnswer: {"incomplete_answer", 502, maybe, time.Second},
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -72,6 +72,7 @@
 	behind  map[fleet.InstanceID]*remoteSink // guarded by mu: instances whose messages are passed on
 	sought  time.Time                        // guarded by mu: when a way to a dispatcher before this one was last sought
 	lacked  map[string]time.Time             // guarded by mu: when a kind was last asked for
+	lacks   map[string]time.Time             // guarded by mu: since when the dispatcher lacks something of a kind
 	look    chan struct{}                    // holds a token while the order of dispatchers should be looked at
 }
 
--- a/internal/placement/news.go
+++ b/internal/placement/news.go
@@ -54,8 +54,9 @@
 	}
 }
 
-// gotState takes the dispatcher's copies of the store, and asks for what is missing.
+// gotState takes the dispatcher's copies of the store, asks for what is missing, and tells what the dispatcher lacks.
 func (c *Client) gotState(m *pb.ToEntry) {
+	defer c.tellLacking(m.Proofs)
 	needed, err := takeState(c.follower, m.Changes, m.Proofs)
 	if err != nil {
 		c.log.Error("state of the dispatcher can't be read", "error", err)
@@ -73,6 +74,63 @@
 	c.tell(&pb.FromEntry{Proofs: lacks})
 }
 
+// lackTime is how long the dispatcher may lack something of this instance's copies before it is told all of the
+// kind: a change that is on its way takes a trip, and its beat's proof another.
+const lackTime = beat + beat/2
+
+// tellLacking tells the dispatcher whole kinds of which it lacks something. It can be cut off from the store while
+// this instance reads it, and takes no change whose predecessors it hasn't heard of: a leaving upstream got work
+// for two seconds more, until the dispatcher could read again.
+func (c *Client) tellLacking(theirs []*pb.Proof) {
+	for _, kind := range c.lackedLong(theirs) {
+		whole, ok := c.follower.Whole(kind)
+		if !ok {
+			continue
+		}
+		m, err := changeMessage(whole)
+		if err != nil {
+			c.log.Error("state can't be sent", "kind", kind, "error", err)
+			continue
+		}
+		c.tell(&pb.FromEntry{Changes: []*pb.Change{m}})
+	}
+}
+
+// lackedLong gives the kinds of which the dispatcher, by its proofs, has lacked something for lackTime. Each counts
+// anew then.
+func (c *Client) lackedLong(theirs []*pb.Proof) []string {
+	if len(theirs) == 0 {
+		return nil
+	}
+	at := map[string]uint64{}
+	for _, p := range theirs {
+		if p.Known {
+			at[p.Kind] = p.Revision
+		}
+	}
+	own := c.follower.Proofs()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	lacks := map[string]time.Time{}
+	var due []string
+	for _, p := range own {
+		if !p.Known || at[p.Kind] >= p.Latest {
+			continue
+		}
+		since, noted := c.lacks[p.Kind]
+		if noted && now.Sub(since) >= lackTime {
+			due = append(due, p.Kind)
+		}
+		if !noted || len(due) > 0 && due[len(due)-1] == p.Kind {
+			since = now
+		}
+		lacks[p.Kind] = since
+	}
+	c.lacks = lacks
+	return due
+}
+
 // unasked gives the kinds that were not asked for a moment ago. A long copy takes its time over a narrow
 // link, and each beat until it comes shows again that it is missing: asking each time would fill the link.
 func (c *Client) unasked(kinds []string) []string {
--- a/internal/placement/pass_test.go
+++ b/internal/placement/pass_test.go
@@ -426,3 +426,24 @@
 	is.Equal(len(told[0].Asks), 1)
 	is.Equal(told[0].Asks[0].Id, "waits")
 }
+
+// A leaving upstream gets work for seconds. The dispatcher can't read the store and has missed a change; an instance
+// that reads it tells the next one, which the dispatcher doesn't take, since the one before is missing. It is told
+// all of the kind then.
+func TestADispatcherThatMissedAChangeIsToldAll(t *testing.T) {
+	first, second, _, _ := threeTogether(t)
+	for _, p := range []*party{first, second} {
+		p.follower.Offer(watch.Change{Kind: "o", Whole: true, To: 1})
+	}
+	soon(t, "the second is attached", func() bool { return first.direct(second.self) })
+	out := func(from, to uint64) watch.Change {
+		return watch.Change{Kind: "o", From: from, To: to, Objects: []wire.Object{{Kind: "o", Name: "north", Version: to, Value: []byte("{}")}}}
+	}
+	second.follower.Offer(out(1, 5))
+	second.follower.Offer(out(5, 7))
+	second.stateChanged(out(5, 7), true) // as a reader of the store tells it
+	soon(t, "the first knows the domain is out", func() bool {
+		c, _ := first.follower.Whole("o")
+		return len(c.Objects) == 1 && c.Objects[0].Version == 7
+	})
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -29,7 +29,9 @@
 var failed = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{5007, "the dispatcher couldn't read the store, had missed a change, and took none that came after it from an instance that could: a leaving upstream got work"},
+}
 
 func TestSoak(t *testing.T) {
 	for i := range uint64(*seeds) {
