--- a/internal/placement/news.go
+++ b/internal/placement/news.go
@@ -119,10 +119,11 @@
 			continue
 		}
 		since, noted := c.lacks[p.Kind]
-		if noted && now.Sub(since) >= lackTime {
+		switch {
+		case !noted:
+			since = now
+		case now.Sub(since) >= lackTime:
 			due = append(due, p.Kind)
-		}
-		if !noted || len(due) > 0 && due[len(due)-1] == p.Kind {
 			since = now
 		}
 		lacks[p.Kind] = since
