--- a/test/soak/daemon_test.go
+++ b/test/soak/daemon_test.go
@@ -45,16 +45,25 @@
 	done    chan struct{} // closed when the process is over
 }
 
+// given are the ports that freeAddr has given. Twelve are drawn for a seed, and bound only later: once in 150 seeds two
+// were the same, and a daemon that could not bind never served.
+var given = map[int]bool{}
+
 // freeAddr gives a loopback address that is free, with a port below those that the system gives to outgoing
 // connections: one of theirs may be taken again before the daemon binds it.
 func freeAddr(t *testing.T) string {
 	t.Helper()
 	const lowest, ports = 20_000, 10_000
 	for range 100 {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(ports)))
+		port := lowest + rand.IntN(ports)
+		if given[port] {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue
 		}
+		given[port] = true
 		defer func() { _ = l.Close() }()
 		return l.Addr().String()
 	}
