--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -100,7 +100,7 @@
 	if e == nil {
 		e = &engine{
 			Upstream: Upstream{ID: id}, gone: true,
-			runs: map[fleet.RequestID]*run{}, parts: map[fleet.RequestID]*run{},
+			runs:      map[fleet.RequestID]*run{},
 			unreached: map[fleet.DomainID]decide.Instant{},
 		}
 		s.engines[id] = e
--- a/internal/decide/dispatch/runs.go
+++ b/internal/decide/dispatch/runs.go
@@ -30,7 +30,6 @@
 type engine struct {
 	Upstream
 	runs    map[fleet.RequestID]*run // that it answers
-	parts   map[fleet.RequestID]*run // that it helps to read
 	context int                      // tokens that its runs' prompts and answers may take, and that it holds
 	pending float64                  // ms of reading that was given and isn't known to be done
 	gap     time.Duration            // shortest of its runs' longest pauses; 0: none
@@ -73,9 +72,6 @@
 	s.runs[j.ID] = r
 	e.runs[j.ID] = r
 	e.context += r.context
-	for _, h := range helpers {
-		h.parts[j.ID] = r
-	}
 	if s.model != nil {
 		s.bookReading(r)
 	}
@@ -107,7 +103,6 @@
 	s.addReading(r.on, -r.part)
 	for _, h := range r.helpers {
 		s.addReading(h, -r.part)
-		delete(h.parts, r.job.ID)
 	}
 }
 
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -141,7 +141,7 @@
 	if len(m.Changes) == 0 {
 		return
 	}
-	// What is missing here is read from the store or comes with the next change.
+	// What is missing here is read from the store, or told whole by the instance when it sees that it is lacked.
 	if _, err := takeState(h.follower, m.Changes, nil); err != nil {
 		h.log.Error("state of another instance can't be read", "error", err)
 	}
