--- a/internal/placement/session.go
+++ b/internal/placement/session.go
@@ -16,7 +16,7 @@
 const (
 	// attachTimeout bounds connecting to a dispatcher: several trips between the farthest failure domains.
 	attachTimeout = 250 * time.Millisecond
-	// silence is how long a dispatcher may be quiet before the next one is asked: three beats.
+	// silence is how long either side of a session may be quiet before the other gives it up: three beats.
 	silence = 3 * beat
 	// maxOutbox bounds what waits to be sent to one instance; one that takes nothing is cut off.
 	maxOutbox = 4096
@@ -88,15 +88,32 @@
 	}
 }
 
+// entryStream is the dispatcher's side of a session. An instance answers every beat; one that lost power or was cut
+// off says nothing, and its connection may never end. Its reads would stay in the dispatcher's book, and their
+// engines get no short prompts for as long as the dispatcher lives.
+type entryStream struct {
+	pb.DRPCPlacement_AttachStream
+	quiet *time.Timer // gives the session up
+}
+
+// Recv implements placementpb.DRPCPlacement_AttachStream.
+func (s entryStream) Recv() (*pb.FromEntry, error) {
+	m, err := s.DRPCPlacement_AttachStream.Recv()
+	s.quiet.Reset(silence)
+	return m, err
+}
+
 // Attach implements placementpb.DRPCPlacementServer.
-func (s service) Attach(stream pb.DRPCPlacement_AttachStream) error {
-	first, err := stream.Recv()
+func (s service) Attach(raw pb.DRPCPlacement_AttachStream) error {
+	first, err := raw.Recv()
 	if err != nil {
 		return err
 	}
 	entry := fleet.InstanceID(first.Entry)
-	ctx, cancel := context.WithCancel(stream.Context())
+	ctx, cancel := context.WithCancel(raw.Context())
 	defer cancel()
+	stream := entryStream{raw, time.AfterFunc(silence, cancel)}
+	defer stream.quiet.Stop()
 	to := &remoteSink{out: newOutbox[*pb.ToEntry](), cut: cancel}
 	go func() {
 		defer func() { _ = stream.Close() }()
@@ -213,6 +230,9 @@
 		for ; err == nil; m, err = stream.Recv() {
 			quiet.Reset(silence)
 			opened.heard.Store(time.Now().UnixNano())
+			if len(m.Proofs) > 0 { // a beat
+				opened.tell(&pb.FromEntry{})
+			}
 			got(m)
 		}
 		opened.handedOver.Store(errors.Is(err, io.EOF))
