What is overdue is not believed, and asked for elsewhere where it may be

Cause: an upstream can run a request and lose its answer. Ruled out: an instance that ended (it lived and waited on), slow engines (all 15 took work the moment the caller left). Change: the dispatcher plans when a first event is due, and takes a read off its book once that is long past; a grant tells the entry from when on an answer is overdue, by the plan or, for plain services, by how long answers took lately (mean and deviation as for retransmissions); the entry then sends what may be repeated elsewhere, within attempts and the retry budget; a stream that falls silent midway goes on elsewhere after half of its caller's patience. Tests: TestAnOverdueReadKeepsNoEngine, TestPlainAnswersAreOverdueByWhatTheyTook; with worker stand-ins a lost answer (504 after 3 s before, 200 within 2 s now), a stream silent midway, and what must run once is never sent again.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 	runs    map[fleet.RequestID]*run
 
 	turnedAway map[visit]decide.Instant // when prompts were refused last
+	answers    answers                  // of a plain service
 
 	now decide.Instant // of the step under way
 
@@ -55,6 +56,7 @@
 	}
 	for _, r := range s.runs { // adopted before it was known how long they read
 		if !r.writing {
+			r.read = false
 			s.bookReading(r)
 		}
 	}
@@ -131,6 +133,9 @@
 		return
 	}
 	s.learn(now, r)
+	if s.model == nil {
+		s.answers.take(now.Sub(r.granted))
+	}
 	s.readDone(r)
 	r.writing = true
 	r.on.fails = 0
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -46,6 +46,7 @@
 		return nil
 	}
 	s.now = now
+	s.forgetOverdue(now)
 	s.survey(now)
 	s.sort(now)
 	var out []Decision
@@ -143,6 +144,13 @@
 	return false
 }
 
+// placed is the decision that gives a run its place.
+func (s *State) placed(r *run, why decide.Reason) Decision {
+	return Decision{
+		Job: r.job, Upstream: r.on.ID, Reason: why, Expected: fromMs(r.planned * r.pace), Overdue: s.overdue(r),
+	}
+}
+
 func (s *State) refuse(j *Job, why decide.Reason) Decision {
 	if why == NoSlack {
 		// Slack comes with another mix, and not within a moment.
@@ -212,8 +220,7 @@
 	if best == nil {
 		return Decision{}, false
 	}
-	s.start(now, j, best, nil, nil)
-	return Decision{Job: j, Upstream: best.ID, Reason: LeastWork}, true
+	return s.placed(s.start(now, j, best, nil, nil), LeastWork), true
 }
 
 func (e *engine) load(m *Model) float64 { return float64(len(e.runs)) / float64(e.slots(m)) }
@@ -262,8 +269,7 @@
 		}
 		return Decision{}, false
 	}
-	s.start(now, j, best, nil, nil)
-	return Decision{Job: j, Upstream: best.ID, Reason: Packed}, true
+	return s.placed(s.start(now, j, best, nil, nil), Packed), true
 }
 
 // hopeless tells whether a prompt that needs no more than this one has found no place in this step: under
--- a/internal/decide/dispatch/runs.go
+++ b/internal/decide/dispatch/runs.go
@@ -17,7 +17,9 @@
 	context int     // tokens of memory on its own engine
 	part    float64 // ms that each of its engines reads
 	granted decide.Instant
-	planned float64 // ms from the grant to the first event, as its engine's work and pace had it
+	planned float64 // ms from the grant to the first event, as its engines' work had it
+	pace    float64 // of the slowest of its engines at the grant
+	read    bool    // its reading is off its engines' books
 	writing bool
 }
 
@@ -63,7 +65,7 @@
 func (s *State) start(now decide.Instant, j *Job, e *engine, helpers []*engine, holders []holding) *run {
 	r := &run{job: j, on: e, helpers: helpers, holders: holders, granted: now, context: j.Prompt + j.Output}
 	if s.model != nil {
-		r.planned = e.pending + s.model.read(j.Prompt) + passesToFirst*s.model.pass(len(e.runs)+1, e.context+r.context) + tripMs
+		s.plan(now, r)
 	}
 	for _, h := range holders {
 		r.context -= h.tokens
@@ -82,6 +84,18 @@
 	return r
 }
 
+// plan works out when the first event of a run is to come.
+func (s *State) plan(now decide.Instant, r *run) {
+	before := r.on.pending
+	r.pace = r.on.pace(now)
+	for _, h := range r.helpers {
+		before = max(before, h.pending)
+		r.pace = max(r.pace, h.pace(now))
+	}
+	part := s.model.read(r.job.Prompt) / float64(len(r.helpers)+1)
+	r.planned = before + part + passesToFirst*s.model.pass(len(r.on.runs)+1, r.on.context+r.context) + tripMs
+}
+
 // addReading changes what an engine has to read, in ms.
 func (s *State) addReading(e *engine, ms float64) {
 	was := e.pending >= idleBelow
@@ -95,11 +109,12 @@
 	}
 }
 
-// readDone takes a run's reading off its engines.
+// readDone takes a run's reading off its engines, once.
 func (s *State) readDone(r *run) {
-	if r.writing {
+	if r.read {
 		return
 	}
+	r.read = true
 	s.addReading(r.on, -r.part)
 	for _, h := range r.helpers {
 		s.addReading(h, -r.part)
--- a/internal/decide/dispatch/spread.go
+++ b/internal/decide/dispatch/spread.go
@@ -45,8 +45,7 @@
 		s.tried++
 		return Decision{}, false
 	}
-	s.start(now, j, first, helpers, holders)
-	d := Decision{Job: j, Upstream: first.ID, Reason: Alone}
+	d := s.placed(s.start(now, j, first, helpers, holders), Alone)
 	for _, h := range helpers[len(must):] {
 		d.Helpers = append(d.Helpers, h.ID)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,6 +87,8 @@
 	Helpers() []string
 	// Reason says in a word why this upstream.
 	Reason() string
+	// Overdue is how long after the grant an answer, or its first event, is overdue; 0: nobody knows.
+	Overdue() time.Duration
 	// Began tells that the answer, or its first event, came.
 	Began()
 	// Done ends the place. atFault is the upstream to blame where it isn't this one.
--- a/internal/gateway/life.go
+++ b/internal/gateway/life.go
@@ -58,6 +58,7 @@
 	first     time.Duration // from the arrival to the first event; 0: none yet
 	pause     time.Duration // the longest between two events
 	answer    Answer
+	dog       *watchdog // of the current send; nil: it isn't watched
 	ran       fault.Run // whether any send may have run
 }
 
@@ -184,7 +185,7 @@
 	l.g.deps.Explain.Record("dispatch", l.r.ID, decide.Reason(l.grant.Reason()), "upstream", u.ID, "attempt", l.attempts+1, "class", l.r.class(), "prompt", l.r.Prompt,
 		"helpers", len(helpers), "holders", len(l.grant.Holders()), "waited_ms", l.sentAt.Sub(l.r.arrived).Milliseconds(), "config", l.r.version,
 		"entry_revision", u.Revision)
-	x, err := l.g.deps.Client.Forward(l.ctx, upstream.Opaque{
+	x, err := l.g.deps.Client.Forward(l.watch(), upstream.Opaque{
 		Addr: u.Addr, Head: head, Body: l.r.body, Fresh: l.r.route.Kind == catalog.NonIdempotent,
 		Own: func(h *fasthttp.ResponseHeader) bool { return l.g.deps.Dialect.Own(h, l.r.ID) },
 	})
@@ -199,6 +200,7 @@
 
 // finish gives the grant and the memory reserved for it back.
 func (l *life) finish(o Outcome, atFault fleet.UpstreamID) {
+	l.unwatch()
 	if l.held != nil {
 		l.held.release()
 		l.held = nil
@@ -216,8 +218,11 @@
 		l.attempts++
 		l.arrivals++
 	}
-	if l.over() {
+	switch {
+	case l.over():
 		f.outcome = Left
+	case l.overdue():
+		f.cause = errOverdue
 	}
 	l.end(f)
 	return f
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -136,13 +136,17 @@
 		a.Aim = since.Add(aim).Sub(now)
 	}
 	a.Patience = a.Left
-	if r.route.Kind == catalog.Stream {
-		silence := max(patience, patienceAims*r.route.Aim, patienceGaps*r.route.MaxGap)
-		a.Patience = min(a.Left, since.Add(silence).Sub(now))
+	if r.streams() {
+		a.Patience = min(a.Left, since.Add(r.silence()).Sub(now))
 	}
 	return a
 }
 
+// silence is how long the caller bears a stream that says nothing.
+func (r *request) silence() time.Duration {
+	return max(patience, patienceAims*r.route.Aim, patienceGaps*r.route.MaxGap)
+}
+
 // send is what an upstream is told.
 func (r *request) send(u *catalog.Upstream, helpers []Helper, left time.Duration, lastEvent string) Send {
 	return Send{
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -59,8 +59,11 @@
 // cut ends an exchange whose answer broke off.
 func (l *life) cut(err error) *failure {
 	f := &failure{outcome: Failed, ran: fault.RunYes, cause: err}
-	if l.over() {
+	switch {
+	case l.over():
 		f.outcome = Left
+	case l.overdue():
+		f.cause = errOverdue
 	}
 	l.drop(f)
 	return f
@@ -113,6 +116,7 @@
 		l.pause = max(l.pause, now.Sub(l.lastEvent))
 	}
 	l.lastEvent = now
+	l.heard()
 }
 
 // Read implements io.Reader.
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -19,6 +19,7 @@
 	addrs    []string
 	holders  []gateway.Holder
 	reason   string
+	overdue  time.Duration
 	writing  bool // guarded by c.mu
 }
 
@@ -27,6 +28,8 @@
 func (g *dispatched) Holders() []gateway.Holder   { return g.holders }
 func (g *dispatched) Reason() string              { return g.reason }
 
+func (g *dispatched) Overdue() time.Duration { return g.overdue }
+
 func (g *dispatched) Began() {
 	g.c.mu.Lock()
 	g.writing = true
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -332,6 +332,7 @@
 	}
 	p := &pb.Place{
 		Id: string(d.Job.ID), Upstream: string(d.Upstream), Helpers: names(d.Helpers), Reason: string(d.Reason),
+		OverdueMs: d.Overdue.Milliseconds(),
 	}
 	for _, h := range d.Holders {
 		p.Holders = append(p.Holders, &pb.Holding{Upstream: string(h.Upstream), Tokens: int32(h.Tokens)})
--- a/internal/placement/local.go
+++ b/internal/placement/local.go
@@ -67,6 +67,7 @@
 func (g *localGrant) Helpers() []string           { return nil }
 func (g *localGrant) Holders() []gateway.Holder   { return nil }
 func (g *localGrant) Reason() string              { return "least_own_work" }
+func (g *localGrant) Overdue() time.Duration      { return 0 }
 func (g *localGrant) Began()                      {}
 
 func (g *localGrant) Done(gateway.Outcome, fleet.UpstreamID) {
--- a/internal/placement/requests.go
+++ b/internal/placement/requests.go
@@ -139,7 +139,7 @@
 		c.tell(&pb.FromEntry{Withdrawn: []string{string(w.ask.ID)}})
 		return c.local.Place(ctx, w.ask)
 	}
-	g := &dispatched{c: c, ask: w.ask, asked: w.asked, upstream: u, reason: r.place.Reason}
+	g := &dispatched{c: c, ask: w.ask, asked: w.asked, upstream: u, reason: r.place.Reason, overdue: ms(r.place.OverdueMs)}
 	for _, id := range r.place.Helpers {
 		if h := snap.Upstream(fleet.UpstreamID(id)); h != nil && snap.Open(h) {
 			g.helpers = append(g.helpers, h.ID)
