--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -141,7 +141,7 @@
 	r.on.fails = 0
 	delete(r.on.unreached, r.job.From)
 	for _, h := range r.helpers {
-		h.fails = 0
+		h.fails, h.helpRefused = 0, 0
 	}
 }
 
@@ -169,6 +169,9 @@
 	switch how {
 	case Failed:
 		blamed.fail(now)
+		if blamed != r.on && !r.heldBy(blamed) { // a holder may only lack the ticket
+			blamed.refuseHelp(now)
+		}
 	case Full:
 		blamed.full = now.Add(fullPause)
 	case Unreachable:
--- a/internal/decide/dispatch/dispatch_test.go
+++ b/internal/decide/dispatch/dispatch_test.go
@@ -384,3 +384,34 @@
 	is.True(len(served) >= 1)
 	is.Equal(served[0].Job.ID, fleet.RequestID("a2"))
 }
+
+// Long prompts are refused one after the other while most engines are free. Some engines are leaving and the store is
+// down, so that nobody is told: they still answer prompts of their own, and refuse to read parts of others'. Each long
+// prompt met another of them at each of its attempts, as each was asked again a moment later.
+func TestAnEngineThatRefusesToHelpIsLeftAloneAsAHelper(t *testing.T) {
+	is := is.New(t)
+	s := engines(17)
+	now, refused := 0.0, map[fleet.UpstreamID]bool{}
+	long := func() dispatch.Decision {
+		j := newJob(fmt.Sprint("long-at-", now), 200_000)
+		j.Arrived, j.Aim, j.Patience = at(now), at(now+3000), at(now+12_000)
+		return one(t, s, now, j)
+	}
+	for range 6 {
+		d := long()
+		bad := d.Helpers[0]
+		is.True(!refused[bad])
+		refused[bad] = true
+		s.Done(at(now+2), d.Job.ID, dispatch.Failed, bad)
+		now += 300
+		// It goes on with prompts of its own.
+		own := newJob(fmt.Sprint("own-of-", bad), 1000)
+		s.Adopt(at(now), own, bad, nil, nil, false)
+		s.Began(at(now+10), own.ID)
+		s.Done(at(now+10), own.ID, dispatch.Whole, "")
+		now += 20
+	}
+	for _, h := range long().Helpers {
+		is.True(!refused[h])
+	}
+}
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -13,6 +13,11 @@
 	// a row, up to maxFailPause.
 	failPause    = 200 * time.Millisecond
 	maxFailPause = 3 * time.Second
+	// helpPause is how long an engine that refused to read for another one is not asked to, doubled each time in a
+	// row up to maxHelpPause. One that is leaving refuses until it ends, while it answers prompts of its own: with the
+	// store down that is the only sign, and a prompt that meets it spends an attempt.
+	helpPause    = 2 * time.Second
+	maxHelpPause = 16 * time.Second
 	// fullPause is how long an upstream that said that it has no room is left alone: other work than what is
 	// known here is on it, and a pass or two of it go by.
 	fullPause = 150 * time.Millisecond
--- a/internal/decide/dispatch/runs.go
+++ b/internal/decide/dispatch/runs.go
@@ -23,6 +23,11 @@
 	writing bool
 }
 
+// heldBy tells whether the engine holds memory for the run.
+func (r *run) heldBy(e *engine) bool {
+	return slices.ContainsFunc(r.holders, func(h holding) bool { return h.on == e })
+}
+
 type holding struct {
 	on     *engine
 	tokens int
@@ -40,9 +45,12 @@
 	starts  []decide.Instant         // of the last second, while cold
 	failed  decide.Instant           // last failure
 	fails   int                      // in a row
-	slow    float64                  // how many times longer than planned it has taken lately, at least 1
-	slowAt  decide.Instant           // when that was learnt
-	full    decide.Instant           // until then it is taken to have no room: it said so
+	noHelp  decide.Instant           // until then it is not asked to read for others
+	// helpRefused is how often in a row it refused to.
+	helpRefused int
+	slow        float64        // how many times longer than planned it has taken lately, at least 1
+	slowAt      decide.Instant // when that was learnt
+	full        decide.Instant // until then it is taken to have no room: it said so
 	// unreached holds when an instance of a failure domain last could not connect to it.
 	unreached map[fleet.DomainID]decide.Instant
 }
@@ -61,6 +69,13 @@
 	e.fails++
 }
 
+// refuseHelp takes that the engine would not read for another one.
+func (e *engine) refuseHelp(now decide.Instant) {
+	pause := helpPause << min(e.helpRefused, 8)
+	e.noHelp = now.Add(min(pause, maxHelpPause))
+	e.helpRefused++
+}
+
 // start books a run.
 func (s *State) start(now decide.Instant, j *Job, e *engine, helpers []*engine, holders []holding) *run {
 	r := &run{job: j, on: e, helpers: helpers, holders: holders, granted: now, context: j.Prompt + j.Output}
--- a/internal/decide/dispatch/spread.go
+++ b/internal/decide/dispatch/spread.go
@@ -33,7 +33,7 @@
 		must = append(must, h.on)
 	}
 	with = slices.DeleteFunc(with, func(e *engine) bool {
-		return e == first || slices.Contains(must, e) || !s.reaches(first.Domain, e)
+		return e == first || slices.Contains(must, e) || !s.reaches(first.Domain, e) || now < e.noHelp
 	})
 	helpers, soonest := s.helpers(first, must, with, read, j.MaxGap)
 	if math.IsInf(soonest, 1) {
@@ -108,7 +108,7 @@
 		if need <= 0 || len(holders) >= s.params.MaxHelpers {
 			break
 		}
-		if e == first || !s.reaches(j.From, e) || !s.reaches(first.Domain, e) || s.free(e) < leastHolding {
+		if e == first || !s.reaches(j.From, e) || !s.reaches(first.Domain, e) || s.free(e) < leastHolding || s.now < e.noHelp {
 			continue
 		}
 		h := holding{e, min(need, s.free(e))}
