--- a/internal/gateway/life.go
+++ b/internal/gateway/life.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -242,8 +243,8 @@
 		// The upstream said that it did not run the request: another one may.
 		l.attempts--
 		f := &failure{outcome: Rejected, ran: fault.RunNo, cause: fmt.Errorf("upstream said not run: status %d", status),
-			atFault: l.answer.AtFault}
-		if l.answer.AtFault != "" {
+			atFault: l.helperAt(l.answer.AtFault)}
+		if f.atFault != "" {
 			f.outcome = Failed // not for want of room: the named one could not do its part
 		}
 		l.tellLeaving()
@@ -261,6 +262,20 @@
 	}
 }
 
+// helperAt gives the helper or holder at an address, as the answer of the upstream that it was to help names it; empty:
+// it is that upstream itself, or none that is known.
+func (l *life) helperAt(addr string) fleet.UpstreamID {
+	if addr == "" || addr == l.grant.Upstream().Addr {
+		return ""
+	}
+	for _, u := range l.g.deps.Snapshot().Upstreams(l.r.service) {
+		if u.Addr == addr {
+			return u.ID
+		}
+	}
+	return ""
+}
+
 // tellLeaving spreads what an upstream says of itself: another one has its address.
 func (l *life) tellLeaving() {
 	if l.answer.Other {
@@ -296,12 +311,12 @@
 	reason := reasonNoRetry
 	if again {
 		reason = reasonRetry
-		l.avoid = append(l.avoid, u.ID)
+		l.avoid = append(l.avoid, cmp.Or(f.atFault, u.ID))
 		if l.x != nil { // an error answer that is not passed on
 			l.drop(f)
 		}
 	}
-	l.g.deps.Explain.Record("after_failure", l.r.ID, reason, "upstream", u.ID, "outcome", f.outcome, "ran", f.ran,
+	l.g.deps.Explain.Record("after_failure", l.r.ID, reason, "upstream", u.ID, "at_fault", f.atFault, "outcome", f.outcome, "ran", f.ran,
 		"why", why, "attempts", l.attempts, "cause", f.cause, "took_ms", time.Since(l.sentAt).Milliseconds())
 	return again
 }
