--- a/internal/decide/dispatch/job.go
+++ b/internal/decide/dispatch/job.go
@@ -79,6 +79,9 @@
 	GapShare    float64       // part of the longest pause that a pass may take as planned
 	ShortRead   float64       // ms; a prompt that reads no longer is packed
 	PerHelper   float64       // ms that a helper must save to be worth asking
+	Backlog     float64       // ms of reading; an engine with more left gets no part of another long prompt
+	Beside      float64       // ms that a part read beside streams must save against one on an engine without any
+	Together    float64       // ms that the engine which answers a long prompt may come later if it answers others too
 	MemoryShare float64       // part of an engine's memory that is planned for
 	HoldShare   float64       // part of its caller's patience that a late job waits
 	SlackShare  float64       // part of the engines that must read nothing before an oversized prompt is taken
@@ -91,10 +94,13 @@
 // DefaultParams are the daemon's. Figures of worth are means over days that flip between long and short prompts.
 func DefaultParams() Params {
 	return Params{
-		MaxHelpers:  16,                      // engines take no more
-		GapShare:    0.9,                     // worth 0.7176 at 0.8, 0.7231 at 0.9; the rest is for the trip
-		ShortRead:   100,                     // about 19,000 tokens
-		PerHelper:   5,                       // a few trips between instance and engine
+		MaxHelpers:  16,  // engines take no more
+		GapShare:    0.9, // worth 0.7176 at 0.8, 0.7231 at 0.9; the rest is for the trip
+		ShortRead:   100, // about 19,000 tokens
+		PerHelper:   5,   // a few trips between instance and engine
+		Backlog:     200,
+		Beside:      150,
+		Together:    200,
 		MemoryShare: 0.95,                    // what an answer takes is known only as its most
 		HoldShare:   0.3,                     // no gain from 0.6 or 0.8
 		SlackShare:  0.5,                     // an oversized prompt keeps all engines reading for a second
--- a/internal/decide/dispatch/spread.go
+++ b/internal/decide/dispatch/spread.go
@@ -59,18 +59,19 @@
 }
 
 // soonest gives the engines that may read for the job, those that come to it first in front: all where there
-// are few, and otherwise as many as can be of use. first is the soonest that has the room to answer it; nil:
-// none has.
+// are few, and otherwise as many as can be of use. first is the one that is to answer it; nil: none can.
+// An engine with much to read gets nothing more: the job waits instead, and whatever comes meanwhile and is more
+// urgent goes before it.
 func (s *State) soonest(now decide.Instant, j *Job) (best []*engine, first *engine) {
 	most := len(s.order)
 	if !s.oversized(j) {
 		most = min(most, 2*(s.params.MaxHelpers+1))
 	}
 	for _, e := range s.order {
-		if e.gone || e.paused(now) || slices.Contains(j.Avoid, e.ID) || s.room(e, 0) <= 0 {
+		if e.gone || e.paused(now) || slices.Contains(j.Avoid, e.ID) || s.room(e, 0) <= 0 || s.backlogged(e, j) {
 			continue
 		}
-		if (first == nil || s.delay(e) < s.delay(first)) && s.takes(now, e, j) && s.fits(e, j) {
+		if s.canAnswer(now, e, j) && (first == nil || s.answerDelay(e) < s.answerDelay(first)) {
 			first = e
 		}
 		best = s.insert(best, e, most)
@@ -78,14 +79,44 @@
 	return best, first
 }
 
-// insert puts an engine into a list of at most so many, ordered by delay and then as they come.
+// backlogged tells whether the engine has so much to read that a long prompt waits instead of queueing there.
+func (s *State) backlogged(e *engine, j *Job) bool {
+	return e.pending > s.params.Backlog && !j.Resumed
+}
+
+// canAnswer tells whether the engine can answer a long prompt: it has the place, the memory, and room for the smallest
+// part that the prompt can be cut into.
+func (s *State) canAnswer(now decide.Instant, e *engine, j *Job) bool {
+	smallest := s.model.read(j.Prompt) / float64(s.params.MaxHelpers+1)
+	return s.takes(now, e, j) && s.fits(e, j) && s.room(e, j.MaxGap) > smallest
+}
+
+// answerDelay orders engines for answering a long prompt: by delay, but one that answers others already may come
+// later. Streams of one engine share its passes, so that answering together leaves more engines to read.
+func (s *State) answerDelay(e *engine) float64 {
+	if len(e.runs) == 0 {
+		return s.delay(e)
+	}
+	return s.delay(e) - s.params.Together
+}
+
+// readDelay orders engines for reading: by delay, but those with streams later. A read beside streams makes them
+// pause, and their places and memory are free later.
+func (s *State) readDelay(e *engine) float64 {
+	if len(e.runs) == 0 {
+		return s.delay(e)
+	}
+	return s.delay(e) + s.params.Beside
+}
+
+// insert puts an engine into a list of at most so many, ordered by readDelay and then as they come.
 func (s *State) insert(best []*engine, e *engine, most int) []*engine {
-	delay := s.delay(e)
-	if len(best) == most && delay >= s.delay(best[most-1]) {
+	delay := s.readDelay(e)
+	if len(best) == most && delay >= s.readDelay(best[most-1]) {
 		return best
 	}
 	at := len(best)
-	for at > 0 && s.delay(best[at-1]) > delay {
+	for at > 0 && s.readDelay(best[at-1]) > delay {
 		at--
 	}
 	best = slices.Insert(best, at, e)
@@ -163,7 +194,7 @@
 	slowest, room, pace := s.delay(first), s.room(first, gap), first.pace(s.now)
 	for k := 0; k <= min(s.params.MaxHelpers, len(all)); k++ {
 		if k > 0 {
-			slowest = max(slowest, s.delay(all[k-1]))
+			slowest = max(slowest, s.readDelay(all[k-1]))
 			room = min(room, s.room(all[k-1], 0))
 			pace = max(pace, all[k-1].pace(s.now))
 		}
