--- a/internal/decide/dispatch/job.go
+++ b/internal/decide/dispatch/job.go
@@ -85,7 +85,6 @@
 	MemoryShare float64       // part of an engine's memory that is planned for
 	HoldShare   float64       // part of its caller's patience that a late job waits
 	SlackShare  float64       // part of the engines that must read nothing before an oversized prompt is taken
-	SlackWait   time.Duration // how long an oversized prompt waits for that; then it is refused
 	ColdPerS    float64       // requests a second that a cold upstream gets; 0: cold ones are not told apart
 	MaxQueue    int           // jobs
 	Margin      time.Duration // between a planned first event and the caller's patience
@@ -101,11 +100,10 @@
 		Backlog:     200,
 		Beside:      150,
 		Together:    200,
-		MemoryShare: 0.95,                    // what an answer takes is known only as its most
-		HoldShare:   0.3,                     // no gain from 0.6 or 0.8
-		SlackShare:  0.5,                     // an oversized prompt keeps all engines reading for a second
-		SlackWait:   1500 * time.Millisecond, // half of its aim: worth 0.7194 at 0.35 s, 0.7271 at 1.5 s
-		MaxQueue:    4096,                    // far above what is served in anybody's time
-		Margin:      30 * time.Millisecond,   // a few trips
+		MemoryShare: 0.95,                  // what an answer takes is known only as its most
+		HoldShare:   0.3,                   // no gain from 0.6 or 0.8
+		SlackShare:  0.5,                   // an oversized prompt keeps all engines reading for a second
+		MaxQueue:    4096,                  // far above what is served in anybody's time
+		Margin:      30 * time.Millisecond, // a few trips
 	}
 }
