--- a/internal/placement/session.go
+++ b/internal/placement/session.go
@@ -14,7 +14,11 @@
 )
 
 const (
-	// attachTimeout bounds connecting to a dispatcher: several trips between the farthest failure domains.
+	// connectTimeout bounds connecting to a dispatcher: some trips between the farthest failure domains. One without
+	// power doesn't refuse, and whoever waits for it has no dispatcher meanwhile: after a stop of all instances those
+	// that are up first would place by their own view, each beside the others, until the last is up.
+	connectTimeout = 80 * time.Millisecond
+	// attachTimeout bounds the whole of it, with the first message and its answer.
 	attachTimeout = 250 * time.Millisecond
 	// silence is how long either side of a session may be quiet before the other gives it up: three beats.
 	silence = 3 * beat
@@ -186,7 +190,7 @@
 
 // dialSession attaches to the dispatcher at addr. got is called for each message; first is sent first.
 func dialSession(ctx context.Context, to fleet.InstanceID, addr string, first func() *pb.FromEntry, got func(*pb.ToEntry)) (*session, error) {
-	dialing, cancelDial := context.WithTimeout(ctx, attachTimeout)
+	dialing, cancelDial := context.WithTimeout(ctx, connectTimeout)
 	defer cancelDial()
 	conn, err := peer.Dial(dialing, addr)
 	if err != nil {
--- a/internal/placement/silence_test.go
+++ b/internal/placement/silence_test.go
@@ -75,3 +75,12 @@
 	is.True(before != nil)
 	is.True(a == x && b == y)
 }
+
+// After a stop of all instances those that are up first try the first dispatcher, which has no power yet and refuses
+// nothing. While they wait for it their requests have no dispatcher; they must have the next one before their
+// requests are placed without any.
+func TestConnectingTakesLessThanRequestsWait(t *testing.T) {
+	is := is.New(t)
+	is.True(connectTimeout < sessionWait)
+	is.True(connectTimeout < attachTimeout)
+}
