--- a/internal/bench/passes/workload.go
+++ b/internal/bench/passes/workload.go
@@ -76,15 +76,6 @@
 	return all
 }
 
-func (w *Workload) class(kind string) *class {
-	for i := range w.classes {
-		if w.classes[i].name == kind {
-			return &w.classes[i]
-		}
-	}
-	return nil
-}
-
 // flipEvery is how long a mix lasts, in ms.
 const flipEvery = 10_000
 
--- a/internal/decide/dispatch/job.go
+++ b/internal/decide/dispatch/job.go
@@ -46,8 +46,7 @@
 	Helpers    []fleet.UpstreamID // that read parts of the prompt, holders aside
 	Holders    []Holding          // that hold the memory that the upstream has not, and read parts too
 	Reason     decide.Reason
-	Expected   time.Duration // from now to the first event or the plain answer; 0: unknown
-	Overdue    time.Duration // from now on which it is overdue; 0: unknown
+	Overdue    time.Duration // from now on which the first event or the plain answer is overdue; 0: unknown
 	RetryAfter time.Duration // of a refusal
 }
 
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -151,9 +151,7 @@
 
 // placed is the decision that gives a run its place.
 func (s *State) placed(r *run, why decide.Reason) Decision {
-	return Decision{
-		Job: r.job, Upstream: r.on.ID, Reason: why, Expected: fromMs(r.planned * r.pace), Overdue: s.overdue(r),
-	}
+	return Decision{Job: r.job, Upstream: r.on.ID, Reason: why, Overdue: s.overdue(r)}
 }
 
 func (s *State) refuse(j *Job, why decide.Reason) Decision {
