--- a/internal/decide/dispatch/overdue_test.go
+++ b/internal/decide/dispatch/overdue_test.go
@@ -28,7 +28,7 @@
 	other := *beside
 	other.ID = "other"
 	s.Adopt(at(1), &other, long.Helpers[0], nil, nil, true)
-	is.Equal(len(s.Step(at(1000))), 0) // both engines read, beside streams
+	is.Equal(len(s.Step(at(1000))), 0)                                   // both engines read, beside streams
 	is.Equal(len(s.Step(at(float64(long.Overdue.Milliseconds())/3))), 0) // when it was planned to be read
 	placed := s.Step(at(1 + float64(long.Overdue.Milliseconds())))
 	is.Equal(len(placed), 1)
