--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -18,8 +18,7 @@
 	queue   []*Job
 	runs    map[fleet.RequestID]*run
 
-	turnedAway map[visit]decide.Instant // when prompts were refused last
-	answers    answers                  // of a plain service
+	answers answers // of a plain service
 
 	now decide.Instant // of the step under way
 
@@ -43,7 +42,6 @@
 func New(model *Model, p Params) *State {
 	return &State{
 		model: model, params: p, engines: map[fleet.UpstreamID]*engine{}, runs: map[fleet.RequestID]*run{},
-		turnedAway: map[visit]decide.Instant{},
 	}
 }
 
@@ -114,7 +112,6 @@
 // doesn't know what became of it.
 func (s *State) Ask(j *Job) {
 	s.Withdraw(j.ID)
-	j.returned = s.returned(j)
 	s.queue = append(s.queue, j)
 }
 
--- a/internal/decide/dispatch/job.go
+++ b/internal/decide/dispatch/job.go
@@ -25,8 +25,6 @@
 	Attempt   int
 	Resumed   bool // a stream that broke off goes on; Arrived and Aim count from its last event
 	Avoid     []fleet.UpstreamID
-
-	returned bool // its caller was refused a while ago
 }
 
 // Upstream is an upstream that may get work.
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -59,9 +59,6 @@
 	for _, j := range s.queue {
 		d, settled := s.decide(now, j)
 		if settled {
-			if d.Upstream == "" {
-				s.remember(now, j)
-			}
 			out = append(out, d)
 		} else {
 			waiting = append(waiting, j)
@@ -94,9 +91,6 @@
 	if patience > 0 {
 		left = max(0.05, 1-waited/patience)
 	}
-	if j.returned {
-		left *= returnedShare
-	}
 	return s.model.read(j.Prompt) * left
 }
 
