--- a/internal/bench/passes/passes.go
+++ b/internal/bench/passes/passes.go
@@ -112,7 +112,7 @@
 func (s *Sim) ask(now float64, j *Job) {
 	j.arrive(now)
 	if j.tries > 0 {
-		j.ID = fleet.RequestID(fmt.Sprintf("%s-%d", j.Subject, j.tries))
+		j.ID = fleet.RequestID(fmt.Sprintf("%s-%d", j.name, j.tries))
 	}
 	s.byJob[j.ID] = j
 	asked := j.Job
--- a/internal/bench/passes/workload.go
+++ b/internal/bench/passes/workload.go
@@ -93,6 +93,7 @@
 type Job struct {
 	dispatch.Job
 	class   *class
+	name    string  // of its caller's prompt, across its attempts
 	came    float64 // ms; its caller's first attempt
 	on      *engine
 	with    []*engine // that read parts
@@ -145,8 +146,8 @@
 func (w *Workload) job(r *rand.Rand, c *class, n int, now float64) *Job {
 	tokens := min(c.most, c.mean*math.Exp(c.spread*r.NormFloat64()-c.spread*c.spread/2))
 	id := fmt.Sprintf("%s-%d", c.name, n)
-	j := &Job{class: c, came: now, events: c.events, Job: dispatch.Job{
-		ID: fleet.RequestID(id), Entry: fleet.InstanceID(fmt.Sprint("entry-", r.IntN(entries))), Subject: id,
+	j := &Job{class: c, name: id, came: now, events: c.events, Job: dispatch.Job{
+		ID: fleet.RequestID(id), Entry: fleet.InstanceID(fmt.Sprint("entry-", r.IntN(entries))),
 		From: domain, Prompt: int(tokens), Output: c.events * w.EventTokens, MaxGap: fromMs(c.gap),
 	}}
 	j.arrive(now)
--- a/internal/decide/dispatch/dispatch_test.go
+++ b/internal/decide/dispatch/dispatch_test.go
@@ -368,7 +368,6 @@
 	s.Adopt(0, newJob("busy", 400_000), "a00", nil, nil, false) // 8.9 s of reading
 	visitor := func(id string, prompt int, at0 float64) *dispatch.Job {
 		j := newJob(id, prompt)
-		j.Subject = id[:1]
 		j.Arrived, j.Aim, j.Patience, j.Deadline = at(at0), at(at0+1500), at(at0+6000), at(at0+10_000)
 		return j
 	}
--- a/internal/decide/dispatch/job.go
+++ b/internal/decide/dispatch/job.go
@@ -13,7 +13,6 @@
 	Entry     fleet.InstanceID // the instance that serves its caller
 	From      fleet.DomainID   // the entry's failure domain
 	Workspace fleet.WorkspaceID
-	Subject   string
 	Priority  int
 	Prompt    int            // tokens
 	Output    int            // most tokens of the answer
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,7 +21,6 @@
 	Timed     bool
 	Prompt    int    // tokens of the prompt; 0: not a prompt, or not said
 	Output    int    // most tokens of the answer
-	Subject   string // what the prompt is about: its last shared part
 	LastEvent string // a stream goes on after this event; empty: from its start
 }
 
@@ -63,7 +62,6 @@
 	Service   catalog.ServiceName
 	Kind      catalog.Kind
 	Workspace fleet.WorkspaceID
-	Subject   string
 	Priority  int
 	Prompt    int           // tokens
 	Output    int           // most tokens of the answer
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -126,7 +126,7 @@
 		since, aim = resumed, r.route.MaxGap
 	}
 	a := Ask{
-		ID: fleet.RequestID(r.ID), Service: r.service, Kind: r.route.Kind, Workspace: r.workspace, Subject: r.Subject,
+		ID: fleet.RequestID(r.ID), Service: r.service, Kind: r.route.Kind, Workspace: r.workspace,
 		Priority: r.priority, Prompt: r.Prompt, Output: r.Output, MaxGap: r.route.MaxGap,
 		Resumed: !resumed.IsZero() || r.LastEvent != "", // here, or by its caller on another connection
 		Left:    r.deadline.Sub(now), Waited: now.Sub(since), Attempt: attempt, Avoid: avoid,
--- a/internal/placement/convert.go
+++ b/internal/placement/convert.go
@@ -15,7 +15,7 @@
 func message(a *gateway.Ask, asked, now time.Time) *pb.Ask {
 	since := now.Sub(asked)
 	m := &pb.Ask{
-		Id: string(a.ID), Service: string(a.Service), Workspace: string(a.Workspace), Subject: a.Subject,
+		Id: string(a.ID), Service: string(a.Service), Workspace: string(a.Workspace),
 		Priority: int32(a.Priority), Prompt: int32(a.Prompt), Output: int32(a.Output),
 		WaitedMs: (a.Waited + since).Milliseconds(), PatienceMs: (a.Patience - since).Milliseconds(),
 		DeadlineMs: (a.Left - since).Milliseconds(), MaxGapMs: int32(a.MaxGap.Milliseconds()), Attempt: int32(a.Attempt), Resumed: a.Resumed,
@@ -34,7 +34,7 @@
 // job gives an ask that came from entry at now.
 func job(m *pb.Ask, entry fleet.InstanceID, now decide.Instant) *dispatch.Job {
 	j := &dispatch.Job{
-		ID: fleet.RequestID(m.Id), Entry: entry, Workspace: fleet.WorkspaceID(m.Workspace), Subject: m.Subject,
+		ID: fleet.RequestID(m.Id), Entry: entry, Workspace: fleet.WorkspaceID(m.Workspace),
 		Priority: int(m.Priority), Prompt: int(m.Prompt), Output: int(m.Output), Arrived: now.Add(-ms(m.WaitedMs)),
 		Patience: now.Add(ms(m.PatienceMs)), Deadline: now.Add(ms(m.DeadlineMs)),
 		MaxGap: ms(int64(m.MaxGapMs)), Attempt: int(m.Attempt), Resumed: m.Resumed, Avoid: upstreamIDs(m.Avoid),
