Steps look only at reads that are still believed; what an ended exchange means is told in one place

Found on a read of the whole change. Each step of the dispatcher went through all runs to find overdue reads, though nine in ten only write: the runs whose reading is booked are kept as a set, which takes the place of a flag on each run. The smallest part of a prompt was worked out again for each engine. Whether a failed read means a caller that left or an overdue answer stood twice in the gateway. A watch without a known time made a context and never a timer; now there is no such watch.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -18,7 +18,8 @@
 	queue   []*Job
 	runs    map[fleet.RequestID]*run
 
-	answers answers // of a plain service
+	unread  map[*run]bool // whose reading is on engines' books
+	answers answers       // of a plain service
 
 	now decide.Instant // of the step under way
 
@@ -42,6 +43,7 @@
 func New(model *Model, p Params) *State {
 	return &State{
 		model: model, params: p, engines: map[fleet.UpstreamID]*engine{}, runs: map[fleet.RequestID]*run{},
+		unread: map[*run]bool{},
 	}
 }
 
@@ -54,7 +56,6 @@
 	}
 	for _, r := range s.runs { // adopted before it was known how long they read
 		if !r.writing {
-			r.read = false
 			s.bookReading(r)
 		}
 	}
--- a/internal/decide/dispatch/overdue.go
+++ b/internal/decide/dispatch/overdue.go
@@ -64,8 +64,8 @@
 	if s.model == nil {
 		return
 	}
-	for _, r := range s.runs {
-		if !r.writing && now.Sub(r.granted) >= s.overdue(r) {
+	for r := range s.unread {
+		if now.Sub(r.granted) >= s.overdue(r) {
 			s.readDone(r)
 		}
 	}
--- a/internal/decide/dispatch/runs.go
+++ b/internal/decide/dispatch/runs.go
@@ -19,7 +19,6 @@
 	granted decide.Instant
 	planned float64 // ms from the grant to the first event, as its engines' work had it
 	pace    float64 // of the slowest of its engines at the grant
-	read    bool    // its reading is off its engines' books
 	writing bool
 }
 
@@ -57,6 +56,7 @@
 
 // bookReading books the reading of a run on its engines.
 func (s *State) bookReading(r *run) {
+	s.unread[r] = true
 	r.part = s.model.read(r.job.Prompt) / float64(len(r.helpers)+1)
 	s.addReading(r.on, r.part)
 	for _, h := range r.helpers {
@@ -126,10 +126,10 @@
 
 // readDone takes a run's reading off its engines, once.
 func (s *State) readDone(r *run) {
-	if r.read {
+	if !s.unread[r] {
 		return
 	}
-	r.read = true
+	delete(s.unread, r)
 	s.addReading(r.on, -r.part)
 	for _, h := range r.helpers {
 		s.addReading(h, -r.part)
--- a/internal/decide/dispatch/spread.go
+++ b/internal/decide/dispatch/spread.go
@@ -19,7 +19,7 @@
 		return Decision{}, false
 	}
 	read := s.model.read(j.Prompt)
-	with, first := s.soonest(now, j)
+	with, first := s.soonest(now, j, read)
 	var holders []holding
 	if s.oversized(j) {
 		first, holders = s.together(now, with, j)
@@ -62,7 +62,8 @@
 // are few, and otherwise as many as can be of use. first is the one that is to answer it; nil: none can.
 // An engine with much to read gets nothing more: the job waits instead, and whatever comes meanwhile and is more
 // urgent goes before it.
-func (s *State) soonest(now decide.Instant, j *Job) (best []*engine, first *engine) {
+func (s *State) soonest(now decide.Instant, j *Job, read float64) (best []*engine, first *engine) {
+	smallest := read / float64(s.params.MaxHelpers+1)
 	most := len(s.order)
 	if !s.oversized(j) {
 		most = min(most, 2*(s.params.MaxHelpers+1))
@@ -71,7 +72,7 @@
 		if e.gone || e.paused(now) || slices.Contains(j.Avoid, e.ID) || s.room(e, 0) <= 0 || s.backlogged(e, j) {
 			continue
 		}
-		if s.canAnswer(now, e, j) && (first == nil || s.answerDelay(e) < s.answerDelay(first)) {
+		if s.canAnswer(now, e, j, smallest) && (first == nil || s.answerDelay(e) < s.answerDelay(first)) {
 			first = e
 		}
 		best = s.insert(best, e, most)
@@ -85,9 +86,8 @@
 }
 
 // canAnswer tells whether the engine can answer a long prompt: it has the place, the memory, and room for the smallest
-// part that the prompt can be cut into.
-func (s *State) canAnswer(now decide.Instant, e *engine, j *Job) bool {
-	smallest := s.model.read(j.Prompt) / float64(s.params.MaxHelpers+1)
+// part in ms that the prompt can be cut into.
+func (s *State) canAnswer(now decide.Instant, e *engine, j *Job, smallest float64) bool {
 	return s.takes(now, e, j) && s.fits(e, j) && s.room(e, j.MaxGap) > smallest
 }
 
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -56,6 +56,17 @@
 	return l.ctx.Err() != nil || time.Until(l.r.deadline) < leastLeft
 }
 
+// blame tells an upstream that failed from a caller that left and from one whose answer is overdue: the read of an
+// exchange that was ended looks the same in each case.
+func (l *life) blame(f *failure) {
+	switch {
+	case l.over():
+		f.outcome = Left
+	case l.overdue():
+		f.cause = errOverdue
+	}
+}
+
 // drop ends the exchange and the grant after a failure.
 func (l *life) drop(f *failure) {
 	if l.x != nil {
--- a/internal/gateway/life.go
+++ b/internal/gateway/life.go
@@ -178,12 +178,7 @@
 		l.attempts++
 		l.arrivals++
 	}
-	switch {
-	case l.over():
-		f.outcome = Left
-	case l.overdue():
-		f.cause = errOverdue
-	}
+	l.blame(f)
 	l.end(f)
 	return f
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -59,12 +59,7 @@
 // cut ends an exchange whose answer broke off.
 func (l *life) cut(err error) *failure {
 	f := &failure{outcome: Failed, ran: fault.RunYes, cause: err}
-	switch {
-	case l.over():
-		f.outcome = Left
-	case l.overdue():
-		f.cause = errOverdue
-	}
+	l.blame(f)
 	l.drop(f)
 	return f
 }
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -19,23 +19,22 @@
 // gives up, and the request is lost though other upstreams would serve it. Only what may be sent again is watched.
 type watchdog struct {
 	cancel context.CancelCauseFunc
-	timer  *time.Timer // nil: nothing is known of when an answer is due
+	timer  *time.Timer
 	pause  time.Duration
 	barked atomic.Bool
 }
 
-// watch gives the context of the next send.
+// watch gives the context of the next send. It is the request's own where nobody knows when an answer is due.
 func (l *life) watch() context.Context {
 	l.dog = nil
-	if !l.r.route.Repeatable() || l.attempts+1 >= l.r.route.Attempts {
+	overdue := l.grant.Overdue()
+	if overdue == 0 || !l.r.route.Repeatable() || l.attempts+1 >= l.r.route.Attempts {
 		return l.ctx
 	}
 	ctx, cancel := context.WithCancelCause(l.ctx)
 	dog := &watchdog{cancel: cancel, pause: time.Duration(float64(l.r.silence()) * silentShare)}
+	dog.timer = time.AfterFunc(overdue, func() { l.bark(dog) })
 	l.dog = dog
-	if overdue := l.grant.Overdue(); overdue > 0 {
-		dog.timer = time.AfterFunc(overdue, func() { l.bark(dog) })
-	}
 	return ctx
 }
 
@@ -49,20 +48,17 @@
 
 // heard takes that an event came.
 func (l *life) heard() {
-	if dog := l.dog; dog != nil && dog.timer != nil {
-		dog.timer.Reset(dog.pause)
+	if l.dog != nil {
+		l.dog.timer.Reset(l.dog.pause)
 	}
 }
 
 // unwatch ends the watch of a send that is over.
 func (l *life) unwatch() {
-	if l.dog == nil {
-		return
-	}
-	if l.dog.timer != nil {
+	if l.dog != nil {
 		l.dog.timer.Stop()
+		l.dog.cancel(nil)
 	}
-	l.dog.cancel(nil)
 }
 
 // overdue tells whether the send was given up for its upstream's silence.
