damaskctl losses prints and checks -o as the other verbs do

Found on a read of the whole change: its JSON, its check of -o and of arguments stood beside those of all other verbs. The flag and the printing are a part of their own now, which a verb without an instance can have.

--- a/cmd/damaskctl/client.go
+++ b/cmd/damaskctl/client.go
@@ -41,26 +41,33 @@
 	return environment{out: os.Stdout, err: os.Stderr}
 }
 
+// printer holds the flag by which a verb prints.
+type printer struct{ output string }
+
+func (p *printer) setPrintFlag(f *flag.FlagSet) {
+	f.StringVar(&p.output, "o", "text", "output `format`: text or json")
+}
+
 // target holds the flags by which every verb finds its instance.
 type target struct {
+	printer
 	addr      string
 	tokenFile string
-	output    string
 }
 
 func (t *target) setFlags(f *flag.FlagSet) {
 	f.StringVar(&t.addr, "addr", defaultAddr, "operators' `address` of any instance, IP and port")
 	f.StringVar(&t.tokenFile, "token-file", os.Getenv(tokenVar), "`file` with the operators' token; default $"+tokenVar)
-	f.StringVar(&t.output, "o", "text", "output `format`: text or json")
+	t.setPrintFlag(f)
 }
 
-func (t *target) json() bool { return t.output == "json" }
+func (p *printer) json() bool { return p.output == "json" }
 
 // usage refuses flags and arguments that make no sense.
-func (t *target) usage(e environment, f *flag.FlagSet, args int) bool {
+func (p *printer) usage(e environment, f *flag.FlagSet, args int) bool {
 	switch {
-	case t.output != "text" && t.output != "json":
-		fmt.Fprintf(e.err, "-o %s is not allowed; allowed: text or json\n", t.output)
+	case p.output != "text" && p.output != "json":
+		fmt.Fprintf(e.err, "-o %s is not allowed; allowed: text or json\n", p.output)
 	case f.NArg() != args:
 		fmt.Fprintf(e.err, "%d arguments were given, %d are needed\n", f.NArg(), args)
 	default:
@@ -174,8 +181,8 @@
 }
 
 // print writes v as JSON if that is asked for, else as text.
-func (t *target) print(e environment, v any, text func(io.Writer)) {
-	if !t.json() {
+func (p *printer) print(e environment, v any, text func(io.Writer)) {
+	if !p.json() {
 		text(e.out)
 		return
 	}
--- a/cmd/damaskctl/losses.go
+++ b/cmd/damaskctl/losses.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -16,10 +15,10 @@
 
 // lossesVerb tells from logs where service was lost.
 type lossesVerb struct {
-	logs   string
-	output string
-	every  time.Duration
-	plot   string
+	printer
+	logs  string
+	every time.Duration
+	plot  string
 }
 
 func (*lossesVerb) Name() string { return "losses" }
@@ -36,14 +35,14 @@
 
 func (v *lossesVerb) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&v.logs, "log", "", "`file` with logs of instances; \"-\" is standard input")
-	f.StringVar(&v.output, "o", "text", "output `format`: text or json")
+	v.setPrintFlag(f)
 	f.DurationVar(&v.every, "every", 2*time.Second, "length of the spans of time")
 	f.StringVar(&v.plot, "plot", "", "draw the causes over time into this `file`, as SVG")
 }
 
 func (v *lossesVerb) Execute(_ context.Context, f *flag.FlagSet, args ...any) subcommands.ExitStatus {
 	e := envOf(args)
-	if !v.usage(e, f) {
+	if !v.usable(e, f) {
 		return exitUsage
 	}
 	all, ok := readLogs(e, v.logs)
@@ -57,30 +56,19 @@
 			return exitFailed
 		}
 	}
-	if v.output == "json" {
-		if err := json.NewEncoder(e.out).Encode(report); err != nil {
-			fmt.Fprintln(e.err, "damaskctl:", err)
-			return exitFailed
-		}
-		return exitDone
-	}
-	printLosses(e.out, report)
+	v.print(e, report, func(w io.Writer) { printLosses(w, report) })
 	return exitDone
 }
 
-// usage refuses flags that make no sense.
-func (v *lossesVerb) usage(e environment, f *flag.FlagSet) bool {
+// usable refuses flags and arguments that make no sense.
+func (v *lossesVerb) usable(e environment, f *flag.FlagSet) bool {
 	switch {
 	case v.logs == "":
 		fmt.Fprintln(e.err, "-log is missing: name a file, or \"-\" for standard input")
-	case v.output != "text" && v.output != "json":
-		fmt.Fprintf(e.err, "-o %s is not allowed; allowed: text or json\n", v.output)
 	case v.every <= 0:
 		fmt.Fprintf(e.err, "-every %s is not allowed; allowed: above 0\n", v.every)
-	case f.NArg() != 0:
-		fmt.Fprintf(e.err, "%d arguments were given, none is needed\n", f.NArg())
 	default:
-		return true
+		return v.usage(e, f, 0)
 	}
 	return false
 }
