Readers: the dispatcher reads, and the second is of another domain, whoever was attached first

At the failure the dispatcher i3 was told, i1 and i2 read: both had attached to it before it had attached to itself, and whoever is chosen stays chosen. Two read at every moment: the suspicion of a fleet with one reader is ruled out by that print. What is wrong in the product is milder: the dispatcher tells each change a trip later, and two that happen to attach first may be of one failure domain, so that a cut leaves nobody who reads until a turn has ended.

Change: a first candidate that hasn't failed takes its turn at once, and a second reader of the first one's domain gives its turn to a sound candidate of another. Failed ones wait as before, so that turns don't grow (their test is unchanged).

Before: readers.TestWhoIsAttachedFirstDoesNotReadForEver fails ([i1 i2], not [i1 i3]).

--- a/internal/decide/readers/readers.go
+++ b/internal/decide/readers/readers.go
@@ -83,20 +83,14 @@
 // turn is how long a reader may fail.
 func (s *State) turn() time.Duration { return min(longestTurn, firstTurn<<min(s.turns, 8)) }
 
-// Choose gives the readers among the candidates, which come in the order of preference.
+// Choose gives the readers among the candidates, which come in the order of preference: the dispatcher first.
 func (s *State) Choose(now decide.Instant, all []Candidate) []fleet.InstanceID {
 	s.forget(all)
 	s.endTurns(now)
-	var chosen []Candidate
-	for _, c := range all {
-		if k := s.known[c.ID]; k != nil && k.chosen && len(chosen) < count {
-			chosen = append(chosen, c)
-		}
-	}
+	chosen := s.spread(all, s.withFirst(now, all, s.kept(all)))
 	for len(chosen) < min(count, len(all)) {
 		c := s.next(now, all, chosen)
-		k := s.of(c.ID)
-		k.chosen, k.since, k.failing = true, now, 0
+		s.begin(now, c)
 		chosen = append(chosen, c)
 	}
 	ids := make([]fleet.InstanceID, len(chosen))
@@ -106,6 +100,57 @@
 	return ids
 }
 
+// kept gives the readers whose turn goes on.
+func (s *State) kept(all []Candidate) []Candidate {
+	var kept []Candidate
+	for _, c := range all {
+		if k := s.known[c.ID]; k != nil && k.chosen {
+			kept = append(kept, c)
+		}
+	}
+	return kept
+}
+
+// withFirst gives the first candidate a turn that it may not have had, since others were attached before it: a
+// dispatcher that doesn't read tells each change a trip later. One that failed waits for its turn like the others.
+func (s *State) withFirst(now decide.Instant, all, kept []Candidate) []Candidate {
+	if len(kept) < count || kept[0] == all[0] || s.failed(all[0]) {
+		return kept
+	}
+	for _, c := range kept[count-1:] {
+		s.known[c.ID].chosen = false
+	}
+	s.begin(now, all[0])
+	return append([]Candidate{all[0]}, kept[:count-1]...)
+}
+
+// spread ends the turn of a second reader of the first one's failure domain once there is a better one: the two may be
+// the first that were attached, and a cut of their domain would leave nobody who reads.
+func (s *State) spread(all, kept []Candidate) []Candidate {
+	if len(kept) < count || kept[0].Domain != kept[1].Domain {
+		return kept
+	}
+	for _, c := range all {
+		if c.Domain != kept[0].Domain && !s.failed(c) {
+			s.known[kept[1].ID].chosen = false
+			return kept[:1]
+		}
+	}
+	return kept
+}
+
+// begin gives a candidate its turn.
+func (s *State) begin(now decide.Instant, c Candidate) {
+	k := s.of(c.ID)
+	k.chosen, k.since, k.failing = true, now, 0
+}
+
+// failed tells whether a candidate's last turn ended in failure.
+func (s *State) failed(c Candidate) bool {
+	k := s.known[c.ID]
+	return k != nil && k.rest > 0
+}
+
 func (s *State) of(id fleet.InstanceID) *reader {
 	k := s.known[id]
 	if k == nil {
--- a/internal/decide/readers/readers_test.go
+++ b/internal/decide/readers/readers_test.go
@@ -67,6 +67,21 @@
 	is.Equal(chosen, []fleet.InstanceID{"i0", "i2"})
 }
 
+// Instances of one failure domain are attached before the dispatcher is and before the others: they would go on reading,
+// the dispatcher would tell each change a trip later, and a cut of their domain would leave nobody who reads.
+func TestWhoIsAttachedFirstDoesNotReadForEver(t *testing.T) {
+	is := is.New(t)
+	all := candidates(6) // the last is of the first one's domain
+	s, other := &State{}, candidates(3)[1:]
+	other[1].Domain = other[0].Domain
+	is.Equal(s.Choose(1, other), []fleet.InstanceID{"i1", "i2"})
+	all[2].Domain = all[1].Domain
+	is.Equal(s.Choose(2, append(other, all[3])), []fleet.InstanceID{"i1", "i3"})
+	is.Equal(s.Choose(3, append(slices.Clone(all[:1]), append(other, all[3])...)), []fleet.InstanceID{"i0", "i1"})
+	_, _, turns := play(s, 4, time.Minute, all, func(fleet.InstanceID) bool { return true })
+	is.Equal(turns, 2) // those two, who go on
+}
+
 // The store turns a third of the instances away, the first in the order, and nobody hears news although the others could
 // read: whoever is turned away gives its turn to another one, drawn from all.
 func TestWhoIsTurnedAwayGivesItsTurnAway(t *testing.T) {
