Entries that lapsed in an outage are marked in what is told, and every copy drops them by itself

The reader lists (10.4 s), finds 18 entries gone just after an outage and keeps them for the two seconds that living upstreams are allowed to come back in. What it passed on held those entries like all others; another copy's whole came back to it, and each entry in it cleared the reader's mark. Nobody dropped them: the watch goes on after the list.

Change: a change names the entries that are gone from the store and kept; a copy ends the grace of each by itself, and an older message of an entry doesn't clear its mark. (A reader that dies within the grace left the entries to all others before.)

Found beside it by the model of copies with 30,000 runs in place of 100, on the untouched code too: a list that shows its reader nothing new didn't count as a predecessor, so that a copy that had read in between took the next change, claimed its revision and held an entry that was gone. A later change now asks such a copy for all.

--- a/internal/watch/mirror.go
+++ b/internal/watch/mirror.go
@@ -25,9 +25,12 @@
 	To      uint64
 	Objects []wire.Object
 	Deleted []string
+	Lapsing []string // gone from the store as of To, and still taken as there for lapseGrace
 }
 
-func (c *Change) empty() bool { return !c.Whole && len(c.Objects) == 0 && len(c.Deleted) == 0 }
+func (c *Change) empty() bool {
+	return !c.Whole && len(c.Objects) == 0 && len(c.Deleted) == 0 && len(c.Lapsing) == 0
+}
 
 // Join gives the change that c and the one after it make together.
 func (c Change) Join(next Change) Change {
@@ -49,6 +52,12 @@
 		}
 	}
 	all.Objects = append(all.Objects, next.Objects...)
+	for _, name := range c.Lapsing {
+		if !later[name] && !gone[name] {
+			all.Lapsing = append(all.Lapsing, name)
+		}
+	}
+	all.Lapsing = append(all.Lapsing, next.Lapsing...)
 	for _, name := range c.Deleted {
 		if !later[name] && !gone[name] {
 			all.Deleted = append(all.Deleted, name)
@@ -72,14 +81,20 @@
 	failed   time.Time // first failed read since the last good one; zero: none
 	due      time.Time // when the read under way must have been answered; zero: none is under way
 	returned time.Time // when reads worked again after an outage
-	lapsing  map[string]uint64
+	lapsing  map[string]lapse
 	grace    bool // whether vanished entries are kept for lapseGrace after an outage
 }
 
+// lapse is an entry that is gone from the store as of a revision, and taken as there until a moment.
+type lapse struct {
+	revision uint64
+	until    time.Time
+}
+
 func newMirror(kind string, grace bool) *mirror {
 	return &mirror{
 		kind: kind, grace: grace,
-		objects: map[string]wire.Object{}, deleted: map[string]uint64{}, lapsing: map[string]uint64{},
+		objects: map[string]wire.Object{}, deleted: map[string]uint64{}, lapsing: map[string]lapse{},
 	}
 }
 
@@ -135,8 +150,9 @@
 			m.vanished(&c, name, l.Version, now)
 		}
 	}
+	before := m.revision
 	m.revision = l.Version
-	return m.learned(c)
+	return m.learned(c, before)
 }
 
 // follow takes what a watch of the store saw after the copy's revision, and gives what it changed.
@@ -155,7 +171,7 @@
 
 // offer takes a change that another instance made to its copy, and gives what it changed here. ok is false
 // where changes before it are missing here.
-func (m *mirror) offer(in Change) (c Change, ok bool) {
+func (m *mirror) offer(in Change, now time.Time) (c Change, ok bool) {
 	c = Change{Kind: m.kind, From: m.latest, To: max(m.revision, in.To)}
 	if !in.Whole && (!m.known || m.revision < in.From) {
 		return c, false
@@ -168,6 +184,9 @@
 		listed[o.Name] = true
 		m.set(&c, o)
 	}
+	for _, name := range in.Lapsing {
+		m.lapse(&c, name, lapse{in.To, now.Add(lapseGrace)})
+	}
 	for _, name := range in.Deleted {
 		m.remove(&c, name, in.To)
 	}
@@ -177,8 +196,9 @@
 				m.remove(&c, name, in.To)
 			}
 		}
+		before := m.revision
 		m.revision = c.To
-		return m.learned(c), true
+		return m.learned(c, before), true
 	}
 	m.revision = c.To
 	m.note(&c)
@@ -191,13 +211,20 @@
 	for _, o := range m.objects {
 		c.Objects = append(c.Objects, o)
 	}
+	for name := range m.lapsing {
+		c.Lapsing = append(c.Lapsing, name)
+	}
 	return c
 }
 
-// learned ends a change by which the copy became whole. It is passed on whole: a list doesn't tell what came
-// and went between this copy's revision and its own, and a copy in between holds that.
-func (m *mirror) learned(c Change) Change {
+// learned ends a change by which the copy became whole, where it was as of before. It is passed on whole: a list doesn't
+// tell what came and went between this copy's revision and its own, and a copy in between holds that. Where it shows
+// nothing new here, later changes still don't apply to such a copy.
+func (m *mirror) learned(c Change, before uint64) Change {
 	if m.known && c.empty() {
+		if c.To > before {
+			m.latest = c.To
+		}
 		return c
 	}
 	m.known = true
@@ -213,6 +240,9 @@
 	if o.Version <= m.deleted[o.Name] || !held && m.known && o.Version <= m.revision {
 		return
 	}
+	if l, lapses := m.lapsing[o.Name]; lapses && o.Version <= l.revision {
+		return // a copy of before it vanished
+	}
 	delete(m.lapsing, o.Name)
 	if held && old.Version >= o.Version {
 		return
@@ -224,12 +254,23 @@
 // vanished takes that the store no longer has the object as of a revision.
 func (m *mirror) vanished(c *Change, name string, revision uint64, now time.Time) {
 	if _, held := m.objects[name]; held && m.grace && now.Sub(m.returned) < lapseGrace {
-		m.lapsing[name] = revision
+		m.lapse(c, name, lapse{revision, m.returned.Add(lapseGrace)})
 		return
 	}
 	m.remove(c, name, revision)
 }
 
+// lapse takes that an object is gone as of a revision, and keeps it for the grace. Each copy ends the grace by itself:
+// whoever read the store may be gone by then, and the others would keep the object until the next list.
+func (m *mirror) lapse(c *Change, name string, l lapse) {
+	o, held := m.objects[name]
+	if _, lapses := m.lapsing[name]; lapses || !held || o.Version > l.revision {
+		return
+	}
+	m.lapsing[name] = l
+	c.Lapsing = append(c.Lapsing, name)
+}
+
 // remove takes that an object is gone as of a revision. That of one not held here is passed on too: a copy
 // that is behind may hold it.
 func (m *mirror) remove(c *Change, name string, revision uint64) {
@@ -246,13 +287,11 @@
 // expire drops the entries whose grace is over.
 func (m *mirror) expire(now time.Time) Change {
 	c := Change{Kind: m.kind, From: m.latest, To: m.revision}
-	if len(m.lapsing) == 0 || now.Sub(m.returned) < lapseGrace {
-		return c
-	}
-	for name, revision := range m.lapsing {
-		m.remove(&c, name, revision)
+	for name, l := range m.lapsing {
+		if !now.Before(l.until) {
+			m.remove(&c, name, l.revision)
+		}
 	}
-	clear(m.lapsing)
 	m.note(&c)
 	return c
 }
--- a/internal/watch/relay.go
+++ b/internal/watch/relay.go
@@ -226,7 +226,7 @@
 	if m == nil {
 		return false
 	}
-	c, ok := m.offer(in)
+	c, ok := m.offer(in, now)
 	if ok {
 		f.changed(c, false, now)
 	}
