losses -stages: where the time of answered requests went; unusable lines are named

What was lacking: the logs held the times of a request's stages, and nothing summed them up. Now damaskctl losses -stages prints and draws, for each kind of request, the wait for a place, from there to the first event, and from the first event to the last. A line of an answer that can't be judged is named by its number and field, in place of a bare count.

--- a/cmd/damaskctl/losses.go
+++ b/cmd/damaskctl/losses.go
@@ -19,6 +19,8 @@
 	logs  string
 	every time.Duration
 	plot  string
+	// stages has it tell where answered requests' time went instead.
+	stages bool
 }
 
 func (*lossesVerb) Name() string { return "losses" }
@@ -26,10 +28,11 @@
 	return "sum up from logs which requests were not answered in time, and why"
 }
 func (*lossesVerb) Usage() string {
-	return `damaskctl losses -log FILE [-every 2s] [-o text|json] [-plot FILE.svg]
+	return `damaskctl losses -log FILE [-every 2s] [-stages] [-o text|json] [-plot FILE.svg]
 Reads logs of the instances, in any order, from FILE or from standard input ("-"). Prints for each kind of
 request, and each span of time, how many were answered whole and in time, and what the others were lost to. An
-attempt of a caller counts as a request. docs/OPERATIONS.md explains the causes.
+attempt of a caller counts as a request. With -stages it prints and draws where the time of answered requests went:
+waiting for a place, from there to the first event, from the first event to the last. docs/OPERATIONS.md explains the causes.
 `
 }
 
@@ -37,7 +40,8 @@
 	f.StringVar(&v.logs, "log", "", "`file` with logs of instances; \"-\" is standard input")
 	v.setPrintFlag(f)
 	f.DurationVar(&v.every, "every", 2*time.Second, "length of the spans of time")
-	f.StringVar(&v.plot, "plot", "", "draw the causes over time into this `file`, as SVG")
+	f.BoolVar(&v.stages, "stages", false, "tell where the time of answered requests went")
+	f.StringVar(&v.plot, "plot", "", "draw the causes over time, or the stages, into this `file`, as SVG")
 }
 
 func (v *lossesVerb) Execute(_ context.Context, f *flag.FlagSet, args ...any) subcommands.ExitStatus {
@@ -51,12 +55,23 @@
 	}
 	report := losses.Read(all, v.every)
 	if v.plot != "" {
-		if err := report.Draw(v.plot); err != nil {
+		draw := report.Draw
+		if v.stages {
+			draw = report.DrawStages
+		}
+		if err := draw(v.plot); err != nil {
 			fmt.Fprintf(e.err, "damaskctl: -plot %s: %v\n", v.plot, err)
 			return exitFailed
 		}
 	}
-	v.print(e, report, func(w io.Writer) { printLosses(w, report) })
+	for _, p := range report.Problems {
+		fmt.Fprintf(e.err, "damaskctl: not counted: %s\n", p)
+	}
+	show := printLosses
+	if v.stages {
+		show = printStages
+	}
+	v.print(e, report, func(w io.Writer) { show(w, report) })
 	return exitDone
 }
 
@@ -126,3 +141,12 @@
 	}
 	return name
 }
+
+func printStages(out io.Writer, r *losses.Report) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "requests\tstage\tanswered\tp50 ms\tp95 ms\tp99 ms\tmost ms\t")
+	for _, s := range r.Stages {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t\n", s.Class, s.Stage, s.Count, s.P50, s.P95, s.P99, s.Most)
+	}
+	_ = w.Flush()
+}
--- a/cmd/damaskctl/losses_test.go
+++ b/cmd/damaskctl/losses_test.go
@@ -64,6 +64,19 @@
 	is.True(bytes.Contains(svg, []byte("refused_no_slack")))
 }
 
+// The stages of the same requests, as a table and drawn.
+func TestStagesAreToldAndDrawn(t *testing.T) {
+	is := is.New(t)
+	drawing := filepath.Join(t.TempDir(), "stages.svg")
+	code, out, errs := runLosses(t, "", "-log", lossesLog, "-stages", "-plot", drawing)
+	is.Equal(code, exitDone)
+	is.True(strings.Contains(errs, "not counted: line "))
+	is.True(strings.Contains(out, "short  place"))
+	svg, err := os.ReadFile(drawing)
+	is.NoErr(err)
+	is.True(bytes.Contains(svg, []byte("short rest")))
+}
+
 // A bad flag is named with its value, and nothing is printed as if it were an account.
 func TestLossesNameABadFlag(t *testing.T) {
 	is := is.New(t)
--- a/internal/explain/logs.go
+++ b/internal/explain/logs.go
@@ -25,6 +25,7 @@
 	At       time.Time
 	Instance string // and the part that wrote it, as in "entry-1.gateway"
 	Text     string // from the message on
+	Number   int    // of the line in what was read, from 1
 }
 
 // String gives the line as it is shown.
@@ -41,10 +42,12 @@
 // are none of these: words of another program, a line that was cut, one that never ends.
 func ReadLines(in io.Reader) (all []Line, passedOver int, err error) {
 	r := bufio.NewReaderSize(in, maxLine)
+	number := 0
 	for err == nil {
 		var raw []byte
 		raw, err = r.ReadSlice('\n')
 		if errors.Is(err, bufio.ErrBufferFull) {
+			number++
 			passedOver++
 			err = skipLine(r)
 			continue
@@ -52,7 +55,9 @@
 		if len(raw) == 0 {
 			continue
 		}
+		number++
 		if l, ok := readLine(strings.TrimRight(string(raw), "\r\n")); ok {
+			l.Number = number
 			all = append(all, l)
 		} else {
 			passedOver++
--- a/internal/losses/fields.go
+++ b/internal/losses/fields.go
@@ -1,6 +1,7 @@
 package losses
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -38,9 +39,23 @@
 	return value, rest
 }
 
-func (f fields) has(key string) bool {
-	_, err := strconv.Atoi(f[key])
-	return err == nil
+// problem tells which field of an answer's line keeps it from being judged; empty: none does.
+func (f fields) problem() string {
+	if f["reason"] == "" {
+		return "answer without reason"
+	}
+	needed := []string{"took_ms"}
+	if f["reason"] == "served" {
+		needed = append(needed, "first_ms")
+	}
+	for _, key := range needed {
+		if text, there := f[key]; !there {
+			return "answer without " + key
+		} else if n, err := strconv.Atoi(text); err != nil || n < 0 {
+			return fmt.Sprintf("%s=%q is no number of ms", key, text)
+		}
+	}
+	return ""
 }
 
 // number gives a value, and 0 where there is none: lines say nothing of what doesn't apply to them.
--- a/internal/losses/losses.go
+++ b/internal/losses/losses.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -50,10 +51,12 @@
 	Every    time.Duration `json:"-"`
 	Classes  []Class       `json:"classes"`
 	Windows  []Window      `json:"windows"`
+	Stages   []StageTimes  `json:"stages"`
 	NotOwed  int           `json:"not_owed"` // callers had no right to an answer
 	Unended  int           `json:"unended"`  // still under way where the logs end
 	Lines    int           `json:"lines"`
 	Unusable int           `json:"unusable_answers"` // answer lines that lack what they are judged by
+	Problems []string      `json:"problems"`         // of the first of these, with line and field
 }
 
 // attempt is a request on an instance.
@@ -72,13 +75,25 @@
 	open    map[attempt]sent
 	classes map[string]*Class
 	windows map[time.Time]*Window
+	stages  stageTimes
+}
+
+// mostProblems is how many unusable lines are described one by one.
+const mostProblems = 5
+
+// unusable notes a line that can't be judged.
+func (r *reader) unusable(l explain.Line, problem string) {
+	r.report.Unusable++
+	if len(r.report.Problems) < mostProblems {
+		r.report.Problems = append(r.report.Problems, fmt.Sprintf("line %d: %s", l.Number, problem))
+	}
 }
 
 // Read sums up lines, ordered by time, in windows of a length.
 func Read(lines []explain.Line, every time.Duration) *Report {
 	r := reader{
 		report: &Report{Every: every, Lines: len(lines)}, open: map[attempt]sent{},
-		classes: map[string]*Class{}, windows: map[time.Time]*Window{},
+		classes: map[string]*Class{}, windows: map[time.Time]*Window{}, stages: stageTimes{},
 	}
 	for _, l := range lines {
 		r.take(l)
@@ -101,7 +116,7 @@
 			r.open[key] = sent{at: l.At, waited: f.ms("waited_ms"), fields: f}
 		}
 	case what == "answer":
-		r.answered(l.At, instance, parse(rest))
+		r.answered(l, instance, parse(rest))
 	}
 }
 
@@ -115,12 +130,12 @@
 	}
 }
 
-func (r *reader) answered(at time.Time, instance string, f fields) {
+func (r *reader) answered(l explain.Line, instance string, f fields) {
 	key := attempt{instance, f["subject"]}
 	waited := r.open[key].waited
 	delete(r.open, key)
-	if f["reason"] == "" || !f.has("took_ms") {
-		r.report.Unusable++
+	if problem := f.problem(); problem != "" {
+		r.unusable(l, problem)
 		return
 	}
 	c, owed := causeOf(f, waited)
@@ -128,7 +143,8 @@
 		r.report.NotOwed++
 		return
 	}
-	r.count(at.Add(-f.ms("took_ms")), f, c)
+	r.stages.take(f, waited)
+	r.count(l.At.Add(-f.ms("took_ms")), f, c)
 }
 
 func (r *reader) count(arrived time.Time, f fields, c Cause) {
@@ -167,5 +183,6 @@
 		r.report.Windows = append(r.report.Windows, *w)
 	}
 	slices.SortFunc(r.report.Windows, func(a, b Window) int { return a.From.Compare(b.From) })
+	r.report.Stages = r.stages.report()
 	return r.report
 }
--- a/internal/losses/losses_test.go
+++ b/internal/losses/losses_test.go
@@ -87,3 +87,25 @@
 		}
 	}
 }
+
+// An operator asks where the time of answered requests went: each stage of each kind, whatever was refused or lost aside.
+func TestStagesOfAnsweredRequests(t *testing.T) {
+	is := is.New(t)
+	raw := []byte(`2026-08-14T09:19:30.010Z [INFO]  damaskshelfd.i1.decision: dispatch: subject=a waited_ms=10 class=short
+2026-08-14T09:19:30.300Z [INFO]  damaskshelfd.i1.decision: dispatch: subject=a waited_ms=300 class=short
+2026-08-14T09:19:31.000Z [INFO]  damaskshelfd.i1.decision: answer: subject=a reason=served class=short took_ms=1000 first_ms=410
+2026-08-14T09:19:31.000Z [INFO]  damaskshelfd.i1.decision: dispatch: subject=b waited_ms=3 class=idempotent
+2026-08-14T09:19:31.070Z [INFO]  damaskshelfd.i1.decision: answer: subject=b reason=passed_on class=idempotent took_ms=73 status=200
+2026-08-14T09:19:31.100Z [INFO]  damaskshelfd.i1.decision: answer: subject=c reason=refused fault=infeasible class=short took_ms=600
+2026-08-14T09:19:31.200Z [INFO]  damaskshelfd.i1.decision: answer: subject=d reason=served class=short took_ms=12x first_ms=1
+2026-08-14T09:19:31.200Z [INFO]  damaskshelfd.i1.decision: answer: subject=e reason=served class=short took_ms=12
+`)
+	r, _ := read(t, raw)
+	got := map[string]int64{}
+	for _, s := range r.Stages {
+		is.Equal(s.Count, int64(1))
+		got[s.Class+" "+string(s.Stage)] = s.P50
+	}
+	is.Equal(got, map[string]int64{"short place": 10, "short first": 400, "short rest": 590, "idempotent place": 3, "idempotent first": 70})
+	is.Equal(r.Problems, []string{`line 7: took_ms="12x" is no number of ms`, "line 8: answer without first_ms"})
+}
