An instance tells the dispatcher of a replaced upstream; a place that is not usable is not given again

Change: the end of such a grant names the upstream and its start; the dispatcher takes it as left, as the instance does. A place that the instance's newer copy forbids is avoided for that request, which asks for another one.

Ruled out: refusing instances more time; the dispatcher's copy is right again only with the store's next news.

Test, failing before: platform.TestAnAddressOfAnotherWorkerIsToldOn.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,11 +104,12 @@
 	Rejected                   // the upstream said that it did not run it
 	Failed                     // an error answer, a cut or silence
 	Left                       // the caller went away or the time ran out
+	Replaced                   // another upstream has its address
 )
 
 // String gives the outcome as it stands in log lines.
 func (o Outcome) String() string {
-	return [...]string{"served", "unsent", "unreachable", "rejected", "failed", "left"}[o]
+	return [...]string{"served", "unsent", "unreachable", "rejected", "failed", "left", "replaced"}[o]
 }
 
 // Placer gives places. Place blocks while the request waits; it gives a *fault.Error with "not run" and a
--- a/internal/gateway/life.go
+++ b/internal/gateway/life.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -72,8 +73,12 @@
 			return l.unplaced(err)
 		}
 		l.grant = grant
-		if reason := l.unusable(grant.Upstream()); reason != "" {
+		unusable := l.unusable(grant.Upstream())
+		if reason := cmp.Or(unusable, l.unfit()); reason != "" {
 			grant.Done(Unsent, "")
+			if unusable != "" { // the dispatcher may not know it for a while, and would give the same place again
+				l.avoid = append(l.avoid, grant.Upstream().ID)
+			}
 			if bounces++; bounces > maxBounces || l.ctx.Err() != nil {
 				return l.refusal(fault.NoUpstream, "place is not usable: %s", reason)
 			}
@@ -112,10 +117,18 @@
 		return "upstream is leaving"
 	case snap.Out[now.Domain]:
 		return "failure domain is out"
-	case l.g.deps.Doubtful():
-		return "this instance was paused meanwhile"
 	case now.Service != l.r.service:
 		return "upstream serves another service"
+	default:
+		return ""
+	}
+}
+
+// unfit says why this instance must not send the request now, to whichever upstream.
+func (l *life) unfit() string {
+	switch {
+	case l.g.deps.Doubtful():
+		return "this instance was paused meanwhile"
 	case time.Until(l.r.deadline) < leastLeft:
 		return "no time left"
 	default:
@@ -195,7 +208,10 @@
 		if f.atFault != "" {
 			f.outcome = Failed // not for want of room: the named one could not do its part
 		}
-		l.tellLeaving()
+		if l.answer.Other {
+			f.outcome = Replaced
+			l.g.deps.Left(l.grant.Upstream(), "another upstream has its address")
+		}
 		l.drop(f)
 		return f
 	case l.answer.Coded:
@@ -223,10 +239,3 @@
 	}
 	return ""
 }
-
-// tellLeaving spreads what an upstream says of itself: another one has its address.
-func (l *life) tellLeaving() {
-	if l.answer.Other {
-		l.g.deps.Left(l.grant.Upstream(), "another upstream has its address")
-	}
-}
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -43,7 +43,11 @@
 		delete(g.c.running, g.ask.ID)
 	}
 	g.c.mu.Unlock()
-	g.c.tell(&pb.FromEntry{Ended: []*pb.Ended{{Id: string(g.ask.ID), How: hows[o], AtFault: string(atFault)}}})
+	m := &pb.Ended{Id: string(g.ask.ID), How: hows[o], AtFault: string(atFault)}
+	if o == gateway.Replaced {
+		m.AtFault, m.Born = string(g.upstream.ID), g.upstream.Born
+	}
+	g.c.tell(&pb.FromEntry{Ended: []*pb.Ended{m}})
 }
 
 // message is what a dispatcher is told of the grant; c.mu is held.
@@ -64,4 +68,5 @@
 
 var hows = map[gateway.Outcome]pb.Ended_How{
 	gateway.Failed: pb.Ended_FAILED, gateway.Unreachable: pb.Ended_UNREACHABLE, gateway.Rejected: pb.Ended_FULL,
+	gateway.Replaced: pb.Ended_LEFT,
 }
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -166,6 +166,9 @@
 		h.each(func(st *dispatch.State) { st.Began(now, fleet.RequestID(id)) })
 	}
 	for _, e := range m.Ended {
+		if e.How == pb.Ended_LEFT {
+			h.takeLeft(e)
+		}
 		h.each(func(st *dispatch.State) {
 			st.Done(now, fleet.RequestID(e.Id), ends[e.How], fleet.UpstreamID(e.AtFault))
 		})
@@ -222,9 +225,19 @@
 	return j
 }
 
+// takeLeft takes that another upstream has an upstream's address; mu is held. Each instance would learn it by a request
+// of its own otherwise, which spends one of its attempts.
+func (h *hub) takeLeft(e *pb.Ended) {
+	u := h.snapshot().Upstream(fleet.UpstreamID(e.AtFault))
+	if u != nil && u.Born == e.Born {
+		h.follower.Left(u, "an instance found another one at its address")
+	}
+}
+
 var ends = map[pb.Ended_How]dispatch.End{
 	pb.Ended_WHOLE: dispatch.Whole, pb.Ended_FAILED: dispatch.Failed,
 	pb.Ended_UNREACHABLE: dispatch.Unreachable, pb.Ended_FULL: dispatch.Full,
+	pb.Ended_LEFT: dispatch.Whole,
 }
 
 func (h *hub) each(f func(*dispatch.State)) {
