--- a/cmd/damaskbench/flip.go
+++ b/cmd/damaskbench/flip.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -25,6 +26,7 @@
 	loads   string
 	seeds   int
 	seconds float64
+	only    string
 }
 
 func (*flipCommand) Name() string { return "flip" }
@@ -42,6 +44,7 @@
 func (c *flipCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.loads, "loads", "0.85,1,1.2", "parts of the stated rates, comma-separated")
 	f.IntVar(&c.seeds, "seeds", 4, "seeds, from 1")
+	f.StringVar(&c.only, "workload", "", "play this one alone")
 	f.Float64Var(&c.seconds, "seconds", 40, "length of a play in virtual time")
 }
 
@@ -55,9 +58,14 @@
 		}
 		loads = append(loads, load)
 	}
+	all := slices.DeleteFunc(slices.Clone(passes.Workloads), func(w *passes.Workload) bool { return c.only != "" && w.Name != c.only })
+	if len(all) == 0 {
+		fmt.Fprintf(os.Stderr, "-workload %s: there is none of that name\n", c.only)
+		return subcommands.ExitUsageError
+	}
 	fmt.Println("| workload | load | policy | " + strings.Join(passes.Coteau.Kinds(), " | ") + " | day | worst | largest | its worth |")
 	fmt.Println("|---|---|---|" + strings.Repeat("---|", len(passes.Coteau.Kinds())+4))
-	for _, w := range passes.Workloads {
+	for _, w := range all {
 		for _, load := range loads {
 			c.compare(w, strconv.FormatFloat(load, 'g', -1, 64), passes.Play{Load: load, Length: c.seconds * 1000})
 		}
--- a/internal/bench/passes/workload.go
+++ b/internal/bench/passes/workload.go
@@ -78,8 +78,22 @@
 	},
 }
 
+// CoteauShifted is Coteau's later work: fewer and slower engines, on which the pairs rule a long read.
+var CoteauShifted = Workload{
+	Name: "coteau-shifted", Engines: 45, EventTokens: 38,
+	Model: dispatch.Model{
+		Slots: 12, Memory: 405_000, Stride: 38, Step: 1.31, PerWriter: 0.000917, PerContext: 0.00213, ReadPerMs: 154,
+		PairsPerM: 0.162, Chunk: 2048,
+	},
+	classes: []class{
+		{"short", 4960, 0.9, 23_800, 36, 300, 250, 2000, 10_000, 53.5, 1.3},
+		{"medium", 45_000, 0.5, 110_000, 21, 1500, 600, 6000, 10_000, 6.51, 3.3},
+		{"long", 260_000, 0.55, 900_000, 18, 4000, 1000, 15_000, 15_000, 0.937, 34},
+	},
+}
+
 // Workloads lists them.
-var Workloads = []*Workload{&Coteau, &Kivufix, &CoteauLarge}
+var Workloads = []*Workload{&Coteau, &Kivufix, &CoteauLarge, &CoteauShifted}
 
 // Kinds names the kinds of prompts.
 func (w *Workload) Kinds() []string {
--- a/internal/decide/dispatch/dispatch_test.go
+++ b/internal/decide/dispatch/dispatch_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/damaskshelf/damaskshelf/internal/bench/passes"
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/decide/dispatch"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
@@ -175,6 +176,22 @@
 	is.True(held > 0)
 }
 
+// The largest prompts are refused whenever they come, also while all engines are idle: their aim is shorter than the whole
+// fleet takes to read them. They wait for slack like others, and only those that came too late for it are refused.
+func TestAPromptThatNoFleetReadsInItsAimIsServed(t *testing.T) {
+	is := is.New(t)
+	m := passes.CoteauShifted.Model
+	s := dispatch.New(&m, dispatch.DefaultParams())
+	s.SetUpstreams(upstreams(45, "a"))
+	j := newJob("largest", 950_000)
+	d := one(t, s, 1, j)
+	is.True(d.Upstream != "")
+	is.Equal(len(d.Helpers)+len(d.Holders), 16)
+	late := newJob("late", 500_000)
+	late.Arrived, late.Aim = at(-2500), at(1000)
+	is.Equal(one(t, s, 2, late).Reason, dispatch.NoSlack)
+}
+
 // A new dispatcher knows what the instances tell it: it doesn't place beside work it was told of.
 func TestAdoptedWorkCounts(t *testing.T) {
 	is := is.New(t)
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -105,7 +105,7 @@
 	if s.model != nil && float64(j.Prompt+j.Output) > float64(s.model.Memory)*s.params.MemoryShare*float64(min(s.params.MaxHelpers+1, len(s.order))) {
 		return s.refuse(j, TooLarge), true
 	}
-	if s.model != nil && !j.Resumed && s.oversized(j) && s.late(now, j) {
+	if s.model != nil && !j.Resumed && s.oversized(j) && s.late(now, j) && !s.late(j.Arrived, j) {
 		return s.refuse(j, NoSlack), true
 	}
 	if s.model == nil {
