Guards that no test saw switched off have tests

Switched off without a test failing: the instance's check of a place against its newest copy, the dispatcher's own check of leaving upstreams, a booking's new connection, the end of a silent dispatcher's session, the release of memory, the time left that is handed on. In the first two each covered for the other.

--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -120,3 +120,27 @@
 		})
 	})
 }
+
+// Engines have no memory for the next prompt although the last one ended: what it held is released, not left to end by
+// itself seconds later.
+func TestReleasedMemoryIsFreeAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := &lateMemory{held: map[string]time.Time{}, faults: func() orderFault { return orderFault{} }}
+		holders := []Holder{{Upstream: &catalog.Upstream{ID: "e0"}, Tokens: 1000}, {Upstream: &catalog.Upstream{ID: "e1"}, Tokens: 1000}}
+		held, err := reserve(context.Background(), m, "t", holders, func(string, Holder, error) {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		before := m.heldNow()
+		held.release()
+		time.Sleep(orderPause)
+		synctest.Wait()
+		if n := m.heldNow(); n != 0 {
+			t.Fatalf("%d reservations of %d are still held", n, before)
+		}
+		if before != len(holders) {
+			t.Fatalf("%d reservations were held, want %d", before, len(holders))
+		}
+	})
+}
--- a/internal/placement/silence_test.go
+++ b/internal/placement/silence_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -153,3 +155,48 @@
 	time.Sleep(silence - beat/2)
 	is.New(t).True(d.heard.Load() >= 2) // one for each beat that the dispatcher would have sent
 }
+
+// Requests wait for a dispatcher that something between the two ends has lost track of: it never closes its connection. Its
+// silence ends the session.
+func TestASilentDispatchersSessionEnds(t *testing.T) {
+	is := is.New(t)
+	life, cancel := context.WithCancel(context.Background())
+	s := &session{with: "silent", opened: time.Now(), end: cancel, done: life.Done()}
+	s.hears()
+	s.endSilent(silence, cancel)
+	select {
+	case <-s.done:
+		is.True(s.silent.Load())
+	case <-time.After(10 * silence):
+		t.Fatal("the session goes on")
+	}
+}
+
+// An upstream that leaves, or whose failure domain is out, gets a place from the dispatcher: each instance would have to
+// give it back, and one that knows no better sends there.
+func TestTheDispatcherPlacesOnNoLeavingUpstream(t *testing.T) {
+	is := is.New(t)
+	p := newParty(t, "i0", "d")
+	h := newHub(p.follower, hclog.NewNullLogger())
+	all := []*catalog.Upstream{
+		{ID: "leaving", Service: "s", Domain: "north", Slots: 4, Leaving: true},
+		{ID: "out", Service: "s", Domain: "south", Slots: 4},
+		{ID: "sound", Service: "s", Domain: "north", Slots: 4},
+	}
+	snap := catalog.NewSnapshot(&catalog.Config{}, all, map[fleet.DomainID]bool{"south": true}, nil, 1)
+	h.snapshot = func() *catalog.Snapshot { return snap }
+	out := selfSink{out: newOutbox[*pb.ToEntry]()}
+	h.attach("e", out, &pb.FromEntry{Domain: "north"})
+	for i := range 6 {
+		h.tell("e", out, &pb.FromEntry{Asks: []*pb.Ask{{Id: fmt.Sprint("r", i), Service: "s", PatienceMs: 5000, DeadlineMs: 5000}}})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	var placed []string
+	for _, m := range out.out.take(ctx) {
+		for _, place := range m.Places {
+			placed = append(placed, place.Upstream)
+		}
+	}
+	is.Equal(placed, []string{"sound", "sound", "sound", "sound"})
+}
