--- /dev/null
+++ b/internal/watch/config_test.go
@@ -0,0 +1,36 @@
+package watch
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
+)
+
+// versionDecoder reads configurations that say nothing but their version.
+type versionDecoder struct{ emptyDecoder }
+
+func (versionDecoder) Config(o wire.Object) (*catalog.Config, error) {
+	version, err := strconv.ParseUint(string(o.Value), 10, 64)
+	return &catalog.Config{Version: version}, err
+}
+
+// A revoked key works again: an older configuration is written later, as an operator's tool that is behind does, or comes
+// in a copy of the store from before. The newest version that was in force stays.
+func TestAnOlderConfigurationIsKeptOut(t *testing.T) {
+	is := is.New(t)
+	f := New(Deps{Kinds: Kinds{Config: "c", ConfigName: "main", Upstreams: "u", Out: "o"}, Decoder: versionDecoder{}, Log: hclog.NewNullLogger()})
+	for i, c := range []struct{ version, inForce string }{{"5", "5"}, {"4", "5"}, {"5", "5"}, {"nonsense", "5"}, {"6", "6"}, {"1", "6"}} {
+		revision := uint64(i + 1)
+		f.Offer(Change{Kind: "c", Whole: true, To: revision, Objects: []wire.Object{
+			{Kind: "c", Name: "main", Version: revision, Value: []byte(c.version)},
+		}})
+		is.Equal(strconv.FormatUint(f.Snapshot().Config.Version, 10), c.inForce)
+	}
+	f.Offer(Change{Kind: "c", Whole: true, To: 9}) // the object is gone
+	is.Equal(f.Snapshot().Config.Version, uint64(6))
+}
