A link is cut by what failed since an answer last came over it

Two that can't be reached made the link to their whole domain count as cut for two seconds, so that every engine was out of reach from everywhere: 79 wait, 127 refused, most engines idle.

Test, failing before: TestUpstreamsThatEndTogetherAreNoCutLink.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -18,14 +18,15 @@
 	queue   []*Job
 	runs    map[fleet.RequestID]*run
 
-	fair    [2]fairness   // between workspaces: of short prompts and plain requests, and of long prompts
-	unread  map[*run]bool // whose reading is on engines' books
-	answers answers       // of a plain service
+	fair    [2]fairness             // between workspaces: of short prompts and plain requests, and of long prompts
+	unread  map[*run]bool           // whose reading is on engines' books
+	answers answers                 // of a plain service
+	heard   map[link]decide.Instant // when an answer, or its first event, last came over it
 
 	now decide.Instant // of the step under way
 
 	// Of the survey at the beginning of a step.
-	cuts     map[link]int
+	cuts     map[link]int               // upstreams at its end that could not be reached since an answer last came over it
 	meanPass float64                    // ms
 	longs    int                        // jobs waiting for a long read, oversized ones aside
 	tried    int                        // long reads that found no place
@@ -44,7 +45,7 @@
 func New(model *Model, p Params) *State {
 	return &State{
 		model: model, params: p, engines: map[fleet.UpstreamID]*engine{}, runs: map[fleet.RequestID]*run{},
-		unread: map[*run]bool{},
+		unread: map[*run]bool{}, heard: map[link]decide.Instant{},
 	}
 }
 
@@ -140,6 +141,7 @@
 	r.writing = true
 	r.on.fails = 0
 	delete(r.on.unreached, r.job.From)
+	s.heard[link{r.job.From, r.on.Domain}] = now
 	for _, h := range r.helpers {
 		h.fails, h.helpRefused = 0, 0
 	}
--- a/internal/decide/dispatch/dispatch_test.go
+++ b/internal/decide/dispatch/dispatch_test.go
@@ -111,6 +111,29 @@
 	is.Equal(one(t, s, 5000, again).Upstream[0], byte('b')) // tried again after a while
 }
 
+// Nothing is placed for a second though most engines are idle: engines of all domains end together, the instances try some
+// of each domain before the list says so, and every link is taken for cut. An answer over a link shows that it isn't.
+func TestUpstreamsThatEndTogetherAreNoCutLink(t *testing.T) {
+	is := is.New(t)
+	s := dispatch.New(nil, dispatch.DefaultParams())
+	s.SetUpstreams(append(upstreams(4, "b"), upstreams(4, "c")...))
+	for i := range 8 {
+		is.True(one(t, s, 1, newJob(fmt.Sprint("j", i), 0)).Upstream != "")
+	}
+	for i := range 4 { // those on b00, b01, c00 and c01
+		s.Done(at(2), fleet.RequestID(fmt.Sprint("j", i/2*4+i%2)), dispatch.Unreachable, "")
+	}
+	cut := newJob("cut", 0)
+	s.Ask(cut)
+	is.Equal(len(s.Step(at(3))), 0) // as far as is known
+	s.Began(at(4), "j2")            // on b02
+	d := s.Step(at(5))
+	is.Equal(len(d), 1)
+	is.Equal(d[0].Upstream, fleet.UpstreamID("b02"))
+	s.Began(at(4), "j6") // on c02
+	is.Equal(one(t, s, 6, newJob("more", 0)).Upstream[0], byte('b'))
+}
+
 // No prompt is read by engines that can't reach each other.
 func TestPartsStayOnOneSideOfACut(t *testing.T) {
 	is := is.New(t)
--- a/internal/decide/dispatch/survey.go
+++ b/internal/decide/dispatch/survey.go
@@ -14,10 +14,11 @@
 	total, busy := 0.0, 0
 	for _, e := range s.order {
 		for from, at := range e.unreached {
-			if now.Sub(at) < unreachedTime {
-				s.cuts[link{from, e.Domain}]++
-			} else {
+			switch way := (link{from, e.Domain}); {
+			case now.Sub(at) >= unreachedTime:
 				delete(e.unreached, from)
+			case at > s.heard[way]:
+				s.cuts[way]++
 			}
 		}
 		if s.model != nil && len(e.runs) > 0 {
@@ -42,7 +43,9 @@
 // link is the way from one failure domain to another.
 type link struct{ from, to fleet.DomainID }
 
-// reaches tells whether instances of a domain can connect to the upstream, as far as is known.
+// reaches tells whether instances of a domain can connect to the upstream, as far as is known. A link is taken for cut
+// by what has failed since an answer last came over it: upstreams that end together are out of reach as well, from
+// everywhere, and to take the links to the others of their domains for cut leaves the fleet without a place.
 func (s *State) reaches(from fleet.DomainID, e *engine) bool {
 	if _, unreached := e.unreached[from]; unreached {
 		return false
