Work that waits beside idle upstreams is noticed: one job tries a way again, and a line says what is believed

Change: where nothing was placed for 0.3 s although a job that needs one upstream waits and some are idle, one job may try each link that is taken for cut, and the upstream that was out of reach for longest. The dispatcher writes one line a second with the counts: paused, full, cold, unreached, cut.

Test, failing before: TestWithNowhereToGoAWayIsTriedAgain.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -25,6 +25,12 @@
 
 	now decide.Instant // of the step under way
 
+	flowing decide.Instant // when something was last placed, or nothing waited
+	probed  decide.Instant // when links that are taken for cut were last tried
+	probing map[link]bool  // that one job may try
+	// retrying is an upstream that one job may try although it could not be reached; nil: none.
+	retrying *engine
+
 	// Of the survey at the beginning of a step.
 	cuts     map[link]int               // upstreams at its end that could not be reached since an answer last came over it
 	meanPass float64                    // ms
@@ -45,7 +51,7 @@
 func New(model *Model, p Params) *State {
 	return &State{
 		model: model, params: p, engines: map[fleet.UpstreamID]*engine{}, runs: map[fleet.RequestID]*run{},
-		unread: map[*run]bool{}, heard: map[link]decide.Instant{},
+		unread: map[*run]bool{}, heard: map[link]decide.Instant{}, probing: map[link]bool{},
 	}
 }
 
--- a/internal/decide/dispatch/dispatch_test.go
+++ b/internal/decide/dispatch/dispatch_test.go
@@ -134,6 +134,34 @@
 	is.Equal(one(t, s, 6, newJob("more", 0)).Upstream[0], byte('b'))
 }
 
+// Requests wait for seconds beside idle upstreams, until what was believed of the ways to them has run out: with nowhere
+// else to go one of them tries after some passes, and the others wait for what it finds.
+func TestWithNowhereToGoAWayIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	for _, whole := range []bool{true, false} { // the link is taken for cut, or its upstreams one by one
+		s := dispatch.New(nil, dispatch.DefaultParams())
+		s.SetUpstreams(upstreams(2, "b"))
+		if whole {
+			s.SetUpstreams(upstreams(4, "b"))
+		}
+		is.Equal(len(s.Step(at(0))), 0)
+		unreachable(s, "b00", "b01")
+		for i := range 3 {
+			s.Ask(newJob(fmt.Sprint("j", i), 0))
+		}
+		is.Equal(len(s.Step(at(100))), 0)
+		_, stalled := s.Stalled(at(100))
+		is.True(!stalled)
+		st, stalled := s.Stalled(at(310))
+		is.True(stalled)
+		is.Equal(st.Waiting, 3)
+		is.True(st.Unreached == 2 && st.Idle == st.Cut)
+		is.Equal(len(s.Step(at(310))), 1)
+		is.Equal(len(s.Step(at(500))), 0)
+		is.Equal(len(s.Step(at(620))), 1)
+	}
+}
+
 // No prompt is read by engines that can't reach each other.
 func TestPartsStayOnOneSideOfACut(t *testing.T) {
 	is := is.New(t)
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -48,17 +48,22 @@
 // can't be served in time any more.
 func (s *State) Step(now decide.Instant) []Decision {
 	if len(s.queue) == 0 {
+		s.flowing = now
 		return nil
 	}
 	s.now = now
 	s.forgetOverdue(now)
 	s.survey(now)
 	s.sort(now)
+	s.probe(now)
 	var out []Decision
 	waiting := s.queue[:0]
 	for _, j := range s.queue {
 		d, settled := s.decide(now, j)
 		if settled {
+			if d.Upstream != "" {
+				s.flowing = now
+			}
 			out = append(out, d)
 		} else {
 			waiting = append(waiting, j)
--- a/internal/decide/dispatch/runs.go
+++ b/internal/decide/dispatch/runs.go
@@ -88,6 +88,7 @@
 	}
 	s.runs[j.ID] = r
 	e.runs[j.ID] = r
+	s.triedFrom(j.From, e)
 	e.context += r.context
 	if s.model != nil {
 		s.bookReading(r)
--- a/internal/decide/dispatch/survey.go
+++ b/internal/decide/dispatch/survey.go
@@ -47,10 +47,11 @@
 // by what has failed since an answer last came over it: upstreams that end together are out of reach as well, from
 // everywhere, and to take the links to the others of their domains for cut leaves the fleet without a place.
 func (s *State) reaches(from fleet.DomainID, e *engine) bool {
-	if _, unreached := e.unreached[from]; unreached {
+	if _, unreached := e.unreached[from]; unreached && e != s.retrying {
 		return false
 	}
-	return s.cuts[link{from, e.Domain}] < cutFrom
+	way := link{from, e.Domain}
+	return s.cuts[way] < cutFrom || s.probing[way]
 }
 
 // sort puts the jobs in the order in which they get places: streams that go on first, since what their
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -51,6 +51,8 @@
 	readers  readers.State                           // guarded by mu
 	duties   map[fleet.InstanceID]pb.ToEntry_Duty    // guarded by mu: as last told
 	ordered  ordering
+	// stallLogged is when a stall was last logged.
+	stallLogged decide.Instant // guarded by mu
 }
 
 func newHub(f *watch.Follower, log hclog.Logger) *hub {
--- a/internal/placement/step.go
+++ b/internal/placement/step.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/damaskshelf/damaskshelf/internal/catalog"
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/decide/dispatch"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
@@ -24,7 +25,7 @@
 	began := time.Now()
 	defer func() { h.stepTook = time.Since(began) }()
 	out := map[fleet.InstanceID]*pb.ToEntry{}
-	for _, st := range h.services {
+	for name, st := range h.services {
 		for _, d := range st.Step(now) {
 			h.logRefusal(now, st, d)
 			m := out[d.Job.Entry]
@@ -34,6 +35,7 @@
 			}
 			add(m, d)
 		}
+		h.logStall(now, name, st)
 	}
 	for entry, m := range out {
 		if s := h.entries[entry]; s != nil {
@@ -53,6 +55,21 @@
 		"waiting", st.Waiting(), "running", st.Running(), "fleet_revision", h.fleetRevision(), "retry_after_ms", d.RetryAfter.Milliseconds())
 }
 
+// stallLogEvery bounds the lines of stalls.
+const stallLogEvery = time.Second
+
+// logStall writes a line while work waits beside idle upstreams, with what is believed of them; mu is held.
+func (h *hub) logStall(now decide.Instant, service catalog.ServiceName, st *dispatch.State) {
+	stall, stalled := st.Stalled(now)
+	if !stalled || now.Sub(h.stallLogged) < stallLogEvery {
+		return
+	}
+	h.stallLogged = now
+	h.log.Warn("work waits beside idle upstreams", "service", service, "for_ms", stall.For.Milliseconds(), "waiting", stall.Waiting,
+		"idle", stall.Idle, "paused", stall.Paused, "full", stall.Full, "cold", stall.Cold, "unreached", stall.Unreached,
+		"cut", stall.Cut, "fleet_revision", h.fleetRevision())
+}
+
 func (h *hub) fleetRevision() uint64 {
 	if h.seen == nil {
 		return 0
