A prompt begins only if its first event is due before its caller leaves; one that can't be in time takes all its engines

Change: no prompt is begun whose first event is planned after its caller's patience; one that no fleet reads in its aim begins only with all engines that may read one prompt.

Test, failing before: TestAPromptThatNoFleetReadsInItsAimTakesNoFewEngines.

--- a/internal/decide/dispatch/dispatch_test.go
+++ b/internal/decide/dispatch/dispatch_test.go
@@ -243,6 +243,37 @@
 	is.Equal(one(t, s, 2, late).Reason, dispatch.NoSlack)
 }
 
+// One of the largest prompts keeps nine engines reading for ten seconds, its caller leaves before it is read, and all others
+// wait meanwhile. It begins only with all the engines that may read it, and within its caller's time.
+func TestAPromptThatNoFleetReadsInItsAimTakesNoFewEngines(t *testing.T) {
+	is := is.New(t)
+	m := passes.CoteauShifted.Model
+	for _, c := range []struct {
+		free     int
+		patience float64
+		placed   bool
+	}{{45, 12_000, true}, {24, 12_000, true}, {10, 12_000, false}, {45, 3000, false}} {
+		p := dispatch.DefaultParams()
+		p.SlackShare = 0
+		s := dispatch.New(&m, p)
+		s.SetUpstreams(upstreams(45, "a"))
+		for i := c.free; i < 45; i++ {
+			read := newJob(fmt.Sprint("read", i), 60_000) // for 680 ms
+			s.Adopt(at(0), read, fleet.UpstreamID(fmt.Sprintf("a%02d", i)), nil, nil, false)
+		}
+		j := newJob("largest", 950_000)
+		j.Patience = at(c.patience)
+		s.Ask(j)
+		placed := 0
+		for _, d := range s.Step(at(1)) {
+			if d.Upstream != "" {
+				placed++
+			}
+		}
+		is.Equal(placed == 1, c.placed)
+	}
+}
+
 // A new dispatcher knows what the instances tell it: it doesn't place beside work it was told of.
 func TestAdoptedWorkCounts(t *testing.T) {
 	is := is.New(t)
--- a/internal/decide/dispatch/spread.go
+++ b/internal/decide/dispatch/spread.go
@@ -40,8 +40,7 @@
 		s.tried++
 		return Decision{}, false
 	}
-	if !j.Resumed && j.Aim != 0 && now.Add(fromMs(soonest)) > j.Aim && !s.late(now, j) {
-		// Engines that are busy now read it in time later, or it is late anyway and waits its turn.
+	if !j.Resumed && !s.worthBeginning(now, j, len(helpers), soonest) {
 		s.tried++
 		return Decision{}, false
 	}
@@ -58,6 +57,23 @@
 	return d, true
 }
 
+// worthBeginning tells whether a prompt should be read by so many helpers now, its first event due after soonest ms, and not
+// by others that are busy yet.
+func (s *State) worthBeginning(now decide.Instant, j *Job, helpers int, soonest float64) bool {
+	first := now.Add(fromMs(soonest))
+	switch {
+	case first.Add(s.params.Margin) > j.Patience:
+		return false // its caller would have left
+	case j.Aim != 0 && first > j.Aim && !s.late(now, j):
+		return false // it is in time later, or late anyway and waits its turn
+	case s.late(j.Arrived, j):
+		// It can't be in time, and reads for seconds: with few engines it keeps them from all others for the longest.
+		return helpers >= min(s.params.MaxHelpers, len(s.order)-1)
+	default:
+		return true
+	}
+}
+
 // soonest gives the engines that may read for the job, those that come to it first in front: all where there
 // are few, and otherwise as many as can be of use. first is the one that is to answer it; nil: none can.
 // An engine with much to read gets nothing more: the job waits instead, and whatever comes meanwhile and is more
--- /dev/null
+++ b/internal/decide/dispatch/step_test.go
@@ -0,0 +1,66 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/damaskshelf/damaskshelf/internal/bench/passes"
+	"github.com/damaskshelf/damaskshelf/internal/decide/dispatch"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+)
+
+// BenchmarkPlace is what the dispatcher spends on a short prompt that is placed, read and answered, with as many engines
+// half full of streams; and on one step with as many prompts waiting that find no place.
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{45, 172, 1000} {
+		b.Run(fmt.Sprintf("engines=%d", n), func(b *testing.B) {
+			s := busy(n, 0.5)
+			b.ReportAllocs()
+			now := 10.0
+			for b.Loop() {
+				j := newJob("j", 4960)
+				s.Ask(j)
+				s.Step(at(now))
+				s.Began(at(now), j.ID)
+				s.Done(at(now), j.ID, dispatch.Whole, "")
+				now += 0.01
+			}
+		})
+	}
+	for _, waiting := range []int{100, 1000} {
+		b.Run(fmt.Sprintf("engines=172,waiting=%d", waiting), func(b *testing.B) {
+			s := busy(172, 1)
+			for i := range waiting {
+				j := newJob(fmt.Sprint("w", i), 1000+i)
+				j.Aim, j.Patience, j.Deadline = at(1e9), at(1e9), at(1e9)
+				s.Ask(j)
+			}
+			b.ReportAllocs()
+			now := 10.0
+			for b.Loop() {
+				if d := s.Step(at(now)); len(d) > 0 {
+					b.Fatalf("%d of them are settled", len(d))
+				}
+				now += 0.01
+			}
+		})
+	}
+}
+
+// busy gives a dispatcher's state with engines of which a share of the places is taken by streams.
+func busy(engines int, share float64) *dispatch.State {
+	m := passes.CoteauShifted.Model
+	s := dispatch.New(&m, dispatch.DefaultParams())
+	all := make([]dispatch.Upstream, engines)
+	for i := range all {
+		all[i] = dispatch.Upstream{ID: fleet.UpstreamID(fmt.Sprintf("e%04d", i)), Domain: "a", Slots: m.Slots}
+	}
+	s.SetUpstreams(all)
+	for i := range all {
+		for k := range int(share * float64(m.Slots)) {
+			j := newJob(fmt.Sprintf("r%d-%d", i, k), 4960)
+			s.Adopt(at(0), j, all[i].ID, nil, nil, true)
+		}
+	}
+	return s
+}
