Package entry/forward joins entry/intake

Target becomes Call, beside Meta. No behaviour changes; tests of internal/entry and internal/node pass.

--- a/internal/entry/command/claims.go
+++ b/internal/entry/command/claims.go
@@ -9,7 +9,6 @@
 
 	"github.com/damaskshelf/damaskshelf/internal/claim"
 	decideclaim "github.com/damaskshelf/damaskshelf/internal/decide/claim"
-	"github.com/damaskshelf/damaskshelf/internal/entry/forward"
 	"github.com/damaskshelf/damaskshelf/internal/entry/intake"
 	"github.com/damaskshelf/damaskshelf/internal/explain"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
@@ -34,7 +33,7 @@
 }
 
 // Run implements Claims.
-func (c *StoredClaims) Run(ctx context.Context, m intake.Meta, t forward.Target, d Dispatch) (upstream.Answer, bool, error) {
+func (c *StoredClaims) Run(ctx context.Context, m intake.Meta, t intake.Call, d Dispatch) (upstream.Answer, bool, error) {
 	held, res := c.keeper.Claim(ctx, claim.Request{
 		Workspace: string(m.Workspace), Key: m.IdempotencyKey, Fingerprint: fingerprint(t), Deadline: m.Deadline,
 	})
@@ -50,7 +49,7 @@
 	// The caller hears of its booking once the store has it: without that wait an instance that died right
 	// after the answer left the key unknown, and the caller's next question was answered so.
 	held.RecordWithin(decideclaim.Outcome{
-		Run: forward.Ran(a), Status: a.Status, ContentType: a.ContentType, Body: a.Body,
+		Run: intake.Ran(a), Status: a.Status, ContentType: a.ContentType, Body: a.Body,
 	}, recordWait)
 	return a, false, nil
 }
@@ -92,7 +91,7 @@
 
 // fingerprint tells requests apart that were given the same key. Each field goes in with its length, so
 // that no two requests look alike for where one field ends.
-func fingerprint(t forward.Target) string {
+func fingerprint(t intake.Call) string {
 	h := sha256.New()
 	for _, field := range [][]byte{
 		[]byte(t.Service), []byte(t.Method), []byte(t.PathQuery), []byte(t.ContentType), t.Body,
--- a/internal/entry/command/command.go
+++ b/internal/entry/command/command.go
@@ -15,7 +15,6 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskshelf/damaskshelf/internal/entry/again"
-	"github.com/damaskshelf/damaskshelf/internal/entry/forward"
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
 	"github.com/damaskshelf/damaskshelf/internal/entry/intake"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
@@ -31,7 +30,7 @@
 // Claims makes a keyed call run at most once over all instances.
 type Claims interface {
 	// Run dispatches under a claim on the key, or gives the recorded outcome of an earlier run.
-	Run(ctx context.Context, m intake.Meta, t forward.Target, d Dispatch) (a upstream.Answer, replayed bool, err error)
+	Run(ctx context.Context, m intake.Meta, t intake.Call, d Dispatch) (a upstream.Answer, replayed bool, err error)
 }
 
 // Deps are what a Handler works with.
@@ -78,13 +77,13 @@
 	defer h.d.Gate.Leave()
 	timed, cancel := context.WithDeadline(h.base, m.Deadline)
 	defer cancel()
-	a, replayed, err := h.run(timed, m, forward.TargetOf(ctx))
+	a, replayed, err := h.run(timed, m, intake.CallOf(ctx))
 	if err != nil {
 		h.refuse(ctx, m, err)
 		return
 	}
 	h.d.Metrics.Counter("answered", "mode", "command").Inc(1)
-	forward.Respond(ctx, m, a)
+	intake.Respond(ctx, m, a)
 	if replayed {
 		intake.Replayed(ctx)
 	}
@@ -97,7 +96,7 @@
 	intake.Refuse(ctx, m.ID, e)
 }
 
-func (h *Handler) run(ctx context.Context, m intake.Meta, t forward.Target) (upstream.Answer, bool, error) {
+func (h *Handler) run(ctx context.Context, m intake.Meta, t intake.Call) (upstream.Answer, bool, error) {
 	dispatch := func(ctx context.Context) (upstream.Answer, error) { return h.dispatch(ctx, m, t) }
 	if m.IdempotencyKey == "" {
 		a, err := dispatch(ctx)
@@ -113,7 +112,7 @@
 const maxAttempts = 3
 
 // dispatch runs the call on one instance of the service.
-func (h *Handler) dispatch(ctx context.Context, m intake.Meta, t forward.Target) (upstream.Answer, error) {
+func (h *Handler) dispatch(ctx context.Context, m intake.Meta, t intake.Call) (upstream.Answer, error) {
 	var tried []fleet.UpstreamID
 	var last *upstream.CallError
 	for attempt := 1; attempt <= maxAttempts; attempt++ {
@@ -155,7 +154,7 @@
 
 // call sends the call once. Its connection is always a new one where a dead pooled connection could leave
 // the outcome unknown; see upstream.Client.CallFresh.
-func (h *Handler) call(ctx context.Context, g *route.Grant, m intake.Meta, t forward.Target, attempt int) (upstream.Answer, *upstream.CallError) {
+func (h *Handler) call(ctx context.Context, g *route.Grant, m intake.Meta, t intake.Call, attempt int) (upstream.Answer, *upstream.CallError) {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	remaining := time.Until(m.Deadline)
--- a/internal/entry/forward/forward.go
+++ b/internal/entry/intake/call.go
@@ -1,6 +1,4 @@
-// Package forward turns a caller's request for a plain service into the request that goes to one of the
-// service's instances, and that one's answer into the caller's.
-package forward
+package intake
 
 import (
 	"strconv"
@@ -8,14 +6,13 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/damaskshelf/damaskshelf/internal/entry/intake"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
 	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
 )
 
-// Target is a plain-service call as its caller made it.
-type Target struct {
+// Call is a plain-service call as its caller made it.
+type Call struct {
 	Service     string
 	Method      string
 	PathQuery   string // below the service, with the query
@@ -23,14 +20,14 @@
 	Body        []byte // a copy of the caller's
 }
 
-// TargetOf reads the call out of a request on /services/{service}/{path:*}.
-func TargetOf(ctx *fasthttp.RequestCtx) Target {
+// CallOf reads the call out of a request on /services/{service}/{path:*}.
+func CallOf(ctx *fasthttp.RequestCtx) Call {
 	service, _ := ctx.UserValue("service").(string)
 	path, _ := ctx.UserValue("path").(string)
 	if q := ctx.QueryArgs().QueryString(); len(q) > 0 {
 		path += "?" + string(q)
 	}
-	return Target{
+	return Call{
 		Service: service, Method: string(ctx.Method()), PathQuery: "/" + path,
 		ContentType: string(ctx.Request.Header.ContentType()),
 		Body:        append([]byte(nil), ctx.PostBody()...),
@@ -38,12 +35,12 @@
 }
 
 // Fill writes the call into req for the instance at addr.
-func (t Target) Fill(req *fasthttp.Request, addr string, m intake.Meta, attempt int, remaining time.Duration) {
-	req.SetRequestURI("http://" + addr + t.PathQuery)
+func (c Call) Fill(req *fasthttp.Request, addr string, m Meta, attempt int, remaining time.Duration) {
+	req.SetRequestURI("http://" + addr + c.PathQuery)
 	h := &req.Header
-	h.SetMethod(t.Method)
-	if t.ContentType != "" {
-		h.SetContentType(t.ContentType)
+	h.SetMethod(c.Method)
+	if c.ContentType != "" {
+		h.SetContentType(c.ContentType)
 	}
 	h.Set(wire.HeaderRequestID, string(m.ID))
 	h.Set(wire.HeaderWorkspace, string(m.Workspace))
@@ -52,16 +49,16 @@
 	if m.IdempotencyKey != "" {
 		h.Set(wire.HeaderIdempotencyKey, m.IdempotencyKey)
 	}
-	req.SetBodyRaw(t.Body)
+	req.SetBodyRaw(c.Body)
 }
 
 // Respond writes a service's answer to the caller.
-func Respond(ctx *fasthttp.RequestCtx, m intake.Meta, a upstream.Answer) {
+func Respond(ctx *fasthttp.RequestCtx, m Meta, a upstream.Answer) {
 	ctx.SetStatusCode(a.Status)
 	if a.ContentType != "" {
 		ctx.SetContentType(a.ContentType)
 	}
-	intake.Mark(ctx, m.ID, Ran(a))
+	Mark(ctx, m.ID, Ran(a))
 	ctx.SetBody(a.Body)
 }
 
--- a/internal/entry/intake/intake.go
+++ b/internal/entry/intake/intake.go
@@ -1,5 +1,6 @@
 // Package intake reads what every caller's request states about itself: id, workspace, time, priority and
-// whether it may be repeated. Contradicting or malformed headers are refused, naming header and value.
+// whether it may be repeated. Contradicting or malformed headers are refused, naming header and value. A call of a plain
+// service it also turns into the request that goes there, and the answer into the caller's.
 package intake
 
 import (
--- a/internal/entry/query/read.go
+++ b/internal/entry/query/read.go
@@ -8,7 +8,6 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskshelf/damaskshelf/internal/decide/retry"
-	"github.com/damaskshelf/damaskshelf/internal/entry/forward"
 	"github.com/damaskshelf/damaskshelf/internal/entry/intake"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
@@ -30,13 +29,13 @@
 	defer h.gate.Leave()
 	timed, cancel := context.WithDeadline(h.base, m.Deadline)
 	defer cancel()
-	a, err := h.read(timed, m, forward.TargetOf(ctx))
+	a, err := h.read(timed, m, intake.CallOf(ctx))
 	if err != nil {
 		h.refuse(ctx, m, err)
 		return
 	}
 	h.count("answered", "mode", "read")
-	forward.Respond(ctx, m, a)
+	intake.Respond(ctx, m, a)
 }
 
 // maxReads bounds the dispatches of one read; its time is shared out among them.
@@ -47,13 +46,13 @@
 	h       *Handler
 	ctx     context.Context
 	meta    intake.Meta
-	target  forward.Target
+	target  intake.Call
 	run     fault.Run // what is known about the read as a whole
 	tried   []fleet.UpstreamID
 	attempt int
 }
 
-func (h *Handler) read(ctx context.Context, m intake.Meta, t forward.Target) (upstream.Answer, error) {
+func (h *Handler) read(ctx context.Context, m intake.Meta, t intake.Call) (upstream.Answer, error) {
 	r := &reading{h: h, ctx: ctx, meta: m, target: t, run: fault.RunNo}
 	for {
 		a, again, err := r.once()
