A prompt that can't be in time asks for as many engines as slack does; prompts of one engine's size keep their way

From the read of the diff: the rule asked for all engines that may read a prompt, also of prompts that one engine holds, and on a small fleet for every engine: one that is cold or paused would have kept such prompts from being served at all. It binds oversized prompts alone, and asks for the engines that slack asks for.

--- a/internal/decide/dispatch/spread.go
+++ b/internal/decide/dispatch/spread.go
@@ -66,9 +66,9 @@
 		return false // its caller would have left
 	case j.Aim != 0 && first > j.Aim && !s.late(now, j):
 		return false // it is in time later, or late anyway and waits its turn
-	case s.late(j.Arrived, j):
+	case s.oversized(j) && s.late(j.Arrived, j):
 		// It can't be in time, and reads for seconds: with few engines it keeps them from all others for the longest.
-		return helpers >= min(s.params.MaxHelpers, len(s.order)-1)
+		return helpers >= min(s.params.MaxHelpers, int(s.params.SlackShare*float64(len(s.order)))-1)
 	default:
 		return true
 	}
