--- a/internal/losses/stages.go
+++ b/internal/losses/stages.go
@@ -78,7 +78,8 @@
 		h = hdrhistogram.New(1, longestStage.Milliseconds(), 3)
 		t[stageKey{class, stage}] = h
 	}
-	// A line's times are rounded one by one, so that a difference may be a ms below zero.
+	// A line's times are rounded one by one, so that a difference may be a ms below zero. Within its bounds a histogram
+	// refuses nothing.
 	_ = h.RecordValue(min(longestStage, max(0, took)).Milliseconds())
 }
 
