A list without news is told in twenty bytes, not by the whole kind

The mend of copies in between (a list that shows its reader nothing new is a predecessor of later changes) had every instance ask for the whole kind after each list: entries times upstreams.

Change: such a list says what follows from it, that no object with a revision in between is left. A copy in between drops what it holds of those, all others lack nothing; who missed the message asks for all as before.

--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -34,6 +34,9 @@
 // messageOf gives a change's message with objects as they are sent.
 func messageOf(c watch.Change, objects []*pb.Object) (*pb.Change, error) {
 	m := &pb.Change{Kind: c.Kind, Whole: c.Whole, From: c.From, To: c.To, Deleted: c.Deleted, Lapsing: c.Lapsing, Objects: objects}
+	for _, span := range c.Without {
+		m.Without = append(m.Without, &pb.Span{After: span.After, Through: span.Through})
+	}
 	length := 0
 	for _, o := range objects {
 		length += len(o.Value)
@@ -88,6 +91,9 @@
 // readChange reads a change; held gives what the copy here holds, for objects that come as differences.
 func readChange(m *pb.Change, held func(kind, name string) (wire.Object, bool)) (watch.Change, error) {
 	c := watch.Change{Kind: m.Kind, Whole: m.Whole, From: m.From, To: m.To, Deleted: m.Deleted, Lapsing: m.Lapsing}
+	for _, span := range m.Without {
+		c.Without = append(c.Without, watch.Span{After: span.After, Through: span.Through})
+	}
 	all := m.Objects
 	if len(m.Packed) > 0 {
 		raw, err := packed.Unpack(m.Packed, maxUnpacked)
--- a/internal/watch/mirror.go
+++ b/internal/watch/mirror.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
@@ -26,10 +27,16 @@
 	Objects []wire.Object
 	Deleted []string
 	Lapsing []string // gone from the store as of To, and still taken as there for lapseGrace
+	Without []Span   // spans of revisions of which no object is left
 }
 
+// Span are the revisions after one and up to another.
+type Span struct{ After, Through uint64 }
+
+func (s Span) holds(revision uint64) bool { return s.After < revision && revision <= s.Through }
+
 func (c *Change) empty() bool {
-	return !c.Whole && len(c.Objects) == 0 && len(c.Deleted) == 0 && len(c.Lapsing) == 0
+	return !c.Whole && len(c.Objects) == 0 && len(c.Deleted) == 0 && len(c.Lapsing) == 0 && len(c.Without) == 0
 }
 
 // Join gives the change that c and the one after it make together.
@@ -37,7 +44,7 @@
 	if next.Whole {
 		return next
 	}
-	all := Change{Kind: c.Kind, Whole: c.Whole, From: c.From, To: max(c.To, next.To)}
+	all := Change{Kind: c.Kind, Whole: c.Whole, From: c.From, To: max(c.To, next.To), Without: slices.Concat(c.Without, next.Without)}
 	gone := make(map[string]bool, len(next.Deleted))
 	for _, name := range next.Deleted {
 		gone[name] = true
@@ -179,6 +186,7 @@
 	if in.Whole && in.To < m.revision {
 		return c, m.known // of before this copy: it holds what is gone here
 	}
+	m.dropWithout(&c, in)
 	listed := map[string]bool{}
 	for _, o := range in.Objects {
 		listed[o.Name] = true
@@ -219,11 +227,12 @@
 
 // learned ends a change by which the copy became whole, where it was as of before. It is passed on whole: a list doesn't
 // tell what came and went between this copy's revision and its own, and a copy in between holds that. Where it shows
-// nothing new here, later changes still don't apply to such a copy.
+// nothing new here, nothing that is left has a revision in between, and saying so is enough.
 func (m *mirror) learned(c Change, before uint64) Change {
 	if m.known && c.empty() {
 		if c.To > before {
 			m.latest = c.To
+			c.Without = []Span{{After: before, Through: c.To}}
 		}
 		return c
 	}
@@ -232,6 +241,18 @@
 	return m.whole()
 }
 
+// dropWithout removes what is held of the spans of which a change says that no object is left.
+func (m *mirror) dropWithout(c *Change, in Change) {
+	for _, span := range in.Without {
+		for name, o := range m.objects {
+			if span.holds(o.Version) {
+				m.remove(c, name, span.Through)
+			}
+		}
+	}
+	c.Without = in.Without
+}
+
 // set takes an object unless it is older than what is known of its name. What two readers of the store see
 // reaches the copy in any order: the one that is behind must not bring back what the other saw go, or what was
 // gone before this copy began.
