Last read: a stall is looked for once a step and changes nothing; logic that stood twice joined

What the read of the change found, behaviour as before: - Stalled was a query that set state, and looked at every engine in the step and again for its log line, also when neither was due: a step notes by itself when nothing but long prompts waits, and both ask the clock first. - That the whole fleet could not have read a prompt in its aim stood twice, as did the engines that slack asks for: beyondAim, slackEngines. - Both callers of learned kept the revision before and set the new one: learned does. - A loop over one reader, a comparison spelled out, a second way to make a test's upstreams.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -25,7 +25,7 @@
 
 	now decide.Instant // of the step under way
 
-	flowing decide.Instant // when something was last placed, or nothing waited
+	flowing decide.Instant // when something was last placed, or nothing but long prompts waited
 	probed  decide.Instant // when links that are taken for cut were last tried
 	probing map[link]bool  // that one job may try
 	// retrying is an upstream that one job may try although it could not be reached; nil: none.
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -71,6 +71,9 @@
 	}
 	clear(s.queue[len(waiting):])
 	s.queue = waiting
+	if s.firstWaiting() == nil {
+		s.flowing = now
+	}
 	return out
 }
 
@@ -78,6 +81,9 @@
 	return !j.Resumed && j.Aim != 0 && now.Add(s.leastRead(j)+fromMs(passesToFirst*s.meanPass)) > j.Aim
 }
 
+// beyondAim tells whether the whole fleet would not have read the prompt in its aim when it came.
+func (s *State) beyondAim(j *Job) bool { return s.late(j.Arrived, j) }
+
 // leastRead is the shortest time in which the prompt can be read.
 func (s *State) leastRead(j *Job) time.Duration {
 	if s.model == nil {
@@ -110,7 +116,7 @@
 	if s.model != nil && float64(j.Prompt+j.Output) > float64(s.model.Memory)*s.params.MemoryShare*float64(min(s.params.MaxHelpers+1, len(s.order))) {
 		return s.refuse(j, TooLarge), true
 	}
-	if s.model != nil && !j.Resumed && s.oversized(j) && s.late(now, j) && !s.late(j.Arrived, j) {
+	if s.model != nil && !j.Resumed && s.oversized(j) && s.late(now, j) && !s.beyondAim(j) {
 		return s.refuse(j, NoSlack), true
 	}
 	if s.model == nil {
--- a/internal/decide/dispatch/spread.go
+++ b/internal/decide/dispatch/spread.go
@@ -66,9 +66,9 @@
 		return false // its caller would have left
 	case j.Aim != 0 && first > j.Aim && !s.late(now, j):
 		return false // it is in time later, or late anyway and waits its turn
-	case s.oversized(j) && s.late(j.Arrived, j):
+	case s.oversized(j) && s.beyondAim(j):
 		// It can't be in time, and reads for seconds: with few engines it keeps them from all others for the longest.
-		return helpers >= min(s.params.MaxHelpers, int(s.params.SlackShare*float64(len(s.order)))-1)
+		return helpers >= min(s.params.MaxHelpers, int(s.slackEngines())-1)
 	default:
 		return true
 	}
@@ -173,7 +173,7 @@
 // times as much, and one that is late anyway is worth a quarter: under load others would pay for them.
 func (s *State) slack(j *Job) bool {
 	idle := float64(len(s.order) - s.reading)
-	if idle < min(s.params.SlackShare*float64(len(s.order)), float64(s.params.SlackMost)) {
+	if idle < s.slackEngines() {
 		return false
 	}
 	others := s.longs
@@ -183,6 +183,11 @@
 	return others <= 0
 }
 
+// slackEngines is how many engines must read nothing before there is slack.
+func (s *State) slackEngines() float64 {
+	return min(s.params.SlackShare*float64(len(s.order)), float64(s.params.SlackMost))
+}
+
 // isLong tells whether the prompt is spread, and not packed.
 func (s *State) isLong(j *Job) bool { return s.model.read(j.Prompt) > s.params.ShortRead }
 
--- a/internal/decide/dispatch/stall.go
+++ b/internal/decide/dispatch/stall.go
@@ -25,12 +25,8 @@
 // Stalled tells whether work waits beside idle upstreams, and why.
 func (s *State) Stalled(now decide.Instant) (st Stall, ok bool) {
 	j := s.firstWaiting()
-	if j == nil {
-		s.flowing = now
-		return Stall{}, false
-	}
 	st = Stall{For: now.Sub(s.flowing), Waiting: len(s.queue)}
-	if st.For < stallTime {
+	if j == nil || st.For < stallTime {
 		return st, false
 	}
 	for _, e := range s.order {
@@ -69,8 +65,11 @@
 // probe lets one job try each link that is taken for cut, and the upstream that was out of reach first, where nothing else
 // can be placed.
 func (s *State) probe(now decide.Instant) {
+	if now.Sub(s.probed) < stallTime {
+		return
+	}
 	st, stalled := s.Stalled(now)
-	if !stalled || st.Cut+st.Unreached == 0 || now.Sub(s.probed) < stallTime {
+	if !stalled || st.Cut+st.Unreached == 0 {
 		return
 	}
 	s.probed = now
--- a/internal/decide/dispatch/step_test.go
+++ b/internal/decide/dispatch/step_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/damaskshelf/damaskshelf/internal/bench/passes"
 	"github.com/damaskshelf/damaskshelf/internal/decide/dispatch"
-	"github.com/damaskshelf/damaskshelf/internal/fleet"
 )
 
 // BenchmarkPlace is what the dispatcher spends on a short prompt that is placed, read and answered, with as many engines
@@ -51,9 +50,9 @@
 func busy(engines int, share float64) *dispatch.State {
 	m := passes.CoteauShifted.Model
 	s := dispatch.New(&m, dispatch.DefaultParams())
-	all := make([]dispatch.Upstream, engines)
+	all := upstreams(engines, "a")
 	for i := range all {
-		all[i] = dispatch.Upstream{ID: fleet.UpstreamID(fmt.Sprintf("e%04d", i)), Domain: "a", Slots: m.Slots}
+		all[i].Slots = m.Slots
 	}
 	s.SetUpstreams(all)
 	for i := range all {
--- a/internal/decide/readers/readers.go
+++ b/internal/decide/readers/readers.go
@@ -117,9 +117,7 @@
 	if len(kept) < count || kept[0] == all[0] || s.failed(all[0]) {
 		return kept
 	}
-	for _, c := range kept[count-1:] {
-		s.known[c.ID].chosen = false
-	}
+	s.known[kept[count-1].ID].chosen = false
 	s.begin(now, all[0])
 	return append([]Candidate{all[0]}, kept[:count-1]...)
 }
--- a/internal/losses/stages.go
+++ b/internal/losses/stages.go
@@ -1,10 +1,10 @@
 package losses
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -97,10 +97,7 @@
 		all = append(all, times)
 	}
 	slices.SortFunc(all, func(a, b StageTimes) int {
-		if a.Class != b.Class {
-			return strings.Compare(a.Class, b.Class)
-		}
-		return slices.Index(Stages, a.Stage) - slices.Index(Stages, b.Stage)
+		return cmp.Or(cmp.Compare(a.Class, b.Class), slices.Index(Stages, a.Stage)-slices.Index(Stages, b.Stage))
 	})
 	return all
 }
--- a/internal/placement/step.go
+++ b/internal/placement/step.go
@@ -60,8 +60,11 @@
 
 // logStall writes a line while work waits beside idle upstreams, with what is believed of them; mu is held.
 func (h *hub) logStall(now decide.Instant, service catalog.ServiceName, st *dispatch.State) {
+	if now.Sub(h.stallLogged) < stallLogEvery {
+		return
+	}
 	stall, stalled := st.Stalled(now)
-	if !stalled || now.Sub(h.stallLogged) < stallLogEvery {
+	if !stalled {
 		return
 	}
 	h.stallLogged = now
--- a/internal/watch/mirror.go
+++ b/internal/watch/mirror.go
@@ -157,9 +157,7 @@
 			m.vanished(&c, name, l.Version, now)
 		}
 	}
-	before := m.revision
-	m.revision = l.Version
-	return m.learned(c, before)
+	return m.learned(c)
 }
 
 // follow takes what a watch of the store saw after the copy's revision, and gives what it changed.
@@ -204,9 +202,7 @@
 				m.remove(&c, name, in.To)
 			}
 		}
-		before := m.revision
-		m.revision = c.To
-		return m.learned(c, before), true
+		return m.learned(c), true
 	}
 	m.revision = c.To
 	m.note(&c)
@@ -225,10 +221,12 @@
 	return c
 }
 
-// learned ends a change by which the copy became whole, where it was as of before. It is passed on whole: a list doesn't
-// tell what came and went between this copy's revision and its own, and a copy in between holds that. Where it shows
-// nothing new here, nothing that is left has a revision in between, and saying so is enough.
-func (m *mirror) learned(c Change, before uint64) Change {
+// learned ends a change by which the copy became whole. It is passed on whole: a list doesn't tell what came and went
+// between this copy's revision and its own, and a copy in between holds that. Where it shows nothing new here, nothing that
+// is left has a revision in between, and saying so is enough.
+func (m *mirror) learned(c Change) Change {
+	before := m.revision
+	m.revision = c.To
 	if m.known && c.empty() {
 		if c.To > before {
 			m.latest = c.To
