--- a/internal/gateway/life.go
+++ b/internal/gateway/life.go
@@ -168,9 +168,21 @@
 	l.attempts++
 	l.arrivals++
 	l.x, l.answer = x, l.g.deps.Dialect.ReadAnswer(&x.Head)
+	l.note()
 	return l.judge()
 }
 
+// note logs what the answer says of the upstream beside its status.
+func (l *life) note() {
+	u := l.grant.Upstream()
+	switch {
+	case l.answer.Unread != nil:
+		l.g.log.Warn("answer's header can't be read", "upstream", u.ID, "request", l.r.ID, "error", l.answer.Unread)
+	case l.answer.Limited:
+		l.g.log.Info("answer names a limit", "upstream", u.ID, "born", u.Born, "requests_per_s", l.answer.Limit, "request", l.r.ID)
+	}
+}
+
 // finish gives the grant and the memory reserved for it back.
 func (l *life) finish(o Outcome, atFault fleet.UpstreamID) {
 	l.unwatch()
