An upstream's limit holds over all instances: the dispatcher gives places within it

Cause: what an upstream says of itself on its answers was read by nobody but for the few headers that decide one request. The class: a word that arrives at one instance and binds all. The one place that knows all instances' requests is the dispatcher, and it was not told.

- decide/advertised: statements of limits by upstream and start; in any order and late.
An answer ends a limit only if its request was sent half a second after the limit was last named, and a message of before the end brings none back.
- The instance that hears it tells the dispatcher, which keeps to it and tells all others at once; both tell all they know when they attach, so that the next dispatcher knows it.
A dispatcher gives out the part of a limit that its instances are of all members: two at one time keep the sum.
- dispatch: a limited upstream gets its rate and no burst, and neither reads nor holds memory for others; one that names no limit any more rises from its rate, doubled each second.
Where all are limited, who can't have its turn in time is refused at once (rate_limited, 503, with the time until all that wait have been served).
- Without a dispatcher a limited upstream gets nothing: each instance's request would be one too many.
- Answers to orders, refusals, errors, cut ones and second answers are read as well; a value that can't be read changes nothing.

Ruled out: shares of each instance (a limit of 1 over 195 instances is no share; unused ones add up to a burst). A limit by what the sending instance checks: it doesn't know what the others send.

--- /dev/null
+++ b/internal/decide/advertised/limits.go
@@ -0,0 +1,171 @@
+// Package advertised keeps what upstreams say on their answers of how many requests they take. An answer arrives at one
+// instance and binds all: each tells the others what it heard, and what is told comes in any order and late.
+package advertised
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+)
+
+const (
+	// settleTime is how long after a limit was named a request must have been sent for its answer to end the limit. An
+	// answer of before can come behind one that names it, and ages that are told are late by a trip.
+	settleTime = 500 * time.Millisecond
+	// renewEvery is how often the others are told that a limit is still named.
+	renewEvery = time.Second
+	// maxProcesses bounds what is kept; the one that was heard of longest ago goes first.
+	maxProcesses = 10_000
+)
+
+// Process is one start of an upstream. What it said ends with it.
+type Process struct {
+	ID   fleet.UpstreamID
+	Born int64 // Unix ms of its start
+}
+
+// Statement is what an answer said of its upstream's limit.
+type Statement struct {
+	Process
+	Limited bool
+	Rate    float64          // requests a second that the process takes from all instances together
+	Sent    decide.Instant   // when the answered request was sent
+	Heard   decide.Instant   // when the head of the answer came
+	By      fleet.InstanceID // that heard it
+}
+
+// Reasons of this package: what a statement changed. None is no news to anybody.
+const (
+	None    decide.Reason = ""
+	Named   decide.Reason = "limit_named"
+	Changed decide.Reason = "limit_changed"
+	Renewed decide.Reason = "limit_renewed" // still named, and the others have not heard so for a while
+	Ended   decide.Reason = "limit_ended"
+)
+
+// Reasons lists all of them.
+var Reasons = []decide.Reason{None, Named, Changed, Renewed, Ended}
+
+// Limits are the limits in force, as far as one instance knows. They are not safe for concurrent use.
+type Limits struct {
+	all     map[Process]*limit
+	inForce int
+}
+
+type limit struct {
+	last  Statement      // that named it
+	ended decide.Instant // a request sent then was answered without a limit
+	told  decide.Instant // when the others last heard that it is named
+	over  bool
+}
+
+// New gives Limits of which none is in force.
+func New() *Limits { return &Limits{all: map[Process]*limit{}} }
+
+// InForce is the number of limits in force.
+func (l *Limits) InForce() int { return l.inForce }
+
+// Of gives the limit of a process in requests a second; ok is false if it has none.
+func (l *Limits) Of(p Process) (rate float64, ok bool) {
+	one := l.all[p]
+	if one == nil || one.over {
+		return 0, false
+	}
+	return one.last.Rate, true
+}
+
+// Take takes a statement and tells what is new with it.
+func (l *Limits) Take(s Statement) decide.Reason {
+	if s.Limited {
+		return l.named(s)
+	}
+	return l.unnamed(s)
+}
+
+func (l *Limits) named(s Statement) decide.Reason {
+	one := l.all[s.Process]
+	switch {
+	case one == nil:
+		l.makeRoom()
+		one = &limit{over: true, ended: math.MinInt64}
+		l.all[s.Process] = one
+	case s.Heard < one.ended:
+		return None // of before its end
+	case !one.over && s.Heard < one.last.Heard:
+		return None // of before what is known
+	}
+	news := Named
+	switch {
+	case one.over:
+		one.over = false
+		l.inForce++
+	case one.last.Rate != s.Rate:
+		news = Changed
+	case s.Heard.Sub(one.told) >= renewEvery:
+		news = Renewed
+	default:
+		news = None
+	}
+	one.last = s
+	if news != None {
+		one.told = s.Heard
+	}
+	return news
+}
+
+func (l *Limits) unnamed(s Statement) decide.Reason {
+	one := l.all[s.Process]
+	switch {
+	case one == nil:
+		return None
+	case one.over:
+		one.ended = max(one.ended, s.Sent)
+		return None
+	case s.Sent < one.last.Heard.Add(settleTime):
+		return None // it may be an answer of before
+	}
+	one.over, one.ended = true, s.Sent
+	l.inForce--
+	return Ended
+}
+
+// makeRoom drops the process that was heard of longest ago where there are too many.
+func (l *Limits) makeRoom() {
+	if len(l.all) < maxProcesses {
+		return
+	}
+	var oldest *limit
+	for _, one := range l.all {
+		if oldest == nil || one.heard() < oldest.heard() {
+			oldest = one
+		}
+	}
+	if !oldest.over {
+		l.inForce--
+	}
+	delete(l.all, oldest.last.Process)
+}
+
+func (one *limit) heard() decide.Instant { return max(one.last.Heard, one.ended) }
+
+// Statements gives the statements by which another one knows the same: of limits in force, and of those that ended after
+// a moment.
+func (l *Limits) Statements(after decide.Instant) []Statement {
+	var all []Statement
+	for _, one := range l.all {
+		switch {
+		case !one.over:
+			all = append(all, one.last)
+		case one.ended >= after:
+			all = append(all, Statement{Process: one.last.Process, Sent: one.ended, Heard: one.ended, By: one.last.By})
+		}
+	}
+	slices.SortFunc(all, func(a, b Statement) int {
+		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Born, b.Born))
+	})
+	return all
+}
--- /dev/null
+++ b/internal/decide/advertised/limits_test.go
@@ -0,0 +1,122 @@
+package advertised_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/decide/advertised"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+)
+
+func at(ms int) decide.Instant { return decide.Instant(time.Duration(ms) * time.Millisecond) }
+
+var u = advertised.Process{ID: "u", Born: 7}
+
+func names(rate float64, heard int) advertised.Statement {
+	return advertised.Statement{Process: u, Limited: true, Rate: rate, Sent: at(heard - 10), Heard: at(heard), By: "i"}
+}
+
+func namesNone(sent, heard int) advertised.Statement {
+	return advertised.Statement{Process: u, Sent: at(sent), Heard: at(heard), By: "i"}
+}
+
+// Guards against a limit that is passed on with every answer, or not passed on when it changes.
+func TestOnlyNewsIsNews(t *testing.T) {
+	is := is.New(t)
+	l := advertised.New()
+	is.Equal(l.Take(namesNone(0, 10)), advertised.None)
+	is.Equal(l.Take(names(2, 1000)), advertised.Named)
+	is.Equal(l.Take(names(2, 1100)), advertised.None)
+	is.Equal(l.Take(names(3, 1200)), advertised.Changed)
+	is.Equal(l.Take(names(3, 2100)), advertised.None)
+	is.Equal(l.Take(names(3, 2200)), advertised.Renewed)
+	is.Equal(l.Take(names(9, 2100)), advertised.None) // overtaken
+	rate, ok := l.Of(u)
+	is.True(ok)
+	is.Equal(rate, 3.0)
+	is.Equal(l.InForce(), 1)
+}
+
+// Guards against a limit that an answer ends which was made before the upstream named it.
+func TestAnAnswerOfBeforeEndsNoLimit(t *testing.T) {
+	is := is.New(t)
+	l := advertised.New()
+	l.Take(names(2, 1000))
+	is.Equal(l.Take(namesNone(900, 5000)), advertised.None)
+	is.Equal(l.Take(namesNone(1400, 1450)), advertised.None) // too close to tell
+	is.Equal(l.Take(namesNone(1600, 1650)), advertised.Ended)
+	_, ok := l.Of(u)
+	is.Equal(ok, false)
+	is.Equal(l.InForce(), 0)
+}
+
+// Guards against a limit that comes back by a message of before its end.
+func TestALateMessageBringsNoLimitBack(t *testing.T) {
+	is := is.New(t)
+	l := advertised.New()
+	l.Take(names(2, 1000))
+	l.Take(namesNone(3000, 3100))
+	is.Equal(l.Take(names(2, 2900)), advertised.None)
+	is.Equal(l.Take(names(2, 3200)), advertised.Named)
+}
+
+// Guards against a new process that bears the limit of the one before it.
+func TestALimitEndsWithItsProcess(t *testing.T) {
+	is := is.New(t)
+	l := advertised.New()
+	l.Take(names(2, 1000))
+	_, ok := l.Of(advertised.Process{ID: u.ID, Born: u.Born + 1})
+	is.Equal(ok, false)
+}
+
+// Guards against a memory that grows with every start of an upstream.
+func TestOldProcessesAreForgotten(t *testing.T) {
+	is := is.New(t)
+	l := advertised.New()
+	for i := range 12_000 {
+		s := names(1, i)
+		s.ID = fleet.UpstreamID(fmt.Sprint(i))
+		l.Take(s)
+	}
+	is.Equal(len(l.Statements(at(0))), 10_000)
+	is.Equal(l.InForce(), 10_000)
+	_, ok := l.Of(advertised.Process{ID: "11999", Born: u.Born})
+	is.True(ok)
+}
+
+// Guards against instances that end up with another belief for having heard the same in another order.
+func TestTheOrderOfMessagesDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		// An upstream names limits and none in turn, with pauses over the settle time: what was said last holds.
+		var said []advertised.Statement
+		now := 0
+		for i := range rapid.IntRange(1, 6).Draw(r, "statements") {
+			now += 1000 + rapid.IntRange(0, 2000).Draw(r, "pause")
+			if i%2 == 0 {
+				said = append(said, names(float64(i+1), now))
+			} else {
+				said = append(said, namesNone(now, now+10))
+			}
+		}
+		one, other := advertised.New(), advertised.New()
+		for _, s := range said {
+			one.Take(s)
+		}
+		for _, s := range rapid.Permutation(said).Draw(r, "as they come") {
+			other.Take(s)
+		}
+		for _, s := range one.Statements(at(0)) { // what an instance that attaches is told
+			other.Take(s)
+		}
+		rateOne, okOne := one.Of(u)
+		rateOther, okOther := other.Of(u)
+		if okOne != okOther || rateOne != rateOther {
+			r.Fatalf("%v of %g a second, and %v of %g", okOne, rateOne, okOther, rateOther)
+		}
+	})
+}
--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -25,6 +25,9 @@
 
 	now decide.Instant // of the step under way
 
+	limited allLimited // of the step under way
+	ahead   int        // of the step under way: jobs that wait before the one that is decided
+
 	flowing decide.Instant // when something was last placed, or nothing but long prompts waited
 	probed  decide.Instant // when links that are taken for cut were last tried
 	probing map[link]bool  // that one job may try
--- a/internal/decide/dispatch/job.go
+++ b/internal/decide/dispatch/job.go
@@ -66,10 +66,12 @@
 	NoSlack    decide.Reason = "no_slack"    // over one engine's memory, and the fleet is too busy for it
 	NoUpstream decide.Reason = "no_upstream" // none may get work
 	QueueFull  decide.Reason = "queue_full"
+	// RateLimited: every upstream is under a limit, and its turn would come too late.
+	RateLimited decide.Reason = "rate_limited"
 )
 
 // Reasons lists every reason of this package.
-var Reasons = []decide.Reason{Packed, Spread, Alone, LeastWork, TooLate, TooLarge, NoSlack, NoUpstream, QueueFull}
+var Reasons = []decide.Reason{Packed, Spread, Alone, LeastWork, TooLate, TooLarge, NoSlack, NoUpstream, QueueFull, RateLimited}
 
 // Params are the policy's figures.
 type Params struct {
--- /dev/null
+++ b/internal/decide/dispatch/limit_test.go
@@ -0,0 +1,130 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide/dispatch"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+)
+
+// placed plays a load for some seconds, each job ended after 20 ms, and counts the places by upstream.
+func placed(s *dispatch.State, from, seconds, perSecond int, prompt int) map[fleet.UpstreamID]int {
+	got := map[fleet.UpstreamID]int{}
+	for ms := from * 1000; ms < (from+seconds)*1000; ms += 10 {
+		if ms%(1000/perSecond) == 0 {
+			j := newJob(fmt.Sprint("j", ms), prompt)
+			j.Arrived, j.Aim, j.Patience, j.Deadline = at(float64(ms)), at(float64(ms+300)), at(float64(ms+2500)), at(float64(ms+2500))
+			s.Ask(j)
+		}
+		for _, d := range s.Step(at(float64(ms))) {
+			got[d.Upstream]++
+			s.Began(at(float64(ms)), d.Job.ID)
+			s.Done(at(float64(ms)), d.Job.ID, dispatch.Whole, "")
+		}
+	}
+	return got
+}
+
+// Guards against an upstream under a limit that gets more for being idle.
+func TestAnUpstreamUnderALimitGetsWhatItTakes(t *testing.T) {
+	for _, s := range []*dispatch.State{plain(3), engines(3)} {
+		is := is.New(t)
+		s.SetLimits(at(0), map[fleet.UpstreamID]float64{"a00": 2})
+		got := placed(s, 0, 10, 50, 2000)
+		t.Log(got)
+		is.True(got["a00"] <= 21)
+		is.Equal(got["a00"]+got["a01"]+got["a02"], 500)
+	}
+}
+
+// Guards against a queue behind upstreams that are all under a limit: who can't have its turn in time hears so at once,
+// and when to come back.
+func TestWhatALimitedFleetCannotServeIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := plain(2)
+	s.SetLimits(at(0), map[fleet.UpstreamID]float64{"a00": 1, "a01": 1})
+	for i := range 20 {
+		j := newJob(fmt.Sprintf("j%02d", i), 0)
+		j.Arrived, j.Aim, j.Patience = at(float64(i)), 0, at(3100)
+		j.Priority = i % 2
+		s.Ask(j)
+	}
+	var refused []dispatch.Decision
+	for _, d := range s.Step(at(20)) {
+		is.Equal(d.Reason, dispatch.RateLimited)
+		refused = append(refused, d)
+	}
+	is.Equal(len(refused), 14) // two a second for three seconds have their turn
+	urgent := 0
+	for _, d := range refused {
+		is.True(d.RetryAfter >= 3*time.Second && d.RetryAfter <= 4*time.Second)
+		if d.Job.Priority == 0 {
+			urgent++
+		}
+	}
+	is.Equal(urgent, 4) // ten are urgent, and six have their turn
+	served := 0
+	for ms := 30; ms < 3100; ms += 10 {
+		for _, d := range s.Step(at(float64(ms))) {
+			if d.Upstream != "" {
+				is.Equal(d.Job.Priority, 0)
+				served++
+			}
+		}
+	}
+	is.Equal(served, 6)
+}
+
+// Guards against an upstream that was in need and gets as much at once as it has places when it names no limit any more.
+func TestALimitThatEndsRisesByAndBy(t *testing.T) {
+	is := is.New(t)
+	s := plain(2)
+	s.SetLimits(at(0), map[fleet.UpstreamID]float64{"a00": 1})
+	placed(s, 0, 5, 100, 0)
+	s.SetLimits(at(5000), nil)
+	second := placed(s, 5, 1, 100, 0)["a00"]
+	is.True(second <= 3) // once, and doubled
+	placed(s, 6, 8, 100, 0)
+	is.True(placed(s, 14, 1, 100, 0)["a00"] > 40)
+	n, _ := s.Limited()
+	is.Equal(n, 0)
+}
+
+// Guards against an engine in need that reads or holds memory for prompts on other engines.
+func TestAnEngineUnderALimitHelpsNobody(t *testing.T) {
+	is := is.New(t)
+	s := engines(4)
+	s.SetLimits(at(0), map[fleet.UpstreamID]float64{"a00": 5})
+	d := one(t, s, 1, newJob("long", 200_000))
+	is.True(d.Upstream != "")
+	for _, h := range d.Helpers {
+		is.True(h != "a00")
+	}
+	s = engines(6)
+	s.SetLimits(at(0), map[fleet.UpstreamID]float64{"a00": 5, "a01": 5})
+	big := newJob("oversized", 700_000)
+	big.Aim, big.Patience = at(30_000), at(60_000)
+	d = one(t, s, 1, big)
+	is.True(len(d.Holders) > 0)
+	for _, h := range d.Holders {
+		is.True(h.Upstream != "a00" && h.Upstream != "a01")
+	}
+}
+
+// Guards against a dispatcher that begins with a burst: the one before it may just have given out the same.
+func TestALimitBeginsWithNothingLeft(t *testing.T) {
+	is := is.New(t)
+	s := plain(1)
+	s.SetLimits(at(50_000), map[fleet.UpstreamID]float64{"a00": 40})
+	for i := range 10 {
+		j := newJob(fmt.Sprint("j", i), 0)
+		j.Arrived, j.Patience = at(50_000), at(60_000)
+		s.Ask(j)
+	}
+	is.Equal(len(s.Step(at(50_000))), 0)
+	is.Equal(len(s.Step(at(50_100))), 4)
+}
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -59,6 +59,7 @@
 	var out []Decision
 	waiting := s.queue[:0]
 	for _, j := range s.queue {
+		s.ahead = len(waiting)
 		d, settled := s.decide(now, j)
 		if settled {
 			if d.Upstream != "" {
@@ -119,16 +120,15 @@
 	if s.model != nil && !j.Resumed && s.oversized(j) && s.late(now, j) && !s.beyondAim(j) {
 		return s.refuse(j, NoSlack), true
 	}
-	if s.model == nil {
-		return s.placePlain(now, j)
-	}
-	if !s.isLong(j) {
-		if d, ok := s.pack(now, j); ok {
-			return d, true
-		}
-	} else if d, ok := s.spread(now, j); ok {
+	if d, settled := s.place(now, j); settled {
 		return d, true
 	}
+	if now.Add(s.limitedWait(s.ahead)) > j.Patience {
+		return s.refuse(j, RateLimited), true
+	}
+	if s.model == nil {
+		return Decision{}, false
+	}
 	if s.heldEnough(now, j) {
 		return s.refuse(j, TooLate), true
 	}
@@ -138,6 +138,17 @@
 	return Decision{}, false
 }
 
+// place gives a job the place that it can have now.
+func (s *State) place(now decide.Instant, j *Job) (Decision, bool) {
+	if s.model == nil {
+		return s.placePlain(now, j)
+	}
+	if !s.isLong(j) {
+		return s.pack(now, j)
+	}
+	return s.spread(now, j)
+}
+
 // heldEnough tells whether a job that is late anyway has waited so long that it should hear so and come back.
 func (s *State) heldEnough(now decide.Instant, j *Job) bool {
 	patience := j.Patience.Sub(j.Arrived)
@@ -154,13 +165,18 @@
 	return false
 }
 
-// placed is the decision that gives a run its place.
+// placed is the decision that gives a run its place, and counts it where its upstream is under a limit.
 func (s *State) placed(r *run, why decide.Reason) Decision {
+	r.on.takeLimit()
 	return Decision{Job: r.job, Upstream: r.on.ID, Reason: why, Overdue: s.overdue(r)}
 }
 
 func (s *State) refuse(j *Job, why decide.Reason) Decision {
-	if why == NoSlack {
+	switch why {
+	case RateLimited:
+		// All that wait go first, whoever comes back meanwhile.
+		return Decision{Job: j, Reason: why, RetryAfter: max(leastRetryAfter, s.limitedWait(s.ahead))}
+	case NoSlack:
 		// Slack comes with another mix, and not within a moment.
 		return Decision{Job: j, Reason: why, RetryAfter: mostRetryAfter}
 	}
@@ -185,7 +201,7 @@
 // takes tells whether the upstream may get the job now, its reading aside.
 func (s *State) takes(now decide.Instant, e *engine, j *Job) bool {
 	return !e.gone && len(e.runs) < e.slotsFor(s.model, j) && !slices.Contains(j.Avoid, e.ID) &&
-		!e.paused(now) && now >= e.full && s.warmEnough(now, e) && s.reaches(j.From, e)
+		!e.paused(now) && now >= e.full && s.warmEnough(now, e) && s.reaches(j.From, e) && e.underLimit(now)
 }
 
 // slotsFor gives the places that a job may use. What is over its workspace's share leaves some free: those of others come
--- a/internal/decide/dispatch/runs.go
+++ b/internal/decide/dispatch/runs.go
@@ -50,6 +50,7 @@
 	slow        float64        // how many times longer than planned it has taken lately, at least 1
 	slowAt      decide.Instant // when that was learnt
 	full        decide.Instant // until then it is taken to have no room: it said so
+	limit       *limit         // nil: it takes any number of requests
 	// unreached holds when an instance of a failure domain last could not connect to it.
 	unreached map[fleet.DomainID]decide.Instant
 }
--- a/internal/decide/dispatch/spread.go
+++ b/internal/decide/dispatch/spread.go
@@ -91,7 +91,9 @@
 		if s.canAnswer(now, e, j, smallest) && (first == nil || s.answerDelay(e) < s.answerDelay(first)) {
 			first = e
 		}
-		best = s.insert(best, e, most)
+		if !e.limited(now) { // one in need reads and holds nothing for others
+			best = s.insert(best, e, most)
+		}
 	}
 	return best, first
 }
--- a/internal/decide/dispatch/stall.go
+++ b/internal/decide/dispatch/stall.go
@@ -19,7 +19,7 @@
 	Waiting int
 	Idle    int // upstreams without work that may get some
 	// Of the idle ones, as the first waiting job sees them; one may be counted in several.
-	Paused, Full, Cold, Unreached, Cut int
+	Paused, Full, Cold, Unreached, Cut, Limited int
 }
 
 // Stalled tells whether work waits beside idle upstreams, and why.
@@ -37,6 +37,7 @@
 		st.Paused += count(e.paused(now))
 		st.Full += count(now < e.full)
 		st.Cold += count(!s.warmEnough(now, e))
+		st.Limited += count(e.limit != nil)
 		_, unreached := e.unreached[j.From]
 		st.Unreached += count(unreached)
 		st.Cut += count(s.cuts[link{j.From, e.Domain}] >= cutFrom)
--- a/internal/decide/dispatch/survey.go
+++ b/internal/decide/dispatch/survey.go
@@ -34,6 +34,7 @@
 			}
 		}
 	}
+	s.surveyLimits(now)
 	s.meanPass = 0
 	if busy > 0 {
 		s.meanPass = total / float64(busy)
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -51,6 +51,7 @@
 	QueueFull                    // bounded queue is full
 	WorkspaceLimit               // the workspace is over its own limit
 	NoUpstream                   // no upstream may take the request now
+	UpstreamLimit                // every upstream is under a limit of its own, and the request's turn would come too late
 	NoMemory                     // no group of engines has the memory
 	Stopping                     // this instance is stopping
 	NotReady                     // this instance has no configuration yet
@@ -108,6 +109,7 @@
 	QueueFull:        {"queue_full", 429, notRun, time.Second},
 	WorkspaceLimit:   {"workspace_limit", 429, notRun, time.Second},
 	NoUpstream:       {"no_upstream", 503, notRun, 2 * time.Second},
+	UpstreamLimit:    {"upstream_limit", 503, notRun, 2 * time.Second},
 	NoMemory:         {"no_memory", 503, notRun, 2 * time.Second},
 	Stopping:         {"stopping", 503, notRun, elsewhere},
 	NotReady:         {"not_ready", 503, notRun, startTime},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,10 @@
 	Unread  error   // names a header that can't be read: what it says isn't known
 }
 
+// Answered takes what the head of an upstream's answer says of it, and when the answered request was sent; zero: it isn't
+// known.
+type Answered func(u *catalog.Upstream, a Answer, sent time.Time)
+
 // Dialect reads and writes heads in the words of the wire.
 type Dialect interface {
 	// ReadRequest reads a caller's head. An error names the header and value at fault.
--- a/internal/gateway/life.go
+++ b/internal/gateway/life.go
@@ -160,7 +160,7 @@
 		"entry_revision", u.Revision)
 	x, err := l.g.deps.Client.Forward(l.watch(), upstream.Opaque{
 		Addr: u.Addr, Head: head, Body: l.r.body, Fresh: l.r.route.Kind == catalog.NonIdempotent,
-		Own: func(h *fasthttp.ResponseHeader) bool { return l.g.deps.Dialect.Own(h, l.r.ID) },
+		Own: l.own,
 	})
 	if err != nil {
 		return l.sendFailed(err)
@@ -168,19 +168,33 @@
 	l.attempts++
 	l.arrivals++
 	l.x, l.answer = x, l.g.deps.Dialect.ReadAnswer(&x.Head)
-	l.note()
+	l.note(l.answer, l.sentAt)
 	return l.judge()
 }
 
-// note logs what the answer says of the upstream beside its status.
-func (l *life) note() {
+// note takes what an answer says of its upstream beside its status. sent is zero where it isn't known to which request it
+// belongs.
+func (l *life) note(a Answer, sent time.Time) {
 	u := l.grant.Upstream()
 	switch {
-	case l.answer.Unread != nil:
-		l.g.log.Warn("answer's header can't be read", "upstream", u.ID, "request", l.r.ID, "error", l.answer.Unread)
-	case l.answer.Limited:
-		l.g.log.Info("answer names a limit", "upstream", u.ID, "born", u.Born, "requests_per_s", l.answer.Limit, "request", l.r.ID)
+	case a.Other: // it speaks of another upstream
+	case a.Unread != nil:
+		l.g.log.Warn("answer's header can't be read", "upstream", u.ID, "request", l.r.ID, "error", a.Unread)
+	default:
+		if a.Limited {
+			l.g.deps.Metrics.Counter("answers_limited").Inc(1)
+		}
+		l.g.deps.Answered(u, a, sent)
+	}
+}
+
+// own tells whether an answer belongs to the request. One that doesn't is dropped, and still tells of its upstream.
+func (l *life) own(h *fasthttp.ResponseHeader) bool {
+	if l.g.deps.Dialect.Own(h, l.r.ID) {
+		return true
 	}
+	l.note(l.g.deps.Dialect.ReadAnswer(h), time.Time{})
+	return false
 }
 
 // finish gives the grant and the memory reserved for it back.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -49,6 +49,7 @@
 	Memory   Memory
 	Gate     *gate.Gate
 	Left     func(u *catalog.Upstream, sign string) // an upstream said that it leaves
+	Answered Answered
 	Explain  *explain.Recorder
 	Metrics  *metrics.Registry
 	Log      hclog.Logger
--- a/internal/losses/cause.go
+++ b/internal/losses/cause.go
@@ -21,6 +21,7 @@
 	RefusedNoSlack    Cause = "refused_no_slack"    // over one engine's memory, and the fleet was busy
 	RefusedTooLarge   Cause = "refused_too_large"   // over the memory of all engines that could hold it together
 	RefusedQueueFull  Cause = "refused_queue_full"  // more requests waited than are kept
+	RefusedLimit      Cause = "refused_limit"       // every upstream was under a limit of its own
 	RefusedNoUpstream Cause = "refused_no_upstream" // no upstream of its service could take work
 	RefusedStopping   Cause = "refused_stopping"    // its instance was stopping
 	RefusedStarting   Cause = "refused_starting"    // its instance had just started, or had been paused
@@ -35,7 +36,7 @@
 // Causes lists every cause.
 var Causes = []Cause{
 	LatePlace, LateFirst, Paused, PausedResume, RefusedTooLate, RefusedNoSlack, RefusedTooLarge, RefusedQueueFull,
-	RefusedNoUpstream, RefusedStopping, RefusedStarting, UpstreamFailed, StreamCut, TimeUp, CallerGone, InstanceEnded, Other,
+	RefusedLimit, RefusedNoUpstream, RefusedStopping, RefusedStarting, UpstreamFailed, StreamCut, TimeUp, CallerGone, InstanceEnded, Other,
 }
 
 // Outcome is what a caller saw of a request, more roughly than its cause.
@@ -68,6 +69,7 @@
 // refusals are causes by the reason of a refusal.
 var refusals = map[string]Cause{
 	"too_late": RefusedTooLate, "no_slack": RefusedNoSlack, "too_large": RefusedTooLarge, "queue_full": RefusedQueueFull,
+	"rate_limited": RefusedLimit,
 }
 
 // faults are causes by the kind of a fault, where that alone tells.
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -57,6 +57,7 @@
 	log      hclog.Logger
 	hub      *hub
 	local    *Local
+	limits   *board
 	news     *outbox[news]
 
 	mu      sync.Mutex
@@ -75,11 +76,12 @@
 // NewClient gives a Client of instance self.
 func NewClient(self fleet.InstanceID, domain fleet.DomainID, f *watch.Follower, log hclog.Logger) *Client {
 	c := &Client{
-		self: self, domain: domain, follower: f, snapshot: f.Snapshot, log: log.Named("placement"), hub: newHub(f, log), local: NewLocal(f.Snapshot),
+		self: self, domain: domain, follower: f, snapshot: f.Snapshot, log: log.Named("placement"), hub: newHub(f, log), limits: newBoard(log.Named("placement")),
 		waiting: map[fleet.RequestID]*waiting{}, running: map[fleet.RequestID]*dispatched{},
 		rests: map[fleet.InstanceID]rest{}, behind: map[fleet.InstanceID]*remoteSink{}, lacked: map[string]time.Time{}, news: newOutbox[news](),
 		look: make(chan struct{}, 1),
 	}
+	c.local = NewLocal(f.Snapshot, c.limits.limited)
 	f.Share(c.stateChanged)
 	return c
 }
@@ -205,7 +207,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	m := &pb.FromEntry{Entry: string(c.self), Domain: string(c.domain), Proofs: proofMessages(proofs)}
+	m := &pb.FromEntry{
+		Entry: string(c.self), Domain: string(c.domain), Proofs: proofMessages(proofs), Limits: c.limits.messages(c.snapshot()),
+	}
 	for _, r := range c.running {
 		m.Running = append(m.Running, r.message(now))
 	}
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -50,6 +50,7 @@
 	opened   decide.Instant                          // guarded by mu: when the first instance attached
 	readers  readers.State                           // guarded by mu
 	duties   map[fleet.InstanceID]pb.ToEntry_Duty    // guarded by mu: as last told
+	limits   *board                                  // what upstreams say that they take; the services' states go by it
 	ordered  ordering
 	// stallLogged is when a stall was last logged.
 	stallLogged decide.Instant // guarded by mu
@@ -59,7 +60,7 @@
 	return &hub{
 		follower: f, snapshot: f.Snapshot, log: log.Named("dispatcher"), start: time.Now(),
 		services: map[catalog.ServiceName]*dispatch.State{}, entries: map[fleet.InstanceID]sink{}, missed: map[fleet.InstanceID]decide.Instant{},
-		wholes:  wholes{},
+		wholes: wholes{}, limits: newBoard(log.Named("dispatcher")),
 		domains: map[fleet.InstanceID]fleet.DomainID{}, duties: map[fleet.InstanceID]pb.ToEntry_Duty{},
 	}
 }
@@ -84,10 +85,12 @@
 		st.Forget(entry)
 	}
 	h.catchUp(s, first.Proofs)
+	h.catchUpLimits(s)
 	s.send(&pb.ToEntry{Proofs: proofMessages(h.follower.Proofs())})
 	delete(h.duties, entry)
 	h.chooseReaders()
 	h.refresh(now)
+	h.setLimits(now) // its part of them has grown
 	h.take(now, entry, first)
 }
 
@@ -106,6 +109,7 @@
 	for _, st := range h.services {
 		st.Forget(entry)
 	}
+	h.setLimits(h.now())
 	h.wake()
 }
 
@@ -181,6 +185,7 @@
 	for _, a := range m.Asks {
 		h.of(a.Service).Ask(h.job(a, entry, now))
 	}
+	h.takeLimits(now, m.Limits)
 	if h.stepTook > longStep {
 		h.wake() // one step for all messages that come meanwhile
 		return
@@ -293,6 +298,7 @@
 		}
 	}
 	st.SetUpstreams(open)
+	st.SetLimits(now, h.rates(name))
 }
 
 // coldShare is the part of a cold upstream's limit that one dispatcher gives out. Two may do so at once
--- a/internal/placement/local.go
+++ b/internal/placement/local.go
@@ -16,24 +16,26 @@
 // Local places by what this instance alone knows: the upstream with the least of its own work for its slots.
 type Local struct {
 	snapshot func() *catalog.Snapshot
+	limited  func(*catalog.Upstream) bool // it takes only so many requests of all instances
 
 	mu   sync.Mutex
 	work map[fleet.UpstreamID]int // guarded by mu: own requests in flight
 }
 
 // NewLocal gives a Local.
-func NewLocal(snapshot func() *catalog.Snapshot) *Local {
-	return &Local{snapshot: snapshot, work: map[fleet.UpstreamID]int{}}
+func NewLocal(snapshot func() *catalog.Snapshot, limited func(*catalog.Upstream) bool) *Local {
+	return &Local{snapshot: snapshot, limited: limited, work: map[fleet.UpstreamID]int{}}
 }
 
-// Place implements gateway.Placer. It never waits.
+// Place implements gateway.Placer. It never waits. An upstream under a limit gets nothing: what others send there isn't
+// known, and each instance's request would be one too many.
 func (l *Local) Place(_ context.Context, a gateway.Ask) (gateway.Grant, error) {
 	snap := l.snapshot()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var best *catalog.Upstream
 	for _, u := range snap.Upstreams(a.Service) {
-		if !snap.Open(u) || slices.Contains(a.Avoid, u.ID) {
+		if !snap.Open(u) || slices.Contains(a.Avoid, u.ID) || l.limited(u) {
 			continue
 		}
 		if best == nil || l.load(u) < l.load(best) {
--- a/internal/placement/requests.go
+++ b/internal/placement/requests.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/decide/dispatch"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/gateway"
@@ -38,6 +40,9 @@
 // got takes a message of the dispatcher.
 func (c *Client) got(m *pb.ToEntry) {
 	c.gotBack(m.Back)
+	for _, l := range m.Limits {
+		c.limits.take(c.limits.statement(l))
+	}
 	if len(m.Changes)+len(m.Proofs) > 0 {
 		c.gotState(m)
 	}
@@ -119,12 +124,17 @@
 	c.tell(&pb.FromEntry{Withdrawn: []string{string(id)}})
 }
 
+// refusalKinds are the kinds of refusals that don't come from the request itself.
+var refusalKinds = map[decide.Reason]fault.Kind{
+	dispatch.NoUpstream: fault.NoUpstream, dispatch.RateLimited: fault.UpstreamLimit,
+}
+
 // answer turns the dispatcher's reply into a grant or a refusal.
 func (c *Client) answer(ctx context.Context, w *waiting, r reply) (gateway.Grant, error) {
 	if r.refused != nil {
 		f := fault.New(fault.Infeasible, "%s", r.refused.Reason)
-		if r.refused.Reason == "no_upstream" {
-			f.Kind = fault.NoUpstream
+		if kind, ok := refusalKinds[decide.Reason(r.refused.Reason)]; ok {
+			f.Kind = kind
 		}
 		f.RetryAfter = ms(r.refused.RetryAfterMs)
 		return nil, f
--- a/internal/placement/session.go
+++ b/internal/placement/session.go
@@ -171,6 +171,7 @@
 		all.Changes = append(all.Changes, m.Changes...)
 		all.Back = append(all.Back, m.Back...)
 		all.Proofs = append(all.Proofs, m.Proofs...)
+		all.Limits = append(all.Limits, m.Limits...)
 		if m.Duty != pb.ToEntry_AS_BEFORE {
 			all.Duty = m.Duty
 		}
@@ -297,6 +298,7 @@
 		all.Changes = append(all.Changes, m.Changes...)
 		all.Proofs = append(all.Proofs, m.Proofs...)
 		all.Passed = append(all.Passed, m.Passed...)
+		all.Limits = append(all.Limits, m.Limits...)
 		if len(m.Reads) > 0 {
 			all.Reads = m.Reads
 		}
--- a/internal/placement/step.go
+++ b/internal/placement/step.go
@@ -50,9 +50,11 @@
 		return
 	}
 	j := d.Job
+	limited, rate := st.Limited()
 	h.log.Info("refused", "request", j.ID, "reason", d.Reason, "entry", j.Entry, "prompt", j.Prompt,
 		"waited_ms", now.Sub(j.Arrived).Milliseconds(), "patience_left_ms", j.Patience.Sub(now).Milliseconds(),
-		"waiting", st.Waiting(), "running", st.Running(), "fleet_revision", h.fleetRevision(), "retry_after_ms", d.RetryAfter.Milliseconds())
+		"waiting", st.Waiting(), "running", st.Running(), "limited", limited, "limited_per_s", rate,
+		"fleet_revision", h.fleetRevision(), "retry_after_ms", d.RetryAfter.Milliseconds())
 }
 
 // stallLogEvery bounds the lines of stalls.
@@ -69,7 +71,7 @@
 	}
 	h.stallLogged = now
 	h.log.Warn("work waits beside idle upstreams", "service", service, "for_ms", stall.For.Milliseconds(), "waiting", stall.Waiting,
-		"idle", stall.Idle, "paused", stall.Paused, "full", stall.Full, "cold", stall.Cold, "unreached", stall.Unreached,
+		"idle", stall.Idle, "paused", stall.Paused, "full", stall.Full, "cold", stall.Cold, "limited", stall.Limited, "unreached", stall.Unreached,
 		"cut", stall.Cut, "fleet_revision", h.fleetRevision())
 }
 
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -41,7 +41,7 @@
 	Kinds   watch.Kinds
 	Decoder watch.Decoder
 	Dialect gateway.Dialect
-	Memory  func(*upstream.Client) gateway.Memory
+	Memory  func(*upstream.Client, gateway.Answered) gateway.Memory
 }
 
 // Node is one instance.
@@ -132,8 +132,8 @@
 	rec *explain.Recorder, m *metrics.Registry, log hclog.Logger) *gateway.Gateway {
 	l := s.Routed.Limits
 	return gateway.New(gateway.Deps{
-		Snapshot: f.Snapshot, Doubtful: f.Doubtful, Dialect: a.Dialect, Placer: p, Budget: b, Client: c, Memory: a.Memory(c),
-		Gate: g, Left: f.Left, Explain: rec, Metrics: m, Log: log,
+		Snapshot: f.Snapshot, Doubtful: f.Doubtful, Dialect: a.Dialect, Placer: p, Budget: b, Client: c, Memory: a.Memory(c, p.Answered),
+		Gate: g, Left: f.Left, Answered: p.Answered, Explain: rec, Metrics: m, Log: log,
 		Limits: gateway.Limits{
 			MaxHeaderBytes: l.MaxHeaderBytes, MaxBodyBytes: l.MaxBodyBytes, MaxConnections: l.MaxConnections,
 			ReadTimeout: time.Duration(l.ReadTimeout), IdleTimeout: time.Duration(l.IdleTimeout), WriteStall: writeStall,
@@ -257,6 +257,9 @@
 // Dispatcher is the instance that gives places to this one's requests now; empty: none.
 func (n *Node) Dispatcher() string { return string(n.parts.Placer.Dispatcher()) }
 
+// Limited is the number of upstreams' limits that the instance believes to be in force.
+func (n *Node) Limited() int { return n.parts.Placer.Limited() }
+
 // Snapshot is what the instance knows of the fleet now.
 func (n *Node) Snapshot() *catalog.Snapshot { return n.parts.Follower.Snapshot() }
 
--- a/internal/routed/side.go
+++ b/internal/routed/side.go
@@ -15,6 +15,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
 	"github.com/damaskshelf/damaskshelf/internal/httplog"
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
+	"github.com/damaskshelf/damaskshelf/internal/placement"
 	"github.com/damaskshelf/damaskshelf/internal/watch"
 )
 
@@ -32,7 +33,7 @@
 	served         chan error
 }
 
-func newSide(s api.Settings, o Options, f *watch.Follower, g *gate.Gate, m *metrics.Registry, log hclog.Logger) *side {
+func newSide(s api.Settings, o Options, f *watch.Follower, p *placement.Client, g *gate.Gate, m *metrics.Registry, log hclog.Logger) *side {
 	ready := router.New()
 	ready.GET(s.Routed.ReadyPath, func(ctx *fasthttp.RequestCtx) {
 		if why := notReady(f, g); why != "" {
@@ -46,6 +47,7 @@
 		if o.DroppedLines != nil {
 			m.Gauge("log_dropped").Update(int64(o.DroppedLines()))
 		}
+		m.Gauge("upstreams_limited").Update(int64(p.Limited()))
 		ctx.SetBody(m.Text())
 	})
 	return &side{ready: sideServer(ready, log), metrics: sideServer(numbers, log), served: make(chan error, 2)}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -194,46 +193,3 @@
 	}
 	return e
 }
-
-// header is one header of a call.
-type header struct{ name, value string }
-
-// json sends in (nil: no body) and decodes a 2xx answer into out (nil: dropped).
-func (c *Client) json(ctx context.Context, addr, method, path string, in, out any, wait time.Duration, headers ...header) error {
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	req.SetRequestURI("http://" + addr + path)
-	req.Header.SetMethod(method)
-	for _, h := range headers {
-		req.Header.Set(h.name, h.value)
-	}
-	if in != nil {
-		body, err := json.Marshal(in)
-		if err != nil {
-			return fmt.Errorf("encode %s %s: %w", method, path, err)
-		}
-		req.Header.SetContentType("application/json")
-		req.SetBodyRaw(body)
-	}
-	x, err := c.send(ctx, addr, req, bounds{wait: wait})
-	if err != nil {
-		return err
-	}
-	body, err := readBody(x)
-	if err != nil {
-		return x.fail(ctx, err)
-	}
-	if status := x.resp.StatusCode(); status < 200 || status > 299 {
-		refused := x.refusal(errors.New(string(body)))
-		x.finish(true)
-		return refused
-	}
-	x.finish(true)
-	if out == nil {
-		return nil
-	}
-	if err := json.Unmarshal(body, out); err != nil {
-		return fmt.Errorf("decode answer of %s %s: %w", method, path, err)
-	}
-	return nil
-}
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -101,7 +101,7 @@
 // Cancel ends a request's dispatches up to that attempt on an engine; cancelling twice does no harm. A
 // later attempt may be on its way to the same engine, and is not touched.
 func (c *Client) Cancel(ctx context.Context, addr, requestID string, attempt int) error {
-	upTo := header{wire.HeaderAttempt, strconv.Itoa(attempt)}
+	upTo := [2]string{wire.HeaderAttempt, strconv.Itoa(attempt)}
 	return c.json(ctx, addr, fasthttp.MethodPost, withID(wire.PathCancel, requestID), nil, nil, smallCall, upTo)
 }
 
--- a/test/soak/promises_test.go
+++ b/test/soak/promises_test.go
@@ -258,6 +258,31 @@
 	}
 }
 
+// limitedGetsWhatItTakes checks that workers that name a limit get it over all daemons: from three seconds after it was named,
+// in four seconds half as much again and five at most.
+func (w *world) limitedGetsWhatItTakes() {
+	const rate = 2.0
+	limited := w.workers[2:4] // one of each service
+	for _, worker := range limited {
+		worker.Say(standin.Limit(rate))
+	}
+	time.Sleep(3 * time.Second)
+	from := time.Now()
+	time.Sleep(4 * time.Second)
+	for _, worker := range limited {
+		got := 0
+		for _, a := range worker.Arrivals() {
+			if a.At.After(from) {
+				got++
+			}
+		}
+		if float64(got) > 1.5*rate*4+5 {
+			w.t.Errorf("%s: %d requests in four seconds reached a worker that takes %g a second", worker.ID, got, rate)
+		}
+		worker.Say()
+	}
+}
+
 // leavingGetsNothing checks that a worker that leaves gets no new work two seconds after it said so.
 func (w *world) leavingGetsNothing() {
 	w.register(0, "draining")
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -54,6 +54,7 @@
 type world struct {
 	t       *testing.T
 	rand    *rand.Rand
+	words   *rand.Rand // of what workers say of themselves: the other faults of a seed don't depend on it
 	store   *standin.Store
 	links   []*proxy // to the store, one for each daemon
 	peers   []*proxy
@@ -77,6 +78,7 @@
 	w.heal()
 	w.waitCalm("after the faults")
 	w.newsIsInForce()
+	w.limitedGetsWhatItTakes()
 	w.leavingGetsNothing()
 	close(stop)
 	all.Wait()
@@ -94,7 +96,7 @@
 			t.Fatal(err)
 		}
 	}
-	w := &world{t: t, rand: rand.New(rand.NewPCG(seed, 1)), book: newBook(), version: 1}
+	w := &world{t: t, rand: rand.New(rand.NewPCG(seed, 1)), words: rand.New(rand.NewPCG(seed, 2)), book: newBook(), version: 1}
 	var err error
 	if w.store, err = standin.NewStore(); err != nil {
 		t.Fatal(err)
@@ -165,6 +167,7 @@
 func (w *world) faults(length time.Duration) {
 	for end := time.Now().Add(length); time.Now().Before(end); {
 		w.fault()
+		w.word()
 		time.Sleep(time.Duration(w.rand.IntN(600)) * time.Millisecond)
 	}
 }
@@ -197,6 +200,17 @@
 	}
 }
 
+// word has a worker name a limit in its answers, or no longer, now and then.
+func (w *world) word() {
+	worker := w.workers[w.words.IntN(len(w.workers))]
+	switch w.words.IntN(6) {
+	case 0, 1:
+		worker.Say(standin.Limit(0.5 + 20*w.words.Float64()))
+	case 2:
+		worker.Say()
+	}
+}
+
 // disturb kills, stops, pauses or wakes a daemon.
 func (w *world) disturb(d *daemon) {
 	switch w.rand.IntN(4) {
@@ -222,6 +236,9 @@
 // heal ends every fault. Connections that went silent stay dead.
 func (w *world) heal() {
 	w.store.SetFault(standin.StoreSound)
+	for _, worker := range w.workers {
+		worker.Say()
+	}
 	for _, all := range [][]*proxy{w.links, w.peers, w.ways} {
 		for _, p := range all {
 			p.set(passing, 0)
