--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,6 +41,7 @@
 	Other   bool    // another upstream has the address now
 	AtFault string  // the address of the upstream at fault, which may be a helper; empty: not said
 	Coded   bool    // the body has an encoding that nobody asked for: it isn't the upstream's
+	Leaving bool    // the upstream leaves: it is to get no new work
 	Limited bool    // Limit says something
 	Limit   float64 // requests a second that the upstream takes from all instances together
 	Unread  error   // names a header that can't be read: what it says isn't known
