An upstream that says on its answers that it leaves gets no new work, from any instance

Cause: the store was the only source of an upstream's leaving. The class is that of the limit: a word that arrives at one instance and binds all, and nobody who reads it.

- Whoever reads a head that says so (any status, orders, second answers) sends it nothing more, tells the dispatcher, and that all others; both tell what they know when they attach, so that the next dispatcher knows it too.
- A departure is final for the upstream's process, named by its start: no news of the store of that process, however late, takes it back.
It outlives the entry; before, it was forgotten when an entry lapsed and the same one came back.
- The same cause elsewhere: that an address is another upstream's by now was told to the dispatcher alone, in the end of a request, and the next dispatcher didn't know it.
It goes the same way now, and the end of a request says nothing of it.

Ruled out: a revision of the store as the order between the two sources: the entry that says ready can be written after the answer, by an upstream that could not write its leaving yet; only another start is another process.

--- a/internal/gateway/life.go
+++ b/internal/gateway/life.go
@@ -181,9 +181,6 @@
 	case a.Unread != nil:
 		l.g.log.Warn("answer's header can't be read", "upstream", u.ID, "request", l.r.ID, "error", a.Unread)
 	default:
-		if a.Leaving {
-			l.g.log.Info("answer says that its upstream leaves", "upstream", u.ID, "born", u.Born, "request", l.r.ID)
-		}
 		if a.Limited {
 			l.g.deps.Metrics.Counter("answers_limited").Inc(1)
 		}
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -209,6 +209,7 @@
 	now := time.Now()
 	m := &pb.FromEntry{
 		Entry: string(c.self), Domain: string(c.domain), Proofs: proofMessages(proofs), Limits: c.limits.messages(c.snapshot()),
+		Departures: departureMessages(c.follower.Departures()),
 	}
 	for _, r := range c.running {
 		m.Running = append(m.Running, r.message(now))
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -44,9 +44,6 @@
 	}
 	g.c.mu.Unlock()
 	m := &pb.Ended{Id: string(g.ask.ID), How: hows[o], AtFault: string(atFault)}
-	if o == gateway.Replaced {
-		m.AtFault, m.Born = string(g.upstream.ID), g.upstream.Born
-	}
 	g.c.tell(&pb.FromEntry{Ended: []*pb.Ended{m}})
 }
 
@@ -68,5 +65,4 @@
 
 var hows = map[gateway.Outcome]pb.Ended_How{
 	gateway.Failed: pb.Ended_FAILED, gateway.Unreachable: pb.Ended_UNREACHABLE, gateway.Rejected: pb.Ended_FULL,
-	gateway.Replaced: pb.Ended_LEFT,
 }
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -38,20 +38,21 @@
 	log      hclog.Logger
 	start    time.Time
 
-	mu       sync.Mutex
-	services map[catalog.ServiceName]*dispatch.State // guarded by mu
-	entries  map[fleet.InstanceID]sink               // guarded by mu
-	domains  map[fleet.InstanceID]fleet.DomainID     // guarded by mu: of the attached instances
-	seen     *catalog.Snapshot                       // guarded by mu: that the states go by
-	missed   map[fleet.InstanceID]decide.Instant     // guarded by mu: since when members have had no session
-	stepTook time.Duration                           // guarded by mu: by the last step
-	dirty    chan struct{}                           // holds a token while something has changed since the last step
-	wholes   wholes                                  // guarded by mu
-	opened   decide.Instant                          // guarded by mu: when the first instance attached
-	readers  readers.State                           // guarded by mu
-	duties   map[fleet.InstanceID]pb.ToEntry_Duty    // guarded by mu: as last told
-	limits   *board                                  // what upstreams say that they take; the services' states go by it
-	ordered  ordering
+	mu               sync.Mutex
+	services         map[catalog.ServiceName]*dispatch.State // guarded by mu
+	entries          map[fleet.InstanceID]sink               // guarded by mu
+	domains          map[fleet.InstanceID]fleet.DomainID     // guarded by mu: of the attached instances
+	seen             *catalog.Snapshot                       // guarded by mu: that the states go by
+	missed           map[fleet.InstanceID]decide.Instant     // guarded by mu: since when members have had no session
+	stepTook         time.Duration                           // guarded by mu: by the last step
+	dirty            chan struct{}                           // holds a token while something has changed since the last step
+	wholes           wholes                                  // guarded by mu
+	opened           decide.Instant                          // guarded by mu: when the first instance attached
+	readers          readers.State                           // guarded by mu
+	duties           map[fleet.InstanceID]pb.ToEntry_Duty    // guarded by mu: as last told
+	spreadDepartures map[watch.Departure]bool                // guarded by mu: that all were told
+	limits           *board                                  // what upstreams say that they take; the services' states go by it
+	ordered          ordering
 	// stallLogged is when a stall was last logged.
 	stallLogged decide.Instant // guarded by mu
 }
@@ -60,7 +61,8 @@
 	return &hub{
 		follower: f, snapshot: f.Snapshot, log: log.Named("dispatcher"), start: time.Now(),
 		services: map[catalog.ServiceName]*dispatch.State{}, entries: map[fleet.InstanceID]sink{}, missed: map[fleet.InstanceID]decide.Instant{},
-		wholes: wholes{}, limits: newBoard(log.Named("dispatcher")),
+		spreadDepartures: map[watch.Departure]bool{},
+		wholes:           wholes{}, limits: newBoard(log.Named("dispatcher")),
 		domains: map[fleet.InstanceID]fleet.DomainID{}, duties: map[fleet.InstanceID]pb.ToEntry_Duty{},
 	}
 }
@@ -86,6 +88,7 @@
 	}
 	h.catchUp(s, first.Proofs)
 	h.catchUpLimits(s)
+	h.catchUpDepartures(s)
 	s.send(&pb.ToEntry{Proofs: proofMessages(h.follower.Proofs())})
 	delete(h.duties, entry)
 	h.chooseReaders()
@@ -165,6 +168,7 @@
 
 // take carries a message out; mu is held.
 func (h *hub) take(now decide.Instant, entry fleet.InstanceID, m *pb.FromEntry) {
+	h.takeDepartures(now, m.Departures)
 	for _, r := range m.Running {
 		h.of(r.Ask.Service).Adopt(now, h.job(r.Ask, entry, now), fleet.UpstreamID(r.Upstream), upstreamIDs(r.Helpers), holdingsOf(r.Holders), r.Writing)
 	}
@@ -172,9 +176,6 @@
 		h.each(func(st *dispatch.State) { st.Began(now, fleet.RequestID(id)) })
 	}
 	for _, e := range m.Ended {
-		if e.How == pb.Ended_LEFT {
-			h.takeLeft(e)
-		}
 		h.each(func(st *dispatch.State) {
 			st.Done(now, fleet.RequestID(e.Id), ends[e.How], fleet.UpstreamID(e.AtFault))
 		})
@@ -232,19 +233,9 @@
 	return j
 }
 
-// takeLeft takes that another upstream has an upstream's address; mu is held. Each instance would learn it by a request
-// of its own otherwise, which spends one of its attempts.
-func (h *hub) takeLeft(e *pb.Ended) {
-	u := h.snapshot().Upstream(fleet.UpstreamID(e.AtFault))
-	if u != nil && u.Born == e.Born {
-		h.follower.Left(u, "an instance found another one at its address")
-	}
-}
-
 var ends = map[pb.Ended_How]dispatch.End{
 	pb.Ended_WHOLE: dispatch.Whole, pb.Ended_FAILED: dispatch.Failed,
 	pb.Ended_UNREACHABLE: dispatch.Unreachable, pb.Ended_FULL: dispatch.Full,
-	pb.Ended_LEFT: dispatch.Whole,
 }
 
 func (h *hub) each(f func(*dispatch.State)) {
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -122,6 +122,9 @@
 
 // Answered implements gateway.Answered.
 func (c *Client) Answered(u *catalog.Upstream, a gateway.Answer, sent time.Time) {
+	if a.Leaving {
+		c.Left(u, "its answer says so")
+	}
 	if news := c.limits.answered(u, a, sent, c.self); news != nil {
 		c.tell(&pb.FromEntry{Limits: []*pb.Limit{news}})
 	}
--- a/internal/placement/requests.go
+++ b/internal/placement/requests.go
@@ -40,6 +40,9 @@
 // got takes a message of the dispatcher.
 func (c *Client) got(m *pb.ToEntry) {
 	c.gotBack(m.Back)
+	for _, d := range m.Departures {
+		c.follower.Left(departure(d), d.Sign, fleet.InstanceID(d.By))
+	}
 	for _, l := range m.Limits {
 		c.limits.take(c.limits.statement(l))
 	}
--- a/internal/placement/session.go
+++ b/internal/placement/session.go
@@ -172,6 +172,7 @@
 		all.Back = append(all.Back, m.Back...)
 		all.Proofs = append(all.Proofs, m.Proofs...)
 		all.Limits = append(all.Limits, m.Limits...)
+		all.Departures = append(all.Departures, m.Departures...)
 		if m.Duty != pb.ToEntry_AS_BEFORE {
 			all.Duty = m.Duty
 		}
@@ -299,6 +300,7 @@
 		all.Proofs = append(all.Proofs, m.Proofs...)
 		all.Passed = append(all.Passed, m.Passed...)
 		all.Limits = append(all.Limits, m.Limits...)
+		all.Departures = append(all.Departures, m.Departures...)
 		if len(m.Reads) > 0 {
 			all.Reads = m.Reads
 		}
--- /dev/null
+++ b/internal/watch/departures_test.go
@@ -0,0 +1,83 @@
+package watch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+
+	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
+)
+
+// bornDecoder reads entries whose value is the start of the upstream's process.
+type bornDecoder struct{ emptyDecoder }
+
+func (bornDecoder) Upstream(o wire.Object, _ time.Time) (*catalog.Upstream, error) {
+	u := &catalog.Upstream{ID: fleet.UpstreamID(o.Name), Service: "s", Revision: o.Version}
+	_, err := fmt.Sscan(string(o.Value), &u.Born)
+	return u, err
+}
+
+// Guards against a leaving that the store's older news, or an entry that lapsed and came back, takes back; and against one that
+// outlives its process.
+func TestADepartureIsFinalForItsProcess(t *testing.T) {
+	is := is.New(t)
+	f := New(Deps{Kinds: Kinds{Config: "c", Upstreams: "u", Out: "o"}, Decoder: bornDecoder{}, Log: hclog.NewNullLogger()})
+	revision := uint64(0)
+	offer := func(born string) *catalog.Upstream {
+		revision++
+		c := Change{Kind: "u", Whole: revision == 1, From: revision - 1, To: revision}
+		if born == "" {
+			c.Deleted = []string{"x"}
+		} else {
+			c.Objects = []wire.Object{{Kind: "u", Name: "x", Version: revision, Value: []byte(born)}}
+		}
+		f.Offer(c)
+		return f.Snapshot().Upstream("x")
+	}
+	is.Equal(offer("7").Leaving, false)
+	is.True(f.Left(Departure{"x", 7}, "its answer", "i"))
+	is.True(!f.Left(Departure{"x", 7}, "its answer", "i"))
+	is.True(f.Snapshot().Upstream("x").Leaving)
+	is.True(offer("7").Leaving)
+	is.Equal(f.Departures(), []Departure{{"x", 7}})
+	is.Equal(offer(""), nil)
+	is.Equal(len(f.Departures()), 0)
+	is.True(offer("7").Leaving)
+	is.Equal(offer("8").Leaving, false)
+	f.Left(Departure{"x", 7}, "a late answer", "i")
+	is.Equal(f.Snapshot().Upstream("x").Leaving, false)
+}
+
+// Guards against an upstream that gets nothing for ever: where no start is stated, another process under its id can't be told
+// from the one that left.
+func TestADepartureWithoutAStartEndsWithItsEntry(t *testing.T) {
+	is := is.New(t)
+	f := New(Deps{Kinds: Kinds{Config: "c", Upstreams: "u", Out: "o"}, Decoder: bornDecoder{}, Log: hclog.NewNullLogger()})
+	entry := func(version uint64) []wire.Object {
+		return []wire.Object{{Kind: "u", Name: "x", Version: version, Value: []byte("0")}}
+	}
+	f.Offer(Change{Kind: "u", Whole: true, To: 1, Objects: entry(1)})
+	f.Left(Departure{"x", 0}, "its answer", "i")
+	is.True(f.Snapshot().Upstream("x").Leaving)
+	f.Offer(Change{Kind: "u", From: 1, To: 2, Deleted: []string{"x"}})
+	f.Offer(Change{Kind: "u", From: 2, To: 3, Objects: entry(3)})
+	is.Equal(f.Snapshot().Upstream("x").Leaving, false)
+}
+
+// Guards against a memory that grows with every upstream that ever left.
+func TestOldDeparturesAreForgotten(t *testing.T) {
+	is := is.New(t)
+	d := newDepartures()
+	began := time.Now()
+	for i := range maxDepartures + 5 {
+		d.note(Departure{fleet.UpstreamID(fmt.Sprint(i)), 1}, began.Add(time.Duration(i)))
+	}
+	is.Equal(len(d.noted), maxDepartures)
+	is.True(!d.has(&catalog.Upstream{ID: "0", Born: 1}))
+	is.True(d.has(&catalog.Upstream{ID: fleet.UpstreamID(fmt.Sprint(maxDepartures)), Born: 1}))
+}
--- a/internal/watch/publish.go
+++ b/internal/watch/publish.go
@@ -96,7 +96,7 @@
 		if _, ok := entries[string(id)]; !ok {
 			log.info("upstream gone", "upstream", id)
 			delete(f.upstreams, id)
-			delete(f.left, id)
+			f.left.forgetUnnamed(id)
 		}
 	}
 	return all
@@ -120,7 +120,7 @@
 		f.upstreams[id] = u
 		old = u
 	}
-	if sign := f.left[id]; sign != nil && sign.Born == old.Born && !old.Leaving {
+	if !old.Leaving && f.left.has(old) {
 		leaving := *old
 		leaving.Leaving = true
 		return &leaving
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -73,7 +73,7 @@
 	upstreams map[fleet.UpstreamID]*catalog.Upstream // guarded by mu: decoded entries
 	members   map[fleet.InstanceID]*catalog.Member   // guarded by mu
 	spoiled   map[string]uint64                      // guarded by mu: revision of entries that can't be read
-	left      map[fleet.UpstreamID]*catalog.Upstream // guarded by mu: upstreams that said themselves that they leave
+	left      *departures                            // guarded by mu: upstreams that leave by another word than the store's
 	breaks    chan struct{}                          // guarded by mu: closed when reads under way are to end
 	failing   time.Time                              // guarded by mu: since when nobody can read the store; zero: somebody can
 	role      Role                                   // guarded by mu
@@ -96,7 +96,7 @@
 		upstreams: map[fleet.UpstreamID]*catalog.Upstream{},
 		members:   map[fleet.InstanceID]*catalog.Member{},
 		spoiled:   map[string]uint64{},
-		left:      map[fleet.UpstreamID]*catalog.Upstream{},
+		left:      newDepartures(),
 		breaks:    make(chan struct{}),
 		woken:     make(chan struct{}),
 	}
@@ -197,16 +197,3 @@
 		f.mu.Unlock()
 	}
 }
-
-// Left notes that an upstream said itself that it leaves or is another process by now, which can come
-// before the store says so. It gets no new work under this id and start.
-func (f *Follower) Left(u *catalog.Upstream, sign string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if old := f.left[u.ID]; old != nil && old.Born == u.Born {
-		return
-	}
-	f.log.Info("upstream leaves by its own answer", "upstream", u.ID, "sign", sign, "revision", u.Revision)
-	f.left[u.ID] = u
-	f.publish(f.deps.Kinds.Upstreams, time.Now())
-}
--- a/test/soak/promises_test.go
+++ b/test/soak/promises_test.go
@@ -283,14 +283,19 @@
 	}
 }
 
-// leavingGetsNothing checks that a worker that leaves gets no new work two seconds after it said so.
+// leavingGetsNothing checks that a worker that leaves gets no new work two seconds after it said so, to the store or only on
+// its answers.
 func (w *world) leavingGetsNothing() {
+	leaving := []*standin.Worker{w.workers[0], w.workers[3]} // one of each service
 	w.register(0, "draining")
+	leaving[1].Say(standin.Leaving)
 	time.Sleep(2 * time.Second)
-	before := len(w.workers[0].Arrivals())
+	before := []int{len(leaving[0].Arrivals()), len(leaving[1].Arrivals())}
 	time.Sleep(time.Second)
-	if after := len(w.workers[0].Arrivals()); after > before {
-		w.t.Errorf("%d requests reached a worker that had said two seconds before that it leaves", after-before)
+	for i, worker := range leaving {
+		if after := len(worker.Arrivals()); after > before[i] {
+			w.t.Errorf("%s: %d requests reached a worker that had said two seconds before that it leaves", worker.ID, after-before[i])
+		}
 	}
 }
 
