An upstream that turns a request away and asks for a pause gets it from that instance

Cause: the time was read from nobody's answer; the dispatcher left a full upstream alone for 0.15 s. This one binds the instance alone that heard it.

- The instance keeps the pause by upstream and start, the longest that was asked for, and leaves such upstreams out of what it asks any dispatcher for, and of its own places: no dispatcher has to remember it, and the next one can't miss it.
- A place that was asked for before is checked at the send and given back, as for a leaving upstream.
- A value that is no number of seconds is logged with its header and changes nothing; other answers than refusals ask for none.

Ruled out: telling the dispatcher with the end of the request. It would have to be told again with each change of dispatcher, and those asks that wait already would still get a place there.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,15 +36,16 @@
 
 // Answer is what the head of an upstream's answer says, apart from its status.
 type Answer struct {
-	Sealed  bool    // the answer is marked as an upstream's own
-	NotRun  bool    // the upstream did not run the request and will not
-	Other   bool    // another upstream has the address now
-	AtFault string  // the address of the upstream at fault, which may be a helper; empty: not said
-	Coded   bool    // the body has an encoding that nobody asked for: it isn't the upstream's
-	Leaving bool    // the upstream leaves: it is to get no new work
-	Limited bool    // Limit says something
-	Limit   float64 // requests a second that the upstream takes from all instances together
-	Unread  error   // names a header that can't be read: what it says isn't known
+	Sealed  bool          // the answer is marked as an upstream's own
+	NotRun  bool          // the upstream did not run the request and will not
+	Other   bool          // another upstream has the address now
+	AtFault string        // the address of the upstream at fault, which may be a helper; empty: not said
+	Coded   bool          // the body has an encoding that nobody asked for: it isn't the upstream's
+	Leaving bool          // the upstream leaves: it is to get no new work
+	HoldOff time.Duration // with a refusal: the upstream wants nothing from this instance for so long; 0: not said
+	Limited bool          // Limit says something
+	Limit   float64       // requests a second that the upstream takes from all instances together
+	Unread  error         // names a header that can't be read: what it says isn't known
 }
 
 // Answered takes what the head of an upstream's answer says of it, and when the answered request was sent; zero: it isn't
--- a/internal/gateway/life.go
+++ b/internal/gateway/life.go
@@ -117,6 +117,8 @@
 		return "upstream is leaving"
 	case snap.Out[now.Domain]:
 		return "failure domain is out"
+	case l.g.deps.HeldOff(now):
+		return "upstream wants nothing from here for now"
 	case now.Service != l.r.service:
 		return "upstream serves another service"
 	default:
@@ -176,16 +178,16 @@
 // belongs.
 func (l *life) note(a Answer, sent time.Time) {
 	u := l.grant.Upstream()
-	switch {
-	case a.Other: // it speaks of another upstream
-	case a.Unread != nil:
+	if a.Other { // it speaks of another upstream
+		return
+	}
+	if a.Unread != nil {
 		l.g.log.Warn("answer's header can't be read", "upstream", u.ID, "request", l.r.ID, "error", a.Unread)
-	default:
-		if a.Limited {
-			l.g.deps.Metrics.Counter("answers_limited").Inc(1)
-		}
-		l.g.deps.Answered(u, a, sent)
 	}
+	if a.Limited {
+		l.g.deps.Metrics.Counter("answers_limited").Inc(1)
+	}
+	l.g.deps.Answered(u, a, sent)
 }
 
 // own tells whether an answer belongs to the request. One that doesn't is dropped, and still tells of its upstream.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -49,6 +49,7 @@
 	Memory   Memory
 	Gate     *gate.Gate
 	Left     func(u *catalog.Upstream, sign string) // an upstream said that it leaves
+	HeldOff  func(u *catalog.Upstream) bool         // an upstream wants nothing from here now
 	Answered Answered
 	Explain  *explain.Recorder
 	Metrics  *metrics.Registry
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -106,9 +106,10 @@
 }
 
 // answered takes what an upstream's answer to a request that was sent at a moment says of its limit, and gives what the
-// dispatcher should be told; nil: nothing. Only an answer that is marked as the upstream's own shows that it names none.
+// dispatcher should be told; nil: nothing. Only an answer that is marked as the upstream's own and could be read shows that
+// it names none.
 func (b *board) answered(u *catalog.Upstream, a gateway.Answer, sent time.Time, by fleet.InstanceID) *pb.Limit {
-	if !a.Limited && (!a.Sealed || b.count.Load() == 0) {
+	if !a.Limited && (!a.Sealed || a.Unread != nil || b.count.Load() == 0) {
 		return nil
 	}
 	s := advertised.Statement{
@@ -120,8 +121,17 @@
 	return limitMessage(s, b.now())
 }
 
+// HoldOffs is the number of upstreams that have asked this instance to stay away.
+func (c *Client) HoldOffs() int { return int(c.holdoffs.count.Load()) }
+
+// HeldOff tells whether an upstream wants nothing from this instance now.
+func (c *Client) HeldOff(u *catalog.Upstream) bool { return c.holdoffs.held(u) }
+
 // Answered implements gateway.Answered.
 func (c *Client) Answered(u *catalog.Upstream, a gateway.Answer, sent time.Time) {
+	if a.HoldOff > 0 {
+		c.holdoffs.hold(u, time.Now().Add(a.HoldOff))
+	}
 	if a.Leaving {
 		c.Left(u, "its answer says so")
 	}
--- a/internal/placement/requests.go
+++ b/internal/placement/requests.go
@@ -84,6 +84,7 @@
 
 // Place implements gateway.Placer.
 func (c *Client) Place(ctx context.Context, a gateway.Ask) (gateway.Grant, error) {
+	a.Avoid = c.holdoffs.added(a.Avoid)
 	w := &waiting{ask: a, asked: time.Now(), reply: make(chan reply, 1)}
 	c.mu.Lock()
 	s := c.session
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -133,7 +133,7 @@
 	l := s.Routed.Limits
 	return gateway.New(gateway.Deps{
 		Snapshot: f.Snapshot, Doubtful: f.Doubtful, Dialect: a.Dialect, Placer: p, Budget: b, Client: c, Memory: a.Memory(c, p.Answered),
-		Gate: g, Left: p.Left, Answered: p.Answered, Explain: rec, Metrics: m, Log: log,
+		Gate: g, Left: p.Left, HeldOff: p.HeldOff, Answered: p.Answered, Explain: rec, Metrics: m, Log: log,
 		Limits: gateway.Limits{
 			MaxHeaderBytes: l.MaxHeaderBytes, MaxBodyBytes: l.MaxBodyBytes, MaxConnections: l.MaxConnections,
 			ReadTimeout: time.Duration(l.ReadTimeout), IdleTimeout: time.Duration(l.IdleTimeout), WriteStall: writeStall,
--- a/internal/routed/side.go
+++ b/internal/routed/side.go
@@ -47,6 +47,7 @@
 		if o.DroppedLines != nil {
 			m.Gauge("log_dropped").Update(int64(o.DroppedLines()))
 		}
+		m.Gauge("upstreams_held_off").Update(int64(p.HoldOffs()))
 		m.Gauge("upstreams_limited").Update(int64(p.Limited()))
 		ctx.SetBody(m.Text())
 	})
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -200,13 +200,15 @@
 	}
 }
 
-// word has a worker name a limit in its answers, or no longer, now and then.
+// word has a worker name a limit in its answers, or a pause in its refusals, or no longer, now and then.
 func (w *world) word() {
 	worker := w.workers[w.words.IntN(len(w.workers))]
-	switch w.words.IntN(6) {
+	switch w.words.IntN(8) {
 	case 0, 1:
 		worker.Say(standin.Limit(0.5 + 20*w.words.Float64()))
 	case 2:
+		worker.Say(standin.Pause(2 * w.words.Float64()))
+	case 3, 4:
 		worker.Say()
 	}
 }
