--- a/internal/placement/limits_test.go
+++ b/internal/placement/limits_test.go
@@ -407,3 +407,17 @@
 		t.Errorf("%.0f allocations an answer", n)
 	}
 }
+
+// Guards against a new dispatcher that doesn't know a limit which its instances heard before.
+func TestASessionBeginsWithTheLimitsThatAreKnown(t *testing.T) {
+	is := is.New(t)
+	c := NewClient("i1", "d", followerOf("x", "y"), hclog.NewNullLogger())
+	c.Answered(c.snapshot().Upstream("x"), gateway.Answer{Limited: true, Limit: 2}, time.Now())
+	c.Answered(&catalog.Upstream{ID: "gone", Born: 7}, gateway.Answer{Limited: true, Limit: 2}, time.Now())
+	first := c.first()
+	is.Equal(len(first.Limits), 1)
+	is.Equal(first.Limits[0].Upstream, "x")
+	h := newHub(followerOf("x", "y"), hclog.NewNullLogger())
+	h.attach("i1", &told{}, first)
+	is.Equal(h.rates("s"), map[fleet.UpstreamID]float64{"x": 2})
+}
