A limit that is over refuses nobody; an answer of no known request ends none

Found by reading the change: while an upstream's rate rises again after its limit, callers were refused by the rate of the moment, which doubles each second; and an answer that belongs to no known request had a send time far before the start of the clock, which overflowed as an age where it was told on.

--- a/internal/decide/dispatch/limit.go
+++ b/internal/decide/dispatch/limit.go
@@ -94,7 +94,7 @@
 	return upstreams, rate
 }
 
-// allLimited is what the upstreams take together where each of them is under a limit.
+// allLimited is what the upstreams take together where each of them names a limit.
 type allLimited struct {
 	rate float64 // requests a second; 0: some upstream has no limit
 	left float64 // requests that they may get now
@@ -106,7 +106,7 @@
 	for _, e := range s.order {
 		switch {
 		case e.gone:
-		case !e.limited(now):
+		case !e.limited(now) || e.limit.rising:
 			return
 		default:
 			all.rate += e.limit.rate
--- a/internal/decide/dispatch/limit_test.go
+++ b/internal/decide/dispatch/limit_test.go
@@ -86,6 +86,18 @@
 	s.SetLimits(at(0), map[fleet.UpstreamID]float64{"a00": 1})
 	placed(s, 0, 5, 100, 0)
 	s.SetLimits(at(5000), nil)
+	for i := range 4 {
+		j := newJob(fmt.Sprint("waits", i), 0)
+		j.Avoid = []fleet.UpstreamID{"a01"}
+		j.Arrived, j.Patience = at(5000), at(6000)
+		s.Ask(j)
+	}
+	for _, d := range s.Step(at(5000)) {
+		is.True(d.Reason != dispatch.RateLimited)
+	}
+	for i := range 4 {
+		s.Withdraw(fleet.RequestID(fmt.Sprint("waits", i)))
+	}
 	second := placed(s, 5, 1, 100, 0)["a00"]
 	is.True(second <= 3) // once, and doubled
 	placed(s, 6, 8, 100, 0)
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -109,9 +109,12 @@
 // dispatcher should be told; nil: nothing. Only an answer that is marked as the upstream's own and could be read shows that
 // it names none.
 func (b *board) answered(u *catalog.Upstream, a gateway.Answer, sent time.Time, by fleet.InstanceID) *pb.Limit {
-	if !a.Limited && (!a.Sealed || a.Unread != nil || b.count.Load() == 0) {
+	if !a.Limited && (!a.Sealed || a.Unread != nil || sent.IsZero() || b.count.Load() == 0) {
 		return nil
 	}
+	if sent.IsZero() {
+		sent = time.Now()
+	}
 	s := advertised.Statement{
 		Process: process(u), Limited: a.Limited, Rate: a.Limit, Sent: b.instant(sent), Heard: b.now(), By: by,
 	}
