The end of a limit is told again, until who had just heard it named takes it

An answer ends a limit only if its request was sent half a second after the limit was last named, as far as each knows. An instance could take an end that the dispatcher did not, having heard a later naming from another one; the instance believed no limit any more and said nothing of later answers, and if the other one was gone, the upstream kept its limit for good. For a minute after the last naming the end is told again, once a second.

advertised.TestAnEndIsToldAgain fails without it.

--- a/internal/decide/advertised/limits.go
+++ b/internal/decide/advertised/limits.go
@@ -16,8 +16,11 @@
 	// settleTime is how long after a limit was named a request must have been sent for its answer to end the limit. An
 	// answer of before can come behind one that names it, and ages that are told are late by a trip.
 	settleTime = 500 * time.Millisecond
-	// renewEvery is how often the others are told that a limit is still named.
+	// renewEvery is how often the others are told that a limit is still named, or still over.
 	renewEvery = time.Second
+	// overTime is for how long after it was last named the others are told that a limit is over: one that had just heard it
+	// named takes no end, and would keep the limit for good.
+	overTime = time.Minute
 	// maxProcesses bounds what is kept; the one that was heard of longest ago goes first.
 	maxProcesses = 10_000
 )
@@ -43,7 +46,7 @@
 	None    decide.Reason = ""
 	Named   decide.Reason = "limit_named"
 	Changed decide.Reason = "limit_changed"
-	Renewed decide.Reason = "limit_renewed" // still named, and the others have not heard so for a while
+	Renewed decide.Reason = "limit_renewed" // as before, and the others have not heard so for a while
 	Ended   decide.Reason = "limit_ended"
 )
 
@@ -59,7 +62,7 @@
 type limit struct {
 	last  Statement      // that named it
 	ended decide.Instant // a request sent then was answered without a limit
-	told  decide.Instant // when the others last heard that it is named
+	told  decide.Instant // when the others were last told
 	over  bool
 }
 
@@ -69,6 +72,9 @@
 // InForce is the number of limits in force.
 func (l *Limits) InForce() int { return l.inForce }
 
+// Known is the number of processes that are known to have named a limit.
+func (l *Limits) Known() int { return len(l.all) }
+
 // Of gives the limit of a process in requests a second; ok is false if it has none.
 func (l *Limits) Of(p Process) (rate float64, ok bool) {
 	one := l.all[p]
@@ -124,11 +130,15 @@
 		return None
 	case one.over:
 		one.ended = max(one.ended, s.Sent)
-		return None
+		if s.Heard.Sub(one.told) < renewEvery || s.Heard.Sub(one.last.Heard) > overTime {
+			return None
+		}
+		one.told = s.Heard
+		return Renewed
 	case s.Sent < one.last.Heard.Add(settleTime):
 		return None // it may be an answer of before
 	}
-	one.over, one.ended = true, s.Sent
+	one.over, one.ended, one.told = true, s.Sent, s.Heard
 	l.inForce--
 	return Ended
 }
--- a/internal/decide/advertised/limits_test.go
+++ b/internal/decide/advertised/limits_test.go
@@ -55,6 +55,23 @@
 	is.Equal(l.InForce(), 0)
 }
 
+// Guards against a limit that stays for good with one who had just heard it named when the others took its end.
+func TestAnEndIsToldAgain(t *testing.T) {
+	is := is.New(t)
+	one, other := advertised.New(), advertised.New()
+	one.Take(names(2, 1000))
+	other.Take(names(2, 1000))
+	other.Take(names(2, 1800))
+	end := namesNone(1700, 1750)
+	is.Equal(one.Take(end), advertised.Ended)
+	is.Equal(other.Take(end), advertised.None)
+	is.Equal(one.Take(namesNone(2000, 2100)), advertised.None)
+	again := namesNone(3000, 3100)
+	is.Equal(one.Take(again), advertised.Renewed)
+	is.Equal(other.Take(again), advertised.Ended)
+	is.Equal(one.Take(namesNone(70_000, 70_100)), advertised.None)
+}
+
 // Guards against a limit that comes back by a message of before its end.
 func TestALateMessageBringsNoLimitBack(t *testing.T) {
 	is := is.New(t)
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -24,49 +24,51 @@
 // endedTime is for how long a limit that ended is told to instances that attach: they may still believe it.
 const endedTime = time.Minute
 
-// board is what is believed of upstreams' limits. It is safe for concurrent use.
-type board struct {
+// limitTable is what is believed of upstreams' limits. It is safe for concurrent use.
+type limitTable struct {
 	log   hclog.Logger
 	start time.Time
 	count atomic.Int32 // limits in force, read on a request's path
+	known atomic.Int32 // processes that ever named one, read on a request's path
 
 	mu     sync.Mutex
 	limits *advertised.Limits // guarded by mu
 }
 
-func newBoard(log hclog.Logger) *board {
-	return &board{log: log, start: time.Now(), limits: advertised.New()}
+func newLimitTable(log hclog.Logger) *limitTable {
+	return &limitTable{log: log, start: time.Now(), limits: advertised.New()}
 }
 
-func (b *board) now() decide.Instant { return b.instant(time.Now()) }
+func (t *limitTable) now() decide.Instant { return t.instant(time.Now()) }
 
-func (b *board) instant(t time.Time) decide.Instant { return decide.Instant(t.Sub(b.start)) }
+func (t *limitTable) instant(at time.Time) decide.Instant { return decide.Instant(at.Sub(t.start)) }
 
 // take takes a statement, logs a belief that begins, changes or ends, and gives what is new.
-func (b *board) take(s advertised.Statement) decide.Reason {
-	b.mu.Lock()
-	news := b.limits.Take(s)
-	b.count.Store(int32(b.limits.InForce()))
-	b.mu.Unlock()
+func (t *limitTable) take(s advertised.Statement) decide.Reason {
+	t.mu.Lock()
+	news := t.limits.Take(s)
+	t.count.Store(int32(t.limits.InForce()))
+	t.known.Store(int32(t.limits.Known()))
+	t.mu.Unlock()
 	if news != advertised.None && news != advertised.Renewed {
-		b.log.Info("upstream's limit", "reason", news, "upstream", s.ID, "born", s.Born, "requests_per_s", s.Rate, "heard_by", s.By,
-			"age_ms", b.now().Sub(s.Heard).Milliseconds())
+		t.log.Info("upstream's limit", "reason", news, "upstream", s.ID, "born", s.Born, "requests_per_s", s.Rate, "heard_by", s.By,
+			"age_ms", t.now().Sub(s.Heard).Milliseconds())
 	}
 	return news
 }
 
 // rate gives an upstream's limit in requests a second; ok is false if it has none.
-func (b *board) rate(u *catalog.Upstream) (rate float64, ok bool) {
-	if b.count.Load() == 0 {
+func (t *limitTable) rate(u *catalog.Upstream) (rate float64, ok bool) {
+	if t.count.Load() == 0 {
 		return 0, false
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.limits.Of(process(u))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.limits.Of(process(u))
 }
 
-func (b *board) limited(u *catalog.Upstream) bool {
-	_, ok := b.rate(u)
+func (t *limitTable) limited(u *catalog.Upstream) bool {
+	_, ok := t.rate(u)
 	return ok
 }
 
@@ -75,11 +77,11 @@
 }
 
 // messages gives all that is believed of the upstreams of a snapshot.
-func (b *board) messages(snap *catalog.Snapshot) []*pb.Limit {
-	now := b.now()
-	b.mu.Lock()
-	all := b.limits.Statements(now.Add(-endedTime))
-	b.mu.Unlock()
+func (t *limitTable) messages(snap *catalog.Snapshot) []*pb.Limit {
+	now := t.now()
+	t.mu.Lock()
+	all := t.limits.Statements(now.Add(-endedTime))
+	t.mu.Unlock()
 	var out []*pb.Limit
 	for _, s := range all {
 		if u := snap.Upstream(s.ID); u != nil && u.Born == s.Born {
@@ -97,8 +99,8 @@
 }
 
 // statement reads a message that came now.
-func (b *board) statement(m *pb.Limit) advertised.Statement {
-	now := b.now()
+func (t *limitTable) statement(m *pb.Limit) advertised.Statement {
+	now := t.now()
 	return advertised.Statement{
 		Process: advertised.Process{ID: fleet.UpstreamID(m.Upstream), Born: m.Born}, Limited: m.Limited, Rate: m.Rate,
 		Sent: now.Add(-ms(m.SentMs)), Heard: now.Add(-ms(m.HeardMs)), By: fleet.InstanceID(m.By),
@@ -108,39 +110,20 @@
 // answered takes what an upstream's answer to a request that was sent at a moment says of its limit, and gives what the
 // dispatcher should be told; nil: nothing. Only an answer that is marked as the upstream's own and could be read shows that
 // it names none.
-func (b *board) answered(u *catalog.Upstream, a gateway.Answer, sent time.Time, by fleet.InstanceID) *pb.Limit {
-	if !a.Limited && (!a.Sealed || a.Unread != nil || sent.IsZero() || b.count.Load() == 0) {
+func (t *limitTable) answered(u *catalog.Upstream, a gateway.Answer, sent time.Time, by fleet.InstanceID) *pb.Limit {
+	if !a.Limited && (!a.Sealed || a.Unread != nil || sent.IsZero() || t.known.Load() == 0) {
 		return nil
 	}
 	if sent.IsZero() {
 		sent = time.Now()
 	}
 	s := advertised.Statement{
-		Process: process(u), Limited: a.Limited, Rate: a.Limit, Sent: b.instant(sent), Heard: b.now(), By: by,
+		Process: process(u), Limited: a.Limited, Rate: a.Limit, Sent: t.instant(sent), Heard: t.now(), By: by,
 	}
-	if b.take(s) == advertised.None {
+	if t.take(s) == advertised.None {
 		return nil
 	}
-	return limitMessage(s, b.now())
-}
-
-// HoldOffs is the number of upstreams that have asked this instance to stay away.
-func (c *Client) HoldOffs() int { return int(c.holdoffs.count.Load()) }
-
-// HeldOff tells whether an upstream wants nothing from this instance now.
-func (c *Client) HeldOff(u *catalog.Upstream) bool { return c.holdoffs.held(u) }
-
-// Answered implements gateway.Answered.
-func (c *Client) Answered(u *catalog.Upstream, a gateway.Answer, sent time.Time) {
-	if a.HoldOff > 0 {
-		c.holdoffs.hold(u, time.Now().Add(a.HoldOff))
-	}
-	if a.Leaving {
-		c.Left(u, "its answer says so")
-	}
-	if news := c.limits.answered(u, a, sent, c.self); news != nil {
-		c.tell(&pb.FromEntry{Limits: []*pb.Limit{news}})
-	}
+	return limitMessage(s, t.now())
 }
 
 // Limited is the number of upstreams' limits that are believed to be in force.
--- a/internal/placement/limits_test.go
+++ b/internal/placement/limits_test.go
@@ -48,13 +48,13 @@
 
 // limitedOne is an instance: what it believes, and its side as a dispatcher.
 type limitedOne struct {
-	f     *limitedFleet
-	id    fleet.InstanceID
-	hub   *hub
-	board *board
-	local *Local
-	dead  atomic.Bool
-	with  atomic.Pointer[hub] // its dispatcher; nil: none
+	f      *limitedFleet
+	id     fleet.InstanceID
+	hub    *hub
+	limits *limitTable
+	local  *Local
+	dead   atomic.Bool
+	with   atomic.Pointer[hub] // its dispatcher; nil: none
 }
 
 func newLimitedFleet(n int, rate, total float64, seed uint64) *limitedFleet {
@@ -83,9 +83,9 @@
 func (f *limitedFleet) newOne(i int, snapshot func() *catalog.Snapshot) *limitedOne {
 	log := hclog.NewNullLogger()
 	w := watch.New(watch.Deps{Kinds: watch.Kinds{Config: "c", Upstreams: "u", Out: "o"}, Log: log})
-	n := &limitedOne{f: f, id: fleet.InstanceID(fmt.Sprint("i", i)), hub: newHub(w, log), board: newBoard(log)}
+	n := &limitedOne{f: f, id: fleet.InstanceID(fmt.Sprint("i", i)), hub: newHub(w, log), limits: newLimitTable(log)}
 	n.hub.snapshot = snapshot
-	n.local = NewLocal(snapshot, n.board.limited)
+	n.local = NewLocal(snapshot, n.limits.limited)
 	return n
 }
 
@@ -112,7 +112,7 @@
 	go func() {
 		n.f.trip()
 		for _, l := range m.Limits {
-			n.board.take(n.board.statement(l))
+			n.limits.take(n.limits.statement(l))
 		}
 		for _, p := range m.Places {
 			go n.request(p.Id, fleet.UpstreamID(p.Upstream))
@@ -132,7 +132,7 @@
 			before.detach(n.id, n)
 		}()
 	}
-	h.attach(n.id, n, &pb.FromEntry{Entry: string(n.id), Domain: "d", Limits: n.board.messages(n.f.known.Load())})
+	h.attach(n.id, n, &pb.FromEntry{Entry: string(n.id), Domain: "d", Limits: n.limits.messages(n.f.known.Load())})
 }
 
 // ask is a caller's request.
@@ -167,7 +167,7 @@
 		a.Limited, a.Limit = true, n.f.rate
 	}
 	n.f.trip()
-	if news := n.board.answered(n.f.known.Load().Upstream(to), a, sent, n.id); news != nil {
+	if news := n.limits.answered(n.f.known.Load().Upstream(to), a, sent, n.id); news != nil {
 		n.tell(&pb.FromEntry{Limits: []*pb.Limit{news}})
 	}
 	n.tell(&pb.FromEntry{Ended: []*pb.Ended{{Id: id, How: pb.Ended_WHOLE}}})
@@ -332,16 +332,16 @@
 		f.start(ctx)
 		time.Sleep(time.Second)
 		needy := f.known.Load().Upstream("needy")
-		f.nodes[5].tell(&pb.FromEntry{Limits: []*pb.Limit{f.nodes[5].board.answered(needy, gateway.Answer{Limited: true, Limit: 1}, time.Now(), "i5")}})
+		f.nodes[5].tell(&pb.FromEntry{Limits: []*pb.Limit{f.nodes[5].limits.answered(needy, gateway.Answer{Limited: true, Limit: 1}, time.Now(), "i5")}})
 		time.Sleep(50 * time.Millisecond)
 		for _, n := range f.nodes {
-			is.True(n.board.limited(needy))
+			is.True(n.limits.limited(needy))
 		}
 		is.Equal(len(f.nodes[0].hub.rates("s")), 1)
 		late := f.newOne(7, f.known.Load)
 		late.follow(f.nodes[0].hub)
 		time.Sleep(50 * time.Millisecond)
-		is.True(late.board.limited(needy)) // it attached after all this
+		is.True(late.limits.limited(needy)) // it attached after all this
 	})
 }
 
@@ -368,7 +368,7 @@
 				before = f.count()
 				time.Sleep(5 * time.Second)
 				is.True(float64(f.count()-before)/5 > 30) // half of what comes, without a limit
-				is.Equal(f.nodes[3].board.limited(f.known.Load().Upstream("needy")), false)
+				is.Equal(f.nodes[3].limits.limited(f.known.Load().Upstream("needy")), false)
 			})
 		})
 	}
@@ -400,7 +400,7 @@
 
 // Guards against work and memory on every answer while no upstream names a limit.
 func TestAnswersWithoutALimitCostNothing(t *testing.T) {
-	b := newBoard(hclog.NewNullLogger())
+	b := newLimitTable(hclog.NewNullLogger())
 	u := &catalog.Upstream{ID: "u", Service: "s"}
 	sent := time.Now()
 	if n := testing.AllocsPerRun(100, func() { b.answered(u, gateway.Answer{Sealed: true}, sent, "i") }); n > 0 {
