Soak: a worker that leaves by its answers is judged from its first answer on

Engines are packed, the worker had just been under a limit, and nobody had anything to do with it before. The users' rule counts from an answer that was passed on; so does the check now, on every worker's arrivals and not on a count in one second.

--- a/test/soak/promises_test.go
+++ b/test/soak/promises_test.go
@@ -283,20 +283,40 @@
 	}
 }
 
-// leavingGetsNothing checks that a worker that leaves gets no new work two seconds after it said so, to the store or only on
-// its answers.
+// leavingGetsNothing checks that a worker that leaves gets no new work two seconds after it said so, to the store or on an
+// answer. The first one's word is out at once; of the second one nobody knows before it has answered a request.
 func (w *world) leavingGetsNothing() {
-	leaving := []*standin.Worker{w.workers[0], w.workers[3]} // one of each service
+	toStore, onAnswers := w.workers[0], w.workers[3] // one of each service
 	w.register(0, "draining")
-	leaving[1].Say(standin.Leaving)
+	onAnswers.Say(standin.Leaving)
+	said := time.Now()
 	time.Sleep(2 * time.Second)
-	before := []int{len(leaving[0].Arrivals()), len(leaving[1].Arrivals())}
+	before := len(toStore.Arrivals())
 	time.Sleep(time.Second)
-	for i, worker := range leaving {
-		if after := len(worker.Arrivals()); after > before[i] {
-			w.t.Errorf("%s: %d requests reached a worker that had said two seconds before that it leaves", worker.ID, after-before[i])
+	if after := len(toStore.Arrivals()); after > before {
+		w.t.Errorf("%d requests reached a worker that had said two seconds before that it leaves", after-before)
+	}
+	first := w.firstAfter(onAnswers, said)
+	time.Sleep(time.Until(first.Add(3 * time.Second)))
+	for _, a := range onAnswers.Arrivals() {
+		if a.At.After(first.Add(2 * time.Second)) {
+			w.t.Errorf("%s: %s reached a worker %s after it had answered that it leaves", onAnswers.ID, a.ID(), a.At.Sub(first))
+		}
+	}
+}
+
+// firstAfter waits for the first request that reaches a worker after a moment, and gives when it did.
+func (w *world) firstAfter(worker *standin.Worker, after time.Time) time.Time {
+	w.t.Helper()
+	for end := time.Now().Add(settle); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, a := range worker.Arrivals() {
+			if a.At.After(after) {
+				return a.At
+			}
 		}
 	}
+	w.t.Fatalf("%s: no request in %s", worker.ID, settle)
+	return time.Time{}
 }
 
 // nothingStaysReserved checks that no engine's memory stays set aside once nothing runs.
