An instance that attaches is told all in one message; telling all instances stands once

Read again: the dispatcher greeted an instance with up to three messages where one holds it all, by two functions of the same shape; the loop over all attached instances stood in three places beside spread. tellAll is that loop where the lock is held, and the greeting names the limits and departures itself. The part of the members is worked out once for a service and not for each limited upstream.

No behaviour changed: an instance takes departures and limits of a message before its proofs, as it did.

--- a/internal/placement/departures.go
+++ b/internal/placement/departures.go
@@ -60,15 +60,6 @@
 	if len(news) == 0 {
 		return
 	}
-	for _, s := range h.entries {
-		s.send(&pb.ToEntry{Departures: news})
-	}
+	h.tellAll(&pb.ToEntry{Departures: news})
 	h.refresh(now)
 }
-
-// catchUpDepartures tells an instance that attaches what is known here; mu is held.
-func (h *hub) catchUpDepartures(s sink) {
-	if all := departureMessages(h.follower.Departures()); len(all) > 0 {
-		s.send(&pb.ToEntry{Departures: all})
-	}
-}
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -43,8 +43,7 @@
 		delete(g.c.running, g.ask.ID)
 	}
 	g.c.mu.Unlock()
-	m := &pb.Ended{Id: string(g.ask.ID), How: hows[o], AtFault: string(atFault)}
-	g.c.tell(&pb.FromEntry{Ended: []*pb.Ended{m}})
+	g.c.tell(&pb.FromEntry{Ended: []*pb.Ended{{Id: string(g.ask.ID), How: hows[o], AtFault: string(atFault)}}})
 }
 
 // message is what a dispatcher is told of the grant; c.mu is held.
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -87,9 +87,10 @@
 		st.Forget(entry)
 	}
 	h.catchUp(s, first.Proofs)
-	h.catchUpLimits(s)
-	h.catchUpDepartures(s)
-	s.send(&pb.ToEntry{Proofs: proofMessages(h.follower.Proofs())})
+	s.send(&pb.ToEntry{
+		Proofs: proofMessages(h.follower.Proofs()), Limits: h.limits.messages(h.snapshot()),
+		Departures: departureMessages(h.follower.Departures()),
+	})
 	delete(h.duties, entry)
 	h.chooseReaders()
 	h.refresh(now)
@@ -149,6 +150,11 @@
 func (h *hub) spread(m *pb.ToEntry) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.tellAll(m)
+}
+
+// tellAll is spread where mu is held.
+func (h *hub) tellAll(m *pb.ToEntry) {
 	for _, s := range h.entries {
 		s.send(m)
 	}
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -140,19 +140,10 @@
 	if len(news) == 0 {
 		return
 	}
-	for _, s := range h.entries {
-		s.send(&pb.ToEntry{Limits: news})
-	}
+	h.tellAll(&pb.ToEntry{Limits: news})
 	h.setLimits(now)
 }
 
-// catchUpLimits tells an instance that attaches what is believed here; mu is held.
-func (h *hub) catchUpLimits(s sink) {
-	if all := h.limits.messages(h.snapshot()); len(all) > 0 {
-		s.send(&pb.ToEntry{Limits: all})
-	}
-}
-
 // setLimits has the services' states go by what is believed now; mu is held.
 func (h *hub) setLimits(now decide.Instant) {
 	for name, st := range h.services {
@@ -166,10 +157,10 @@
 	if h.limits.count.Load() == 0 {
 		return nil
 	}
-	rates := map[fleet.UpstreamID]float64{}
+	rates, part := map[fleet.UpstreamID]float64{}, h.part()
 	for _, u := range h.snapshot().Upstreams(service) {
 		if rate, ok := h.limits.rate(u); ok {
-			rates[u.ID] = max(rate, dispatch.ProbeRate) * h.part()
+			rates[u.ID] = max(rate, dispatch.ProbeRate) * part
 		}
 	}
 	return rates
