Dispatch: limits are brought up to date once a step, and counted in the survey that goes over the upstreams anyway

Read again: each look at an upstream for a job refilled its limit, with an exponential for a rising one, and a question (limited) dropped a limit that was over; a second loop over all upstreams found whether all are limited, and a third one ran for the log line of each refusal, which come by the hundred just under overload. The survey at the beginning of a step does all of it; what follows only reads.

No behaviour changed: now is the same for all of a step. Tests as they were; without the rate, and without the rise, they fail as before.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -25,8 +25,7 @@
 
 	now decide.Instant // of the step under way
 
-	limited allLimited // of the step under way
-	ahead   int        // of the step under way: jobs that wait before the one that is decided
+	ahead int // of the step under way: jobs that wait before the one that is decided
 
 	flowing decide.Instant // when something was last placed, or nothing but long prompts waited
 	probed  decide.Instant // when links that are taken for cut were last tried
@@ -37,6 +36,7 @@
 	// Of the survey at the beginning of a step.
 	cuts     map[link]int               // upstreams at its end that could not be reached since an answer last came over it
 	meanPass float64                    // ms
+	limits   limitSurvey                // of the upstreams that may get work
 	longs    int                        // jobs waiting for a long read, oversized ones aside
 	tried    int                        // long reads that found no place
 	unpacked map[fleet.DomainID]packing // what found no place on any engine
--- a/internal/decide/dispatch/limit.go
+++ b/internal/decide/dispatch/limit.go
@@ -60,21 +60,22 @@
 	l.left = min(max(1, l.rate*limitBurst), l.left+l.rate*past.Seconds())
 }
 
-// limited tells whether the upstream takes only so many requests. One that has risen again takes any number.
-func (e *engine) limited(now decide.Instant) bool {
+// refillLimit brings the upstream's limit up to now. One that has risen again is over.
+func (e *engine) refillLimit(now decide.Instant) {
 	if e.limit == nil {
-		return false
+		return
 	}
 	e.limit.refill(now)
 	if e.limit.rising && e.limit.rate >= risenRate {
 		e.limit = nil
-		return false
 	}
-	return true
 }
 
+// limited tells whether the upstream takes only so many requests.
+func (e *engine) limited() bool { return e.limit != nil }
+
 // underLimit tells whether the upstream's limit leaves room for a request.
-func (e *engine) underLimit(now decide.Instant) bool { return !e.limited(now) || e.limit.left >= 1 }
+func (e *engine) underLimit() bool { return !e.limited() || e.limit.left >= 1 }
 
 // takeLimit counts a request that was placed.
 func (e *engine) takeLimit() {
@@ -83,44 +84,34 @@
 	}
 }
 
-// Limited gives how many upstreams are under a limit, and what they take together, in requests a second.
-func (s *State) Limited() (upstreams int, rate float64) {
-	for _, e := range s.order {
-		if !e.gone && e.limit != nil {
-			upstreams++
-			rate += e.limit.rate
-		}
-	}
-	return upstreams, rate
-}
-
-// allLimited is what the upstreams take together where each of them names a limit.
-type allLimited struct {
-	rate float64 // requests a second; 0: some upstream has no limit
-	left float64 // requests that they may get now
+// limitSurvey is what the upstreams under a limit take together.
+type limitSurvey struct {
+	upstreams int
+	rate      float64 // requests a second
+	left      float64 // requests that they may get now
+	unnamed   int     // upstreams that name no limit, or none any more
 }
 
-func (s *State) surveyLimits(now decide.Instant) {
-	s.limited = allLimited{}
-	var all allLimited
-	for _, e := range s.order {
-		switch {
-		case e.gone:
-		case !e.limited(now) || e.limit.rising:
-			return
-		default:
-			all.rate += e.limit.rate
-			all.left += max(0, e.limit.left)
-		}
+// take counts an upstream, its limit brought up to now.
+func (v *limitSurvey) take(e *engine) {
+	if !e.limited() || e.limit.rising {
+		v.unnamed++
+	}
+	if e.limited() {
+		v.upstreams++
+		v.rate += e.limit.rate
+		v.left += max(0, e.limit.left)
 	}
-	s.limited = all
 }
 
-// limitedWait is how long a job with so many before it waits at least for its turn, where every upstream is under a limit.
+// Limited gives how many upstreams were under a limit at the last step, and what they took together, in requests a second.
+func (s *State) Limited() (upstreams int, rate float64) { return s.limits.upstreams, s.limits.rate }
+
+// limitedWait is how long a job with so many before it waits at least for its turn, where every upstream names a limit.
 func (s *State) limitedWait(before int) time.Duration {
-	turns := float64(before+1) - s.limited.left
-	if s.limited.rate <= 0 || turns <= 0 {
+	turns := float64(before+1) - s.limits.left
+	if s.limits.unnamed > 0 || s.limits.rate <= 0 || turns <= 0 {
 		return 0
 	}
-	return time.Duration(turns / s.limited.rate * float64(time.Second))
+	return time.Duration(turns / s.limits.rate * float64(time.Second))
 }
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -201,7 +201,7 @@
 // takes tells whether the upstream may get the job now, its reading aside.
 func (s *State) takes(now decide.Instant, e *engine, j *Job) bool {
 	return !e.gone && len(e.runs) < e.slotsFor(s.model, j) && !slices.Contains(j.Avoid, e.ID) &&
-		!e.paused(now) && now >= e.full && s.warmEnough(now, e) && s.reaches(j.From, e) && e.underLimit(now)
+		!e.paused(now) && now >= e.full && s.warmEnough(now, e) && s.reaches(j.From, e) && e.underLimit()
 }
 
 // slotsFor gives the places that a job may use. What is over its workspace's share leaves some free: those of others come
--- a/internal/decide/dispatch/spread.go
+++ b/internal/decide/dispatch/spread.go
@@ -91,7 +91,7 @@
 		if s.canAnswer(now, e, j, smallest) && (first == nil || s.answerDelay(e) < s.answerDelay(first)) {
 			first = e
 		}
-		if !e.limited(now) { // one in need reads and holds nothing for others
+		if !e.limited() { // one in need reads and holds nothing for others
 			best = s.insert(best, e, most)
 		}
 	}
--- a/internal/decide/dispatch/stall.go
+++ b/internal/decide/dispatch/stall.go
@@ -37,7 +37,7 @@
 		st.Paused += count(e.paused(now))
 		st.Full += count(now < e.full)
 		st.Cold += count(!s.warmEnough(now, e))
-		st.Limited += count(e.limit != nil)
+		st.Limited += count(e.limited())
 		_, unreached := e.unreached[j.From]
 		st.Unreached += count(unreached)
 		st.Cut += count(s.cuts[link{j.From, e.Domain}] >= cutFrom)
--- a/internal/decide/dispatch/survey.go
+++ b/internal/decide/dispatch/survey.go
@@ -8,11 +8,15 @@
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 )
 
-// survey looks at the upstreams once for a step: the mean pass of busy engines, and links that are cut.
+// survey looks at the upstreams once for a step: the mean pass of busy engines, links that are cut, and limits.
 func (s *State) survey(now decide.Instant) {
-	s.cuts = map[link]int{}
+	s.cuts, s.limits = map[link]int{}, limitSurvey{}
 	total, busy := 0.0, 0
 	for _, e := range s.order {
+		e.refillLimit(now)
+		if !e.gone {
+			s.limits.take(e)
+		}
 		for from, at := range e.unreached {
 			switch way := (link{from, e.Domain}); {
 			case now.Sub(at) >= unreachedTime:
@@ -34,7 +38,6 @@
 			}
 		}
 	}
-	s.surveyLimits(now)
 	s.meanPass = 0
 	if busy > 0 {
 		s.meanPass = total / float64(busy)
