--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -111,6 +111,9 @@
 	Revision  uint64    // of the store, at its last change
 }
 
+// Process is the start of the upstream that is known.
+func (u *Upstream) Process() fleet.Process { return fleet.Process{ID: u.ID, Born: u.Born} }
+
 // Member is another instance of damaskshelf.
 type Member struct {
 	ID          fleet.InstanceID
--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -180,6 +180,14 @@
 // Upstream gives the upstream with that id, or nil.
 func (s *Snapshot) Upstream(id fleet.UpstreamID) *Upstream { return s.upstreams[id] }
 
+// Running gives the upstream whose known start is that process, or nil.
+func (s *Snapshot) Running(p fleet.Process) *Upstream {
+	if u := s.upstreams[p.ID]; u != nil && u.Born == p.Born {
+		return u
+	}
+	return nil
+}
+
 // Upstreams gives a service's upstreams, sorted by id; not to be changed.
 func (s *Snapshot) Upstreams(name ServiceName) []*Upstream { return s.byService[name] }
 
--- a/internal/decide/advertised/limits.go
+++ b/internal/decide/advertised/limits.go
@@ -25,15 +25,9 @@
 	maxProcesses = 10_000
 )
 
-// Process is one start of an upstream. What it said ends with it.
-type Process struct {
-	ID   fleet.UpstreamID
-	Born int64 // Unix ms of its start
-}
-
-// Statement is what an answer said of its upstream's limit.
+// Statement is what an answer said of its upstream's limit. It ends with the upstream's process.
 type Statement struct {
-	Process
+	fleet.Process
 	Limited bool
 	Rate    float64          // requests a second that the process takes from all instances together
 	Sent    decide.Instant   // when the answered request was sent
@@ -55,7 +49,7 @@
 
 // Limits are the limits in force, as far as one instance knows. They are not safe for concurrent use.
 type Limits struct {
-	all     map[Process]*limit
+	all     map[fleet.Process]*limit
 	inForce int
 }
 
@@ -67,7 +61,7 @@
 }
 
 // New gives Limits of which none is in force.
-func New() *Limits { return &Limits{all: map[Process]*limit{}} }
+func New() *Limits { return &Limits{all: map[fleet.Process]*limit{}} }
 
 // InForce is the number of limits in force.
 func (l *Limits) InForce() int { return l.inForce }
@@ -76,7 +70,7 @@
 func (l *Limits) Known() int { return len(l.all) }
 
 // Of gives the limit of a process in requests a second; ok is false if it has none.
-func (l *Limits) Of(p Process) (rate float64, ok bool) {
+func (l *Limits) Of(p fleet.Process) (rate float64, ok bool) {
 	one := l.all[p]
 	if one == nil || one.over {
 		return 0, false
--- a/internal/decide/advertised/limits_test.go
+++ b/internal/decide/advertised/limits_test.go
@@ -15,7 +15,7 @@
 
 func at(ms int) decide.Instant { return decide.Instant(time.Duration(ms) * time.Millisecond) }
 
-var u = advertised.Process{ID: "u", Born: 7}
+var u = fleet.Process{ID: "u", Born: 7}
 
 func names(rate float64, heard int) advertised.Statement {
 	return advertised.Statement{Process: u, Limited: true, Rate: rate, Sent: at(heard - 10), Heard: at(heard), By: "i"}
@@ -87,7 +87,7 @@
 	is := is.New(t)
 	l := advertised.New()
 	l.Take(names(2, 1000))
-	_, ok := l.Of(advertised.Process{ID: u.ID, Born: u.Born + 1})
+	_, ok := l.Of(fleet.Process{ID: u.ID, Born: u.Born + 1})
 	is.Equal(ok, false)
 }
 
@@ -102,7 +102,7 @@
 	}
 	is.Equal(len(l.Statements(at(0))), 10_000)
 	is.Equal(l.InForce(), 10_000)
-	_, ok := l.Of(advertised.Process{ID: "11999", Born: u.Born})
+	_, ok := l.Of(fleet.Process{ID: "11999", Born: u.Born})
 	is.True(ok)
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,6 +19,12 @@
 	RequestID   string
 )
 
+// Process is one start of an upstream: another start under the same id is another process, and knows nothing of this one.
+type Process struct {
+	ID   UpstreamID
+	Born int64 // Unix ms of its start; 0: it isn't known
+}
+
 // Instance is one entry instance.
 type Instance struct {
 	ID       InstanceID
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -77,7 +77,8 @@
 // NewClient gives a Client of instance self.
 func NewClient(self fleet.InstanceID, domain fleet.DomainID, f *watch.Follower, log hclog.Logger) *Client {
 	c := &Client{
-		self: self, domain: domain, follower: f, snapshot: f.Snapshot, log: log.Named("placement"), hub: newHub(f, log), limits: newLimitTable(log.Named("placement")), holdoffs: newHoldoffs(log.Named("placement")),
+		self: self, domain: domain, follower: f, snapshot: f.Snapshot, log: log.Named("placement"), hub: newHub(f, log),
+		limits: newLimitTable(log.Named("placement")), holdoffs: newHoldoffs(log.Named("placement")),
 		waiting: map[fleet.RequestID]*waiting{}, running: map[fleet.RequestID]*dispatched{},
 		rests: map[fleet.InstanceID]rest{}, behind: map[fleet.InstanceID]*remoteSink{}, lacked: map[string]time.Time{}, news: newOutbox[news](),
 		look: make(chan struct{}, 1),
--- a/internal/placement/holdoff.go
+++ b/internal/placement/holdoff.go
@@ -9,7 +9,6 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
-	"github.com/damaskshelf/damaskshelf/internal/decide/advertised"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 )
 
@@ -21,18 +20,18 @@
 	count atomic.Int32 // kept ones, read on a request's path
 
 	mu    sync.Mutex
-	until map[advertised.Process]time.Time // guarded by mu
+	until map[fleet.Process]time.Time // guarded by mu
 }
 
 func newHoldoffs(log hclog.Logger) *holdoffs {
-	return &holdoffs{log: log, until: map[advertised.Process]time.Time{}}
+	return &holdoffs{log: log, until: map[fleet.Process]time.Time{}}
 }
 
 // hold takes that an upstream wants nothing from here until a moment.
 func (h *holdoffs) hold(u *catalog.Upstream, until time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	p := process(u)
+	p := u.Process()
 	if !until.After(h.until[p]) {
 		return
 	}
@@ -48,7 +47,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return time.Now().Before(h.until[process(u)])
+	return time.Now().Before(h.until[u.Process()])
 }
 
 // added gives the upstreams to avoid with those added that want nothing from here now.
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -50,7 +50,7 @@
 	opened           decide.Instant                          // guarded by mu: when the first instance attached
 	readers          readers.State                           // guarded by mu
 	duties           map[fleet.InstanceID]pb.ToEntry_Duty    // guarded by mu: as last told
-	spreadDepartures map[watch.Departure]bool                // guarded by mu: that all were told
+	spreadDepartures map[fleet.Process]bool                  // guarded by mu: that all were told
 	limits           *limitTable                             // what upstreams say that they take; the services' states go by it
 	ordered          ordering
 	// stallLogged is when a stall was last logged.
@@ -61,7 +61,7 @@
 	return &hub{
 		follower: f, snapshot: f.Snapshot, log: log.Named("dispatcher"), start: time.Now(),
 		services: map[catalog.ServiceName]*dispatch.State{}, entries: map[fleet.InstanceID]sink{}, missed: map[fleet.InstanceID]decide.Instant{},
-		spreadDepartures: map[watch.Departure]bool{},
+		spreadDepartures: map[fleet.Process]bool{},
 		wholes:           wholes{}, limits: newLimitTable(log.Named("dispatcher")),
 		domains: map[fleet.InstanceID]fleet.DomainID{}, duties: map[fleet.InstanceID]pb.ToEntry_Duty{},
 	}
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -64,7 +64,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.limits.Of(process(u))
+	return t.limits.Of(u.Process())
 }
 
 func (t *limitTable) limited(u *catalog.Upstream) bool {
@@ -72,10 +72,6 @@
 	return ok
 }
 
-func process(u *catalog.Upstream) advertised.Process {
-	return advertised.Process{ID: u.ID, Born: u.Born}
-}
-
 // messages gives all that is believed of the upstreams of a snapshot.
 func (t *limitTable) messages(snap *catalog.Snapshot) []*pb.Limit {
 	now := t.now()
@@ -84,7 +80,7 @@
 	t.mu.Unlock()
 	var out []*pb.Limit
 	for _, s := range all {
-		if u := snap.Upstream(s.ID); u != nil && u.Born == s.Born {
+		if snap.Running(s.Process) != nil {
 			out = append(out, limitMessage(s, now))
 		}
 	}
@@ -102,7 +98,7 @@
 func (t *limitTable) statement(m *pb.Limit) advertised.Statement {
 	now := t.now()
 	return advertised.Statement{
-		Process: advertised.Process{ID: fleet.UpstreamID(m.Upstream), Born: m.Born}, Limited: m.Limited, Rate: m.Rate,
+		Process: fleet.Process{ID: fleet.UpstreamID(m.Upstream), Born: m.Born}, Limited: m.Limited, Rate: m.Rate,
 		Sent: now.Add(-ms(m.SentMs)), Heard: now.Add(-ms(m.HeardMs)), By: fleet.InstanceID(m.By),
 	}
 }
@@ -118,7 +114,7 @@
 		sent = time.Now()
 	}
 	s := advertised.Statement{
-		Process: process(u), Limited: a.Limited, Rate: a.Limit, Sent: t.instant(sent), Heard: t.now(), By: by,
+		Process: u.Process(), Limited: a.Limited, Rate: a.Limit, Sent: t.instant(sent), Heard: t.now(), By: by,
 	}
 	if t.take(s) == advertised.None {
 		return nil
--- a/internal/placement/requests.go
+++ b/internal/placement/requests.go
@@ -41,7 +41,7 @@
 func (c *Client) got(m *pb.ToEntry) {
 	c.gotBack(m.Back)
 	for _, d := range m.Departures {
-		c.follower.Left(departure(d), d.Sign, fleet.InstanceID(d.By))
+		c.follower.Left(departed(d), d.Sign, fleet.InstanceID(d.By))
 	}
 	for _, l := range m.Limits {
 		c.limits.take(c.limits.statement(l))
--- a/internal/watch/departures.go
+++ b/internal/watch/departures.go
@@ -10,50 +10,41 @@
 // maxDepartures bounds the departures that are kept; the one that was noted first goes first.
 const maxDepartures = 10_000
 
-// Departure says that a process of an upstream leaves, by another word than the store's: its own answer, or that of another
-// process at its address. It is final: whatever the store says later of that process is older, however late it comes.
-type Departure struct {
-	ID   fleet.UpstreamID
-	Born int64 // Unix ms of the process's start; 0: it isn't known
-}
-
-// DepartureOf gives the departure of an upstream as it is known.
-func DepartureOf(u *catalog.Upstream) Departure { return Departure{ID: u.ID, Born: u.Born} }
-
-// departures are those that were noted. They outlive the upstream's entry, which can lapse while the store is away and come
-// back as it was.
+// departures are upstreams' processes that leave by another word than the store's: their own answers, or that of another
+// process at their address. It is final: whatever the store says later of such a process is older, however late it comes. They
+// outlive the upstream's entry, which can lapse while the store is away and come back as it was.
 type departures struct {
-	noted map[Departure]time.Time
+	noted map[fleet.Process]time.Time
 }
 
-func newDepartures() *departures { return &departures{noted: map[Departure]time.Time{}} }
+func newDepartures() *departures { return &departures{noted: map[fleet.Process]time.Time{}} }
 
 func (d *departures) has(u *catalog.Upstream) bool {
 	if len(d.noted) == 0 {
 		return false
 	}
-	_, ok := d.noted[DepartureOf(u)]
+	_, ok := d.noted[u.Process()]
 	return ok
 }
 
-// note takes a departure, and tells whether it is new.
-func (d *departures) note(one Departure, now time.Time) bool {
-	if _, known := d.noted[one]; known {
+// note takes that a process leaves, and tells whether that is new.
+func (d *departures) note(p fleet.Process, now time.Time) bool {
+	if _, known := d.noted[p]; known {
 		return false
 	}
 	if len(d.noted) >= maxDepartures {
 		d.forgetFirst()
 	}
-	d.noted[one] = now
+	d.noted[p] = now
 	return true
 }
 
 func (d *departures) forgetFirst() {
-	var first Departure
+	var first fleet.Process
 	var at time.Time
-	for one, noted := range d.noted {
+	for p, noted := range d.noted {
 		if at.IsZero() || noted.Before(at) {
-			first, at = one, noted
+			first, at = p, noted
 		}
 	}
 	delete(d.noted, first)
@@ -61,30 +52,30 @@
 
 // forgetUnnamed drops the departure of an upstream whose start isn't known, as its entry is gone: another process under its
 // id could not be told from it.
-func (d *departures) forgetUnnamed(id fleet.UpstreamID) { delete(d.noted, Departure{ID: id}) }
+func (d *departures) forgetUnnamed(id fleet.UpstreamID) { delete(d.noted, fleet.Process{ID: id}) }
 
-// Left notes a departure, which can be known before the store says so: the process gets no new work. by is the instance that
+// Left notes that a process leaves, which can be known before the store says so: it gets no new work. by is the instance that
 // found out. It tells whether that is news here.
-func (f *Follower) Left(d Departure, sign string, by fleet.InstanceID) bool {
+func (f *Follower) Left(p fleet.Process, sign string, by fleet.InstanceID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	if !f.left.note(d, now) {
+	if !f.left.note(p, now) {
 		return false
 	}
-	f.log.Info("upstream leaves by its own answer", "upstream", d.ID, "born", d.Born, "sign", sign, "heard_by", by)
+	f.log.Info("upstream leaves by its own answer", "upstream", p.ID, "born", p.Born, "sign", sign, "heard_by", by)
 	f.publish(f.deps.Kinds.Upstreams, now)
 	return true
 }
 
-// Departures gives those of upstreams that the store has as staying.
-func (f *Follower) Departures() []Departure {
+// Departures gives the processes that leave and that the store has as staying.
+func (f *Follower) Departures() []fleet.Process {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var all []Departure
-	for one := range f.left.noted {
-		if u := f.upstreams[one.ID]; u != nil && u.Born == one.Born && !u.Leaving {
-			all = append(all, one)
+	var all []fleet.Process
+	for p := range f.left.noted {
+		if u := f.upstreams[p.ID]; u != nil && u.Process() == p && !u.Leaving {
+			all = append(all, p)
 		}
 	}
 	return all
--- a/internal/watch/departures_test.go
+++ b/internal/watch/departures_test.go
@@ -40,16 +40,16 @@
 		return f.Snapshot().Upstream("x")
 	}
 	is.Equal(offer("7").Leaving, false)
-	is.True(f.Left(Departure{"x", 7}, "its answer", "i"))
-	is.True(!f.Left(Departure{"x", 7}, "its answer", "i"))
+	is.True(f.Left(fleet.Process{ID: "x", Born: 7}, "its answer", "i"))
+	is.True(!f.Left(fleet.Process{ID: "x", Born: 7}, "its answer", "i"))
 	is.True(f.Snapshot().Upstream("x").Leaving)
 	is.True(offer("7").Leaving)
-	is.Equal(f.Departures(), []Departure{{"x", 7}})
+	is.Equal(f.Departures(), []fleet.Process{{ID: "x", Born: 7}})
 	is.Equal(offer(""), nil)
 	is.Equal(len(f.Departures()), 0)
 	is.True(offer("7").Leaving)
 	is.Equal(offer("8").Leaving, false)
-	f.Left(Departure{"x", 7}, "a late answer", "i")
+	f.Left(fleet.Process{ID: "x", Born: 7}, "a late answer", "i")
 	is.Equal(f.Snapshot().Upstream("x").Leaving, false)
 }
 
@@ -62,7 +62,7 @@
 		return []wire.Object{{Kind: "u", Name: "x", Version: version, Value: []byte("0")}}
 	}
 	f.Offer(Change{Kind: "u", Whole: true, To: 1, Objects: entry(1)})
-	f.Left(Departure{"x", 0}, "its answer", "i")
+	f.Left(fleet.Process{ID: "x", Born: 0}, "its answer", "i")
 	is.True(f.Snapshot().Upstream("x").Leaving)
 	f.Offer(Change{Kind: "u", From: 1, To: 2, Deleted: []string{"x"}})
 	f.Offer(Change{Kind: "u", From: 2, To: 3, Objects: entry(3)})
@@ -75,7 +75,7 @@
 	d := newDepartures()
 	began := time.Now()
 	for i := range maxDepartures + 5 {
-		d.note(Departure{fleet.UpstreamID(fmt.Sprint(i)), 1}, began.Add(time.Duration(i)))
+		d.note(fleet.Process{ID: fleet.UpstreamID(fmt.Sprint(i)), Born: 1}, began.Add(time.Duration(i)))
 	}
 	is.Equal(len(d.noted), maxDepartures)
 	is.True(!d.has(&catalog.Upstream{ID: "0", Born: 1}))
