--- a/internal/placement/limits_test.go
+++ b/internal/placement/limits_test.go
@@ -42,8 +42,6 @@
 	rand    *rand.Rand    // guarded by mu
 	nodes   []*limitedOne // guarded by mu
 	arrived []time.Time   // guarded by mu: at "needy"
-	served  int           // guarded by mu: at "sound"
-	refused int           // guarded by mu
 }
 
 // limitedOne is an instance: what it believes, and its side as a dispatcher.
@@ -117,9 +115,6 @@
 		for _, p := range m.Places {
 			go n.request(p.Id, fleet.UpstreamID(p.Upstream))
 		}
-		n.f.mu.Lock()
-		n.f.refused += len(m.Refusals)
-		n.f.mu.Unlock()
 	}()
 }
 
@@ -154,13 +149,11 @@
 	}
 	sent := time.Now()
 	n.f.trip()
-	n.f.mu.Lock()
 	if to == "needy" {
+		n.f.mu.Lock()
 		n.f.arrived = append(n.f.arrived, time.Now())
-	} else {
-		n.f.served++
+		n.f.mu.Unlock()
 	}
-	n.f.mu.Unlock()
 	time.Sleep(5 * time.Millisecond)
 	a := gateway.Answer{Sealed: true}
 	if to == "needy" && n.f.names.Load() {
