A request waits for trust that ended a moment ago

All processes stood still at once, and nobody had an exchange within the bound of 1.5 s. Trust ended at 15.21 s and was back at 15.34 and 15.38 s: both requests were turned away in between.

A caller that is turned away comes back a second later; one exchange with a peer brings trust back in a tenth of that. The request waits where trust ended less than a second ago or the pause ends now. An instance that stays cut off refuses at once, as before. The end of a pause also takes the published trust away before the node's tick marks the guard: between the two a request could find the trust of before the pause.

Without forget and without Regaining the two new tests fail.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -55,6 +54,7 @@
 
 	ready   atomic.Bool
 	trusted atomic.Int64 // instant after which no new work may be sent
+	lost    atomic.Int64 // instant at which trust ends or ended
 	config  atomic.Pointer[relay.Config]
 	alien   atomic.Uint64 // version of a configuration that this program can't read; 0: none
 
@@ -107,6 +107,21 @@
 	return nil
 }
 
+// regainTime is how long trust that has just ended may take to come back before callers are turned away: a
+// heartbeat that waits its interval, fails, and is sent to another peer fits in.
+const regainTime = time.Second
+
+// Regaining tells whether an instance that is stale became so within regainTime, after a pause or a failure
+// of the network: one exchange makes it usable again. One that stays cut off longer is not regaining.
+func (f *Follower) Regaining() bool {
+	now := f.now()
+	if _, reason := f.guard.Ask(now); reason == pause.Paused {
+		return true // its end is now
+	}
+	lost := decide.Instant(f.lost.Load())
+	return lost != 0 && now.Sub(lost) < regainTime
+}
+
 func age(now, trusted decide.Instant) string {
 	if trusted == 0 {
 		return "the start or a pause"
@@ -164,7 +179,18 @@
 func (f *Follower) handle(event func(now decide.Instant) []relay.Effect) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.carryOut(event(f.now()))
+	now := f.now()
+	if _, reason := f.guard.Ask(now); reason == pause.Paused {
+		f.forget(now)
+	}
+	f.carryOut(event(now))
+}
+
+// forget ends the published trust at the end of a pause. The node's tick marks the guard before its effects
+// are carried out: a request in between would still find the trust of before the pause. mu is held.
+func (f *Follower) forget(now decide.Instant) {
+	f.trusted.Store(0)
+	f.lost.Store(int64(now))
 }
 
 // carryOut does the effects in order; mu is held.
@@ -183,7 +209,11 @@
 		}
 	}
 	f.ready.Store(f.node.Ready())
-	f.trusted.Store(int64(min(f.node.TrustedUntil(), math.MaxInt64)))
+	trusted := int64(f.node.TrustedUntil())
+	f.trusted.Store(trusted)
+	if trusted != 0 {
+		f.lost.Store(trusted)
+	}
 }
 
 func (f *Follower) putInForce(c relay.Config) {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -223,12 +223,15 @@
 // An instance that neither peers nor the store answer must refuse new work, and take it up again when it
 // hears somebody.
 func TestACutOffInstanceRefuses(t *testing.T) {
+	is := is.New(t)
 	f := newFixture(t, 2)
 	f.inForce(f.write(api.Config{}, 0, nil))
 	lost, other := f.all[0], f.all[1]
 	lost.down.Store(true)
 	other.stop() // its only peer
 	eventually(t, "stale", func() bool { return fault.Is(lost.Usable(), fault.StaleInstance) })
+	eventually(t, "refuses at once", func() bool { return !lost.Regaining() })
+	is.True(fault.Is(lost.Usable(), fault.StaleInstance))
 	lost.down.Store(false)
 	eventually(t, "usable again", func() bool { return lost.Usable() == nil })
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -23,8 +23,12 @@
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
 	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
+	"github.com/damaskshelf/damaskshelf/internal/wait"
 )
 
+// regainPoll is the time between two looks at whether the instance is usable again.
+const regainPoll = 10 * time.Millisecond
+
 // Memory holds and frees memory on engines; upstream.Client does.
 type Memory interface {
 	Reserve(ctx context.Context, addr string, r wire.Reservation) error
@@ -46,6 +50,8 @@
 	// Usable gives nil, or why this instance may not send new work now; nil: it always may. It is asked
 	// last, right before the grant: a request may have waited.
 	Usable func() error
+	// Regaining tells whether an instance that is not usable is likely to be so again in a moment; nil: never.
+	Regaining func() bool
 
 	view    func() *fleet.View
 	explain *explain.Recorder
@@ -169,14 +175,29 @@
 // Acquire gives the upstream for q. A prompt that has to wait for one blocks until it is given up on, which
 // is answered at once by a *fault.Error that says "not run", or until ctx ends.
 func (r *Router) Acquire(ctx context.Context, q Request) (*Grant, error) {
+	for {
+		g, err := r.acquire(ctx, &q)
+		if !r.regains(err) || !wait.For(ctx, regainPoll) {
+			return g, err
+		}
+	}
+}
+
+// regains tells whether err ends soon by itself: right after a pause or a failure of the network everywhere, a
+// caller that waits is served sooner than one that is turned away.
+func (r *Router) regains(err error) bool {
+	return fault.Is(err, fault.StaleInstance) && r.Regaining != nil && r.Regaining()
+}
+
+func (r *Router) acquire(ctx context.Context, q *Request) (*Grant, error) {
 	s := r.scene()
 	if s.view.ConfigVersion == 0 {
 		return nil, fault.New(fault.NotReady, "no configuration yet")
 	}
 	if q.Service != "" {
-		return r.service(&q)
+		return r.service(q)
 	}
-	return r.prompt(ctx, s, &q)
+	return r.prompt(ctx, s, q)
 }
 
 // prompt checks model and workspace, and lets the model's gate decide.
--- a/internal/route/stale_test.go
+++ b/internal/route/stale_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"context"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -91,3 +92,51 @@
 		is.True(fault.Is(err, fault.NoUpstream))
 	})
 }
+
+// Guards against turning callers away though the instance, stale after a pause, is usable again a moment later.
+func TestRequestsWaitForTrustThatComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(1, nil)
+		b.now.Store(b.with(func(*fleet.Upstream) {}))
+		call := Request{ID: "c", Workspace: "w", Service: "bookdesk", Deadline: time.Now().Add(time.Minute)}
+		start := time.Now()
+		const back, over = 150 * time.Millisecond, time.Second
+		b.Usable = func() error {
+			if time.Since(start) < back {
+				return fault.New(fault.StaleInstance, "paused")
+			}
+			return nil
+		}
+		b.Regaining = func() bool { return true }
+		for _, q := range []Request{call, b.request(2000, time.Minute)} {
+			start = time.Now()
+			g, err := b.Acquire(t.Context(), q)
+			is.NoErr(err)
+			is.True(time.Since(start) >= back)
+			is.True(time.Since(start) <= back+regainPoll)
+			g.Done(OK)
+		}
+		is.Equal(b.space("w").Count(), 0)
+
+		b.Usable = func() error { return fault.New(fault.StaleInstance, "cut off") }
+		b.Regaining = func() bool { return time.Since(start) < over }
+		start = time.Now()
+		_, err := b.Acquire(t.Context(), call)
+		is.True(fault.Is(err, fault.StaleInstance))
+		is.True(time.Since(start) <= over+regainPoll) // it is not waited for longer
+		start = time.Now().Add(-over)
+		again := time.Now()
+		_, err = b.Acquire(t.Context(), call)
+		is.True(fault.Is(err, fault.StaleInstance))
+		is.Equal(time.Since(again), time.Duration(0)) // cut off for longer: refused at once
+
+		b.Regaining = func() bool { return true }
+		short, cancel := context.WithTimeout(t.Context(), back)
+		defer cancel()
+		again = time.Now()
+		_, err = b.Acquire(short, call)
+		is.True(fault.Is(err, fault.StaleInstance)) // it has not run
+		is.Equal(time.Since(again), back)
+	})
+}
--- a/test/e2e/entries_test.go
+++ b/test/e2e/entries_test.go
@@ -80,6 +80,22 @@
 	})
 }
 
+// All entry instances stand still at once for longer than knowledge is trusted, as on a machine that is
+// suspended or starved. They trust one another again a moment later; no request is turned away in between.
+func TestAllEntriesStandStill(t *testing.T) {
+	f := start(t)
+	run(t, f, all, func() {
+		for _, e := range f.started() {
+			f.signal(e, syscall.SIGSTOP)
+		}
+		time.Sleep(during)
+		for _, e := range f.started() {
+			f.signal(e, syscall.SIGCONT)
+		}
+		time.Sleep(before)
+	})
+}
+
 // A whole failure domain is lost at once: its entry instance, its engines and its service instance. The
 // instance list shows them all as live. Callers of the others see nothing but bookings of unknown outcome and
 // calls of the service that are told to come back. Then all comes back.
