A departure heard while an instance changes its dispatcher is told to the new one

What happens to requests in that time is told again when the session begins (since); departures weren't. They are now, under the same lock, so that none falls between: what is noted before is in it, what is noted after goes to the new session.

TestADepartureHeardWhileTheDispatcherChangesIsTold failed before (0 departures told, 1 expected). Limits needed nothing: they are told again each second.

--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -239,10 +239,11 @@
 	}
 }
 
-// since is what has become of the requests since a session's first message; mu is held.
+// since is what has become of the requests and what was heard of upstreams that leave since a session's first message; mu
+// is held. Limits are told again each second.
 func (c *Client) since(first *pb.FromEntry) *pb.FromEntry {
 	now := time.Now()
-	m := &pb.FromEntry{}
+	m := &pb.FromEntry{Departures: c.departuresSince(first)}
 	told := map[fleet.RequestID]*pb.Running{}
 	for _, r := range first.GetRunning() {
 		id := fleet.RequestID(r.Ask.Id)
--- a/internal/placement/departures.go
+++ b/internal/placement/departures.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"slices"
+
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
@@ -37,6 +39,16 @@
 	return out
 }
 
+// departuresSince gives those that a session's first message doesn't have.
+func (c *Client) departuresSince(first *pb.FromEntry) []*pb.Departure {
+	told := map[fleet.Process]bool{}
+	for _, m := range first.GetDepartures() {
+		told[departed(m)] = true
+	}
+	news := slices.DeleteFunc(c.follower.Departures(), func(p fleet.Process) bool { return told[p] })
+	return departureMessages(news)
+}
+
 func departed(m *pb.Departure) fleet.Process {
 	return fleet.Process{ID: fleet.UpstreamID(m.Upstream), Born: m.Born}
 }
--- a/internal/placement/departures_test.go
+++ b/internal/placement/departures_test.go
@@ -59,3 +59,26 @@
 	h.tell("i1", h.entries["i1"], first) // told once more, it goes no further
 	is.Equal(len(before.departures), 1)
 }
+
+// Guards against a departure that nobody else learns, since it is heard after the first message to a new dispatcher was made.
+func TestADepartureHeardWhileTheDispatcherChangesIsTold(t *testing.T) {
+	is := is.New(t)
+	c := NewClient("i1", "d", followerOf("x", "y", "z"), hclog.NewNullLogger())
+	c.session = &session{with: "old", end: func() {}, tell: func(*pb.FromEntry) {}}
+	c.Left(&catalog.Upstream{ID: "x", Born: 7}, "its answer")
+	first := c.first()
+	c.Left(&catalog.Upstream{ID: "y", Born: 7}, "its answer")
+	var since *pb.FromEntry
+	c.moved(&session{with: "next", first: first, end: func() {}, tell: func(m *pb.FromEntry) { since = m }})
+	is.Equal(len(since.Departures), 1)
+	h := newHub(followerOf("x", "y", "z"), hclog.NewNullLogger())
+	other := &told{}
+	h.attach("i0", other, &pb.FromEntry{})
+	to := &told{}
+	h.attach("i1", to, first)
+	h.tell("i1", to, since)
+	for id, leaving := range map[fleet.UpstreamID]bool{"x": true, "y": true, "z": false} {
+		is.Equal(h.snapshot().Upstream(id).Leaving, leaving)
+	}
+	is.Equal(len(other.departures), 2)
+}
