A caller that asks for a version which is not served costs no upstream

Callers' headers go on as they come, and we read the first meaning always. Since a departure is final and told to all, one caller with Expect-Version took every upstream that its request reached from the whole fleet for as long as those processes live.

TestAVersionThatIsNotServedCostsNoUpstream failed before: after two such requests to each of three instances a sound request got 503. Such a 421 is still taken as not run and tried elsewhere within the attempts; it just says nothing of the address.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	Prompt    int    // tokens of the prompt; 0: not a prompt, or not said
 	Output    int    // most tokens of the answer
 	LastEvent string // a stream goes on after this event; empty: from its start
+	Versioned bool   // only upstreams with a version that the caller names answer it; others say Other
 }
 
 // Send is what the system tells an upstream with a request.
@@ -38,7 +39,7 @@
 type Answer struct {
 	Sealed  bool          // the answer is marked as an upstream's own
 	NotRun  bool          // the upstream did not run the request and will not
-	Other   bool          // another upstream has the address now
+	Other   bool          // it isn't the upstream asked for: another one has the address now, or the request is Versioned
 	AtFault string        // the address of the upstream at fault, which may be a helper; empty: not said
 	Coded   bool          // the body has an encoding that nobody asked for: it isn't the upstream's
 	Leaving bool          // the upstream leaves: it is to get no new work
@@ -113,7 +114,7 @@
 	Rejected                   // the upstream said that it did not run it
 	Failed                     // an error answer, a cut or silence
 	Left                       // the caller went away or the time ran out
-	Replaced                   // another upstream has its address
+	Replaced                   // another upstream has its address, or it has another version than the caller asks for
 )
 
 // String gives the outcome as it stands in log lines.
--- a/internal/gateway/life.go
+++ b/internal/gateway/life.go
@@ -238,6 +238,8 @@
 		}
 		if l.answer.Other {
 			f.outcome = Replaced
+		}
+		if l.answer.Other && !l.r.Versioned {
 			l.g.deps.Left(l.grant.Upstream(), "another upstream has its address")
 		}
 		l.drop(f)
