A request that waits for trust chooses anew only once the instance is usable

A long prompt reserved its memory on engines and gave it back each time (22 reservations in 200 ms, where 3 are right: one that finds the instance stale, one before, one after), and counted as new demand in the sizes of lanes. Nothing of it was seen by callers.

The wait looks at the instance alone and the choice is made when it is usable. TestMemoryIsNotReservedAnewWhileTrustIsAwaited failed before (22, not 3).

--- a/internal/route/hold_test.go
+++ b/internal/route/hold_test.go
@@ -21,12 +21,14 @@
 	mu      sync.Mutex
 	held    map[string]map[string]wire.Reservation // guarded by mu
 	refuse  bool                                   // guarded by mu
+	asked   int                                    // guarded by mu: reservations that were asked for
 	loseAsk bool                                   // guarded by mu: the reservation stands, its answer is lost
 }
 
 func (f *fakeMemory) Reserve(_ context.Context, addr string, r wire.Reservation) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.asked++
 	if f.refuse {
 		return &upstream.CallError{Sent: true, NotStarted: true, Status: 503, Cause: errors.New("no memory")}
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -177,12 +177,23 @@
 func (r *Router) Acquire(ctx context.Context, q Request) (*Grant, error) {
 	for {
 		g, err := r.acquire(ctx, &q)
-		if !r.regains(err) || !wait.For(ctx, regainPoll) {
+		if !r.regained(ctx, err) {
 			return g, err
 		}
 	}
 }
 
+// regained waits while err ends soon by itself, and tells whether the instance is usable again. A choice is made anew
+// only then: each reserves memory on engines and counts in the lanes' demand.
+func (r *Router) regained(ctx context.Context, err error) bool {
+	for r.regains(err) && wait.For(ctx, regainPoll) {
+		if err = r.usable(); err == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // regains tells whether err ends soon by itself: right after a pause or a failure of the network everywhere, a
 // caller that waits is served sooner than one that is turned away.
 func (r *Router) regains(err error) bool {
--- a/internal/route/stale_test.go
+++ b/internal/route/stale_test.go
@@ -140,3 +140,30 @@
 		is.Equal(time.Since(again), back)
 	})
 }
+
+// Guards against memory that is reserved on engines and given back at each look while the instance is not usable.
+func TestMemoryIsNotReservedAnewWhileTrustIsAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(2, nil)
+		long := b.request(200_000, time.Minute)
+		g, err := b.Acquire(t.Context(), long)
+		is.NoErr(err)
+		g.Done(OK)
+		once := b.memory.asked
+		is.True(once > 0)
+		back := time.Now().Add(200 * time.Millisecond)
+		b.Usable = func() error {
+			if time.Now().Before(back) {
+				return fault.New(fault.StaleInstance, "paused")
+			}
+			return nil
+		}
+		b.Regaining = func() bool { return true }
+		long.ID = "again"
+		g, err = b.Acquire(t.Context(), long)
+		is.NoErr(err)
+		g.Done(OK)
+		is.Equal(b.memory.asked, 3*once) // before the pause is noticed, and after it
+	})
+}
