A dispatcher accepts connections of the whole fleet, as many as its descriptors allow

Cause: placement's listener used the limit of the peers' server, 256 connections, which fits the rings of decide/member and not a dispatcher that every instance attaches to.

--- a/api/routed.go
+++ b/api/routed.go
@@ -52,13 +52,15 @@
 	Grace       Duration `json:"grace"` // the platform ends the process after this time, which may be of any length
 }
 
-// RoutedLimits bounds the requests and connections that one instance accepts from callers.
+// RoutedLimits bounds the requests and connections that one instance accepts.
 type RoutedLimits struct {
 	MaxBodyBytes   int      `json:"max_body_bytes,omitempty"`
 	MaxHeaderBytes int      `json:"max_header_bytes,omitempty"`
 	MaxConnections int      `json:"max_connections,omitempty"`
 	ReadTimeout    Duration `json:"read_timeout,omitempty"`
 	IdleTimeout    Duration `json:"idle_timeout,omitempty"`
+	// MaxDescriptors is the number of file descriptors that the process may open; 0: the operating system's limit.
+	MaxDescriptors float64 `json:"max_descriptors,omitempty"`
 }
 
 // Defaults of the routed settings that may be omitted.
@@ -122,6 +124,7 @@
 		{"routed.retries.slack", *r.Retries.Slack},
 		{"routed.link_mbps", r.LinkMbps},
 		{"routed.cpu_share", r.CPUShare},
+		{"routed.limits.max_descriptors", r.Limits.MaxDescriptors},
 	}
 	for _, n := range numbers {
 		if n.value < 0 {
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -15,9 +15,9 @@
 	maxConns  int64
 }
 
-// LimitListener returns a listener that accepts from l and has at most maxServerConns connections open.
-func LimitListener(l net.Listener) net.Listener {
-	return &limitListener{Listener: l, maxConns: maxServerConns}
+// LimitListener returns a listener that accepts from l and has at most maxConns connections open.
+func LimitListener(l net.Listener, maxConns int64) net.Listener {
+	return &limitListener{Listener: l, maxConns: maxConns}
 }
 
 // Accept returns the next connection and closes those over the limit.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// maxServerConns is the maximum number of open connections of a server. A peer keeps one and opens one more for a
+	// maxServerConns is the maximum number of open connections of a Server. A peer keeps one and opens one more for a
 	// pull. The rings of decide/member give an instance about as many callers as it has peers.
 	maxServerConns = 256
 	// idleTimeout is how long a connection may receive nothing before it is closed. Heartbeats are far more frequent.
@@ -52,7 +52,7 @@
 
 // Serve serves peers until ctx is done, then closes l and every connection.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	return s.drpc.Serve(ctx, LimitListener(l))
+	return s.drpc.Serve(ctx, LimitListener(l, maxServerConns))
 }
 
 // service implements peerpb.DRPCPeerServer with a Handler.
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -88,8 +88,10 @@
 	return c
 }
 
-// Serve serves the sessions of other instances, as a dispatcher or a relay, until ctx ends. It then closes l.
-func (c *Client) Serve(ctx context.Context, l net.Listener) error {
+// Serve serves the sessions of other instances, as a dispatcher or a relay, until ctx ends. It then closes l. It has at
+// most maxConns connections open: every other instance may attach to a dispatcher, and may open a second connection
+// before its first one is known to be dead.
+func (c *Client) Serve(ctx context.Context, l net.Listener, maxConns int64) error {
 	mux := drpcmux.New()
 	if err := pb.DRPCRegisterPlacement(mux, rpcServer{c: c}); err != nil {
 		return err
@@ -97,7 +99,7 @@
 	options := drpcserver.Options{Manager: drpcmanager.Options{
 		Reader: drpcwire.ReaderOptions{MaximumBufferSize: peer.MaxMessageBytes}, InactivityTimeout: time.Minute,
 	}}
-	return drpcserver.NewWithOptions(mux, options).Serve(ctx, peer.LimitListener(l))
+	return drpcserver.NewWithOptions(mux, options).Serve(ctx, peer.LimitListener(l, maxConns))
 }
 
 // Run keeps a session with the dispatcher and does this instance's own work as a dispatcher until ctx ends.
--- a/internal/placement/relay_test.go
+++ b/internal/placement/relay_test.go
@@ -56,9 +56,17 @@
 	}
 }
 
+// maxTestConns is the number of connections that a testClient accepts.
+const maxTestConns = 4096
+
 // deadAddr is an address that refuses connections.
 const deadAddr = "127.0.0.1:1"
 
+// newTestFollower returns a Follower without a store, whose copies a test sets.
+func newTestFollower() *watch.Follower {
+	return watch.New(watch.Deps{Kinds: watch.Kinds{Config: "c", Upstreams: "u", DomainsOut: "o"}, Log: hclog.NewNullLogger()})
+}
+
 // newTestClient starts a client without members, which runs until the test ends.
 func newTestClient(t *testing.T, id fleet.InstanceID, domain fleet.DomainID) *testClient {
 	t.Helper()
@@ -67,11 +75,11 @@
 		t.Fatal(err)
 	}
 	l := &resettableListener{Listener: bound}
-	f := watch.New(watch.Deps{Kinds: watch.Kinds{Config: "c", Upstreams: "u", DomainsOut: "o"}, Log: hclog.NewNullLogger()})
+	f := newTestFollower()
 	p := &testClient{Client: NewClient(id, domain, f, hclog.NewNullLogger()), addr: l.Addr().String(), listener: l}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 2)
-	go func() { done <- p.Serve(ctx, l) }()
+	go func() { done <- p.Serve(ctx, l, maxTestConns) }()
 	go func() {
 		p.Run(ctx)
 		done <- nil
@@ -130,7 +138,7 @@
 		addrs[id] = all[id].addr
 	}
 	// A client that is not a member itself computes the order.
-	f := watch.New(watch.Deps{Kinds: watch.Kinds{Config: "c", Upstreams: "u", DomainsOut: "o"}, Log: hclog.NewNullLogger()})
+	f := newTestFollower()
 	probe := &testClient{Client: NewClient("probe", "d", f, hclog.NewNullLogger())}
 	probe.setMembers(t, 1, addrs)
 	var order []*testClient
@@ -190,7 +198,7 @@
 // The instance must place them by its own view.
 func TestRequestsArePlacedLocallyWithoutDispatcher(t *testing.T) {
 	is := is.New(t)
-	f := watch.New(watch.Deps{Kinds: watch.Kinds{Config: "c", Upstreams: "u", DomainsOut: "o"}, Log: hclog.NewNullLogger()})
+	f := newTestFollower()
 	c := NewClient("i1", "d", f, hclog.NewNullLogger())
 	asked := make(chan struct{}, 1)
 	ended := make(chan struct{})
@@ -274,7 +282,7 @@
 // heartbeat of each other.
 func TestDeadMemberDoesNotDelayNextDispatcher(t *testing.T) {
 	is := is.New(t)
-	f := watch.New(watch.Deps{Kinds: watch.Kinds{Config: "c", Upstreams: "u", DomainsOut: "o"}, Log: hclog.NewNullLogger()})
+	f := newTestFollower()
 	h := newHub(f, hclog.NewNullLogger())
 	p := &testClient{Client: &Client{follower: f, hub: h}}
 	p.setMembers(t, 2, map[fleet.InstanceID]string{"dead": deadAddr, "i1": deadAddr, "i2": deadAddr})
@@ -339,7 +347,7 @@
 // and place by their own work alone. Requests wait for the next session, which receives them.
 func TestRequestsWaitForNextSession(t *testing.T) {
 	is := is.New(t)
-	f := watch.New(watch.Deps{Kinds: watch.Kinds{Config: "c", Upstreams: "u", DomainsOut: "o"}, Log: hclog.NewNullLogger()})
+	f := newTestFollower()
 	c := NewClient("i1", "d", f, hclog.NewNullLogger())
 	answered := make(chan error, 1)
 	go func() {
@@ -368,7 +376,7 @@
 // a new incarnation is contacted at once.
 func TestRestartedInstanceLeavesBackoff(t *testing.T) {
 	is := is.New(t)
-	f := watch.New(watch.Deps{Kinds: watch.Kinds{Config: "c", Upstreams: "u", DomainsOut: "o"}, Log: hclog.NewNullLogger()})
+	f := newTestFollower()
 	p := &testClient{Client: NewClient("i1", "d", f, hclog.NewNullLogger())}
 	addrs := map[fleet.InstanceID]string{"i1": deadAddr, "i2": deadAddr}
 	inBackoff := func() bool {
@@ -391,7 +399,7 @@
 // is in use, so that its end goes to the old dispatcher only. All changes in between are reported again.
 func TestChangesDuringSessionSwitchAreReported(t *testing.T) {
 	is := is.New(t)
-	f := watch.New(watch.Deps{Kinds: watch.Kinds{Config: "c", Upstreams: "u", DomainsOut: "o"}, Log: hclog.NewNullLogger()})
+	f := newTestFollower()
 	c := NewClient("i1", "d", f, hclog.NewNullLogger())
 	c.session = &session{peerID: "old", end: func() {}, send: func(*pb.FromEntry) {}}
 	run := func(id fleet.RequestID, on fleet.UpstreamID) *dispatchedGrant {
--- a/internal/placement/state_test.go
+++ b/internal/placement/state_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
@@ -101,7 +100,7 @@
 	is.NoErr(err)
 	is.True(proto.Size(second) < proto.Size(first)/10)
 
-	f := watch.New(watch.Deps{Kinds: watch.Kinds{Config: "c", Upstreams: "u", DomainsOut: "o"}, Log: hclog.NewNullLogger()})
+	f := newTestFollower()
 	needed, err := applyState(f, []*pb.Change{second}, nil)
 	is.NoErr(err)
 	is.Equal(needed, []string{"c"}) // nothing is held yet
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -162,7 +162,7 @@
 	}
 	n.self.Addr = advertisedAddr(n.self.Addr, peers.Addr())
 	n.runInBackground(func(ctx context.Context) {
-		if err := p.Placer.Serve(ctx, peers); err != nil {
+		if err := p.Placer.Serve(ctx, peers, maxPeerConns(p.Settings.Routed.Limits)); err != nil {
 			p.Log.Error("peers' listener ended", "error", err)
 		}
 	})
