A scheduled step begins at once, and heartbeats cause none

Two causes on the dispatcher's path, both worst when steps are long: - stepRequests was never made, so that wake() was lost, and after a step of over 1 ms the next one waited for the timer: 10 ms while jobs wait, 100 ms otherwise. Test in virtual time: 100 ms before, 0 after. - Every message of an instance ran a step, heartbeats too. Now only messages that change what can be placed run one; the timer serves deadlines as before.

Ruled out: steps for messages of proofs; those change copies, which run() refreshes at its next turn.

--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -65,8 +65,8 @@
 	return &hub{
 		follower: f, snapshot: f.Snapshot, log: log.Named("dispatcher"), start: time.Now(),
 		services: map[catalog.ServiceName]*dispatch.State{}, sinks: map[fleet.InstanceID]sink{}, absentSince: map[fleet.InstanceID]decide.Instant{},
-		announcedDepartures: map[fleet.Process]bool{},
-		fullCopies:          fullCopyCache{}, limits: newLimitTable(log.Named("dispatcher")),
+		announcedDepartures: map[fleet.Process]bool{}, stepRequests: make(chan struct{}, 1),
+		fullCopies: fullCopyCache{}, limits: newLimitTable(log.Named("dispatcher")),
 		domains: map[fleet.InstanceID]fleet.DomainID{}, duties: map[fleet.InstanceID]pb.ToEntry_Duty{},
 	}
 }
@@ -201,6 +201,9 @@
 		h.serviceState(a.Service).Ask(h.newJob(a, instance, now))
 	}
 	h.applyLimits(now, m.Limits)
+	if !changesStates(m) {
+		return
+	}
 	if h.lastStepTime > longStepTime {
 		h.wake() // one step then serves all messages that arrive meanwhile
 		return
@@ -208,6 +211,12 @@
 	h.step(now)
 }
 
+// changesStates reports whether a message changes what can be placed. Heartbeats don't, and a step for each of them
+// would examine all engines ten times a second for each instance while any request waits.
+func changesStates(m *pb.FromEntry) bool {
+	return len(m.Running)+len(m.Began)+len(m.Ended)+len(m.Withdrawn)+len(m.Asks)+len(m.Limits)+len(m.Departures) > 0
+}
+
 // wake schedules a step.
 func (h *hub) wake() {
 	select {
--- a/internal/placement/scale_test.go
+++ b/internal/placement/scale_test.go
@@ -4,6 +4,11 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
 
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/peer"
@@ -48,3 +53,29 @@
 		}
 	}
 }
+
+// Guards against placements that wait for a timer of up to 100 ms whenever the steps before them were long, as they are
+// with thousands of engines: the step that wake schedules must begin at once.
+func TestScheduledStepBeginsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHub(newTestFollower(), hclog.NewNullLogger())
+		began := time.Now()
+		h.wake()
+		h.waitForWork(t.Context())
+		is.New(t).Equal(time.Since(began), time.Duration(0))
+	})
+}
+
+// Guards against a dispatcher that is busy with heartbeats: with a thousand instances, an examination of all engines for
+// each of ten thousand heartbeats a second takes half of a processor while any request waits.
+func TestHeartbeatCausesNoStep(t *testing.T) {
+	is := is.New(t)
+	is.True(!changesStates(&pb.FromEntry{}))
+	is.True(!changesStates(&pb.FromEntry{Reads: []*pb.Proof{{Kind: "c"}}}))
+	for _, m := range []*pb.FromEntry{
+		{Running: []*pb.Running{{}}}, {Began: []string{"r"}}, {Ended: []*pb.Ended{{}}}, {Withdrawn: []string{"r"}},
+		{Asks: []*pb.Ask{{}}}, {Limits: []*pb.Limit{{}}}, {Departures: []*pb.Departure{{}}},
+	} {
+		is.True(changesStates(m))
+	}
+}
