Invitations: a quarter of a round at a time, and rounds don't wait for each other

Cause: 16 invitations at a time, and no further round before the slowest has ended.

The number of batches is now flat.

--- a/internal/placement/invite.go
+++ b/internal/placement/invite.go
@@ -26,8 +26,12 @@
 	// first attempt; it doubles after each attempt.
 	maxInviteAttempts = 3
 	minInviteBackoff  = 200 * time.Millisecond
-	// maxConcurrentInvites bounds the connections that are open for invitations at one time.
-	maxConcurrentInvites = 16
+	// minConcurrentInvites and concurrentInviteShare bound the invitations of one round that are sent at one time: so
+	// many, or that fraction of the round if it is more. All members may be due at once, and a slow member occupies its
+	// connection for attachTimeout. The number of batches must not grow with the fleet, because a member that is not
+	// invited within maxJoinDelay lists all members itself.
+	minConcurrentInvites  = 16
+	concurrentInviteShare = 0.25
 )
 
 // invitation is the state of the invitations of one member.
@@ -71,6 +75,8 @@
 func (c *Client) inviteMembers(ctx context.Context) {
 	invites := invitations{}
 	var seen []*catalog.Member
+	var pending sync.WaitGroup
+	defer pending.Wait()
 	for wait.For(ctx, inviteInterval) {
 		members := c.snapshot().Members
 		if sameMembers(members, seen) && !invites.pending(time.Now()) {
@@ -79,7 +85,9 @@
 		seen = members
 		dispatches := c.Dispatcher() == c.self
 		due := invites.due(time.Now(), members, func(id fleet.InstanceID) bool { return !dispatches || c.hub.attached(id) })
-		c.invite(ctx, due)
+		if len(due) > 0 {
+			pending.Go(func() { c.invite(ctx, due) }) // members that join meanwhile don't wait for slow ones
+		}
 	}
 }
 
@@ -102,13 +110,10 @@
 
 // invite sends members the address of this instance as the dispatcher, and waits until all attempts have ended.
 func (c *Client) invite(ctx context.Context, due []*catalog.Member) {
-	if len(due) == 0 {
-		return
-	}
 	c.log.Info("members are invited", "members", len(due), "first", due[0].ID)
 	m := &pb.FromEntry{Invitation: &pb.Invitation{Instance: string(c.self), Addr: c.ownAddr()}}
 	var wg sync.WaitGroup
-	slots := make(chan struct{}, maxConcurrentInvites)
+	slots := make(chan struct{}, concurrentInvites(len(due)))
 	for _, to := range due {
 		slots <- struct{}{}
 		wg.Go(func() {
@@ -121,6 +126,11 @@
 	wg.Wait()
 }
 
+// concurrentInvites returns how many invitations of a round are sent at one time.
+func concurrentInvites(due int) int {
+	return max(minConcurrentInvites, int(concurrentInviteShare*float64(due)))
+}
+
 // ownAddr returns this instance's address as listed in the store, or "" if it isn't listed.
 func (c *Client) ownAddr() string {
 	if m := c.member(c.self); m != nil {
--- a/internal/placement/scale_test.go
+++ b/internal/placement/scale_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +15,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/peer"
 	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
+	"github.com/damaskshelf/damaskshelf/internal/rendezvous"
 )
 
 // rawInstance is an attached instance of which only the stream exists.
@@ -79,3 +82,49 @@
 		is.True(changesStates(m))
 	}
 }
+
+// Guards against a start of all instances in which each lists all others: the dispatcher invites a few at a time, waits
+// for the slowest of them, and the rest list the members themselves, with bytes that grow with the fleet's square.
+func TestInvitationsDontWaitForSlowMembers(t *testing.T) {
+	const slow = 200
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = silent.Close() }()
+	dispatcher, joining := newTestClient(t, "i1", "d"), newTestClient(t, "joining", "d")
+	members := map[fleet.InstanceID]string{"i1": dispatcher.addr}
+	dispatcher.setMembers(t, 1, members)
+	waitUntil(t, "the instance dispatches for itself", func() bool { return dispatcher.Dispatcher() == "i1" })
+	for n := 0; len(members) <= slow; n++ {
+		id := fmt.Sprintf("slow-%d", n)
+		if rendezvous.Score(rendezvousKey, id) < rendezvous.Score(rendezvousKey, "i1") { // not a dispatcher before i1
+			members[fleet.InstanceID(id)] = silent.Addr().String()
+		}
+	}
+	dispatcher.setMembers(t, 2, members)
+	first, err := silent.Accept() // a round of invitations has begun
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = first.Close() }()
+	members["joining"] = joining.addr
+	dispatcher.setMembers(t, 3, members)
+	var invitedSlow atomic.Int64
+	go func() {
+		for c, err := silent.Accept(); err == nil; c, err = silent.Accept() {
+			invitedSlow.Add(1)
+			defer func() { _ = c.Close() }()
+		}
+	}()
+	waitUntil(t, "invited", func() bool { return joining.inviter.Load() != nil })
+	is.New(t).True(invitedSlow.Load() < slow-1) // the round with the slow members is still being sent
+}
+
+// Guards against a start in which the invitations take longer the larger the fleet is.
+func TestInvitationBatchesDontGrowWithTheFleet(t *testing.T) {
+	is := is.New(t)
+	for _, due := range []int{100, 1000, 2000} {
+		is.True((due+concurrentInvites(due)-1)/concurrentInvites(due) <= 4)
+	}
+}
