Bound the bytes that an instance holds for callers and upstreams

Streams were bounded already: events are read from the upstream as the caller takes them. Bodies were not: each prompt was read whole by the HTTP server, whatever else was held, and copied once more.

- The gateway reads a body itself, after its head: its bytes are counted before they are read.
One copy of a body instead of two.
- Plain answers are counted while they are held, over the bound too: ready answers are delivered, new work is refused.
- An answer that isn't a stream, over 16 MiB, on a streaming route was cut and passed on as whole; it is an error now.

A caller that takes nothing for 10 s is cut as before.

--- a/api/routed.go
+++ b/api/routed.go
@@ -59,6 +59,11 @@
 	MaxConnections int      `json:"max_connections,omitempty"`
 	ReadTimeout    Duration `json:"read_timeout,omitempty"`
 	IdleTimeout    Duration `json:"idle_timeout,omitempty"`
+	// MaxHeldBytes bounds the bodies that the instance holds for callers and upstreams at one time; 0: a quarter of
+	// MemoryMB, or no bound if that isn't configured either.
+	MaxHeldBytes float64 `json:"max_held_bytes,omitempty"`
+	// MemoryMB is the memory of the process in MiB, above which the platform ends it; 0: not specified.
+	MemoryMB float64 `json:"memory_mb,omitempty"`
 	// MaxDescriptors is the number of file descriptors that the process may open; 0: the operating system's limit.
 	MaxDescriptors float64 `json:"max_descriptors,omitempty"`
 }
@@ -67,6 +72,9 @@
 const (
 	defaultRoutedMaxHeaderBytes = 64 << 10
 	defaultRoutedMaxBodyBytes   = 16 << 20
+	// heldShare is the fraction of the memory that bodies may take. The garbage collector needs as much again, and the
+	// rest is for connections and the state of the fleet.
+	heldShare = 0.25
 	// defaultRoutedBalancerLag covers a balancer that checks readiness once a second and removes an instance after two
 	// failed checks.
 	defaultRoutedBalancerLag = Duration(2500 * time.Millisecond)
@@ -83,6 +91,9 @@
 	setDefaultInt(&r.Limits.MaxBodyBytes, defaultRoutedMaxBodyBytes)
 	setDefaultInt(&r.Limits.MaxHeaderBytes, defaultRoutedMaxHeaderBytes)
 	setDefaultInt(&r.Limits.MaxConnections, defaultMaxConnections)
+	if r.Limits.MaxHeldBytes == 0 {
+		r.Limits.MaxHeldBytes = heldShare * r.Limits.MemoryMB * (1 << 20)
+	}
 	setDefaultDuration(&r.Limits.ReadTimeout, defaultHeaderTimeout)
 	setDefaultDuration(&r.Limits.IdleTimeout, defaultRoutedIdleTimeout)
 	if r.Listen.Advertised == "" {
@@ -125,6 +136,8 @@
 		{"routed.link_mbps", r.LinkMbps},
 		{"routed.cpu_share", r.CPUShare},
 		{"routed.limits.max_descriptors", r.Limits.MaxDescriptors},
+		{"routed.limits.max_held_bytes", r.Limits.MaxHeldBytes},
+		{"routed.limits.memory_mb", r.Limits.MemoryMB},
 	}
 	for _, n := range numbers {
 		if n.value < 0 {
--- a/cmd/damaskshelfd/main.go
+++ b/cmd/damaskshelfd/main.go
@@ -14,6 +14,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -94,9 +95,21 @@
 	return routed.New(s, platform.NewAdapter(s.Routed.Store.Address), routed.Options{Log: log, DroppedLines: sink.Dropped})
 }
 
+// heapShare is the fraction of the process's memory above which the garbage collector runs more often. The rest is for
+// what it doesn't count, such as the buffers of sockets.
+const heapShare = 0.6
+
+// limitMemory makes the garbage collector respect the process's memory, if the settings specify it.
+func limitMemory(s api.Settings) {
+	if s.Routed != nil && s.Routed.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(heapShare * s.Routed.Limits.MemoryMB * (1 << 20)))
+	}
+}
+
 // serve starts the instance, waits for a signal to stop and stops it. An interrupt during the stop aborts the requests
 // in flight. It returns the exit status.
 func serve(s api.Settings, path string, log hclog.Logger, sink *logsink.Sink, hangups, signals <-chan os.Signal) int {
+	limitMemory(s)
 	inst, err := newInstance(s, log, sink)
 	if err == nil {
 		err = inst.Start()
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -48,6 +48,7 @@
 	UnknownService               // no such plain service
 	NotFound                     // no such path or object
 	BodyTooLarge                 // body over the listener's limit
+	InstanceFull                 // this instance holds as many bytes as it may
 	SlowCaller                   // the caller sent its request too slowly
 	CallerGone                   // the caller closed its connection
 	Infeasible                   // can't finish within its time, as known at admission
@@ -110,6 +111,7 @@
 	UnknownService:   {"unknown_service", 404, notRun, NoRetry},
 	NotFound:         {"not_found", 404, notRun, NoRetry},
 	BodyTooLarge:     {"body_too_large", 413, notRun, NoRetry},
+	InstanceFull:     {"instance_full", 503, notRun, otherInstanceDelay},
 	SlowCaller:       {"slow_caller", 408, notRun, NoRetry},
 	CallerGone:       {"caller_gone", 499, anyRun, NoRetry},
 	Infeasible:       {"infeasible", 503, notRun, 2 * time.Second},
--- /dev/null
+++ b/internal/gateway/held.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+
+	"github.com/damaskshelf/damaskshelf/internal/fault"
+)
+
+// heldBytes counts the bytes of bodies that the instance holds for callers and upstreams, and bounds them. Without the
+// bound, callers that read slowly keep their long prompts here until the process is over its memory and ends, with the
+// requests of all others. It is safe for concurrent use.
+type heldBytes struct {
+	limit int64 // 0: no bound
+	held  atomic.Int64
+	gauge gometrics.Gauge
+}
+
+// acquire counts n bytes if they fit under the limit, and reports whether they do.
+func (h *heldBytes) acquire(n int64) bool {
+	if total := h.held.Add(n); h.limit > 0 && total > h.limit {
+		h.held.Add(-n)
+		return false
+	}
+	h.gauge.Update(h.held.Load())
+	return true
+}
+
+// add counts n bytes, also over the limit. A negative n ends a count.
+func (h *heldBytes) add(n int64) { h.gauge.Update(h.held.Add(n)) }
+
+// chunkedStep is how many bytes of a body of unknown length are counted, before they are read, at a time.
+const chunkedStep = 64 << 10
+
+// errNoRoom reports that a body doesn't fit under the limit of bytes held.
+var errNoRoom = errors.New("the instance holds as many bytes as it may")
+
+// readBody reads the request's body. r.held bytes are counted for it until the request ends. A body that doesn't fit is
+// refused before it is read: another instance may have room.
+func (g *Gateway) readBody(ctx *fasthttp.RequestCtx, r *request) *fault.Error {
+	length := int64(ctx.Request.Header.ContentLength())
+	if length > int64(g.deps.Limits.MaxBodyBytes) {
+		return g.bodyTooLarge()
+	}
+	stream := ctx.RequestBodyStream()
+	if stream == nil || length == 0 {
+		return nil
+	}
+	var err error
+	if length > 0 {
+		r.body, err = g.readSizedBody(stream, r, length)
+	} else {
+		r.body, err = g.readChunkedBody(stream, r)
+	}
+	return g.bodyFault(ctx, err)
+}
+
+// readSizedBody reads a body of a known length.
+func (g *Gateway) readSizedBody(stream io.Reader, r *request, length int64) ([]byte, error) {
+	if !g.hold(r, length) {
+		return nil, errNoRoom
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(stream, body)
+	return body, err
+}
+
+// readChunkedBody reads a body of unknown length.
+func (g *Gateway) readChunkedBody(stream io.Reader, r *request) ([]byte, error) {
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			step := max(chunkedStep, len(body))
+			if !g.hold(r, int64(step)) {
+				return nil, errNoRoom
+			}
+			grown := make([]byte, len(body), len(body)+step)
+			copy(grown, body)
+			body = grown
+		}
+		n, err := stream.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > g.deps.Limits.MaxBodyBytes:
+			return nil, fasthttp.ErrBodyTooLarge
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// hold counts n more bytes for a request, and reports whether they fit.
+func (g *Gateway) hold(r *request, n int64) bool {
+	if !g.held.acquire(n) {
+		return false
+	}
+	r.held += n
+	return true
+}
+
+// readPlainAnswer reads an answer that is buffered until it is complete. Its bytes are counted until the request ends,
+// also over the limit: an answer that is ready is delivered, and new requests are refused instead.
+func (l *lifecycle) readPlainAnswer() ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(l.exchange, maxPlainBytes+1))
+	if err == nil && len(body) > maxPlainBytes {
+		return nil, fmt.Errorf("answer is over %d bytes", maxPlainBytes)
+	}
+	l.g.held.add(int64(len(body)))
+	l.r.held += int64(len(body))
+	return body, err
+}
+
+// releaseHeld ends the count of a request's bytes.
+func (g *Gateway) releaseHeld(r *request) {
+	g.held.add(-r.held)
+	r.held = 0
+}
+
+// bodyTooLarge returns the fault of a body over the limit.
+func (g *Gateway) bodyTooLarge() *fault.Error {
+	return fault.New(fault.BodyTooLarge, "body: allowed: at most %d bytes", g.deps.Limits.MaxBodyBytes)
+}
+
+// bodyFault returns the fault of a body that could not be read, or nil. After a fault the connection is closed, because
+// the rest of the body may never come.
+func (g *Gateway) bodyFault(ctx *fasthttp.RequestCtx, err error) *fault.Error {
+	var ne net.Error
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, errNoRoom):
+		return fault.New(fault.InstanceFull, "%v", err)
+	}
+	ctx.SetConnectionClose()
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return g.bodyTooLarge()
+	case errors.As(err, &ne) && ne.Timeout():
+		return fault.New(fault.SlowCaller, "request: not whole after %s", g.deps.Limits.ReadTimeout)
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return fault.New(fault.CallerGone, "%v", err)
+	default:
+		return fault.New(fault.BadRequest, "body: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/gateway/held_test.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+)
+
+// newHoldingGateway returns a gateway that may hold limit bytes and accepts bodies of up to maxBody bytes.
+func newHoldingGateway(limit int64, maxBody int) *Gateway {
+	return &Gateway{deps: Deps{Limits: Limits{MaxBodyBytes: maxBody}}, held: heldBytes{limit: limit, gauge: gometrics.NewGauge()}}
+}
+
+// Guards against bodies of unknown length that pass the bound: they are counted before they are read, and are whole if
+// they fit.
+func TestChunkedBodiesAreCounted(t *testing.T) {
+	is := is.New(t)
+	g := newHoldingGateway(4*chunkedStep, 8*chunkedStep)
+	sent := bytes.Repeat([]byte("ab"), chunkedStep*3/4)
+	r := &request{}
+	body, err := g.readChunkedBody(bytes.NewReader(sent), r)
+	is.NoErr(err)
+	is.True(bytes.Equal(body, sent))
+	is.True(r.held >= int64(len(sent)))
+	is.True(g.held.held.Load() <= 4*chunkedStep)
+	other := &request{}
+	_, err = g.readChunkedBody(bytes.NewReader(bytes.Repeat(sent, 2)), other)
+	is.Equal(err, errNoRoom)
+	g.releaseHeld(r)
+	g.releaseHeld(other)
+	is.Equal(g.held.held.Load(), int64(0))
+}
+
+// Guards against a chunked body over the limit that is passed on, or of which the start is kept.
+func TestChunkedBodyOverTheLimitIsRejected(t *testing.T) {
+	is := is.New(t)
+	g := newHoldingGateway(0, 1000)
+	_, err := g.readChunkedBody(strings.NewReader(strings.Repeat("x", 1001)), &request{})
+	is.Equal(err, fasthttp.ErrBodyTooLarge)
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"fmt"
-	"io"
 	"slices"
 	"time"
 
@@ -38,10 +36,7 @@
 			return f
 		}
 		l.grant.RecordFirstEvent()
-		body, err := io.ReadAll(io.LimitReader(l.exchange, maxPlainBytes+1))
-		if err == nil && len(body) > maxPlainBytes {
-			err = fmt.Errorf("answer is over %d bytes", maxPlainBytes)
-		}
+		body, err := l.readPlainAnswer()
 		if err == nil {
 			l.passOn(ctx, body)
 			return nil
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -37,6 +37,7 @@
 	method        string
 	head          fasthttp.RequestHeader // copy without the headers that concern one connection only
 	body          []byte
+	held          int64 // bytes that are counted for the request
 }
 
 // hopByHop lists the headers that concern one connection only.
@@ -77,8 +78,7 @@
 	r.service = r.route.Pick(rand.Float64())
 	r.deadline = r.computeDeadline()
 	r.copyHead(&ctx.Request.Header)
-	r.body = append([]byte(nil), ctx.Request.Body()...)
-	return r, nil
+	return r, g.readBody(ctx, r)
 }
 
 // computeDeadline returns when the request must have ended.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -62,6 +62,7 @@
 	MaxHeaderBytes int
 	MaxBodyBytes   int
 	MaxConnections int
+	MaxHeldBytes   int64         // of bodies that are held at one time; 0: no bound
 	ReadTimeout    time.Duration // for a complete request
 	IdleTimeout    time.Duration // between two requests on a connection
 	WriteStall     time.Duration // a caller that reads nothing for that long counts as gone
@@ -76,13 +77,17 @@
 	serveErr       chan error // result of the HTTP server
 	listeningSince time.Time  // zero: not listening yet
 	log            hclog.Logger
+	held           heldBytes
 	requestsCtx    context.Context // parent of every request's context
 	cancelRequests context.CancelFunc
 }
 
 // New returns a Gateway that is not listening yet.
 func New(d Deps) *Gateway {
-	g := &Gateway{deps: d, log: d.Log.Named("gateway"), serveErr: make(chan error, 1)}
+	g := &Gateway{
+		deps: d, log: d.Log.Named("gateway"), serveErr: make(chan error, 1),
+		held: heldBytes{limit: d.Limits.MaxHeldBytes, gauge: d.Metrics.Gauge("bytes_held")},
+	}
 	g.requestsCtx, g.cancelRequests = context.WithCancel(context.Background())
 	g.http = &fasthttp.Server{
 		Handler:               g.serve,
@@ -91,6 +96,7 @@
 		IdleTimeout:           d.Limits.IdleTimeout,
 		ReadBufferSize:        d.Limits.MaxHeaderBytes,
 		MaxRequestBodySize:    d.Limits.MaxBodyBytes,
+		StreamRequestBody:     true, // readBody counts a body before it is read
 		NoDefaultServerHeader: true,
 		NoDefaultContentType:  true,
 		NoDefaultDate:         true,
@@ -153,6 +159,7 @@
 		}
 	}
 	if f != nil {
+		g.releaseHeld(r)
 		g.refuse(ctx, r, f)
 		return
 	}
@@ -222,6 +229,7 @@
 		unwatch()
 		cancel(nil)
 		stop()
+		g.releaseHeld(r)
 		g.deps.Gate.Leave()
 	}
 }
@@ -316,7 +324,7 @@
 	f := fault.New(fault.BadRequest, "request: %v", err)
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		f = fault.New(fault.BodyTooLarge, "body: allowed: at most %d bytes", g.deps.Limits.MaxBodyBytes)
+		f = g.bodyTooLarge()
 	case errors.As(err, &small):
 		f = fault.New(fault.BadRequest, "headers: allowed: at most %d bytes", g.deps.Limits.MaxHeaderBytes)
 	case errors.As(err, &ne) && ne.Timeout():
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -47,7 +47,7 @@
 
 // passOnNonStream passes on an answer that is not a stream.
 func (l *lifecycle) passOnNonStream(ctx *fasthttp.RequestCtx) *fault.Error {
-	body, err := io.ReadAll(io.LimitReader(l.exchange, maxPlainBytes))
+	body, err := l.readPlainAnswer()
 	if err != nil {
 		f := l.endBrokenAnswer(err)
 		l.decideRetry(f)
--- a/internal/losses/cause.go
+++ b/internal/losses/cause.go
@@ -14,30 +14,31 @@
 
 // All causes, in the order in which a report shows them.
 const (
-	LateQueued        Cause = "late_place"          // queued for too long; without that time it would have been in time
-	LateFirstEvent    Cause = "late_first"          // the upstreams took too long until the first event or the plain answer
-	LateNextEvent     Cause = "paused"              // the time between two events was too long
-	LateResume        Cause = "paused_resume"       // the stream was interrupted and resumed elsewhere too late
-	RefusedTooLate    Cause = "refused_too_late"    // no upstream available within the caller's deadline
-	RefusedNoSlack    Cause = "refused_no_slack"    // needs more than one engine's memory, and the fleet was busy
-	RefusedTooLarge   Cause = "refused_too_large"   // needs more memory than the largest group of engines has
-	RefusedQueueFull  Cause = "refused_queue_full"  // the queue was full
-	RefusedLimit      Cause = "refused_limit"       // every upstream had reached a rate limit of its own
-	RefusedNoUpstream Cause = "refused_no_upstream" // no upstream of the service could take work
-	RefusedStopping   Cause = "refused_stopping"    // the instance was stopping
-	RefusedStarting   Cause = "refused_starting"    // the instance had just started, or had been paused
-	UpstreamFailed    Cause = "upstream_failed"     // the upstream failed, and a retry in time was not possible
-	StreamCut         Cause = "stream_cut"          // the stream was interrupted and could not be resumed
-	DeadlineExceeded  Cause = "time_up"             // the caller's or the route's deadline passed first
-	CallerGone        Cause = "caller_gone"         // the caller disconnected before the end of the answer
-	InstanceEnded     Cause = "instance_ended"      // the instance ended without answering
-	Other             Cause = "other"               // a fault that the fleet is not expected to return
+	LateQueued          Cause = "late_place"            // queued for too long; without that time it would have been in time
+	LateFirstEvent      Cause = "late_first"            // the upstreams took too long until the first event or the plain answer
+	LateNextEvent       Cause = "paused"                // the time between two events was too long
+	LateResume          Cause = "paused_resume"         // the stream was interrupted and resumed elsewhere too late
+	RefusedTooLate      Cause = "refused_too_late"      // no upstream available within the caller's deadline
+	RefusedNoSlack      Cause = "refused_no_slack"      // needs more than one engine's memory, and the fleet was busy
+	RefusedTooLarge     Cause = "refused_too_large"     // needs more memory than the largest group of engines has
+	RefusedQueueFull    Cause = "refused_queue_full"    // the queue was full
+	RefusedLimit        Cause = "refused_limit"         // every upstream had reached a rate limit of its own
+	RefusedNoUpstream   Cause = "refused_no_upstream"   // no upstream of the service could take work
+	RefusedStopping     Cause = "refused_stopping"      // the instance was stopping
+	RefusedInstanceFull Cause = "refused_instance_full" // the instance held as many bytes as it may
+	RefusedStarting     Cause = "refused_starting"      // the instance had just started, or had been paused
+	UpstreamFailed      Cause = "upstream_failed"       // the upstream failed, and a retry in time was not possible
+	StreamCut           Cause = "stream_cut"            // the stream was interrupted and could not be resumed
+	DeadlineExceeded    Cause = "time_up"               // the caller's or the route's deadline passed first
+	CallerGone          Cause = "caller_gone"           // the caller disconnected before the end of the answer
+	InstanceEnded       Cause = "instance_ended"        // the instance ended without answering
+	Other               Cause = "other"                 // a fault that the fleet is not expected to return
 )
 
 // Causes lists all causes in the order of a report.
 var Causes = []Cause{
 	LateQueued, LateFirstEvent, LateNextEvent, LateResume, RefusedTooLate, RefusedNoSlack, RefusedTooLarge, RefusedQueueFull,
-	RefusedLimit, RefusedNoUpstream, RefusedStopping, RefusedStarting, UpstreamFailed, StreamCut, DeadlineExceeded, CallerGone, InstanceEnded, Other,
+	RefusedLimit, RefusedNoUpstream, RefusedStopping, RefusedInstanceFull, RefusedStarting, UpstreamFailed, StreamCut, DeadlineExceeded, CallerGone, InstanceEnded, Other,
 }
 
 // Outcome is the result of a request for its caller, which is coarser than its cause.
@@ -76,7 +77,7 @@
 
 // faultCauses maps the kind of a fault to its cause, for the kinds that determine the cause by themselves.
 var faultCauses = map[string]Cause{
-	"no_upstream": RefusedNoUpstream, "stopping": RefusedStopping, "not_ready": RefusedStarting, "stale_instance": RefusedStarting,
+	"no_upstream": RefusedNoUpstream, "stopping": RefusedStopping, "not_ready": RefusedStarting, "stale_instance": RefusedStarting, "instance_full": RefusedInstanceFull,
 	"upstream_failed": UpstreamFailed, "upstream_busy": UpstreamFailed, "incomplete_answer": StreamCut,
 	"deadline_exceeded": DeadlineExceeded, "caller_gone": CallerGone,
 }
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -140,7 +140,8 @@
 		Gate: g, MarkLeaving: p.MarkLeaving, HeldOff: p.HeldOff, ObserveAnswer: p.ObserveAnswer, Explain: rec, Metrics: m, Log: log,
 		Limits: gateway.Limits{
 			MaxHeaderBytes: l.MaxHeaderBytes, MaxBodyBytes: l.MaxBodyBytes, MaxConnections: l.MaxConnections,
-			ReadTimeout: time.Duration(l.ReadTimeout), IdleTimeout: time.Duration(l.IdleTimeout), WriteStall: writeStallTimeout,
+			MaxHeldBytes: int64(l.MaxHeldBytes),
+			ReadTimeout:  time.Duration(l.ReadTimeout), IdleTimeout: time.Duration(l.IdleTimeout), WriteStall: writeStallTimeout,
 		},
 	})
 }
--- a/test/soak/daemon_test.go
+++ b/test/soak/daemon_test.go
@@ -86,6 +86,7 @@
 			"ready_path": "/-/ready", "store": map[string]any{"address": storeAddr},
 			"retries": map[string]any{"ratio": 0.2, "slack": 1000},
 			"stop":    map[string]any{"lag": "300ms", "grace": "6s"},
+			"limits":  map[string]any{"memory_mb": smallMemory >> 20, "max_header_bytes": 20 << 10},
 		},
 	}
 	raw, err := json.Marshal(settings)
