Set the queue lengths before decisions are delivered

TestPromptWaitsUntilAnEngineIsFree failed in about 1 of 12,000 runs under load: the request goes on as soon as its decision is delivered, and the gauge still had the length from before. By reading: the order of the two is the whole cause; not seen again here in 50 runs, which is no proof at that rate.

--- a/internal/route/model.go
+++ b/internal/route/model.go
@@ -232,10 +232,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	view, _ := m.admitView(m.router.state())
-	for _, d := range m.gate.ProcessQueues(view, nil) {
+	decisions := m.gate.ProcessQueues(view, nil)
+	m.router.meter.setQueueLengths(m) // before a caller that gets its decision can read the old lengths
+	for _, d := range decisions {
 		m.deliver(d)
 	}
-	m.router.meter.setQueueLengths(m)
 }
 
 // queueLength returns the number of queued requests of all classes.
