Two dispatchers fill different engines first

Cause: of equal engines the one with the lowest ID was used first, by every dispatcher.

The order of equal engines is now each dispatcher's own (rendezvous). One dispatcher's choices are the same up to names of equal engines.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -7,17 +7,19 @@
 
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/rendezvous"
 )
 
 // State holds the queue, the runs and the engines of one service, from which the dispatcher decides. It is not safe
 // for concurrent use.
 type State struct {
-	model       *Model
-	params      Params
-	engines     map[fleet.UpstreamID]*engine
-	enginesByID []*engine // sorted by ID, so that decisions are deterministic
-	queue       []*Job
-	runs        map[fleet.RequestID]*run
+	model          *Model
+	params         Params
+	engines        map[fleet.UpstreamID]*engine
+	orderKey       string    // ranks equal engines; empty: by ID
+	orderedEngines []*engine // sorted by rank, so that decisions are deterministic
+	queue          []*Job
+	runs           map[fleet.RequestID]*run
 
 	fairness      [2]fairness             // load by workspace; index 0: short prompts and plain requests, 1: long prompts
 	prefilling    map[*run]bool           // runs whose prefill is counted in their engines' pendingMs
@@ -59,6 +61,11 @@
 	}
 }
 
+// SetOrderKey sets the key that determines which of equal engines is used first; it must be called before SetUpstreams.
+// Two dispatchers at one time, as while failure domains are partitioned, don't know each other's runs. With the same
+// order both would fill the same engines first, however many are idle.
+func (s *State) SetOrderKey(key string) { s.orderKey = key }
+
 // SetModel replaces the model and the parameters, as after a change of the configuration. If there was no model
 // before, the prefill of the runs that were adopted without one is added to their engines.
 func (s *State) SetModel(m *Model, p Params) {
@@ -101,11 +108,11 @@
 			s.prefillingEngines++
 		}
 	}
-	s.enginesByID = s.enginesByID[:0]
+	s.orderedEngines = s.orderedEngines[:0]
 	for _, e := range s.engines {
-		s.enginesByID = append(s.enginesByID, e)
+		s.orderedEngines = append(s.orderedEngines, e)
 	}
-	slices.SortFunc(s.enginesByID, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(s.orderedEngines, func(a, b *engine) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.ID, b.ID)) })
 }
 
 // engineFor returns the engine with the given ID. It adds an unknown one as closed, so that it receives no new jobs
@@ -118,6 +125,9 @@
 			runs:            map[fleet.RequestID]*run{},
 			lastUnreachable: map[fleet.DomainID]decide.Instant{},
 		}
+		if s.orderKey != "" {
+			e.rank = rendezvous.Score(s.orderKey, string(id))
+		}
 		s.engines[id] = e
 	}
 	return e
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -94,7 +94,7 @@
 	if s.model == nil {
 		return 0
 	}
-	return fromMs(s.model.prefillMs(j.PromptTokens) / float64(min(s.params.MaxHelpers+1, max(1, len(s.enginesByID)))))
+	return fromMs(s.model.prefillMs(j.PromptTokens) / float64(min(s.params.MaxHelpers+1, max(1, len(s.orderedEngines)))))
 }
 
 // prefillCost returns the job's rank among jobs of the same urgency: its prefill time in ms, reduced as it waits, so
@@ -119,7 +119,7 @@
 	if !s.hasCandidate(j) {
 		return s.refuse(j, NoUpstream), true
 	}
-	if s.model != nil && float64(j.PromptTokens+j.MaxOutputTokens) > float64(s.model.KVCacheTokens)*s.params.MemoryShare*float64(min(s.params.MaxHelpers+1, len(s.enginesByID))) {
+	if s.model != nil && float64(j.PromptTokens+j.MaxOutputTokens) > float64(s.model.KVCacheTokens)*s.params.MemoryShare*float64(min(s.params.MaxHelpers+1, len(s.orderedEngines))) {
 		return s.refuse(j, TooLarge), true
 	}
 	if s.model != nil && !j.Resumed && s.oversized(j) && s.missesTarget(now, j) && !s.targetUnattainable(j) {
@@ -163,7 +163,7 @@
 
 // hasCandidate reports whether any upstream may receive the job, now or later.
 func (s *State) hasCandidate(j *Job) bool {
-	for _, e := range s.enginesByID {
+	for _, e := range s.orderedEngines {
 		if !e.closed && !slices.Contains(j.Avoid, e.ID) {
 			return true
 		}
@@ -193,17 +193,17 @@
 // retryAfter returns the time in which the engines complete the prefill of all queued and placed jobs, bounded by
 // minRetryAfter and maxRetryAfter.
 func (s *State) retryAfter() time.Duration {
-	if s.model == nil || len(s.enginesByID) == 0 {
+	if s.model == nil || len(s.orderedEngines) == 0 {
 		return minRetryAfter
 	}
 	totalMs := 0.0
-	for _, e := range s.enginesByID {
+	for _, e := range s.orderedEngines {
 		totalMs += e.pendingMs
 	}
 	for _, j := range s.queue {
 		totalMs += s.model.prefillMs(j.PromptTokens)
 	}
-	return min(maxRetryAfter, max(minRetryAfter, fromMs(totalMs/float64(len(s.enginesByID)))))
+	return min(maxRetryAfter, max(minRetryAfter, fromMs(totalMs/float64(len(s.orderedEngines)))))
 }
 
 // accepts reports whether the upstream may receive the job now, apart from memory and pending prefill.
@@ -254,7 +254,7 @@
 // placePlain places a job of a plain service on the upstream with the fewest runs per slot.
 func (s *State) placePlain(now decide.Instant, j *Job) (Decision, bool) {
 	var best *engine
-	for _, e := range s.enginesByID {
+	for _, e := range s.orderedEngines {
 		if s.accepts(now, e, j) && (best == nil || e.load(s.model) < best.load(s.model)) {
 			best = e
 		}
@@ -295,7 +295,7 @@
 	}
 	prefillMs := s.model.prefillMs(j.PromptTokens)
 	var best *engine
-	for _, e := range s.enginesByID {
+	for _, e := range s.orderedEngines {
 		if !s.accepts(now, e, j) || !s.fits(e, j) {
 			continue
 		}
--- a/internal/decide/dispatch/runs.go
+++ b/internal/decide/dispatch/runs.go
@@ -36,6 +36,7 @@
 // engine is an upstream with its runs. Upstreams of plain services are engines too.
 type engine struct {
 	Upstream
+	rank          uint64                   // position among equal engines
 	runs          map[fleet.RequestID]*run // the runs that it answers
 	contextTokens int                      // KV cache for the runs' prompts and longest answers, and for reservations
 	pendingMs     float64                  // prefill that was placed and is not known to be done
@@ -158,7 +159,7 @@
 			s.prefillingEngines--
 		}
 		delete(s.engines, r.engine.ID)
-		s.enginesByID = slices.DeleteFunc(s.enginesByID, func(e *engine) bool { return e == r.engine })
+		s.orderedEngines = slices.DeleteFunc(s.orderedEngines, func(e *engine) bool { return e == r.engine })
 	}
 }
 
--- a/internal/decide/dispatch/spread.go
+++ b/internal/decide/dispatch/spread.go
@@ -83,11 +83,11 @@
 // placed before it.
 func (s *State) prefillCandidates(now decide.Instant, j *Job, prefillMs float64) (candidates []*engine, answering *engine) {
 	smallestPartMs := prefillMs / float64(s.params.MaxHelpers+1)
-	limit := len(s.enginesByID)
+	limit := len(s.orderedEngines)
 	if !s.oversized(j) {
 		limit = min(limit, 2*(s.params.MaxHelpers+1))
 	}
-	for _, e := range s.enginesByID {
+	for _, e := range s.orderedEngines {
 		if e.closed || e.inHoldoff(now) || slices.Contains(j.Avoid, e.ID) || s.prefillRoomMs(e, 0) <= 0 || s.backlogged(e, j) {
 			continue
 		}
@@ -179,7 +179,7 @@
 // prefill makes no other job late. An oversized prompt is worth a few times as much as a usual one and costs ten times
 // as much, and a late one is worth a quarter: under load they would displace jobs that are worth more.
 func (s *State) hasSlack(j *Job) bool {
-	idle := float64(len(s.enginesByID) - s.prefillingEngines)
+	idle := float64(len(s.orderedEngines) - s.prefillingEngines)
 	if idle < s.minIdleEngines() {
 		return false
 	}
@@ -192,7 +192,7 @@
 
 // minIdleEngines returns how many engines must have no prefill pending for there to be slack.
 func (s *State) minIdleEngines() float64 {
-	return min(s.params.SlackShare*float64(len(s.enginesByID)), float64(s.params.MaxSlackEngines))
+	return min(s.params.SlackShare*float64(len(s.orderedEngines)), float64(s.params.MaxSlackEngines))
 }
 
 // isLong reports whether the prompt is spread instead of packed.
--- a/internal/decide/dispatch/stall.go
+++ b/internal/decide/dispatch/stall.go
@@ -30,7 +30,7 @@
 	if j == nil || st.Duration < stallThreshold {
 		return st, false
 	}
-	for _, e := range s.enginesByID {
+	for _, e := range s.orderedEngines {
 		if e.closed || len(e.runs) > 0 || e.pendingMs >= idleBelowMs {
 			continue
 		}
@@ -85,7 +85,7 @@
 // longestUnreachable returns the idle upstream that has been unreachable from the domain for longest, or nil.
 func (s *State) longestUnreachable(domain fleet.DomainID) *engine {
 	var longest *engine
-	for _, e := range s.enginesByID {
+	for _, e := range s.orderedEngines {
 		at, unreachable := e.lastUnreachable[domain]
 		if unreachable && !e.closed && len(e.runs) == 0 && (longest == nil || at < longest.lastUnreachable[domain]) {
 			longest = e
--- a/internal/decide/dispatch/survey.go
+++ b/internal/decide/dispatch/survey.go
@@ -13,7 +13,7 @@
 func (s *State) survey(now decide.Instant) {
 	s.unreachableCounts, s.limitTotals = map[link]int{}, limitTotals{}
 	total, busy := 0.0, 0
-	for _, e := range s.enginesByID {
+	for _, e := range s.orderedEngines {
 		e.refillLimit(now)
 		if !e.closed {
 			s.limitTotals.add(e)
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -77,7 +77,7 @@
 // NewClient returns a Client for the instance self.
 func NewClient(self fleet.InstanceID, domain fleet.DomainID, f *watch.Follower, log hclog.Logger) *Client {
 	c := &Client{
-		self: self, domain: domain, follower: f, snapshot: f.Snapshot, log: log.Named("placement"), hub: newHub(f, log),
+		self: self, domain: domain, follower: f, snapshot: f.Snapshot, log: log.Named("placement"), hub: newHub(self, f, log),
 		limits: newLimitTable(log.Named("placement")), holdoffs: newHoldoffs(log.Named("placement")),
 		waiting: map[fleet.RequestID]*waitingRequest{}, running: map[fleet.RequestID]*dispatchedGrant{},
 		backoffs: map[fleet.InstanceID]backoff{}, relayed: map[fleet.InstanceID]*remoteSink{}, requestedAt: map[string]time.Time{}, updates: newOutbox[update](),
--- a/internal/placement/departures_test.go
+++ b/internal/placement/departures_test.go
@@ -48,7 +48,7 @@
 	c.MarkLeaving(&catalog.Upstream{ID: "x", StartTime: 7}, "its answer")
 	first := c.firstMessage()
 	is.Equal(len(first.Departures), 1)
-	h := newHub(followerWithUpstreams("x", "y"), hclog.NewNullLogger())
+	h := newHub("self", followerWithUpstreams("x", "y"), hclog.NewNullLogger())
 	before, after := &recordingSink{}, &recordingSink{}
 	h.attach("i0", before, &pb.FromEntry{})
 	h.attach("i1", &recordingSink{}, first)
@@ -73,7 +73,7 @@
 	var since *pb.FromEntry
 	c.switchSession(&session{peerID: "next", firstMessage: first, end: func() {}, send: func(m *pb.FromEntry) { since = m }})
 	is.Equal(len(since.Departures), 1)
-	h := newHub(followerWithUpstreams("x", "y", "z"), hclog.NewNullLogger())
+	h := newHub("self", followerWithUpstreams("x", "y", "z"), hclog.NewNullLogger())
 	other := &recordingSink{}
 	h.attach("i0", other, &pb.FromEntry{})
 	to := &recordingSink{}
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -36,6 +36,7 @@
 // hub is the dispatcher's side of the sessions. It holds a dispatch.State for each service, shared by all attached
 // instances.
 type hub struct {
+	self     fleet.InstanceID
 	follower *watch.Follower
 	snapshot func() *catalog.Snapshot
 	log      hclog.Logger
@@ -60,10 +61,10 @@
 	stallLogged decide.Instant // guarded by mu
 }
 
-// newHub returns a hub without sessions, which reads the state of the store from f.
-func newHub(f *watch.Follower, log hclog.Logger) *hub {
+// newHub returns the hub of the instance self without sessions, which reads the state of the store from f.
+func newHub(self fleet.InstanceID, f *watch.Follower, log hclog.Logger) *hub {
 	return &hub{
-		follower: f, snapshot: f.Snapshot, log: log.Named("dispatcher"), start: time.Now(),
+		self: self, follower: f, snapshot: f.Snapshot, log: log.Named("dispatcher"), start: time.Now(),
 		services: map[catalog.ServiceName]*dispatch.State{}, sinks: map[fleet.InstanceID]sink{}, absentSince: map[fleet.InstanceID]decide.Instant{},
 		announcedDepartures: map[fleet.Process]bool{}, stepRequests: make(chan struct{}, 1),
 		fullCopies: fullCopyCache{}, limits: newLimitTable(log.Named("dispatcher")),
@@ -277,6 +278,7 @@
 	st := h.services[name]
 	if st == nil {
 		st = dispatch.New(nil, dispatch.DefaultParams())
+		st.SetOrderKey(string(h.self))
 		h.services[name] = st
 		h.loadService(h.now(), name, st)
 	}
--- a/internal/placement/limits_test.go
+++ b/internal/placement/limits_test.go
@@ -85,7 +85,7 @@
 func (f *limitedFleet) newInstance(i int, snapshot func() *catalog.Snapshot) *limitedInstance {
 	log := hclog.NewNullLogger()
 	w := watch.New(watch.Deps{Kinds: watch.Kinds{Config: "c", Upstreams: "u", DomainsOut: "o"}, Log: log})
-	n := &limitedInstance{fleet: f, id: fleet.InstanceID(fmt.Sprint("i", i)), hub: newHub(w, log), limits: newLimitTable(log)}
+	n := &limitedInstance{fleet: f, id: fleet.InstanceID(fmt.Sprint("i", i)), hub: newHub("self", w, log), limits: newLimitTable(log)}
 	n.hub.snapshot = snapshot
 	n.local = NewLocalPlacer(snapshot, n.limits.isLimited)
 	return n
@@ -424,7 +424,7 @@
 	first := c.firstMessage()
 	is.Equal(len(first.Limits), 1)
 	is.Equal(first.Limits[0].Upstream, "x")
-	h := newHub(followerWithUpstreams("x", "y"), hclog.NewNullLogger())
+	h := newHub("self", followerWithUpstreams("x", "y"), hclog.NewNullLogger())
 	h.attach("i1", &recordingSink{}, first)
 	is.Equal(h.rates("s"), map[fleet.UpstreamID]float64{"x": 2})
 }
--- a/internal/placement/relay_test.go
+++ b/internal/placement/relay_test.go
@@ -283,7 +283,7 @@
 func TestDeadMemberDoesNotDelayNextDispatcher(t *testing.T) {
 	is := is.New(t)
 	f := newTestFollower()
-	h := newHub(f, hclog.NewNullLogger())
+	h := newHub("self", f, hclog.NewNullLogger())
 	p := &testClient{Client: &Client{follower: f, hub: h}}
 	p.setMembers(t, 2, map[fleet.InstanceID]string{"dead": deadAddr, "i1": deadAddr, "i2": deadAddr})
 	h.start = time.Now().Add(-time.Minute)
@@ -422,7 +422,7 @@
 	c.switchSession(&session{peerID: "next", firstMessage: first, end: func() {}, send: func(m *pb.FromEntry) { sent = append(sent, m) }})
 
 	// The new dispatcher's records afterwards.
-	h := newHub(f, hclog.NewNullLogger())
+	h := newHub("self", f, hclog.NewNullLogger())
 	to := localSink{out: newOutbox[*pb.ToEntry]()}
 	h.attach("i1", to, first)
 	for _, m := range sent {
--- a/internal/placement/scale_test.go
+++ b/internal/placement/scale_test.go
@@ -61,7 +61,7 @@
 // with thousands of engines: the step that wake schedules must begin at once.
 func TestScheduledStepBeginsAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := newHub(newTestFollower(), hclog.NewNullLogger())
+		h := newHub("self", newTestFollower(), hclog.NewNullLogger())
 		began := time.Now()
 		h.wake()
 		h.waitForWork(t.Context())
--- a/internal/placement/timeout_test.go
+++ b/internal/placement/timeout_test.go
@@ -178,7 +178,7 @@
 func TestDispatcherSkipsLeavingUpstreams(t *testing.T) {
 	is := is.New(t)
 	p := newTestClient(t, "i0", "d")
-	h := newHub(p.follower, hclog.NewNullLogger())
+	h := newHub("self", p.follower, hclog.NewNullLogger())
 	all := []*catalog.Upstream{
 		{ID: "leaving", Service: "s", Domain: "north", Slots: 4, Leaving: true},
 		{ID: "out", Service: "s", Domain: "south", Slots: 4},
