Relays between the instances of a large fleet and its dispatcher

Cause: each instance has a session with the dispatcher. With 985 instances that is 9,850 heartbeats a second each way, each change of the store 985 times (1,002 upstreams that register one after the other: 0.6 MB to each), and after a stop of all 985 full copies over one link.

From 256 members on, the first root of n strong members in dispatcher order are relays. Other instances attach to a relay of their own failure domain; it passes requests on, and sends them state, limits and departures from its own copies. A relay without a dispatcher places for nobody. Invitations name the relay. Smaller fleets work as before.

Weighed: longer heartbeats for larger fleets (a lost dispatcher is noticed in a second and more), dispatchers for slices of the upstreams (docs/design/fleet.md). Tests: sessions of the busiest instance at 300, 1,000 and 2,000 members, state through a relay, a relay without dispatcher, a relay that becomes the dispatcher.

--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"storj.io/drpc/drpcerr"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -67,6 +66,7 @@
 	running               map[fleet.RequestID]*dispatchedGrant // guarded by mu
 	backoffs              map[fleet.InstanceID]backoff         // guarded by mu
 	relayed               map[fleet.InstanceID]*remoteSink     // guarded by mu: instances that this one relays for
+	relayCopies           sharedCopies                         // full copies for those instances
 	lastRelaySearch       time.Time                            // guarded by mu: when a relay to a preceding dispatcher was last searched for
 	requestedAt           map[string]time.Time                 // guarded by mu: when each kind was last requested
 	dispatcherBehindSince map[string]time.Time                 // guarded by mu: since when the dispatcher has lacked changes, by kind
@@ -80,7 +80,7 @@
 		self: self, domain: domain, follower: f, snapshot: f.Snapshot, log: log.Named("placement"), hub: newHub(self, f, log),
 		limits: newLimitTable(log.Named("placement")), holdoffs: newHoldoffs(log.Named("placement")),
 		waiting: map[fleet.RequestID]*waitingRequest{}, running: map[fleet.RequestID]*dispatchedGrant{},
-		backoffs: map[fleet.InstanceID]backoff{}, relayed: map[fleet.InstanceID]*remoteSink{}, requestedAt: map[string]time.Time{}, updates: newOutbox[update](),
+		backoffs: map[fleet.InstanceID]backoff{}, relayed: map[fleet.InstanceID]*remoteSink{}, requestedAt: map[string]time.Time{}, updates: newOutbox[update](), relayCopies: sharedCopies{cache: fullCopyCache{}},
 		orderCheck: make(chan struct{}, 1),
 	}
 	c.local = NewLocalPlacer(f.Snapshot, c.limits.isLimited)
@@ -133,19 +133,25 @@
 	wg.Wait()
 }
 
-// selectDispatcher attaches to the first reachable member in dispatcher order, unless the current session is with it.
-func (c *Client) selectDispatcher(ctx context.Context) {
-	members := c.dispatcherOrder()
-	if inviter := c.inviter.Load(); len(members) == 0 && inviter != nil {
-		members = []*catalog.Member{inviter}
+// candidates returns the members that this instance may attach to, in order of preference.
+func (c *Client) candidates() []peerCandidate {
+	all := c.memberOrder().candidates(c.self, c.domain)
+	if inviter := c.inviter.Load(); len(all) == 0 && inviter != nil {
+		return []peerCandidate{{Member: inviter, asRelay: true}}
 	}
-	for i, m := range members {
-		backingOff := c.inBackoff(m, time.Now())
+	return all
+}
+
+// selectDispatcher attaches to the first reachable candidate, unless the current session is with it.
+func (c *Client) selectDispatcher(ctx context.Context) {
+	candidates := c.candidates()
+	for i, m := range candidates {
+		backingOff := c.inBackoff(m.Member, time.Now())
 		c.mu.Lock()
 		current := c.session
 		c.mu.Unlock()
 		if m.ID == c.self && i > 0 {
-			if s := c.findRelay(ctx, members[i+1:]); s != nil {
+			if s := c.findRelay(ctx, candidates[i+1:]); s != nil {
 				c.switchSession(s)
 				return
 			}
@@ -157,7 +163,7 @@
 			continue
 		}
 		s, err := c.openSession(ctx, m)
-		if drpcerr.Code(err) == codeStateIncomplete {
+		if isTransient(err) {
 			c.deferStarting(m.ID)
 			continue
 		}
@@ -170,12 +176,16 @@
 	}
 }
 
-// openSession attaches to a dispatcher, which may be this instance itself.
-func (c *Client) openSession(ctx context.Context, m *catalog.Member) (*session, error) {
+// openSession attaches to a candidate, which may be this instance itself.
+func (c *Client) openSession(ctx context.Context, m peerCandidate) (*session, error) {
 	if m.ID == c.self {
 		return c.openLocalSession(ctx), nil
 	}
-	return c.dialSession(ctx, m, c.firstMessage)
+	return c.dialSession(ctx, m.Member, func() *pb.FromEntry {
+		first := c.firstMessage()
+		first.ViaRelay = m.asRelay
+		return first
+	})
 }
 
 // localSink queues the messages of this instance's own hub. Handling them directly would call back into the hub while
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -73,7 +73,7 @@
 }
 
 // order returns the members in dispatcher order.
-func (h *hub) order() []*catalog.Member { return h.orderCache.get(h.snapshot().Members) }
+func (h *hub) order() []*catalog.Member { return h.orderCache.get(h.snapshot().Members).order }
 
 // now returns the time since the hub was created.
 func (h *hub) now() decide.Instant { return decide.Instant(time.Since(h.start)) }
@@ -154,7 +154,8 @@
 	}
 }
 
-// broadcast sends a message to all attached instances.
+// broadcast sends a message to all attached instances, except those whose relays send it from what they receive
+// themselves.
 func (h *hub) broadcast(m *pb.ToEntry) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -164,7 +165,9 @@
 // broadcastLocked is broadcast for callers that hold mu.
 func (h *hub) broadcastLocked(m *pb.ToEntry) {
 	for _, s := range h.sinks {
-		s.send(m)
+		if relayed, ok := s.(*relayedSink); !ok || !relayed.relaysState {
+			s.send(m)
+		}
 	}
 }
 
--- a/internal/placement/invite.go
+++ b/internal/placement/invite.go
@@ -13,7 +13,7 @@
 )
 
 // A starting instance knows no members. The dispatcher sees in the store that it has joined and sends it the
-// dispatcher's address, so that it need not list the members. If all instances started at one moment and each listed
+// address of its relay or its own, so that it need not list the members. If all instances started at one moment and each listed
 // all members several times, the calls to the store would grow with the fleet and their bytes with its square.
 
 const (
@@ -108,17 +108,23 @@
 	return h.sinks[id] != nil
 }
 
-// invite sends members the address of this instance as the dispatcher, and waits until all attempts have ended.
+// attachedCount returns the number of instances that have a session with this hub.
+func (h *hub) attachedCount() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.sinks)
+}
+
+// invite sends members the address of their relay or of this instance, and waits until all attempts have ended.
 func (c *Client) invite(ctx context.Context, due []*catalog.Member) {
 	c.log.Info("members are invited", "members", len(due), "first", due[0].ID)
-	m := &pb.FromEntry{Invitation: &pb.Invitation{Instance: string(c.self), Addr: c.ownAddr()}}
 	var wg sync.WaitGroup
 	slots := make(chan struct{}, concurrentInvites(len(due)))
 	for _, to := range due {
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			if err := sendOnce(ctx, to.Addr, m); err != nil {
+			if err := sendOnce(ctx, to.Addr, &pb.FromEntry{Invitation: c.invitationFor(to)}); err != nil {
 				c.log.Debug("failed to invite member", "instance", to.ID, "error", err)
 			}
 		})
@@ -131,12 +137,19 @@
 	return max(minConcurrentInvites, int(concurrentInviteShare*float64(due)))
 }
 
-// ownAddr returns this instance's address as listed in the store, or "" if it isn't listed.
-func (c *Client) ownAddr() string {
+// invitationFor returns the invitation of a member: to its relay if it has one that is attached here, or to this
+// instance.
+func (c *Client) invitationFor(to *catalog.Member) *pb.Invitation {
+	for _, relay := range c.memberOrder().relaysFor(to.ID, to.Domain) {
+		if c.hub.attached(relay.ID) {
+			return &pb.Invitation{Instance: string(relay.ID), Addr: relay.Addr}
+		}
+	}
+	own := &pb.Invitation{Instance: string(c.self)}
 	if m := c.member(c.self); m != nil {
-		return m.Addr
+		own.Addr = m.Addr
 	}
-	return ""
+	return own
 }
 
 // sendOnce sends one message to an instance without attaching to it.
@@ -161,7 +174,7 @@
 	return err
 }
 
-// acceptInvitation makes the inviting dispatcher the only candidate until the members are known.
+// acceptInvitation makes the instance that an invitation names the only candidate until the members are known.
 func (c *Client) acceptInvitation(i *pb.Invitation) {
 	if len(c.dispatcherOrder()) > 0 || i.Addr == "" {
 		return
--- a/internal/placement/order.go
+++ b/internal/placement/order.go
@@ -26,6 +26,12 @@
 // DispatcherOrder returns the members in the order in which they become the dispatcher: strong members first, and
 // each group by rendezvous hashing. Instances that know the same members compute the same order.
 func DispatcherOrder(all []*catalog.Member) []*catalog.Member {
+	order, _ := rankMembers(all)
+	return order
+}
+
+// rankMembers returns the members in dispatcher order, and the number of strong ones, which come first.
+func rankMembers(all []*catalog.Member) (order []*catalog.Member, strong int) {
 	highest := 0.0
 	for _, m := range all {
 		highest = max(highest, dispatchCapacity(m))
@@ -48,31 +54,32 @@
 		}
 		return cmp.Or(cmp.Compare(b.score, a.score), strings.Compare(string(a.ID), string(b.ID)))
 	})
-	order := make([]*catalog.Member, len(members))
+	order = make([]*catalog.Member, len(members))
 	for i, m := range members {
 		order[i] = m.Member
+		if !m.weak {
+			strong++
+		}
 	}
-	return order
+	return order, strong
 }
 
 // orderCache keeps the order of the last members, which is read far more often than they change. It is safe for
 // concurrent use.
 type orderCache struct{ last atomic.Pointer[cachedOrder] }
 
-// cachedOrder is the dispatcher order of a list of members.
-type cachedOrder struct{ members, order []*catalog.Member }
+// cachedOrder is the dispatcher order of a list of members, and those that are relays. It must not be modified.
+type cachedOrder struct{ members, order, relays []*catalog.Member }
 
-// get returns the dispatcher order of a snapshot's members. The result must not be modified.
-func (o *orderCache) get(members []*catalog.Member) []*catalog.Member {
-	if len(members) == 0 {
-		return nil
-	}
+// get returns the dispatcher order of a snapshot's members.
+func (o *orderCache) get(members []*catalog.Member) *cachedOrder {
 	last := o.last.Load()
 	if last == nil || !sameMembers(last.members, members) {
-		last = &cachedOrder{members: members, order: DispatcherOrder(members)}
+		order, strong := rankMembers(members)
+		last = &cachedOrder{members: members, order: order, relays: order[:min(strong, relayCount(len(order)))]}
 		o.last.Store(last)
 	}
-	return last.order
+	return last
 }
 
 // sameMembers reports whether two snapshots share their list of members; a list that has not changed is not rebuilt.
@@ -81,6 +88,7 @@
 }
 
 // dispatcherOrder returns the members in dispatcher order. The result must not be modified.
-func (c *Client) dispatcherOrder() []*catalog.Member {
-	return c.hub.orderCache.get(c.snapshot().Members)
-}
+func (c *Client) dispatcherOrder() []*catalog.Member { return c.memberOrder().order }
+
+// memberOrder returns the order of the members. The result must not be modified.
+func (c *Client) memberOrder() *cachedOrder { return c.hub.orderCache.get(c.snapshot().Members) }
--- a/internal/placement/relay.go
+++ b/internal/placement/relay.go
@@ -4,14 +4,17 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"storj.io/drpc/drpcerr"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
+	"github.com/damaskshelf/damaskshelf/internal/wait"
 )
 
 // Two failure domains can be partitioned from each other while a third reaches both. An instance that can't reach the
@@ -26,8 +29,37 @@
 // instance recognizes it by its code.
 var errStateIncomplete = drpcerr.WithCode(errors.New("this instance has just started and knows less than the one that asks"), codeStateIncomplete)
 
-// codeStateIncomplete is the code of errStateIncomplete on the wire.
-const codeStateIncomplete = 1
+// errNoSession rejects an instance that chose this one as its relay while this one has no dispatcher. If this one placed
+// for it, the requests of a few dozen instances would be placed without the work of all others.
+var errNoSession = drpcerr.WithCode(errors.New("this relay has no dispatcher at the moment"), codeNoSession)
+
+// Codes of errors on the wire after which the instance may be asked again shortly.
+const (
+	codeStateIncomplete = 1
+	codeNoSession       = 2
+)
+
+// isTransient reports whether another instance rejected this one only for the moment.
+func isTransient(err error) bool {
+	code := drpcerr.Code(err)
+	return code == codeStateIncomplete || code == codeNoSession
+}
+
+const (
+	// relaySessionWait is how long a relay that has lost its dispatcher lets an instance wait for its next session. Most
+	// instances would otherwise attach to the next dispatcher directly, and change to their relays right after.
+	relaySessionWait  = 150 * time.Millisecond
+	relayPollInterval = 5 * time.Millisecond
+)
+
+// awaitSession waits until this instance has a session, for at most relaySessionWait.
+func (c *Client) awaitSession(ctx context.Context) {
+	for end := time.Now().Add(relaySessionWait); c.Dispatcher() == "" && time.Now().Before(end); {
+		if !wait.For(ctx, relayPollInterval) {
+			return
+		}
+	}
+}
 
 // admit decides how to serve an instance that attaches: as its dispatcher (via is nil), as a relay over the session
 // via, or not at all.
@@ -35,6 +67,9 @@
 	c.mu.Lock()
 	s := c.session
 	c.mu.Unlock()
+	if first.ViaRelay && (s == nil || s.peerID == instance) {
+		return nil, errNoSession
+	}
 	if s == nil || s.peerID == c.self || s.peerID == instance {
 		return nil, c.checkDispatchFor(instance, first)
 	}
@@ -72,7 +107,8 @@
 	c.mu.Lock()
 	c.relayed[instance] = to
 	c.mu.Unlock()
-	c.log.Info("passing on for an instance that can't reach the dispatcher", "entry", instance, "dispatcher", via.peerID)
+	c.log.Info("relaying for an instance", "entry", instance, "dispatcher", via.peerID)
+	c.catchUpRelayed(to, first)
 	defer func() {
 		c.mu.Lock()
 		if c.relayed[instance] == to {
@@ -82,7 +118,7 @@
 		via.send(&pb.FromEntry{Passed: []*pb.Passed{{Entry: string(instance), Ended: true}}})
 	}()
 	streamErr := make(chan error, 1)
-	go func() { streamErr <- forwardMessages(stream, instance, via, first) }()
+	go func() { streamErr <- c.forwardMessages(stream, instance, to, via, first) }()
 	select {
 	case <-via.done:
 		return nil
@@ -91,14 +127,61 @@
 	}
 }
 
-// forwardMessages forwards messages until the attached instance's session ends.
-func forwardMessages(stream pb.DRPCPlacement_AttachStream, instance fleet.InstanceID, via *session, first *pb.FromEntry) error {
+// forwardMessages forwards messages until the attached instance's session ends. Heartbeats end here: they are for the
+// receiver, and the dispatcher has this instance's own.
+func (c *Client) forwardMessages(stream pb.DRPCPlacement_AttachStream, instance fleet.InstanceID, to *remoteSink, via *session, first *pb.FromEntry) error {
 	for m := first; ; {
-		via.send(&pb.FromEntry{Passed: []*pb.Passed{{Entry: string(instance), Message: m}}})
+		if proto.Size(m) > 0 {
+			via.send(&pb.FromEntry{Passed: []*pb.Passed{{Entry: string(instance), Message: m, RelaysState: true}}})
+		}
 		var err error
 		if m, err = stream.Recv(); err != nil {
 			return err
 		}
+		c.catchUpRelayed(to, m)
+	}
+}
+
+// catchUpRelayed sends an instance full copies of the kinds that its message shows it to need, from the copies here, and
+// removes that part of the message. The dispatcher's link would carry these copies once for each instance.
+func (c *Client) catchUpRelayed(to *remoteSink, m *pb.FromEntry) {
+	if len(m.Proofs) == 0 {
+		return
+	}
+	changes, err := c.relayCopies.newer(c.follower, m.Proofs)
+	if err != nil {
+		c.log.Error("state can't be sent", "error", err)
+	}
+	if len(changes) > 0 {
+		to.send(&pb.ToEntry{Changes: changes})
+	}
+	m.Proofs = nil
+}
+
+// relayedSinks returns the instances that this one relays for.
+func (c *Client) relayedSinks() []*remoteSink {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Values(c.relayed))
+}
+
+// broadcastState sends changes or proofs of the copies here to the instances that get the store's state from this one:
+// those attached to it as the dispatcher, and those that it relays for.
+func (c *Client) broadcastState(m *pb.ToEntry) {
+	c.hub.broadcast(m)
+	for _, to := range c.relayedSinks() {
+		to.send(m)
+	}
+}
+
+// relayAnnouncements sends the limits and departures of a dispatcher's message to the instances that this one relays
+// for.
+func (c *Client) relayAnnouncements(m *pb.ToEntry) {
+	if len(m.Limits)+len(m.Departures) == 0 {
+		return
+	}
+	for _, to := range c.relayedSinks() {
+		to.send(&pb.ToEntry{Limits: m.Limits, Departures: m.Departures})
 	}
 }
 
@@ -116,8 +199,9 @@
 
 // relayedSink sends to an instance through its relay.
 type relayedSink struct {
-	via      sink
-	instance fleet.InstanceID
+	via         sink
+	instance    fleet.InstanceID
+	relaysState bool // the relay sends the instance the store's state, limits and departures itself
 }
 
 // send implements sink.
@@ -139,7 +223,7 @@
 		case p.Ended || p.Message == nil:
 		case p.Message.Entry != "":
 			h.applyChanges(p.Message)
-			h.attach(instance, &relayedSink{via: via, instance: instance}, p.Message)
+			h.attach(instance, &relayedSink{via: via, instance: instance, relaysState: p.RelaysState}, p.Message)
 		case known:
 			h.applyChanges(p.Message)
 			h.receive(instance, s, p.Message)
@@ -165,7 +249,7 @@
 // findRelay attaches to an instance that reaches a dispatcher preceding this one. It returns nil if it finds none, or
 // if the last search was too recent. Instances of other failure domains are tried first, because those of this
 // domain are usually partitioned from the dispatcher as well.
-func (c *Client) findRelay(ctx context.Context, others []*catalog.Member) *session {
+func (c *Client) findRelay(ctx context.Context, others []peerCandidate) *session {
 	c.mu.Lock()
 	due := time.Since(c.lastRelaySearch) > relaySearchInterval
 	if due {
@@ -176,8 +260,8 @@
 		return nil
 	}
 	relays := slices.Clone(others)
-	slices.SortStableFunc(relays, func(a, b *catalog.Member) int {
-		return cmp.Compare(sameDomainRank(a, c.domain), sameDomainRank(b, c.domain))
+	slices.SortStableFunc(relays, func(a, b peerCandidate) int {
+		return cmp.Compare(sameDomainRank(a.Member, c.domain), sameDomainRank(b.Member, c.domain))
 	})
 	first := func() *pb.FromEntry {
 		m := c.firstMessage()
@@ -185,7 +269,7 @@
 		return m
 	}
 	for _, m := range relays[:min(maxRelayAttempts, len(relays))] {
-		if s, err := c.dialSession(ctx, m, first); err == nil {
+		if s, err := c.dialSession(ctx, m.Member, first); err == nil {
 			return s
 		}
 	}
--- a/internal/placement/requests.go
+++ b/internal/placement/requests.go
@@ -46,6 +46,7 @@
 	for _, l := range m.Limits {
 		c.limits.record(c.limits.decode(l))
 	}
+	c.relayAnnouncements(m)
 	if len(m.Changes)+len(m.Proofs) > 0 {
 		c.applyDispatcherState(m)
 	}
--- a/internal/placement/session.go
+++ b/internal/placement/session.go
@@ -123,7 +123,9 @@
 		s.c.acceptInvitation(first.Invitation)
 		return raw.Send(&pb.ToEntry{}) // confirms receipt
 	}
-	if len(s.c.dispatcherOrder()) == 0 {
+	if first.ViaRelay {
+		s.c.awaitSession(raw.Context())
+	} else if len(s.c.dispatcherOrder()) == 0 {
 		s.c.follower.ListMembersNow()
 	}
 	instance := fleet.InstanceID(first.Entry)
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync"
 
 	"google.golang.org/protobuf/proto"
 
@@ -149,6 +150,19 @@
 	return m, err
 }
 
+// sharedCopies is a fullCopyCache that is safe for concurrent use.
+type sharedCopies struct {
+	mu    sync.Mutex
+	cache fullCopyCache // guarded by mu
+}
+
+// newer returns full copies of the kinds of which the sender of the proofs lacks changes.
+func (s *sharedCopies) newer(f *watch.Follower, theirs []*pb.Proof) ([]*pb.Change, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return newerCopies(f, s.cache, theirs)
+}
+
 // proofMessages returns the messages for proofs.
 func proofMessages(all []watch.Proof) []*pb.Proof {
 	out := make([]*pb.Proof, len(all))
--- a/internal/placement/step.go
+++ b/internal/placement/step.go
@@ -124,11 +124,13 @@
 		h.step(now)
 		attached, took := len(h.sinks), h.lastStepTime
 		h.mu.Unlock()
-		if attached > 0 && time.Since(lastHeartbeat) >= heartbeatInterval {
+		if time.Since(lastHeartbeat) >= heartbeatInterval {
 			lastHeartbeat = time.Now()
-			h.mu.Lock()
-			h.chooseReaders()
-			h.mu.Unlock()
+			if attached > 0 {
+				h.mu.Lock()
+				h.chooseReaders()
+				h.mu.Unlock()
+			}
 			sendProofs()
 		}
 		// A long step, as with thousands of engines under overload, must leave time to receive messages: steps here use
--- /dev/null
+++ b/internal/placement/tier_test.go
@@ -0,0 +1,167 @@
+package placement
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
+	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
+	"github.com/damaskshelf/damaskshelf/internal/watch"
+)
+
+// unequalFleet returns n members in five failure domains, of which one in twenty is strong.
+func unequalFleet(n int) []*catalog.Member {
+	members := make([]*catalog.Member, n)
+	for i := range members {
+		m := &catalog.Member{ID: fleet.InstanceID(fmt.Sprintf("i-%d", i)), Domain: fleet.DomainID(fmt.Sprintf("d%d", i%5)), CPUShare: 0.2, LinkMbps: 20}
+		if i%20 < 1 {
+			m.Domain = fleet.DomainID(fmt.Sprintf("d%d", i/20%5))
+			m.CPUShare, m.LinkMbps = 1.6, 1000
+		}
+		members[i] = m
+	}
+	return members
+}
+
+// Guards against a dispatcher whose sessions grow with the fleet, and against relays that have as many.
+func TestSessionsOfOneInstanceGrowWithTheRootOfTheFleet(t *testing.T) {
+	for _, n := range []int{300, 1000, 2000} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			members := unequalFleet(n)
+			var cache orderCache
+			order := cache.get(members)
+			sessions := map[fleet.InstanceID]int{}
+			for _, m := range members {
+				to := order.candidates(m.ID, m.Domain)[0]
+				sessions[to.ID]++
+				is.True(!to.asRelay || to.Domain == m.Domain || !hasRelay(order, m.Domain))
+			}
+			for id, got := range sessions {
+				if got > int(6*math.Sqrt(float64(n))) {
+					t.Errorf("%s has %d sessions", id, got)
+				}
+			}
+		})
+	}
+}
+
+// hasRelay reports whether a failure domain has a relay.
+func hasRelay(o *cachedOrder, domain fleet.DomainID) bool {
+	for _, m := range o.relays {
+		if m.Domain == domain {
+			return true
+		}
+	}
+	return false
+}
+
+// Checks that the instances of a fleet of tens attach to the dispatcher directly, in dispatcher order.
+func TestSmallFleetHasNoRelays(t *testing.T) {
+	is := is.New(t)
+	members := unequalFleet(minTieredFleet - 1)
+	var cache orderCache
+	for i, m := range cache.get(members).candidates("i-7", "d1") {
+		is.Equal(m.ID, DispatcherOrder(members)[i].ID)
+		is.True(!m.asRelay)
+	}
+}
+
+// tieredFleet is a fleet with three relays, of which one is the dispatcher. The relays and one weak instance run; all other
+// members are dead.
+type tieredFleet struct {
+	dispatcher, relay, weak *testClient // relay is the next dispatcher, and of the weak instance's failure domain
+	members                 []wire.Object
+}
+
+// newTieredFleet starts a fleet in which every running instance knows all members.
+func newTieredFleet(t *testing.T) *tieredFleet {
+	t.Helper()
+	f := &tieredFleet{}
+	strong := map[fleet.InstanceID]*testClient{}
+	var members []*catalog.Member
+	for _, domain := range []fleet.DomainID{"d1", "d2", "d3"} {
+		p := newTestClient(t, "strong-"+fleet.InstanceID(domain), domain)
+		strong[p.self] = p
+		members = append(members, &catalog.Member{ID: p.self, Domain: domain, CPUShare: 2})
+		f.addMember(t, p, 2)
+	}
+	order := DispatcherOrder(members)
+	f.dispatcher, f.relay = strong[order[0].ID], strong[order[1].ID]
+	f.weak = newTestClient(t, "weak", order[1].Domain)
+	f.addMember(t, f.weak, 0.2)
+	for n := len(f.members); n < minTieredFleet; n++ {
+		f.addMember(t, &testClient{Client: &Client{self: fleet.InstanceID(fmt.Sprintf("dead-%d", n)), domain: "d9"}, addr: deadAddr}, 0.2)
+	}
+	for _, p := range append(slices.Collect(maps.Values(strong)), f.weak) {
+		p.follower.ApplyChange(watch.Change{Kind: watch.KindMembers, Full: true, To: 1, Objects: f.members})
+	}
+	return f
+}
+
+// addMember adds an instance to the members.
+func (f *tieredFleet) addMember(t *testing.T, p *testClient, cpuShare float64) {
+	t.Helper()
+	raw, err := json.Marshal(map[string]any{"peer_addr": p.addr, "cpu_share": cpuShare, "failure_domain": p.domain})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.members = append(f.members, wire.Object{Kind: watch.KindMembers, Name: string(p.self), Version: 1, Value: raw})
+}
+
+// setDomainsOut makes the dispatcher learn that failure domains are out, as of a revision.
+func (f *tieredFleet) setDomainsOut(full bool, revision uint64, domains ...string) {
+	c := watch.Change{Kind: "o", Full: full, To: revision}
+	for _, d := range domains {
+		c.Objects = append(c.Objects, wire.Object{Kind: "o", Name: d, Version: revision})
+	}
+	f.dispatcher.follower.ApplyChange(c)
+}
+
+// Guards against an instance of a large fleet that misses a change of the store, because the dispatcher sends changes to
+// its relays only: a failure domain taken out would get work from it.
+func TestRelaySendsTheStateOfTheStore(t *testing.T) {
+	f := newTieredFleet(t)
+	waitUntil(t, "attached through the relay", func() bool { return f.weak.Dispatcher() == f.relay.self && f.dispatcher.attached("weak") })
+	f.setDomainsOut(true, 2, "d7")
+	waitUntil(t, "full copy", func() bool { return f.weak.snapshot().DomainsOut["d7"] })
+	f.setDomainsOut(false, 3, "d8")
+	waitUntil(t, "change", func() bool { return f.weak.snapshot().DomainsOut["d8"] })
+}
+
+// Guards against a relay that places for the instances attached to it, without the work of all others, in the time in
+// which it has lost its dispatcher.
+func TestRelayWithoutDispatcherPlacesForNobody(t *testing.T) {
+	is := is.New(t)
+	p := newTestClient(t, "lone", "d")
+	_, err := p.admit("weak", &pb.FromEntry{Entry: "weak", ViaRelay: true})
+	is.True(isTransient(err))
+	_, err = p.admit("weak", &pb.FromEntry{Entry: "weak"})
+	is.NoErr(err) // as the dispatcher
+}
+
+// Guards against instances that lose their places when a relay becomes the dispatcher: they attach to it again.
+func TestInstancesStayWithARelayThatBecomesTheDispatcher(t *testing.T) {
+	f := newTieredFleet(t)
+	waitUntil(t, "attached through the relay", func() bool { return f.weak.Dispatcher() == f.relay.self && f.dispatcher.attached("weak") })
+	var left []wire.Object
+	for _, o := range f.members {
+		if o.Name != string(f.dispatcher.self) {
+			left = append(left, o)
+		}
+	}
+	for _, p := range []*testClient{f.relay, f.weak} {
+		p.follower.ApplyChange(watch.Change{Kind: watch.KindMembers, Full: true, To: 2, Objects: left})
+	}
+	waitUntil(t, "attached to the next dispatcher", func() bool {
+		return f.relay.Dispatcher() == f.relay.self && f.weak.Dispatcher() == f.relay.self && f.relay.attached("weak")
+	})
+}
--- a/internal/placement/updates.go
+++ b/internal/placement/updates.go
@@ -27,8 +27,12 @@
 	}
 }
 
-// queueProofs queues proofs of how recent the copies are.
-func (c *Client) queueProofs() { c.updates.put(update{proofs: c.follower.Proofs()}) }
+// queueProofs queues proofs of how recent the copies are, if any instance gets the store's state from this one.
+func (c *Client) queueProofs() {
+	if c.hub.attachedCount()+len(c.relayedSinks()) > 0 {
+		c.updates.put(update{proofs: c.follower.Proofs()})
+	}
+}
 
 // updateInterval is the minimum time between two messages of changes. A single change is sent at once; of hundreds a
 // second, as when thousands of upstreams start, some tens are sent as one. Each message makes every instance examine
@@ -44,7 +48,7 @@
 		changes, own, proofs := mergeUpdates(items)
 		c.sendChanges(changes, own, sent)
 		if proofs != nil {
-			c.hub.broadcast(&pb.ToEntry{Proofs: proofMessages(rotation.dueProofs(proofs))})
+			c.broadcastState(&pb.ToEntry{Proofs: proofMessages(rotation.dueProofs(proofs))})
 		}
 		if len(changes) > 0 {
 			wait.For(ctx, updateInterval)
@@ -82,7 +86,7 @@
 // store, to the dispatcher. sent holds the objects as last broadcast.
 func (c *Client) sendChanges(changes, own []watch.Change, sent sentObjects) {
 	if all := c.encodeChanges(changes, sent.changeMessage); len(all) > 0 {
-		c.hub.broadcast(&pb.ToEntry{Changes: all})
+		c.broadcastState(&pb.ToEntry{Changes: all})
 	}
 	// Objects are sent in full, because the dispatcher has two readers and may hold another version than the last one
 	// sent from here.
