--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 
 	gometrics "github.com/rcrowley/go-metrics"
@@ -118,6 +120,34 @@
 	return body, err
 }
 
+// maxRawBody is the length in bytes up to which a plain answer's count may end before the caller has read the answer.
+const maxRawBody = 16 << 10
+
+// setPlainBody makes body the body of the answer to the caller. The HTTP server writes it after the request has ended here.
+// A long one stays counted until then, because a caller that reads slowly keeps it in memory.
+func (l *lifecycle) setPlainBody(ctx *fasthttp.RequestCtx, body []byte) {
+	if len(body) <= maxRawBody {
+		ctx.Response.SetBodyRaw(body)
+		return
+	}
+	n := int64(len(body))
+	l.r.held -= n
+	ctx.Response.SetBodyStream(&heldBody{Reader: bytes.NewReader(body), release: func() { l.g.held.add(-n) }}, len(body))
+}
+
+// heldBody is the body of an answer whose bytes are counted until the HTTP server closes it.
+type heldBody struct {
+	io.Reader
+	once    sync.Once
+	release func()
+}
+
+// Close implements io.Closer.
+func (b *heldBody) Close() error {
+	b.once.Do(b.release)
+	return nil
+}
+
 // releaseHeld ends the count of a request's bytes.
 func (g *Gateway) releaseHeld(r *request) {
 	g.held.add(-r.held)
--- a/internal/gateway/held_test.go
+++ b/internal/gateway/held_test.go
@@ -42,3 +42,26 @@
 	_, err := g.readChunkedBody(strings.NewReader(strings.Repeat("x", 1001)), &request{})
 	is.Equal(err, fasthttp.ErrBodyTooLarge)
 }
+
+// Guards against plain answers that callers who read slowly keep in memory uncounted: the count ends when the HTTP server
+// has written the answer.
+func TestLongPlainAnswerIsCountedUntilItIsWritten(t *testing.T) {
+	is := is.New(t)
+	g := newHoldingGateway(0, 0)
+	for _, length := range []int{maxRawBody, maxRawBody + 1} {
+		body := bytes.Repeat([]byte("a"), length)
+		l := &lifecycle{g: g, r: &request{held: int64(length)}}
+		g.held.add(int64(length))
+		var ctx fasthttp.RequestCtx
+		l.setPlainBody(&ctx, body)
+		g.releaseHeld(l.r) // the request has ended here
+		if length > maxRawBody {
+			is.Equal(g.held.held.Load(), int64(length))
+		}
+		var written bytes.Buffer
+		is.NoErr(ctx.Response.BodyWriteTo(&written))
+		is.NoErr(ctx.Response.CloseBodyStream())
+		is.True(bytes.Equal(written.Bytes(), body))
+		is.Equal(g.held.held.Load(), int64(0))
+	}
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -51,7 +51,7 @@
 // passOn passes a complete answer on to the caller and releases the grant.
 func (l *lifecycle) passOn(ctx *fasthttp.RequestCtx, body []byte) {
 	copyAnswerHead(&ctx.Response.Header, &l.exchange.Head)
-	ctx.Response.SetBodyRaw(body)
+	l.setPlainBody(ctx, body)
 	if l.r.method == fasthttp.MethodHead {
 		ctx.Response.SkipBody = true
 		if n := l.exchange.Head.ContentLength(); n >= 0 {
--- a/internal/placement/invite.go
+++ b/internal/placement/invite.go
@@ -13,8 +13,8 @@
 )
 
 // A starting instance knows no members. The dispatcher sees in the store that it has joined and sends it the
-// address of its relay or its own, so that it need not list the members. If all instances started at one moment and each listed
-// all members several times, the calls to the store would grow with the fleet and their bytes with its square.
+// address of its relay or its own, so that it need not list the members. If all instances started at one moment and each
+// listed all members several times, the calls to the store would grow with the fleet and their bytes with its square.
 
 const (
 	// inviteInterval is how often a dispatcher looks for members to invite.
--- a/internal/placement/tier.go
+++ b/internal/placement/tier.go
@@ -36,7 +36,7 @@
 // peerCandidate is a member that an instance may attach to.
 type peerCandidate struct {
 	*catalog.Member
-	asRelay bool // only if it has a dispatcher, or is one that others attach to
+	asRelay bool // attach only if it is the dispatcher or has a session with it
 }
 
 // candidates returns the members that the instance attaches to, in order of preference: in a tiered fleet, unless it is
