A relay doesn't report the end of a session that the instance has replaced

Cause: when an instance's connection ended, its relay told the dispatcher that the instance is gone, also if the instance had attached to the same relay again meanwhile (its first attempt took longer than attachTimeout, as at a start of all). The dispatcher dropped it, ignored its requests, and 30 s later removed its entry, while instance and relay held a live session: no answers, for good.

Ruled out: ports, memory, the store (the silent ones had configuration, upstreams and a session).

The end is reported under the lock that registers sessions, and only if the session is still the instance's. Test failing first.

--- a/internal/placement/relay.go
+++ b/internal/placement/relay.go
@@ -109,14 +109,7 @@
 	c.mu.Unlock()
 	c.log.Info("relaying for an instance", "entry", instance, "dispatcher", via.peerID)
 	c.catchUpRelayed(to, first)
-	defer func() {
-		c.mu.Lock()
-		if c.relayed[instance] == to {
-			delete(c.relayed, instance)
-		}
-		c.mu.Unlock()
-		via.send(&pb.FromEntry{Passed: []*pb.Passed{{Entry: string(instance), Ended: true}}})
-	}()
+	defer c.endRelayed(instance, to, via)
 	streamErr := make(chan error, 1)
 	go func() { streamErr <- c.forwardMessages(stream, instance, to, via, first) }()
 	select {
@@ -127,6 +120,19 @@
 	}
 }
 
+// endRelayed reports to the dispatcher that an instance's session has ended, unless the instance has opened another one
+// here meanwhile. The dispatcher couldn't tell the two apart: it would drop the instance, whose requests then get no
+// answer although its new session is alive.
+func (c *Client) endRelayed(instance fleet.InstanceID, to *remoteSink, via *session) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.relayed[instance] != to {
+		return
+	}
+	delete(c.relayed, instance)
+	via.send(&pb.FromEntry{Passed: []*pb.Passed{{Entry: string(instance), Ended: true}}}) // before that of a next session
+}
+
 // forwardMessages forwards messages until the attached instance's session ends. Heartbeats end here: they are for the
 // receiver, and the dispatcher has this instance's own.
 func (c *Client) forwardMessages(stream pb.DRPCPlacement_AttachStream, instance fleet.InstanceID, to *remoteSink, via *session, first *pb.FromEntry) error {
--- a/internal/placement/scale_test.go
+++ b/internal/placement/scale_test.go
@@ -20,12 +20,11 @@
 
 // rawInstance is an attached instance of which only the stream exists.
 type rawInstance struct {
-	id     fleet.InstanceID
 	stream pb.DRPCPlacement_AttachClient
 }
 
-// attachRaw attaches an instance to p and returns it once the dispatcher has accepted it.
-func attachRaw(t *testing.T, p *testClient, id fleet.InstanceID) (*rawInstance, error) {
+// attachRaw attaches an instance to p with its first message, and returns it once p has accepted it.
+func attachRaw(t *testing.T, p *testClient, first *pb.FromEntry) (*rawInstance, error) {
 	t.Helper()
 	conn, err := peer.Dial(t.Context(), p.addr)
 	if err != nil {
@@ -36,11 +35,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := stream.Send(&pb.FromEntry{Entry: string(id), Domain: "d"}); err != nil {
+	if err := stream.Send(first); err != nil {
 		return nil, err
 	}
 	_, err = stream.Recv()
-	return &rawInstance{id: id, stream: stream}, err
+	return &rawInstance{stream: stream}, err
 }
 
 // Guards against a fleet that splits into several dispatchers, each of which places without knowing the others' work,
@@ -51,7 +50,7 @@
 	p.setMembers(t, 1, map[fleet.InstanceID]string{"i1": p.addr})
 	waitUntil(t, "the instance dispatches for itself", func() bool { return p.Dispatcher() == "i1" })
 	for n := range instances {
-		if _, err := attachRaw(t, p, fleet.InstanceID(fmt.Sprintf("raw-%d", n))); err != nil {
+		if _, err := attachRaw(t, p, &pb.FromEntry{Entry: fmt.Sprintf("raw-%d", n), Domain: "d"}); err != nil {
 			t.Fatalf("instance %d was not accepted: %v", n, err)
 		}
 	}
--- a/internal/placement/tier_test.go
+++ b/internal/placement/tier_test.go
@@ -7,6 +7,7 @@
 	"math"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -165,3 +166,28 @@
 		return f.relay.Dispatcher() == f.relay.self && f.weak.Dispatcher() == f.relay.self && f.relay.attached("weak")
 	})
 }
+
+// Guards against an instance that gets no places for good: it attaches to its relay again while its first connection is
+// still open there, and when that ends, the dispatcher takes the instance for gone.
+func TestSecondSessionAtARelaySurvivesTheFirst(t *testing.T) {
+	f := newTieredFleet(t)
+	waitUntil(t, "the relay is attached", func() bool { return f.relay.Dispatcher() == f.dispatcher.self })
+	open := func() *rawInstance {
+		r, err := attachRaw(t, f.relay, &pb.FromEntry{Entry: "again", Domain: "d1", ViaRelay: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	first := open()
+	waitUntil(t, "attached", func() bool { return f.dispatcher.attached("again") })
+	second := open()
+	_ = first.stream.Close()
+	for range 20 {
+		time.Sleep(heartbeatInterval / 2)
+		if err := second.stream.Send(&pb.FromEntry{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	is.New(t).True(f.dispatcher.attached("again"))
+}
