A dispatcher orders the sessions of an instance, and ends those that it doesn't know

Cause, second part: an instance that changes its relay has two sessions, and the dispatcher hears the two relays in any order.

- The first message of a session has a number of the process and the session's own: an older session of the same process is ignored.
Old builds send neither and are taken as before.
- If a relay passes on a message of a session that the dispatcher doesn't know, the dispatcher has it ended: the instance attaches again at once and asks again.
This covers every other order too.

Tests failing first by reading (the first: the instance was detached; the second: nothing was sent).

--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -70,6 +71,8 @@
 	lastRelaySearch       time.Time                            // guarded by mu: when a relay to a preceding dispatcher was last searched for
 	requestedAt           map[string]time.Time                 // guarded by mu: when each kind was last requested
 	dispatcherBehindSince map[string]time.Time                 // guarded by mu: since when the dispatcher has lacked changes, by kind
+	process               uint64                               // random number of this process
+	sessionCount          uint64                               // guarded by mu: sessions that were begun
 	inviter               atomic.Pointer[catalog.Member]       // dispatcher that invited this instance while it knew no members
 	orderCheck            chan struct{}                        // holds a token while the dispatcher order should be checked
 }
@@ -83,6 +86,7 @@
 		backoffs: map[fleet.InstanceID]backoff{}, relayed: map[fleet.InstanceID]*remoteSink{}, requestedAt: map[string]time.Time{}, updates: newOutbox[update](), relayCopies: sharedCopies{cache: fullCopyCache{}},
 		orderCheck: make(chan struct{}, 1),
 	}
+	c.process = rand.Uint64()
 	c.local = NewLocalPlacer(f.Snapshot, c.limits.isLimited)
 	f.ShareReads(c.queueChange)
 	return c
@@ -225,8 +229,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	c.sessionCount++
 	m := &pb.FromEntry{
-		Entry: string(c.self), Domain: string(c.domain), Proofs: proofMessages(proofs), Limits: c.limits.messages(c.snapshot()),
+		Entry: string(c.self), Domain: string(c.domain), Process: c.process, Session: c.sessionCount, Proofs: proofMessages(proofs), Limits: c.limits.messages(c.snapshot()),
 		Departures: departureMessages(c.follower.Departures()),
 	}
 	for _, r := range c.running {
--- a/internal/placement/departures_test.go
+++ b/internal/placement/departures_test.go
@@ -24,9 +24,15 @@
 }
 
 // recordingSink is a sink that records the departures that it is sent.
-type recordingSink struct{ departures []*pb.Departure }
+type recordingSink struct {
+	sent       []*pb.ToEntry
+	departures []*pb.Departure
+}
 
-func (s *recordingSink) send(m *pb.ToEntry) { s.departures = append(s.departures, m.Departures...) }
+func (s *recordingSink) send(m *pb.ToEntry) {
+	s.sent = append(s.sent, m)
+	s.departures = append(s.departures, m.Departures...)
+}
 
 // followerWithUpstreams returns a Follower that holds the given upstreams, each with StartTime 7.
 func followerWithUpstreams(upstreams ...string) *watch.Follower {
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -45,6 +45,7 @@
 	mu                  sync.Mutex
 	services            map[catalog.ServiceName]*dispatch.State // guarded by mu
 	sinks               map[fleet.InstanceID]sink               // guarded by mu
+	sessions            map[fleet.InstanceID]sessionNumber      // guarded by mu: of the attached instances
 	domains             map[fleet.InstanceID]fleet.DomainID     // guarded by mu: of the attached instances
 	lastSnapshot        *catalog.Snapshot                       // guarded by mu: the snapshot that the states reflect
 	absentSince         map[fleet.InstanceID]decide.Instant     // guarded by mu: since when members have had no session
@@ -68,7 +69,7 @@
 		services: map[catalog.ServiceName]*dispatch.State{}, sinks: map[fleet.InstanceID]sink{}, absentSince: map[fleet.InstanceID]decide.Instant{},
 		announcedDepartures: map[fleet.Process]bool{}, stepRequests: make(chan struct{}, 1),
 		fullCopies: fullCopyCache{}, limits: newLimitTable(log.Named("dispatcher")),
-		domains: map[fleet.InstanceID]fleet.DomainID{}, duties: map[fleet.InstanceID]pb.ToEntry_Duty{},
+		sessions: map[fleet.InstanceID]sessionNumber{}, domains: map[fleet.InstanceID]fleet.DomainID{}, duties: map[fleet.InstanceID]pb.ToEntry_Duty{},
 	}
 }
 
@@ -78,15 +79,30 @@
 // now returns the time since the hub was created.
 func (h *hub) now() decide.Instant { return decide.Instant(time.Since(h.start)) }
 
-// attach opens a session of an instance, and replaces an earlier one.
+// sessionNumber identifies a session of an instance.
+type sessionNumber struct{ process, session uint64 }
+
+// precedes reports whether n is an earlier session than o of the same process. Sessions of two processes, and those of an
+// instance that doesn't number them, have no order.
+func (n sessionNumber) precedes(o sessionNumber) bool {
+	return n.process == o.process && n.session < o.session
+}
+
+// attach opens a session of an instance, and replaces an earlier one. It ignores a session that is older than the present
+// one: the relays of both may be heard in any order, and the end of the older one would detach the instance for good.
 func (h *hub) attach(instance fleet.InstanceID, s sink, first *pb.FromEntry) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	number := sessionNumber{first.Process, first.Session}
+	if number.precedes(h.sessions[instance]) {
+		h.log.Info("session is older than the instance's present one", "entry", instance)
+		return
+	}
 	now := h.now()
 	if len(h.sinks) == 0 {
 		h.firstAttached = now
 	}
-	h.sinks[instance] = s
+	h.sinks[instance], h.sessions[instance] = s, number
 	h.domains[instance] = fleet.DomainID(first.Domain)
 	h.log.Info("instance attached", "entry", instance, "attached", len(h.sinks), "running", len(first.Running), "waiting", len(first.Asks))
 	for _, st := range h.services {
@@ -114,6 +130,7 @@
 		return
 	}
 	delete(h.sinks, instance)
+	delete(h.sessions, instance)
 	delete(h.domains, instance)
 	h.log.Info("instance detached", "entry", instance, "attached", len(h.sinks))
 	h.chooseReaders()
--- a/internal/placement/relay.go
+++ b/internal/placement/relay.go
@@ -197,7 +197,11 @@
 		c.mu.Lock()
 		to := c.relayed[fleet.InstanceID(b.Entry)]
 		c.mu.Unlock()
-		if to != nil {
+		switch {
+		case to == nil:
+		case b.Message == nil:
+			to.disconnect() // the dispatcher doesn't know the session
+		default:
 			to.send(b.Message)
 		}
 	}
@@ -233,6 +237,9 @@
 		case known:
 			h.applyChanges(p.Message)
 			h.receive(instance, s, p.Message)
+		default:
+			// The instance takes this session for live, and its requests would get no answer. It attaches again.
+			via.send(&pb.ToEntry{Back: []*pb.Back{{Entry: p.Entry}}})
 		}
 	}
 }
--- a/internal/placement/tier_test.go
+++ b/internal/placement/tier_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
@@ -191,3 +192,42 @@
 	}
 	is.New(t).True(f.dispatcher.attached("again"))
 }
+
+// Guards against an instance that gets no places for good: it has changed its relay, and the dispatcher hears the old relay
+// after the new one.
+func TestSessionOverAnOldRelayIsIgnored(t *testing.T) {
+	is := is.New(t)
+	h := newHub("self", newTestFollower(), hclog.NewNullLogger())
+	passed := func(number uint64, ended bool) []*pb.Passed {
+		if ended {
+			return []*pb.Passed{{Entry: "w", Ended: true}}
+		}
+		return []*pb.Passed{{Entry: "w", Message: &pb.FromEntry{Entry: "w", Process: 7, Session: number}}}
+	}
+	oldRelay, newRelay := &recordingSink{}, &recordingSink{}
+	h.receiveRelayed(newRelay, passed(2, false))
+	h.receiveRelayed(oldRelay, passed(1, false))
+	h.receiveRelayed(oldRelay, passed(1, true))
+	is.True(h.attached("w"))
+	h.receiveRelayed(newRelay, passed(2, true))
+	is.True(!h.attached("w"))
+}
+
+// Guards against an instance whose requests get no answer because the dispatcher has dropped the session that the instance
+// and its relay take for live.
+func TestUnknownRelayedSessionIsEnded(t *testing.T) {
+	is := is.New(t)
+	h := newHub("self", newTestFollower(), hclog.NewNullLogger())
+	relay := &recordingSink{}
+	h.receiveRelayed(relay, []*pb.Passed{{Entry: "w", Message: &pb.FromEntry{Began: []string{"r"}}}})
+	is.Equal(len(relay.sent), 1)
+	is.Equal(len(relay.sent[0].Back), 1)
+	is.True(relay.sent[0].Back[0].Message == nil)
+	ended := make(chan struct{})
+	p := newTestClient(t, "relay", "d")
+	p.Client.mu.Lock()
+	p.relayed["w"] = &remoteSink{out: newOutbox[*pb.ToEntry](), disconnect: func() { close(ended) }}
+	p.Client.mu.Unlock()
+	p.deliverRelayed(relay.sent[0].Back)
+	<-ended
+}
