--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -159,6 +159,11 @@
 	return fault.New(fault.BodyTooLarge, "body: allowed: at most %d bytes", g.deps.Limits.MaxBodyBytes)
 }
 
+// slowCaller returns the fault of a request that doesn't arrive within the read timeout.
+func (g *Gateway) slowCaller() *fault.Error {
+	return fault.New(fault.SlowCaller, "request: not whole after %s", g.deps.Limits.ReadTimeout)
+}
+
 // bodyFault returns the fault of a body that could not be read, or nil. After a fault the connection is closed, because
 // the rest of the body may never come.
 func (g *Gateway) bodyFault(ctx *fasthttp.RequestCtx, err error) *fault.Error {
@@ -174,7 +179,7 @@
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return g.bodyTooLarge()
 	case errors.As(err, &ne) && ne.Timeout():
-		return fault.New(fault.SlowCaller, "request: not whole after %s", g.deps.Limits.ReadTimeout)
+		return g.slowCaller()
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		return fault.New(fault.CallerGone, "%v", err)
 	default:
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -100,12 +100,7 @@
 // too long. Requests that arrive during a pause are all read when it ends, and confirming the instance's state takes
 // one or two round trips.
 func (l *lifecycle) awaitTrust() bool {
-	for end := time.Now().Add(trustTimeout); l.g.deps.Untrusted(); {
-		if time.Now().After(end) || !wait.For(l.ctx, trustPollInterval) {
-			return false
-		}
-	}
-	return true
+	return wait.Until(l.ctx, time.Now().Add(trustTimeout), trustPollInterval, func() bool { return !l.g.deps.Untrusted() })
 }
 
 // unusableReason returns why the upstream must not be used now according to the newest snapshot, or "". The grant
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -178,15 +178,12 @@
 // awaitSnapshot returns the newest snapshot of the fleet. An instance that has just started first waits until the
 // snapshot has a configuration and upstreams, for at most startupWait.
 func (g *Gateway) awaitSnapshot() *catalog.Snapshot {
-	for {
-		snap := g.deps.Snapshot()
-		if snap.Config != nil && snap.FleetVersion > 0 || time.Since(g.listeningSince) > startupWait {
-			return snap
-		}
-		if !wait.For(g.requestsCtx, startupPollInterval) {
-			return snap
-		}
-	}
+	var snap *catalog.Snapshot
+	wait.Until(g.requestsCtx, g.listeningSince.Add(startupWait), startupPollInterval, func() bool {
+		snap = g.deps.Snapshot()
+		return snap.Config != nil && snap.FleetVersion > 0
+	})
+	return snap
 }
 
 // handle answers an admitted request. The lifecycle of a stream that was handed over ends with its body. Any other
@@ -328,7 +325,7 @@
 	case errors.As(err, &small):
 		f = fault.New(fault.BadRequest, "headers: allowed: at most %d bytes", g.deps.Limits.MaxHeaderBytes)
 	case errors.As(err, &ne) && ne.Timeout():
-		f = fault.New(fault.SlowCaller, "request: not whole after %s", g.deps.Limits.ReadTimeout)
+		f = g.slowCaller()
 	}
 	g.refuse(ctx, &request{arrived: time.Now()}, f)
 }
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -67,13 +67,14 @@
 	running               map[fleet.RequestID]*dispatchedGrant // guarded by mu
 	backoffs              map[fleet.InstanceID]backoff         // guarded by mu
 	relayed               map[fleet.InstanceID]*remoteSink     // guarded by mu: instances that this one relays for
-	relayCopies           sharedCopies                         // full copies for those instances
 	lastRelaySearch       time.Time                            // guarded by mu: when a relay to a preceding dispatcher was last searched for
 	requestedAt           map[string]time.Time                 // guarded by mu: when each kind was last requested
 	dispatcherBehindSince map[string]time.Time                 // guarded by mu: since when the dispatcher has lacked changes, by kind
 	process               uint64                               // random number of this process
 	sessionCount          uint64                               // guarded by mu: sessions that were begun
 	inviter               atomic.Pointer[catalog.Member]       // dispatcher that invited this instance while it knew no members
+	rankedOrder           *cachedOrder                         // used by Run only: the order that ranked was made from
+	ranked                []peerCandidate                      // used by Run only: the candidates
 	orderCheck            chan struct{}                        // holds a token while the dispatcher order should be checked
 }
 
@@ -83,7 +84,7 @@
 		self: self, domain: domain, follower: f, snapshot: f.Snapshot, log: log.Named("placement"), hub: newHub(self, f, log),
 		limits: newLimitTable(log.Named("placement")), holdoffs: newHoldoffs(log.Named("placement")),
 		waiting: map[fleet.RequestID]*waitingRequest{}, running: map[fleet.RequestID]*dispatchedGrant{},
-		backoffs: map[fleet.InstanceID]backoff{}, relayed: map[fleet.InstanceID]*remoteSink{}, requestedAt: map[string]time.Time{}, updates: newOutbox[update](), relayCopies: sharedCopies{cache: fullCopyCache{}},
+		backoffs: map[fleet.InstanceID]backoff{}, relayed: map[fleet.InstanceID]*remoteSink{}, requestedAt: map[string]time.Time{}, updates: newOutbox[update](),
 		orderCheck: make(chan struct{}, 1),
 	}
 	c.process = rand.Uint64()
@@ -137,13 +138,16 @@
 	wg.Wait()
 }
 
-// candidates returns the members that this instance may attach to, in order of preference.
+// candidates returns the members that this instance may attach to, in order of preference. It is called by Run only,
+// several times a second, and ranks the members only after they have changed.
 func (c *Client) candidates() []peerCandidate {
-	all := c.memberOrder().candidates(c.self, c.domain)
-	if inviter := c.inviter.Load(); len(all) == 0 && inviter != nil {
+	if order := c.memberOrder(); order != c.rankedOrder {
+		c.rankedOrder, c.ranked = order, order.candidates(c.self, c.domain)
+	}
+	if inviter := c.inviter.Load(); len(c.ranked) == 0 && inviter != nil {
 		return []peerCandidate{{Member: inviter, asRelay: true}}
 	}
-	return all
+	return c.ranked
 }
 
 // selectDispatcher attaches to the first reachable candidate, unless the current session is with it.
--- a/internal/placement/departures_test.go
+++ b/internal/placement/departures_test.go
@@ -23,16 +23,13 @@
 	return &catalog.Upstream{ID: fleet.UpstreamID(o.Name), Service: "s", StartTime: 7, Revision: o.Version}, nil
 }
 
-// recordingSink is a sink that records the departures that it is sent.
-type recordingSink struct {
-	sent       []*pb.ToEntry
-	departures []*pb.Departure
-}
+// recordingSink is a sink that records what it is sent.
+type recordingSink struct{ sent []*pb.ToEntry }
 
-func (s *recordingSink) send(m *pb.ToEntry) {
-	s.sent = append(s.sent, m)
-	s.departures = append(s.departures, m.Departures...)
-}
+func (s *recordingSink) send(m *pb.ToEntry) { s.sent = append(s.sent, m) }
+
+// departures returns the departures that the sink was sent.
+func (s *recordingSink) departures() []*pb.Departure { return mergeToEntry(s.sent).Departures }
 
 // followerWithUpstreams returns a Follower that holds the given upstreams, each with StartTime 7.
 func followerWithUpstreams(upstreams ...string) *watch.Follower {
@@ -60,11 +57,11 @@
 	h.attach("i1", &recordingSink{}, first)
 	is.True(h.snapshot().Upstream("x").Leaving)
 	is.Equal(h.snapshot().Upstream("y").Leaving, false)
-	is.Equal(len(before.departures), 1)
+	is.Equal(len(before.departures()), 1)
 	h.attach("i2", after, &pb.FromEntry{})
-	is.Equal(len(after.departures), 1)
+	is.Equal(len(after.departures()), 1)
 	h.receive("i1", h.sinks["i1"], first) // a repeated report is not broadcast again
-	is.Equal(len(before.departures), 1)
+	is.Equal(len(before.departures()), 1)
 }
 
 // Guards against a departure that is never reported because it arrives after the first message to a new dispatcher
@@ -88,5 +85,5 @@
 	for id, leaving := range map[fleet.UpstreamID]bool{"x": true, "y": true, "z": false} {
 		is.Equal(h.snapshot().Upstream(id).Leaving, leaving)
 	}
-	is.Equal(len(other.departures), 2)
+	is.Equal(len(other.departures()), 2)
 }
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -51,12 +51,12 @@
 	absentSince         map[fleet.InstanceID]decide.Instant     // guarded by mu: since when members have had no session
 	lastStepTime        time.Duration                           // guarded by mu: duration of the last step
 	stepRequests        chan struct{}                           // holds a token while something has changed since the last step
-	fullCopies          fullCopyCache                           // guarded by mu
-	firstAttached       decide.Instant                          // guarded by mu: when the first instance attached
-	readers             readers.Selector                        // guarded by mu
-	duties              map[fleet.InstanceID]pb.ToEntry_Duty    // guarded by mu: as last sent
-	announcedDepartures map[fleet.Process]bool                  // guarded by mu: departures already broadcast
-	limits              *limitTable                             // limits that upstreams advertise, which the services' states apply
+	fullCopies          *fullCopyCache
+	firstAttached       decide.Instant                       // guarded by mu: when the first instance attached
+	readers             readers.Selector                     // guarded by mu
+	duties              map[fleet.InstanceID]pb.ToEntry_Duty // guarded by mu: as last sent
+	announcedDepartures map[fleet.Process]bool               // guarded by mu: departures already broadcast
+	limits              *limitTable                          // limits that upstreams advertise, which the services' states apply
 	orderCache          orderCache
 	// stallLogged is when a stall was last logged.
 	stallLogged decide.Instant // guarded by mu
@@ -68,7 +68,7 @@
 		self: self, follower: f, snapshot: f.Snapshot, log: log.Named("dispatcher"), start: time.Now(),
 		services: map[catalog.ServiceName]*dispatch.State{}, sinks: map[fleet.InstanceID]sink{}, absentSince: map[fleet.InstanceID]decide.Instant{},
 		announcedDepartures: map[fleet.Process]bool{}, stepRequests: make(chan struct{}, 1),
-		fullCopies: fullCopyCache{}, limits: newLimitTable(log.Named("dispatcher")),
+		fullCopies: newFullCopyCache(), limits: newLimitTable(log.Named("dispatcher")),
 		sessions: map[fleet.InstanceID]sessionNumber{}, domains: map[fleet.InstanceID]fleet.DomainID{}, duties: map[fleet.InstanceID]pb.ToEntry_Duty{},
 	}
 }
@@ -157,6 +157,20 @@
 	h.apply(now, instance, m)
 }
 
+// attached reports whether an instance has a session with this hub.
+func (h *hub) attached(id fleet.InstanceID) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.sinks[id] != nil
+}
+
+// attachedCount returns the number of instances that have a session with this hub.
+func (h *hub) attachedCount() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.sinks)
+}
+
 // catchUp sends full copies of the kinds of which an instance lacks changes that are held here; mu is held.
 func (h *hub) catchUp(s sink, theirs []*pb.Proof) {
 	if len(theirs) == 0 {
--- a/internal/placement/invite.go
+++ b/internal/placement/invite.go
@@ -101,20 +101,6 @@
 	return false
 }
 
-// attached reports whether an instance has a session with this hub.
-func (h *hub) attached(id fleet.InstanceID) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.sinks[id] != nil
-}
-
-// attachedCount returns the number of instances that have a session with this hub.
-func (h *hub) attachedCount() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return len(h.sinks)
-}
-
 // invite sends members the address of their relay or of this instance, and waits until all attempts have ended.
 func (c *Client) invite(ctx context.Context, due []*catalog.Member) {
 	c.log.Info("members are invited", "members", len(due), "first", due[0].ID)
--- a/internal/placement/limits_test.go
+++ b/internal/placement/limits_test.go
@@ -20,7 +20,6 @@
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/gateway"
 	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
-	"github.com/damaskshelf/damaskshelf/internal/watch"
 )
 
 // Bounds on an upstream that advertises a limit: from limitEffectiveAfter on, it receives in any limitWindow at most
@@ -84,7 +83,7 @@
 // newInstance returns the instance with number i, which knows the members of the snapshot.
 func (f *limitedFleet) newInstance(i int, snapshot func() *catalog.Snapshot) *limitedInstance {
 	log := hclog.NewNullLogger()
-	w := watch.New(watch.Deps{Kinds: watch.Kinds{Config: "c", Upstreams: "u", DomainsOut: "o"}, Log: log})
+	w := newTestFollower()
 	n := &limitedInstance{fleet: f, id: fleet.InstanceID(fmt.Sprint("i", i)), hub: newHub("self", w, log), limits: newLimitTable(log)}
 	n.hub.snapshot = snapshot
 	n.local = NewLocalPlacer(snapshot, n.limits.isLimited)
--- a/internal/placement/relay.go
+++ b/internal/placement/relay.go
@@ -54,11 +54,7 @@
 
 // awaitSession waits until this instance has a session, for at most relaySessionWait.
 func (c *Client) awaitSession(ctx context.Context) {
-	for end := time.Now().Add(relaySessionWait); c.Dispatcher() == "" && time.Now().Before(end); {
-		if !wait.For(ctx, relayPollInterval) {
-			return
-		}
-	}
+	wait.Until(ctx, time.Now().Add(relaySessionWait), relayPollInterval, func() bool { return c.Dispatcher() != "" })
 }
 
 // admit decides how to serve an instance that attaches: as its dispatcher (via is nil), as a relay over the session
@@ -154,7 +150,7 @@
 	if len(m.Proofs) == 0 {
 		return
 	}
-	changes, err := c.relayCopies.newer(c.follower, m.Proofs)
+	changes, err := newerCopies(c.follower, c.hub.fullCopies, m.Proofs)
 	if err != nil {
 		c.log.Error("state can't be sent", "error", err)
 	}
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -135,34 +135,29 @@
 }
 
 // fullCopyCache keeps the last full-copy message of each kind, so that many instances that attach at one time are
-// sent the same bytes. It is not safe for concurrent use.
-type fullCopyCache map[string]*pb.Change
+// sent the same bytes. It is safe for concurrent use.
+type fullCopyCache struct {
+	mu   sync.Mutex
+	last map[string]*pb.Change // guarded by mu: by kind
+}
+
+// newFullCopyCache returns an empty cache.
+func newFullCopyCache() *fullCopyCache { return &fullCopyCache{last: map[string]*pb.Change{}} }
 
 // message returns the message of a full copy.
-func (w fullCopyCache) message(c watch.Change) (*pb.Change, error) {
-	if m := w[c.Kind]; m != nil && m.From == c.From {
+func (w *fullCopyCache) message(c watch.Change) (*pb.Change, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if m := w.last[c.Kind]; m != nil && m.From == c.From {
 		return m, nil
 	}
 	m, err := changeMessage(c)
 	if err == nil {
-		w[c.Kind] = m
+		w.last[c.Kind] = m
 	}
 	return m, err
 }
 
-// sharedCopies is a fullCopyCache that is safe for concurrent use.
-type sharedCopies struct {
-	mu    sync.Mutex
-	cache fullCopyCache // guarded by mu
-}
-
-// newer returns full copies of the kinds of which the sender of the proofs lacks changes.
-func (s *sharedCopies) newer(f *watch.Follower, theirs []*pb.Proof) ([]*pb.Change, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return newerCopies(f, s.cache, theirs)
-}
-
 // proofMessages returns the messages for proofs.
 func proofMessages(all []watch.Proof) []*pb.Proof {
 	out := make([]*pb.Proof, len(all))
@@ -219,7 +214,7 @@
 }
 
 // newerCopies returns full copies of the kinds of which the sender of the proofs lacks changes.
-func newerCopies(f *watch.Follower, sent fullCopyCache, theirs []*pb.Proof) ([]*pb.Change, error) {
+func newerCopies(f *watch.Follower, sent *fullCopyCache, theirs []*pb.Proof) ([]*pb.Change, error) {
 	var out []*pb.Change
 	for _, proof := range theirs {
 		c, ok := f.FullCopy(proof.Kind)
--- a/internal/placement/state_test.go
+++ b/internal/placement/state_test.go
@@ -29,7 +29,7 @@
 func TestFullCopyIsPackedOnce(t *testing.T) {
 	is := is.New(t)
 	c := upstreamEntries(3000)
-	w := fullCopyCache{}
+	w := newFullCopyCache()
 	first, err := w.message(c)
 	is.NoErr(err)
 	is.True(len(first.Packed) > 0 && len(first.Packed) < 150_000)
--- a/internal/placement/tier_test.go
+++ b/internal/placement/tier_test.go
@@ -94,14 +94,14 @@
 		p := newTestClient(t, "strong-"+fleet.InstanceID(domain), domain)
 		strong[p.self] = p
 		members = append(members, &catalog.Member{ID: p.self, Domain: domain, CPUShare: 2})
-		f.addMember(t, p, 2)
+		f.addMember(t, p.self, domain, p.addr, 2)
 	}
 	order := DispatcherOrder(members)
 	f.dispatcher, f.relay = strong[order[0].ID], strong[order[1].ID]
 	f.weak = newTestClient(t, "weak", order[1].Domain)
-	f.addMember(t, f.weak, 0.2)
+	f.addMember(t, f.weak.self, order[1].Domain, f.weak.addr, 0.2)
 	for n := len(f.members); n < minTieredFleet; n++ {
-		f.addMember(t, &testClient{Client: &Client{self: fleet.InstanceID(fmt.Sprintf("dead-%d", n)), domain: "d9"}, addr: deadAddr}, 0.2)
+		f.addMember(t, fleet.InstanceID(fmt.Sprintf("dead-%d", n)), "d9", deadAddr, 0.2)
 	}
 	for _, p := range append(slices.Collect(maps.Values(strong)), f.weak) {
 		p.follower.ApplyChange(watch.Change{Kind: watch.KindMembers, Full: true, To: 1, Objects: f.members})
@@ -110,13 +110,13 @@
 }
 
 // addMember adds an instance to the members.
-func (f *tieredFleet) addMember(t *testing.T, p *testClient, cpuShare float64) {
+func (f *tieredFleet) addMember(t *testing.T, id fleet.InstanceID, domain fleet.DomainID, addr string, cpuShare float64) {
 	t.Helper()
-	raw, err := json.Marshal(map[string]any{"peer_addr": p.addr, "cpu_share": cpuShare, "failure_domain": p.domain})
+	raw, err := json.Marshal(map[string]any{"peer_addr": addr, "cpu_share": cpuShare, "failure_domain": domain})
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.members = append(f.members, wire.Object{Kind: watch.KindMembers, Name: string(p.self), Version: 1, Value: raw})
+	f.members = append(f.members, wire.Object{Kind: watch.KindMembers, Name: string(id), Version: 1, Value: raw})
 }
 
 // setDomainsOut makes the dispatcher learn that failure domains are out, as of a revision.
@@ -133,10 +133,17 @@
 func TestRelaySendsTheStateOfTheStore(t *testing.T) {
 	f := newTieredFleet(t)
 	waitUntil(t, "attached through the relay", func() bool { return f.weak.Dispatcher() == f.relay.self && f.dispatcher.attached("weak") })
+	current := func() *session {
+		f.weak.Client.mu.Lock()
+		defer f.weak.Client.mu.Unlock()
+		return f.weak.Client.session
+	}
+	before := current()
 	f.setDomainsOut(true, 2, "d7")
 	waitUntil(t, "full copy", func() bool { return f.weak.snapshot().DomainsOut["d7"] })
 	f.setDomainsOut(false, 3, "d8")
 	waitUntil(t, "change", func() bool { return f.weak.snapshot().DomainsOut["d8"] })
+	is.New(t).True(current() == before) // the changes came in the session, and not with a next one
 }
 
 // Guards against a relay that places for the instances attached to it, without the work of all others, in the time in
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -1,4 +1,4 @@
-// Package wait provides a sleep that ends early if its context ends.
+// Package wait provides sleeps that end early if their context ends.
 package wait
 
 import (
@@ -21,3 +21,13 @@
 		return false
 	}
 }
+
+// Until calls ok every interval until it returns true, and reports whether it did by end and before ctx ended.
+func Until(ctx context.Context, end time.Time, interval time.Duration, ok func() bool) bool {
+	for !ok() {
+		if time.Now().After(end) || !For(ctx, interval) {
+			return false
+		}
+	}
+	return true
+}
--- a/test/soak/slowreaders_test.go
+++ b/test/soak/slowreaders_test.go
@@ -77,16 +77,15 @@
 	return r.StatusCode, err == nil
 }
 
-// Guards against an instance that ends for want of memory while a thousand callers send long prompts and don't read their
-// answers: every other caller's request on it is lost. What can't be held is refused, and prompt callers are served.
-func TestSlowReadersDontExhaustMemory(t *testing.T) {
-	dir := t.TempDir()
+// startSlowReadersFleet starts a store, workers and a daemon with a route to engines and one to a plain service.
+func startSlowReadersFleet(t *testing.T) *daemon {
+	t.Helper()
 	store, err := standin.NewStore()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer store.Close()
-	route := standin.Route{
+	t.Cleanup(store.Close)
+	stream := standin.Route{
 		Name: "stream", Host: host, PathPrefix: "/stream/", Kind: "streaming", Service: "engines", MaxAttempts: 1, Public: true,
 		Timeout: 20 * time.Second, TargetLatency: 4 * time.Second, TargetGap: time.Second,
 	}
@@ -94,58 +93,74 @@
 		Name: "quick", Host: host, PathPrefix: "/quick/", Kind: "idempotent", Service: "plain", MaxAttempts: 1, Public: true,
 		Timeout: 5 * time.Second, TargetLatency: time.Second,
 	}
-	store.PutConfig(1, []standin.Route{route, quick}, []standin.Service{{Name: "plain"}, {Name: "engines", KVCacheTokens: 100 * slowPromptLen}}, nil)
+	store.PutConfig(1, []standin.Route{stream, quick}, []standin.Service{{Name: "plain"}, {Name: "engines", KVCacheTokens: 100 * slowPromptLen}}, nil)
 	for n := range 80 {
 		w, err := standin.NewWorker(fmt.Sprintf("w-%d", n))
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer w.Close()
-		service := "engines"
-		if n < 4 {
-			service = "plain"
-		} else {
-			w.SetReply(standin.Events(24, -1, 20*time.Millisecond))
+		t.Cleanup(w.Close)
+		service := "plain"
+		if n >= 4 {
+			service = "engines"
+			w.SetReply(standin.Events(24, 0, 20*time.Millisecond))
 		}
 		store.PutWorker(w.ID, service, w.Addr(), "ready")
 	}
-	d := newDaemon(t, dir, "entry", store.Addr(), func(peers string) string { return peers })
+	d := newDaemon(t, t.TempDir(), "entry", store.Addr(), func(peers string) string { return peers })
 	d.start(t)
-	defer d.kill()
-	quickCall := func(n int) (int, bool) {
-		c, err := net.DialTimeout("tcp", d.callerAddr, 5*time.Second)
-		if err != nil {
-			return 0, false
-		}
-		defer func() { _ = c.Close() }()
-		if err := (standin.Call{Method: "GET", Path: "/quick/x", Host: host, AttemptID: fmt.Sprintf("quick-%d", n), Timeout: 5 * time.Second}).Write(c); err != nil {
-			return 0, false
-		}
-		return readStatus(c)
-	}
-	for end := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
-		if status, _ := quickCall(-1); status == 200 {
-			break
-		}
+	t.Cleanup(d.kill)
+	for end := time.Now().Add(20 * time.Second); !quickCall(d.callerAddr, -1); time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatal("the instance doesn't serve")
 		}
 	}
-	var served, refused, silent, lost atomic.Int64
+	return d
+}
+
+// quickCall sends a request to the plain service, and reports whether it was served.
+func quickCall(addr string, n int) bool {
+	c, err := net.DialTimeout("tcp", addr, 5*time.Second)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = c.Close() }()
+	call := standin.Call{Method: "GET", Path: "/quick/x", Host: host, AttemptID: fmt.Sprintf("quick-%d", n), Timeout: 5 * time.Second}
+	if err := call.Write(c); err != nil {
+		return false
+	}
+	status, _ := readStatus(c)
+	return status == 200
+}
+
+// slowOutcomes counts how slow readers' requests ended.
+type slowOutcomes struct{ served, refused, silent, lost atomic.Int64 }
+
+// count counts a request by its answer.
+func (o *slowOutcomes) count(t *testing.T, n, status int, complete bool) {
+	switch {
+	case status == 200 && complete:
+		o.served.Add(1)
+	case status == 503 && complete:
+		o.refused.Add(1)
+	case status == 502 && complete:
+		o.silent.Add(1) // on a busy machine the workers, which run in this process, may be silent for too long
+	default:
+		o.lost.Add(1)
+		t.Logf("slow-%d: status %d, complete %t", n, status, complete)
+	}
+}
+
+// Guards against an instance that ends for want of memory while a thousand callers send long prompts and don't read their
+// answers: every other caller's request on it is lost. What can't be held is refused, and prompt callers are served.
+func TestSlowReadersDontExhaustMemory(t *testing.T) {
+	d := startSlowReadersFleet(t)
+	var outcomes slowOutcomes
 	var callers sync.WaitGroup
 	for n := range slowReaders {
 		callers.Go(func() {
-			switch status, complete := slowCall(d.callerAddr, n); {
-			case status == 200 && complete:
-				served.Add(1)
-			case status == 503 && complete:
-				refused.Add(1)
-			case status == 502 && complete:
-				silent.Add(1) // on a busy machine the workers, which run in this process, may be silent for too long
-			default:
-				lost.Add(1)
-				t.Logf("slow-%d: status %d, complete %t", n, status, complete)
-			}
+			status, complete := slowCall(d.callerAddr, n)
+			outcomes.count(t, n, status, complete)
 		})
 	}
 	slowDone := make(chan struct{})
@@ -160,19 +175,20 @@
 			running = false
 		case <-time.After(50 * time.Millisecond):
 			quickAsked++
-			if status, _ := quickCall(quickAsked); status == 200 {
+			if quickCall(d.callerAddr, quickAsked) {
 				quickServed++
 			}
 		}
 	}
 	peak := peakMemory(t, d.cmd.Process.Pid)
-	t.Logf("served %d, refused %d, workers silent %d, lost %d; quick %d of %d; peak %d MB", served.Load(), refused.Load(), silent.Load(),
-		lost.Load(), quickServed, quickAsked, peak>>20)
+	served, refused, lost := outcomes.served.Load(), outcomes.refused.Load(), outcomes.lost.Load()
+	t.Logf("served %d, refused %d, workers silent %d, lost %d; quick %d of %d; peak %d MB", served, refused, outcomes.silent.Load(),
+		lost, quickServed, quickAsked, peak>>20)
 	if peak > smallMemory {
 		t.Errorf("peak memory %d MB, allowed: %d MB", peak>>20, smallMemory>>20)
 	}
-	if lost.Load() > 0 || served.Load() == 0 {
-		t.Errorf("served %d, refused %d, lost %d", served.Load(), refused.Load(), lost.Load())
+	if lost > 0 || served == 0 {
+		t.Errorf("served %d, refused %d, lost %d", served, refused, lost)
 	}
 	if quickServed < quickAsked {
 		t.Errorf("quick requests: %d of %d served", quickServed, quickAsked)
