--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -225,6 +225,7 @@
 		h.forEachState(func(st *dispatch.State) { st.Began(now, fleet.RequestID(id)) })
 	}
 	for _, e := range m.Ended {
+		h.logPathFailure(instance, e)
 		h.forEachState(func(st *dispatch.State) {
 			st.Done(now, fleet.RequestID(e.Id), dispatchOutcomes[e.How], fleet.UpstreamID(e.AtFault))
 		})
--- a/internal/placement/step.go
+++ b/internal/placement/step.go
@@ -163,3 +163,11 @@
 	}
 	return heartbeatInterval
 }
+
+// logPathFailure logs that an instance could not connect to an upstream; mu is held. It shows whose reports keep an
+// upstream from receiving work.
+func (h *hub) logPathFailure(instance fleet.InstanceID, e *pb.Ended) {
+	if e.How == pb.Ended_UNREACHABLE {
+		h.log.Info("instance can't connect to an upstream", "entry", instance, "domain", h.domains[instance], "request", e.Id, "at_fault", e.AtFault)
+	}
+}
