--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -76,7 +76,8 @@
 // Options are the parts of an instance that the process provides.
 type Options struct {
 	Log          hclog.Logger
-	DroppedLines func() int // number of log lines dropped since the start; nil: none are
+	DroppedLines func() int      // number of log lines dropped since the start; nil: none are
+	DialUpstream upstream.Dialer // connects to upstreams; nil: over TCP
 }
 
 // New assembles an instance. It opens no connection and binds no address.
@@ -90,7 +91,7 @@
 		func() *gate.Gate { return &gate.Gate{} },
 		metrics.New,
 		explain.New,
-		upstream.New,
+		newUpstreamClient,
 		newFollower,
 		newBudgets,
 		newPlacer,
@@ -115,6 +116,14 @@
 	return n, nil
 }
 
+// newUpstreamClient returns the client for the calls to upstreams.
+func newUpstreamClient(o Options) *upstream.Client {
+	if o.DialUpstream == nil {
+		return upstream.New()
+	}
+	return upstream.NewWithDialer(o.DialUpstream)
+}
+
 // newFollower returns the follower of the platform's store.
 func newFollower(s api.Settings, a Adapter, log hclog.Logger) *watch.Follower {
 	return watch.New(watch.Deps{
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -50,8 +50,18 @@
 	pool *pool
 }
 
+// Dialer connects to an upstream's address.
+type Dialer func(ctx context.Context, addr string) (net.Conn, error)
+
 // New returns a client without connections.
-func New() *Client { return &Client{pool: newPool()} }
+func New() *Client { return NewWithDialer(dialTCP) }
+
+// NewWithDialer returns a client that connects with dial.
+func NewWithDialer(dial Dialer) *Client {
+	p := newPool()
+	p.dialer = dial
+	return &Client{pool: p}
+}
 
 // Close closes the idle connections.
 func (c *Client) Close() { c.pool.close() }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -98,7 +98,8 @@
 
 // pool keeps idle connections by address.
 type pool struct {
-	now func() time.Time
+	now    func() time.Time
+	dialer Dialer
 
 	mu            sync.Mutex
 	idle          map[string][]*conn   // guarded by mu; the most recently used is last
@@ -108,7 +109,7 @@
 
 // newPool returns an empty pool.
 func newPool() *pool {
-	return &pool{now: time.Now, idle: map[string][]*conn{}, invalidBefore: map[string]time.Time{}}
+	return &pool{now: time.Now, dialer: dialTCP, idle: map[string][]*conn{}, invalidBefore: map[string]time.Time{}}
 }
 
 // get returns an idle connection or dials a new one. reused reports that the connection was idle.
@@ -121,11 +122,16 @@
 	return c, false, err
 }
 
+// dialTCP opens a TCP connection that detects a peer that is gone.
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setAckTimeout}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
 // dial opens a new connection.
 func (p *pool) dial(ctx context.Context, addr string) (*conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setAckTimeout}
 	created := p.now()
-	raw, err := d.DialContext(ctx, "tcp", addr)
+	raw, err := p.dialer(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
