An instance that is cut off from upstreams connects to them through other instances

Cause: an instance knew one way to an upstream, its own; each try cost 300 ms and the next upstream was as far away. Class: the failure of one path is taken for the failure of what lies behind it.

Now a direct connection that takes over 60 ms or fails is also tried through another instance (package tunnel): that one connects and only copies bytes, so that the request, its deadline, its retries and what is known of its run stay with the instance that has the caller. Framed over drpc: an end that the upstream didn't make is an error, never the end of an answer; closing either side closes the other; a slow reader stops the upstream. Package reach keeps per upstream what the own paths do: known failed ones are bypassed at once and probed without any request; one that works again makes all others uncertain, so that both ways are tried. A path counts as failed only if another instance connected at the same time, so that a dead or a silent upstream is no lost path. Silence or a reset is checked the same way (outcome path_lost), and idle connections over a path that hangs aren't used again; where new ones are refused, open ones are.

The other instance: up to four are asked, 50 ms apart, those that connected lately first, else of the own failure domain and of others in turn, all in the upstream's region (regions in the settings: the body of a request that must stay in its regions passes through no other). It refuses what it would refuse itself (leaving, domain out, held off, paused), has a bound, and a planned stop waits for its tunnels.

Alternatives: leaving the balancer's rotation (open connections stay, and most of a zone may be cut); passing whole requests on (two owners of run, deadline and retries); the dispatcher naming the other instance (needs the dispatcher, and news that it may lack).

--- a/api/routed.go
+++ b/api/routed.go
@@ -17,9 +17,11 @@
 	Store     RoutedStore  `json:"store"`
 	CPUShare  float64      `json:"cpu_share"` // CPU cores that this instance may use, a fraction allowed; 0 means 1
 	LinkMbps  float64      `json:"link_mbps"` // bandwidth of this instance's own link in Mbit/s; 0: unknown
-	Retries   Retries      `json:"retries"`
-	Stop      RoutedStop   `json:"stop"`
-	Limits    RoutedLimits `json:"limits,omitempty"`
+	// Regions is the region of each failure domain. If it is empty, all are in one region.
+	Regions map[string]string `json:"regions,omitempty"`
+	Retries Retries           `json:"retries"`
+	Stop    RoutedStop        `json:"stop"`
+	Limits  RoutedLimits      `json:"limits,omitempty"`
 }
 
 // RoutedListen holds the listeners' addresses, each an IP and port.
--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -192,6 +192,18 @@
 	return nil
 }
 
+// UpstreamByAddr returns the upstream at an address, or nil. Of several, as after an address was assigned again, it
+// returns one that accepts work if any does.
+func (s *Snapshot) UpstreamByAddr(addr string) *Upstream {
+	var found *Upstream
+	for _, u := range s.upstreams {
+		if u.Addr == addr && (found == nil || s.AcceptsWork(u)) {
+			found = u
+		}
+	}
+	return found
+}
+
 // Upstreams returns the upstreams of a service, sorted by id. The slice is shared; the caller must not modify it.
 func (s *Snapshot) Upstreams(name ServiceName) []*Upstream { return s.byService[name] }
 
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -5,11 +5,14 @@
 	"context"
 	"errors"
 	"io"
+	"os"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/tunnel"
 )
 
 // failure describes a send that failed.
@@ -69,6 +72,23 @@
 	}
 }
 
+// checkPath changes the outcome of a send that ended in silence or with a reset if this instance's path to the upstream is
+// at fault, or the instance via that the send went through. Taken for a failure of the upstream, it would keep the
+// upstream from all instances, and one that is cut off loses requests on every upstream.
+func (l *lifecycle) checkPath(f *failure, via fleet.InstanceID) {
+	switch {
+	case f.outcome != Failed || !endsPath(f.cause):
+	case via != "" || l.g.deps.Client.PathLost(l.ctx, l.grant.Upstream().Addr):
+		f.outcome = PathLost
+	}
+}
+
+// endsPath reports whether a send can have ended with this error because the network path failed.
+func endsPath(err error) bool {
+	return errors.Is(err, errOverdue) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.ETIMEDOUT) ||
+		errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, tunnel.ErrLost)
+}
+
 // closeExchange closes the exchange and releases the grant after a failure.
 func (l *lifecycle) closeExchange(f *failure) {
 	if l.exchange != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,6 +103,9 @@
 	AnswerTimeout() time.Duration
 	// RecordFirstEvent records that the answer, or its first event, arrived.
 	RecordFirstEvent()
+	// RecordIndirect records that the request goes through another instance, because this one's own path to the
+	// upstream has failed.
+	RecordIndirect()
 	// Release ends the grant. atFault is the upstream that caused a failure if it isn't the granted one.
 	Release(o Outcome, atFault fleet.UpstreamID)
 }
@@ -119,11 +122,12 @@
 	Failed                     // an error answer, a broken connection or silence
 	Abandoned                  // the caller went away or the time ran out
 	Replaced                   // another upstream has the address, or the version is not the required one
+	PathLost                   // this instance's path to the upstream failed, while other instances reach the upstream
 )
 
 // String returns the outcome as it appears in log lines.
 func (o Outcome) String() string {
-	return [...]string{"served", "unsent", "unreachable", "rejected", "failed", "left", "replaced"}[o]
+	return [...]string{"served", "unsent", "unreachable", "rejected", "failed", "left", "replaced", "path_lost"}[o]
 }
 
 // Placer grants upstreams to requests. Place blocks while the request waits for an upstream. It returns a *fault.Error
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -41,6 +41,7 @@
 	reasonPassedOn   decide.Reason = "passed_on"
 	reasonStreamCut  decide.Reason = "stream_cut"
 	reasonCallerGone decide.Reason = "caller_gone"
+	reasonIndirect   decide.Reason = "indirect" // sent through another instance
 )
 
 // lifecycle handles one request from its arrival to the end of its answer.
@@ -167,6 +168,7 @@
 	}
 	l.attempts++
 	l.sends++
+	l.recordWay(x.Via)
 	l.exchange, l.answer = x, l.g.deps.Dialect.ReadAnswer(&x.Head)
 	l.observeAnswer(l.answer, l.sentAt)
 	return l.checkHead()
@@ -223,10 +225,22 @@
 		l.sends++
 	}
 	l.classify(f)
+	if ce != nil {
+		l.checkPath(f, ce.Via)
+	}
 	l.releaseFailed(f)
 	return f
 }
 
+// recordWay records that the request went through another instance; via is empty if it did not.
+func (l *lifecycle) recordWay(via fleet.InstanceID) {
+	if via == "" {
+		return
+	}
+	l.grant.RecordIndirect()
+	l.g.deps.Explain.Record("path", l.r.ID, reasonIndirect, "upstream", l.grant.Upstream().ID, "via", via, "attempt", l.attempts)
+}
+
 // checkHead returns a failure if an answer's head shows that the send failed, and nil if the answer is passed on. It
 // closes the exchange of a failed send. The exchange of a server error stays open, because this answer is passed on if
 // no retry is allowed.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -61,6 +61,7 @@
 func (l *lifecycle) endBrokenAnswer(err error) *failure {
 	f := &failure{outcome: Failed, ran: fault.RunYes, cause: err}
 	l.classify(f)
+	l.checkPath(f, l.exchange.Via)
 	l.closeExchange(f)
 	return f
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -190,7 +190,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return drpcconn.NewWithOptions(&deadlineConn{Conn: raw, onRead: onRead}, drpcconn.Options{Manager: drpcmanager.Options{
+	return NewConn(&deadlineConn{Conn: raw, onRead: onRead}), nil
+}
+
+// NewConn returns an RPC connection over raw. The size of a received message is limited.
+func NewConn(raw net.Conn) *drpcconn.Conn {
+	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: drpcmanager.Options{
 		Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes},
-	}}), nil
+	}})
 }
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -96,10 +97,14 @@
 // Serve serves the sessions of other instances, as a dispatcher or a relay, until ctx ends. It then closes l. It has at
 // most maxConns connections open: every other instance may attach to a dispatcher, and may open a second connection
 // before its first one is known to be dead.
-func (c *Client) Serve(ctx context.Context, l net.Listener, maxConns int64) error {
+//
+// The functions in register add further services to the same listener.
+func (c *Client) Serve(ctx context.Context, l net.Listener, maxConns int64, register ...func(drpc.Mux) error) error {
 	mux := drpcmux.New()
-	if err := pb.DRPCRegisterPlacement(mux, rpcServer{c: c}); err != nil {
-		return err
+	for _, add := range append(register, func(m drpc.Mux) error { return pb.DRPCRegisterPlacement(m, rpcServer{c: c}) }) {
+		if err := add(mux); err != nil {
+			return err
+		}
 	}
 	options := drpcserver.Options{Manager: drpcmanager.Options{
 		Reader: drpcwire.ReaderOptions{MaximumBufferSize: peer.MaxMessageBytes}, InactivityTimeout: time.Minute,
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -38,6 +38,12 @@
 	g.c.sendToDispatcher(&pb.FromEntry{Began: []string{string(g.ask.ID)}})
 }
 
+// RecordIndirect implements gateway.Grant. It reports to the dispatcher that this instance's own path to the upstream has
+// failed.
+func (g *dispatchedGrant) RecordIndirect() {
+	g.c.sendToDispatcher(&pb.FromEntry{Indirect: []string{string(g.ask.ID)}})
+}
+
 // Release implements gateway.Grant. It reports the outcome to the dispatcher.
 func (g *dispatchedGrant) Release(o gateway.Outcome, atFault fleet.UpstreamID) {
 	g.c.mu.Lock()
@@ -68,4 +74,5 @@
 // wireOutcomes maps outcomes to their wire values. All outcomes that it lacks are reported as pb.Ended_WHOLE.
 var wireOutcomes = map[gateway.Outcome]pb.Ended_How{
 	gateway.Failed: pb.Ended_FAILED, gateway.Unreachable: pb.Ended_UNREACHABLE, gateway.Rejected: pb.Ended_FULL,
+	gateway.PathLost: pb.Ended_PATH_LOST,
 }
--- a/internal/placement/local.go
+++ b/internal/placement/local.go
@@ -76,6 +76,7 @@
 func (g *localGrant) Reason() string                      { return "least_own_work" }
 func (g *localGrant) AnswerTimeout() time.Duration        { return 0 }
 func (g *localGrant) RecordFirstEvent()                   {}
+func (g *localGrant) RecordIndirect()                     {}
 
 // Release implements gateway.Grant.
 func (g *localGrant) Release(gateway.Outcome, fleet.UpstreamID) {
--- a/internal/placement/session.go
+++ b/internal/placement/session.go
@@ -302,6 +302,7 @@
 	all := items[0]
 	for _, m := range items[1:] {
 		all.Running = append(all.Running, m.Running...)
+		all.Indirect = append(all.Indirect, m.Indirect...)
 		all.Began = append(all.Began, m.Began...)
 		all.Ended = append(all.Ended, m.Ended...)
 		all.Withdrawn = append(all.Withdrawn, m.Withdrawn...)
--- a/internal/routed/descriptors.go
+++ b/internal/routed/descriptors.go
@@ -12,6 +12,15 @@
 // for callers and upstreams.
 const peerDescriptorShare = 0.5
 
+// tunnelShare is the fraction of the descriptors that tunnels for other instances may take, two for each. Their
+// connections are among those of other instances.
+const tunnelShare = 0.125
+
+// maxTunnels returns how many tunnels this instance serves at one time.
+func maxTunnels(l api.RoutedLimits) int64 {
+	return int64(tunnelShare * float64(maxDescriptors(l)) / 2)
+}
+
 // maxPeerConns returns how many connections of other instances this one accepts.
 func maxPeerConns(l api.RoutedLimits) int64 {
 	return int64(peerDescriptorShare * float64(maxDescriptors(l)))
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -24,6 +24,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
 	"github.com/damaskshelf/damaskshelf/internal/objects"
 	"github.com/damaskshelf/damaskshelf/internal/placement"
+	"github.com/damaskshelf/damaskshelf/internal/tunnel"
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
 	"github.com/damaskshelf/damaskshelf/internal/wait"
 	"github.com/damaskshelf/damaskshelf/internal/watch"
@@ -70,6 +71,7 @@
 	Gate     *gate.Gate
 	Client   *upstream.Client
 	Placer   *placement.Client
+	Tunnels  *tunnel.Server
 	Budgets  *budgets
 }
 
@@ -77,7 +79,7 @@
 type Options struct {
 	Log          hclog.Logger
 	DroppedLines func() int      // number of log lines dropped since the start; nil: none are
-	DialUpstream upstream.Dialer // connects to upstreams; nil: over TCP
+	DialUpstream upstream.Dialer // connects to upstreams directly; nil: over TCP
 }
 
 // New assembles an instance. It opens no connection and binds no address.
@@ -91,6 +93,8 @@
 		func() *gate.Gate { return &gate.Gate{} },
 		metrics.New,
 		explain.New,
+		newTunnels,
+		newTunnelServer,
 		newUpstreamClient,
 		newFollower,
 		newBudgets,
@@ -116,12 +120,27 @@
 	return n, nil
 }
 
-// newUpstreamClient returns the client for the calls to upstreams.
-func newUpstreamClient(o Options) *upstream.Client {
-	if o.DialUpstream == nil {
-		return upstream.New()
+// newTunnels returns the client that connects to upstreams through other instances.
+func newTunnels(s api.Settings, f *watch.Follower, m *metrics.Registry) *tunnel.Client {
+	regions := map[fleet.DomainID]fleet.RegionID{}
+	for domain, region := range s.Routed.Regions {
+		regions[fleet.DomainID(domain)] = fleet.RegionID(region)
 	}
-	return upstream.NewWithDialer(o.DialUpstream)
+	return tunnel.NewClient(tunnel.ClientDeps{
+		Self: fleet.InstanceID(s.Instance), Domain: fleet.DomainID(s.FailureDomain), Regions: regions, Snapshot: f.Snapshot, Metrics: m,
+	})
+}
+
+// newUpstreamClient returns the client for the calls to upstreams.
+func newUpstreamClient(o Options, tunnels *tunnel.Client, m *metrics.Registry, log hclog.Logger) *upstream.Client {
+	return upstream.NewWithOptions(upstream.Options{Dial: o.DialUpstream, Bypass: tunnels, Log: log, Metrics: m})
+}
+
+// newTunnelServer returns the server that connects to upstreams for other instances.
+func newTunnelServer(s api.Settings, f *watch.Follower, p *placement.Client, c *upstream.Client, g *gate.Gate, m *metrics.Registry) *tunnel.Server {
+	return tunnel.NewServer(tunnel.ServerDeps{
+		Snapshot: f.Snapshot, Untrusted: f.Untrusted, HeldOff: p.HeldOff, Client: c, Gate: g, Max: maxTunnels(s.Routed.Limits), Metrics: m,
+	})
 }
 
 // newFollower returns the follower of the platform's store.
@@ -172,11 +191,12 @@
 	}
 	n.self.Addr = advertisedAddr(n.self.Addr, peers.Addr())
 	n.runInBackground(func(ctx context.Context) {
-		if err := p.Placer.Serve(ctx, peers, maxPeerConns(p.Settings.Routed.Limits)); err != nil {
+		if err := p.Placer.Serve(ctx, peers, maxPeerConns(p.Settings.Routed.Limits), p.Tunnels.Register); err != nil {
 			p.Log.Error("peers' listener ended", "error", err)
 		}
 	})
 	n.runInBackground(p.Placer.Run)
+	n.runInBackground(func(ctx context.Context) { p.Client.ProbePaths(ctx, n.isUpstream) })
 	n.runInBackground(func(context.Context) { p.Gateway.Serve() })
 	n.runInBackground(func(context.Context) { p.Status.serve() })
 	n.runInBackground(p.Follower.Run)
@@ -186,6 +206,11 @@
 	return nil
 }
 
+// isUpstream reports whether an upstream has an address.
+func (n *Node) isUpstream(addr string) bool {
+	return n.parts.Follower.Snapshot().UpstreamByAddr(addr) != nil
+}
+
 // advertisedAddr returns the address that other instances connect to. If the configured port is 0, which lets the
 // system choose one, it returns the address that was bound.
 func advertisedAddr(configured string, bound net.Addr) string {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -8,9 +8,12 @@
 	"strconv"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskshelf/damaskshelf/internal/decide/stream"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/metrics"
 	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
 )
 
@@ -24,6 +27,7 @@
 	Status         int  // HTTP status of an error answer; 0: none arrived
 	RetryAfter     time.Duration
 	BootID         string
+	Via            fleet.InstanceID // the instance that the connection went through; empty: it was direct, or there was none
 	Cause          error
 }
 
@@ -50,19 +54,55 @@
 	pool *pool
 }
 
-// Dialer connects to an upstream's address.
-type Dialer func(ctx context.Context, addr string) (net.Conn, error)
+// Options configure a Client. Zero fields have defaults.
+type Options struct {
+	Dial    Dialer // connects directly; nil: over TCP
+	Bypass  Bypass // connects through other instances; nil: the direct path is the only one
+	Log     hclog.Logger
+	Metrics *metrics.Registry
+}
 
-// New returns a client without connections.
-func New() *Client { return NewWithDialer(dialTCP) }
+// New returns a client without connections that connects directly.
+func New() *Client { return NewWithOptions(Options{}) }
 
-// NewWithDialer returns a client that connects with dial.
-func NewWithDialer(dial Dialer) *Client {
+// NewWithOptions returns a client without connections.
+func NewWithOptions(o Options) *Client {
+	if o.Dial == nil {
+		o.Dial = DialTCP
+	}
+	if o.Log == nil {
+		o.Log = hclog.NewNullLogger()
+	}
+	if o.Metrics == nil {
+		o.Metrics = metrics.New()
+	}
 	p := newPool()
-	p.dialer = dial
+	p.paths = newPaths(o, p)
 	return &Client{pool: p}
 }
 
+// ProbePaths probes failed paths to upstreams until ctx ends. known reports whether an upstream has an address.
+func (c *Client) ProbePaths(ctx context.Context, known func(addr string) bool) {
+	c.pool.paths.probe(ctx, known)
+}
+
+// DialDirect connects to the upstream at addr over this instance's own path only, for another instance. It fails at once if
+// that path is known to fail.
+func (c *Client) DialDirect(ctx context.Context, addr string) (net.Conn, error) {
+	return c.pool.paths.dialDirect(ctx, addr)
+}
+
+// PathLost reports whether this instance's own path to the upstream at addr has failed while another instance reaches
+// the upstream. After a request that ended in silence or with a reset, it shows which of the two is at fault. If the path
+// has failed, the idle connections over it are not used again.
+func (c *Client) PathLost(ctx context.Context, addr string) bool {
+	lost := c.pool.paths.lost(ctx, addr)
+	if lost {
+		c.pool.invalidate(addr)
+	}
+	return lost
+}
+
 // Close closes the idle connections.
 func (c *Client) Close() { c.pool.close() }
 
--- a/internal/upstream/forward.go
+++ b/internal/upstream/forward.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
 )
 
 const (
@@ -49,6 +51,7 @@
 // ends the exchange and must be called once.
 type Exchange struct {
 	Head     fasthttp.ResponseHeader
+	Via      fleet.InstanceID // the instance that the connection goes through; empty: direct
 	client   *Client
 	conn     *conn
 	detach   func() bool // stops the end of the context from interrupting the exchange; false: it already has
@@ -65,13 +68,13 @@
 	if err != nil {
 		return nil, &CallError{Cause: err}
 	}
-	x := &Exchange{client: c, conn: cn}
+	x := &Exchange{Via: cn.via, client: c, conn: cn}
 	deadline, _ := ctx.Deadline()
 	_ = cn.SetDeadline(deadline)
 	x.detach = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(expiredDeadline) })
 	if err := x.roundTrip(q); err != nil {
 		x.conn.broken.Store(true)
-		e := &CallError{Sent: cn.bytesSent.Load() > 0, Cause: err, Timeout: isTimeout(err) || errors.Is(err, os.ErrDeadlineExceeded)}
+		e := &CallError{Sent: cn.bytesSent.Load() > 0, Via: cn.via, Cause: err, Timeout: isTimeout(err) || errors.Is(err, os.ErrDeadlineExceeded)}
 		x.Close()
 		return nil, e
 	}
--- a/internal/upstream/keepalive_test.go
+++ b/internal/upstream/keepalive_test.go
@@ -18,7 +18,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer func() { _ = l.Close() }()
-	c, err := newPool().dial(context.Background(), l.Addr().String())
+	c, err := New().pool.dial(context.Background(), l.Addr().String())
 	is.NoErr(err)
 	defer func() { _ = c.Close() }()
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
--- /dev/null
+++ b/internal/upstream/paths.go
@@ -0,0 +1,345 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/decide/reach"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/metrics"
+	"github.com/damaskshelf/damaskshelf/internal/wait"
+)
+
+const (
+	// bypassDelay is how long a direct connection may take before another instance is asked to connect as well: a few
+	// round trips to the farthest failure domain. A lost opening packet is sent again only after a second.
+	bypassDelay = 60 * time.Millisecond
+	// probeCheckInterval is how often it is checked, while paths are failed, whether one is due for a probe.
+	probeCheckInterval = 50 * time.Millisecond
+)
+
+// Dialer connects to an upstream's address.
+type Dialer func(ctx context.Context, addr string) (net.Conn, error)
+
+// Bypass connects to upstreams through other instances. The connections that it returns are Tunneled.
+type Bypass interface {
+	Dial(ctx context.Context, addr string) (net.Conn, error)
+}
+
+// Tunneled is a connection to an upstream through another instance.
+type Tunneled interface {
+	net.Conn
+	// Via returns the instance that is connected to the upstream.
+	Via() fleet.InstanceID
+}
+
+// viaInstance returns the instance that a connection goes through, or "" if it is direct.
+func viaInstance(c net.Conn) fleet.InstanceID {
+	if t, ok := c.(Tunneled); ok {
+		return t.Via()
+	}
+	return ""
+}
+
+// paths opens connections to upstreams: directly, or through another instance while the direct path fails. An instance
+// that is cut off from upstreams which the others reach would otherwise fail the requests of its callers. It is safe
+// for concurrent use.
+type paths struct {
+	direct Dialer
+	bypass Bypass // nil: none
+	pool   *pool  // whose idle connections are excluded when their path fails
+	start  time.Time
+	log    hclog.Logger
+	stats  *metrics.Registry
+	failed chan struct{} // holds a token when a path has failed, for probe
+
+	mu     sync.Mutex
+	state  *reach.Paths          // guarded by mu
+	cutOff bool                  // guarded by mu: as last logged
+	checks map[string]*pathCheck // guarded by mu: those under way, by address
+}
+
+// newPaths returns paths that all count as working, for the connections of a pool.
+func newPaths(o Options, p *pool) *paths {
+	return &paths{
+		direct: o.Dial, bypass: o.Bypass, pool: p, start: time.Now(), log: o.Log.Named("paths"), stats: o.Metrics,
+		failed: make(chan struct{}, 1), state: reach.New(), checks: map[string]*pathCheck{},
+	}
+}
+
+// now returns the time since the start.
+func (p *paths) now() decide.Instant { return decide.Instant(time.Since(p.start)) }
+
+// order returns the order in which the ways to addr are tried.
+func (p *paths) order(addr string) reach.Order {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Order(addr)
+}
+
+// dial connects to the upstream at addr.
+func (p *paths) dial(ctx context.Context, addr string) (net.Conn, error) {
+	if p.bypass == nil {
+		return p.direct(ctx, addr)
+	}
+	a := &attempts{p: p, addr: addr, results: make(chan attempt, 2)}
+	defer func() { go a.finish() }()
+	var other <-chan time.Time
+	switch p.order(addr) {
+	case reach.DirectFirst:
+		a.startDirect(ctx)
+		timer := time.NewTimer(bypassDelay)
+		defer timer.Stop()
+		other = timer.C
+	case reach.Both:
+		a.startDirect(ctx)
+		a.startBypass(ctx)
+	case reach.ThroughOther:
+		a.startBypass(ctx)
+	}
+	for {
+		select {
+		case r := <-a.results:
+			a.record(r)
+			if r.err == nil {
+				return r.conn, nil
+			}
+			a.startDirect(ctx)
+			a.startBypass(ctx)
+			if a.pending == 0 {
+				return nil, a.directErr
+			}
+		case <-other:
+			a.startBypass(ctx)
+		case <-ctx.Done():
+			return nil, fmt.Errorf("connect to %s: %w", addr, ctx.Err())
+		}
+	}
+}
+
+// ErrPathFailed reports that the direct path to an upstream is known to fail.
+var ErrPathFailed = errors.New("direct path to the upstream has failed")
+
+// dialDirect connects to the upstream at addr directly, unless that path is known to fail.
+func (p *paths) dialDirect(ctx context.Context, addr string) (net.Conn, error) {
+	if p.order(addr) == reach.ThroughOther {
+		return nil, ErrPathFailed
+	}
+	c, err := p.direct(ctx, addr)
+	if err == nil {
+		p.connected(addr)
+	}
+	return c, err
+}
+
+// attempt is the result of one way to connect.
+type attempt struct {
+	conn     net.Conn
+	err      error
+	bypassed bool
+}
+
+// attempts are the attempts of one dial, at most one for each way. Only the goroutine that dials uses its fields, and
+// finish after it.
+type attempts struct {
+	p                            *paths
+	addr                         string
+	results                      chan attempt
+	pending                      int
+	directStarted, bypassStarted bool
+	directErr                    error // of a failed direct attempt
+	bypassed                     bool  // another instance connected
+}
+
+// startDirect starts the direct attempt unless it was started before.
+func (a *attempts) startDirect(ctx context.Context) {
+	if !a.directStarted {
+		a.directStarted = true
+		a.start(ctx, a.p.direct, false)
+	}
+}
+
+// startBypass starts the attempt through another instance unless it was started before.
+func (a *attempts) startBypass(ctx context.Context) {
+	if !a.bypassStarted {
+		a.bypassStarted = true
+		a.start(ctx, a.p.bypass.Dial, true)
+	}
+}
+
+// start starts an attempt that goes on for connectTimeout even if ctx ends before: its result shows whether the path
+// works.
+func (a *attempts) start(ctx context.Context, dial Dialer, bypassed bool) {
+	a.pending++
+	go func() {
+		dialCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), connectTimeout)
+		defer cancel()
+		c, err := dial(dialCtx, a.addr)
+		a.results <- attempt{c, err, bypassed}
+	}()
+}
+
+// record records what the result of an attempt shows.
+func (a *attempts) record(r attempt) {
+	a.pending--
+	switch {
+	case r.bypassed && r.err == nil:
+		a.bypassed = true
+	case r.bypassed:
+	case r.err != nil:
+		a.directErr = r.err
+	default:
+		a.p.connected(a.addr)
+	}
+	if a.directErr != nil && a.bypassed {
+		a.p.pathFailed(a.addr, a.directErr)
+	}
+}
+
+// finish awaits the attempts that are still under way, and closes their connections.
+func (a *attempts) finish() {
+	for a.pending > 0 {
+		r := <-a.results
+		a.record(r)
+		if r.err == nil {
+			_ = r.conn.Close()
+		}
+	}
+}
+
+// connected records that a direct connection to the upstream at addr opened.
+func (p *paths) connected(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.state.Connected(p.now(), addr) {
+		p.log.Info("path to upstream works again", "addr", addr, "failed_paths", p.state.FailedCount())
+	}
+	p.update()
+}
+
+// pathFailed records that the direct path to the upstream at addr failed with err while another instance connected. If
+// new connections hang, open ones do too, and each would cost a request the time until its silence is noticed. If they
+// are refused, open ones may go on.
+func (p *paths) pathFailed(addr string, err error) {
+	p.mu.Lock()
+	if p.state.Failed(p.now(), addr) {
+		p.log.Info("path to upstream failed; other instances reach it", "addr", addr, "error", err, "failed_paths", p.state.FailedCount())
+	}
+	newlyCutOff := p.update()
+	p.mu.Unlock()
+	if isTimeout(err) || errors.Is(err, context.DeadlineExceeded) {
+		p.pool.invalidate(addr)
+		if newlyCutOff {
+			p.pool.invalidateAll()
+		}
+	}
+	select {
+	case p.failed <- struct{}{}:
+	default:
+	}
+}
+
+// update logs whether the instance is cut off if that has changed, and sets the metrics; mu is held. It reports whether
+// the instance is cut off and was not before.
+func (p *paths) update() (newlyCutOff bool) {
+	p.stats.Gauge("paths_failed").Update(int64(p.state.FailedCount()))
+	cutOff := p.state.CutOff()
+	if cutOff == p.cutOff {
+		return false
+	}
+	p.cutOff = cutOff
+	if !cutOff {
+		p.log.Info("this instance reaches upstreams directly again", "failed_paths", p.state.FailedCount())
+		return false
+	}
+	p.log.Warn("this instance is cut off from upstreams; other instances connect to them", "failed_paths", p.state.FailedCount())
+	return true
+}
+
+// pathCheck is a check under way.
+type pathCheck struct {
+	done chan struct{}
+	lost bool // valid once done is closed
+}
+
+// lost reports whether the direct path to the upstream at addr has failed while another instance reaches it. Unless that
+// is known, it opens a connection to find out.
+func (p *paths) lost(ctx context.Context, addr string) bool {
+	if p.bypass == nil {
+		return false
+	}
+	p.mu.Lock()
+	if p.state.Order(addr) == reach.ThroughOther {
+		p.mu.Unlock()
+		return true
+	}
+	check := p.checks[addr]
+	if check == nil {
+		check = &pathCheck{done: make(chan struct{})}
+		p.checks[addr] = check
+		go p.runCheck(addr, check)
+	}
+	p.mu.Unlock()
+	select {
+	case <-check.done:
+		return check.lost
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// runCheck connects to the upstream at addr to find out whether the direct path works.
+func (p *paths) runCheck(addr string, check *pathCheck) {
+	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+	defer cancel()
+	c, err := p.dial(ctx, addr)
+	if err == nil {
+		check.lost = viaInstance(c) != ""
+		p.pool.putNew(addr, c)
+	}
+	p.mu.Lock()
+	delete(p.checks, addr)
+	p.mu.Unlock()
+	close(check.done)
+}
+
+// probe opens connections over failed paths from time to time, until ctx ends, to find out when they work again. Paths
+// to upstreams that are not known any more are forgotten.
+func (p *paths) probe(ctx context.Context, known func(addr string) bool) {
+	for {
+		select {
+		case <-p.failed:
+		case <-ctx.Done():
+			return
+		}
+		for p.probeNext(ctx, known) && wait.For(ctx, probeCheckInterval) {
+		}
+	}
+}
+
+// probeNext probes the failed path that is due, if there is one. It reports whether any path is failed.
+func (p *paths) probeNext(ctx context.Context, known func(addr string) bool) bool {
+	p.mu.Lock()
+	p.state.Forget(known)
+	p.update()
+	addr, due := p.state.NextProbe(p.now())
+	failed := p.state.FailedCount()
+	p.mu.Unlock()
+	if !due {
+		return failed > 0
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	if c, err := p.direct(dialCtx, addr); err == nil {
+		p.connected(addr)
+		p.pool.putNew(addr, c)
+	}
+	return true
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -8,14 +8,18 @@
 	"bufio"
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
 )
 
 const (
@@ -54,9 +58,10 @@
 	idleDeadline time.Time // when the upstream closes the connection if it stays idle; zero: not announced
 	reader       *bufio.Reader
 	writer       *bufio.Writer
-	bytesSent    atomic.Int64 // bytes of the current request that the operating system accepted
-	broken       atomic.Bool  // must not be used again
-	guard        *guard       // of the current exchange; nil: none. Used only by the exchange's goroutine.
+	bytesSent    atomic.Int64     // bytes of the current request that the operating system accepted
+	broken       atomic.Bool      // must not be used again
+	via          fleet.InstanceID // the instance that it goes through, and then it serves one request; empty: direct
+	guard        *guard           // of the current exchange; nil: none. Used only by the exchange's goroutine.
 }
 
 // maxWriteSize is the most bytes of a single write. On a guarded connection each write has a time limit.
@@ -98,8 +103,8 @@
 
 // pool keeps idle connections by address.
 type pool struct {
-	now    func() time.Time
-	dialer Dialer
+	now   func() time.Time
+	paths *paths
 
 	mu            sync.Mutex
 	idle          map[string][]*conn   // guarded by mu; the most recently used is last
@@ -107,9 +112,9 @@
 	closed        bool                 // guarded by mu
 }
 
-// newPool returns an empty pool.
+// newPool returns an empty pool without paths.
 func newPool() *pool {
-	return &pool{now: time.Now, dialer: dialTCP, idle: map[string][]*conn{}, invalidBefore: map[string]time.Time{}}
+	return &pool{now: time.Now, idle: map[string][]*conn{}, invalidBefore: map[string]time.Time{}}
 }
 
 // get returns an idle connection or dials a new one. reused reports that the connection was idle.
@@ -122,8 +127,8 @@
 	return c, false, err
 }
 
-// dialTCP opens a TCP connection that detects a peer that is gone.
-func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+// DialTCP opens a TCP connection that detects a peer that is gone.
+func DialTCP(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setAckTimeout}
 	return d.DialContext(ctx, "tcp", addr)
 }
@@ -131,16 +136,24 @@
 // dial opens a new connection.
 func (p *pool) dial(ctx context.Context, addr string) (*conn, error) {
 	created := p.now()
-	raw, err := p.dialer(ctx, addr)
+	raw, err := p.paths.dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw, addr: addr, created: created}
+	return newConn(raw, addr, created), nil
+}
+
+// newConn wraps a connection to addr that was opened at created.
+func newConn(raw net.Conn, addr string, created time.Time) *conn {
+	c := &conn{Conn: raw, addr: addr, created: created, via: viaInstance(raw)}
 	c.reader = bufio.NewReaderSize(c, bufferSize)
 	c.writer = bufio.NewWriterSize(c, bufferSize)
-	return c, nil
+	return c
 }
 
+// putNew adds an open connection to addr that was not used yet.
+func (p *pool) putNew(addr string, raw net.Conn) { p.put(newConn(raw, addr, p.now())) }
+
 // takeIdle removes the most recently used idle connection that is usable, and returns it. It returns nil if there is
 // none.
 func (p *pool) takeIdle(addr string) *conn {
@@ -164,7 +177,7 @@
 func (p *pool) usable(c *conn) bool {
 	now := p.now()
 	beforeIdleDeadline := c.idleDeadline.IsZero() || now.Before(c.idleDeadline)
-	return !c.broken.Load() && beforeIdleDeadline && c.created.After(p.invalidBefore[c.addr]) &&
+	return !c.broken.Load() && c.via == "" && beforeIdleDeadline && c.created.After(p.invalidBefore[c.addr]) &&
 		now.Sub(c.created) < maxAge && now.Sub(c.lastUsed) < maxIdleTime
 }
 
@@ -195,6 +208,16 @@
 	delete(p.idle, addr)
 }
 
+// invalidateAll excludes every existing connection from further requests.
+func (p *pool) invalidateAll() {
+	p.mu.Lock()
+	addrs := slices.Collect(maps.Keys(p.idle))
+	p.mu.Unlock()
+	for _, addr := range addrs {
+		p.invalidate(addr)
+	}
+}
+
 // close closes the idle connections. Connections in use are closed when they are returned.
 func (p *pool) close() {
 	p.mu.Lock()
