The dispatcher discounts what instances report that are cut off

Class: one observer's failure is believed of what it observed, for all, without asking whether the observer failed.

- An instance whose connections fail to upstreams of several domains with no direct answer in between, or to several of a domain that others of its own reach since, counts as cut off.
Its reports bind nobody, its earlier ones are withdrawn, and its own jobs may use any upstream.
It ends with its first direct answer, 2 s after its last report, or with its session.
- Two kinds of reports now: nobody reached the upstream (excludes it as before), and only this instance didn't (path_lost, or a run that goes through another instance).
The second kind excludes nothing, as the work gets there; engines aren't asked to share a prompt over such a link, as before.
- That an upstream seems dead from several domains is worked out from the reports that stand, so that withdrawn ones leave nothing behind.

TestSimultaneousUpstreamExitsAreNotAPartition had one instance report both domains, which now means that this instance is cut off; two instances report one domain each there, and its checks are the same.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -25,6 +25,7 @@
 	prefilling    map[*run]bool           // runs whose prefill is counted in their engines' pendingMs
 	answerLatency answerLatency           // of a plain service
 	lastAnswer    map[link]decide.Instant // time of the last answer, or first event of one, over the link
+	instances     map[fleet.InstanceID]*instancePaths
 
 	now decide.Instant // time of the current step
 
@@ -37,12 +38,13 @@
 	probeEngine *engine
 
 	// Results of the survey at the beginning of a step.
-	unreachableCounts map[link]int                   // upstreams unreachable since the link's last answer
-	meanPassMs        float64                        // of the engines that answer something
-	limitTotals       limitTotals                    // sums over the upstreams that may receive jobs
-	longWaiting       int                            // queued long prompts, without oversized ones
-	unplacedLong      int                            // long prompts that could not be placed in this step
-	unplacedShort     map[fleet.DomainID]requirement // by domain, the last short prompt that found no engine in this step
+	unreachableCounts map[link]int           // upstreams that nobody reached since the link's last answer
+	pathFailures      map[link]int           // these, and upstreams that only others reached
+	meanPassMs        float64                // of the engines that answer something
+	limitTotals       limitTotals            // sums over the upstreams that may receive jobs
+	longWaiting       int                    // queued long prompts, without oversized ones
+	unplacedLong      int                    // long prompts that could not be placed in this step
+	unplacedShort     map[origin]requirement // by origin, the last short prompt that found no engine in this step
 
 	prefillingEngines int // engines with prefill pending
 }
@@ -57,7 +59,7 @@
 func New(model *Model, p Params) *State {
 	return &State{
 		model: model, params: p, engines: map[fleet.UpstreamID]*engine{}, runs: map[fleet.RequestID]*run{},
-		prefilling: map[*run]bool{}, lastAnswer: map[link]decide.Instant{}, probeLinks: map[link]bool{},
+		prefilling: map[*run]bool{}, lastAnswer: map[link]decide.Instant{}, instances: map[fleet.InstanceID]*instancePaths{}, probeLinks: map[link]bool{},
 	}
 }
 
@@ -123,7 +125,7 @@
 		e = &engine{
 			Upstream: Upstream{ID: id}, closed: true,
 			runs:            map[fleet.RequestID]*run{},
-			lastUnreachable: map[fleet.DomainID]decide.Instant{},
+			lastUnreachable: map[fleet.DomainID]pathFailure{},
 		}
 		if s.orderKey != "" {
 			e.rank = rendezvous.Score(s.orderKey, string(id))
@@ -164,8 +166,9 @@
 	s.removePrefill(r)
 	r.decoding = true
 	r.engine.failures = 0
-	delete(r.engine.lastUnreachable, r.job.Domain)
-	s.lastAnswer[link{r.job.Domain, r.engine.Domain}] = now
+	if !r.indirect {
+		s.recordDirectAnswer(now, r)
+	}
 	for _, h := range r.helpers {
 		h.failures, h.helpRefusals = 0, 0
 	}
@@ -180,6 +183,7 @@
 	Failed                     // the upstream failed the request
 	Unreachable                // the instance could not connect to the upstream
 	Full                       // the upstream reported that it has no capacity left
+	PathLost                   // the instance's own path to the upstream failed, while other instances reach it
 )
 
 // Done ends a run. atFault is the upstream that caused the outcome if it is not the one that answers the run.
@@ -201,10 +205,9 @@
 	case Full:
 		faulty.fullUntil = now.Add(fullHoldoff)
 	case Unreachable:
-		faulty.lastUnreachable[r.job.Domain] = now
-		if len(faulty.lastUnreachable) > 1 {
-			faulty.recordFailure(now) // unreachable from several domains: the engine failed, not a link
-		}
+		s.recordPathFailure(now, r.job, faulty, true)
+	case PathLost:
+		s.recordPathFailure(now, r.job, faulty, false)
 	}
 	s.release(r)
 }
@@ -239,6 +242,7 @@
 			s.release(r)
 		}
 	}
+	delete(s.instances, instance)
 }
 
 // Waiting returns the number of queued jobs.
--- a/internal/decide/dispatch/dispatch_test.go
+++ b/internal/decide/dispatch/dispatch_test.go
@@ -122,8 +122,10 @@
 	is := is.New(t)
 	s := dispatch.New(nil, dispatch.DefaultParams())
 	s.SetUpstreams(append(newUpstreams(4, "b"), newUpstreams(4, "c")...))
-	for i := range 8 {
-		is.True(decideOne(t, s, 1, newJob(fmt.Sprint("j", i), 0)).Upstream != "")
+	for i := range 8 { // those of either instance go to one domain
+		j := newJob(fmt.Sprint("j", i), 0)
+		j.Instance = fleet.InstanceID(fmt.Sprint("entry-", i/4))
+		is.True(decideOne(t, s, 1, j).Upstream != "")
 	}
 	for i := range 4 { // those on b00, b01, c00 and c01
 		s.Done(at(2), fleet.RequestID(fmt.Sprint("j", i/2*4+i%2)), dispatch.Unreachable, "")
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -209,7 +209,7 @@
 // accepts reports whether the upstream may receive the job now, apart from memory and pending prefill.
 func (s *State) accepts(now decide.Instant, e *engine, j *Job) bool {
 	return !e.closed && len(e.runs) < e.slotsFor(s.model, j) && !slices.Contains(j.Avoid, e.ID) &&
-		!e.inHoldoff(now) && now >= e.fullUntil && s.underColdLimit(now, e) && s.canReach(j.Domain, e) && e.underLimit()
+		!e.inHoldoff(now) && now >= e.fullUntil && s.underColdLimit(now, e) && s.reaches(now, j, e) && e.underLimit()
 }
 
 // slotsFor returns the number of slots that the job may use. A job in excess of its workspace's share leaves some
@@ -235,6 +235,9 @@
 
 // inHoldoff reports whether the upstream receives no new jobs because of recent failures.
 func (e *engine) inHoldoff(now decide.Instant) bool {
+	if e.seemsDead(now) {
+		return true
+	}
 	if e.failures == 0 {
 		return false
 	}
@@ -309,7 +312,7 @@
 	}
 	if best == nil {
 		if len(j.Avoid) == 0 {
-			s.unplacedShort[j.Domain] = requirement{j.PromptTokens, j.MaxGap}
+			s.unplacedShort[s.originOf(now, j)] = requirement{j.PromptTokens, j.MaxGap}
 		}
 		return Decision{}, false
 	}
@@ -320,7 +323,7 @@
 // Under overload hundreds of jobs wait, and searching all engines for each of them would saturate the dispatcher's
 // processor. The result holds for the whole step, as a step only occupies capacity and never frees any.
 func (s *State) cannotBePacked(j *Job) bool {
-	unplaced, ok := s.unplacedShort[j.Domain]
+	unplaced, ok := s.unplacedShort[s.originOf(s.now, j)]
 	return ok && j.PromptTokens >= unplaced.promptTokens && j.MaxGap <= unplaced.maxGap
 }
 
--- a/internal/decide/dispatch/runs.go
+++ b/internal/decide/dispatch/runs.go
@@ -20,6 +20,7 @@
 	plannedMs     float64 // planned time from startedAt to the first event
 	slowdown      float64 // of the slowest of its engines at startedAt
 	decoding      bool
+	indirect      bool // goes through another instance, because its own instance's path to the engine failed
 }
 
 // hasReservationOn reports whether the engine reserves KV cache for the run.
@@ -53,8 +54,8 @@
 	slowUpdatedAt decide.Instant // time of the last update of slowRatio
 	fullUntil     decide.Instant // it reported that it has no capacity and is not used until then
 	limit         *limit         // nil: no rate limit
-	// lastUnreachable holds, by failure domain, when an instance of the domain last failed to connect to it.
-	lastUnreachable map[fleet.DomainID]decide.Instant
+	// lastUnreachable holds, by failure domain, the last failed connection of an instance there that isn't cut off.
+	lastUnreachable map[fleet.DomainID]pathFailure
 }
 
 // addPrefill adds the prefill of a run, in even parts, to the pending time of its engines.
@@ -67,8 +68,7 @@
 	}
 }
 
-// recordFailure records that the engine failed a run, or is unreachable from several failure domains. It starts a
-// holdoff, during which the engine receives no new jobs.
+// recordFailure records that the engine failed a run. It starts a holdoff, during which the engine receives no new jobs.
 func (e *engine) recordFailure(now decide.Instant) {
 	e.lastFailure = now
 	e.failures++
--- a/internal/decide/dispatch/spread.go
+++ b/internal/decide/dispatch/spread.go
@@ -33,7 +33,7 @@
 		required = append(required, h.engine)
 	}
 	candidates = slices.DeleteFunc(candidates, func(e *engine) bool {
-		return e == answering || slices.Contains(required, e) || !s.canReach(answering.Domain, e) || now < e.noHelpUntil
+		return e == answering || slices.Contains(required, e) || !s.connects(answering.Domain, e) || now < e.noHelpUntil
 	})
 	helpers, firstEventMs := s.chooseHelpers(answering, required, candidates, prefillMs, j.MaxGap)
 	if math.IsInf(firstEventMs, 1) {
@@ -162,7 +162,7 @@
 		if missing <= 0 || len(reservations) >= s.params.MaxHelpers {
 			break
 		}
-		if e == answering || !s.canReach(j.Domain, e) || !s.canReach(answering.Domain, e) || s.freeTokens(e) < minFreeToReserve || s.now < e.noHelpUntil {
+		if e == answering || !s.reaches(s.now, j, e) || !s.connects(answering.Domain, e) || s.freeTokens(e) < minFreeToReserve || s.now < e.noHelpUntil {
 			continue
 		}
 		r := reservation{e, min(missing, s.freeTokens(e))}
--- a/internal/decide/dispatch/stall.go
+++ b/internal/decide/dispatch/stall.go
@@ -39,8 +39,10 @@
 		st.Full += boolToInt(now < e.fullUntil)
 		st.Cold += boolToInt(!s.underColdLimit(now, e))
 		st.Limited += boolToInt(e.limited())
-		_, unreachable := e.lastUnreachable[j.Domain]
-		st.Unreachable += boolToInt(unreachable)
+		if s.cutOff(now, j.Instance, j.Domain) {
+			continue
+		}
+		st.Unreachable += boolToInt(e.lastUnreachable[j.Domain].dead)
 		st.Partitioned += boolToInt(s.unreachableCounts[link{j.Domain, e.Domain}] >= partitionThreshold)
 	}
 	return st, st.Idle > 0
@@ -86,8 +88,8 @@
 func (s *State) longestUnreachable(domain fleet.DomainID) *engine {
 	var longest *engine
 	for _, e := range s.orderedEngines {
-		at, unreachable := e.lastUnreachable[domain]
-		if unreachable && !e.closed && len(e.runs) == 0 && (longest == nil || at < longest.lastUnreachable[domain]) {
+		f := e.lastUnreachable[domain]
+		if f.dead && !e.closed && len(e.runs) == 0 && (longest == nil || f.at < longest.lastUnreachable[domain].at) {
 			longest = e
 		}
 	}
--- a/internal/decide/dispatch/survey.go
+++ b/internal/decide/dispatch/survey.go
@@ -5,25 +5,25 @@
 	"slices"
 
 	"github.com/damaskshelf/damaskshelf/internal/decide"
-	"github.com/damaskshelf/damaskshelf/internal/fleet"
 )
 
 // survey computes, at the beginning of a step, the figures over all upstreams and queued jobs: the mean pass of
 // engines with runs, unreachable upstreams by link, rate limits, and long prompts that wait.
 func (s *State) survey(now decide.Instant) {
-	s.unreachableCounts, s.limitTotals = map[link]int{}, limitTotals{}
+	s.unreachableCounts, s.pathFailures, s.limitTotals = map[link]int{}, map[link]int{}, limitTotals{}
 	total, busy := 0.0, 0
 	for _, e := range s.orderedEngines {
 		e.refillLimit(now)
 		if !e.closed {
 			s.limitTotals.add(e)
 		}
-		for domain, at := range e.lastUnreachable {
+		for domain, f := range e.lastUnreachable {
 			switch l := (link{domain, e.Domain}); {
-			case now.Sub(at) >= unreachableHoldoff:
+			case now.Sub(f.at) >= unreachableHoldoff:
 				delete(e.lastUnreachable, domain)
-			case at > s.lastAnswer[l]:
-				s.unreachableCounts[l]++
+			case f.at > s.lastAnswer[l]:
+				s.pathFailures[l]++
+				s.unreachableCounts[l] += boolToInt(f.dead)
 			}
 		}
 		if s.model != nil && len(e.runs) > 0 {
@@ -31,7 +31,7 @@
 			busy++
 		}
 	}
-	s.unplacedLong, s.unplacedShort, s.longWaiting = 0, map[fleet.DomainID]requirement{}, 0
+	s.unplacedLong, s.unplacedShort, s.longWaiting = 0, map[origin]requirement{}, 0
 	if s.model != nil {
 		for _, j := range s.queue {
 			if s.isLong(j) && !s.oversized(j) {
@@ -45,22 +45,6 @@
 	}
 }
 
-// link is the network path from instances in one failure domain to upstreams in another.
-type link struct{ from, to fleet.DomainID }
-
-// canReach reports whether instances of a domain are expected to be able to connect to the upstream.
-//
-// A link counts as partitioned only by connection failures since the last answer over it. Upstreams of all domains
-// that exit at the same time are unreachable from everywhere, and without this condition all links to their domains
-// would count as partitioned and leave no upstream to use.
-func (s *State) canReach(domain fleet.DomainID, e *engine) bool {
-	if _, unreachable := e.lastUnreachable[domain]; unreachable && e != s.probeEngine {
-		return false
-	}
-	l := link{domain, e.Domain}
-	return s.unreachableCounts[l] < partitionThreshold || s.probeLinks[l]
-}
-
 // sortQueue sorts the queue into the order of placement: resumed streams, as what their callers have received is
 // worthless without the rest; then by priority; then jobs that can still meet their target before late ones; then jobs
 // within their workspace's share before excess; then by prefillCost, as the least prefill first serves the most
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -221,6 +221,9 @@
 	for _, r := range m.Running {
 		h.serviceState(r.Ask.Service).Adopt(now, h.newJob(r.Ask, instance, now), fleet.UpstreamID(r.Upstream), upstreamIDs(r.Helpers), decodeHoldings(r.Holders), r.Writing)
 	}
+	for _, id := range m.Indirect {
+		h.forEachState(func(st *dispatch.State) { st.WentIndirect(now, fleet.RequestID(id)) })
+	}
 	for _, id := range m.Began {
 		h.forEachState(func(st *dispatch.State) { st.Began(now, fleet.RequestID(id)) })
 	}
@@ -250,7 +253,7 @@
 // changesStates reports whether a message changes what can be placed. Heartbeats don't, and a step for each of them
 // would examine all engines ten times a second for each instance while any request waits.
 func changesStates(m *pb.FromEntry) bool {
-	return len(m.Running)+len(m.Began)+len(m.Ended)+len(m.Withdrawn)+len(m.Asks)+len(m.Limits)+len(m.Departures) > 0
+	return len(m.Running)+len(m.Indirect)+len(m.Began)+len(m.Ended)+len(m.Withdrawn)+len(m.Asks)+len(m.Limits)+len(m.Departures) > 0
 }
 
 // wake schedules a step.
@@ -297,6 +300,7 @@
 var dispatchOutcomes = map[pb.Ended_How]dispatch.Outcome{
 	pb.Ended_WHOLE: dispatch.Completed, pb.Ended_FAILED: dispatch.Failed,
 	pb.Ended_UNREACHABLE: dispatch.Unreachable, pb.Ended_FULL: dispatch.Full,
+	pb.Ended_PATH_LOST: dispatch.PathLost,
 }
 
 // forEachState calls f for the states of all services; mu is held. Messages about a running request don't name its
