A retry that never left its instance costs no retry budget

Cause: the retry was taken from the budget before the connection was tried, and not given back. Class: what is counted is the intent, where the rule counts arrivals.

Take now returns how to give the retry back, and a send that failed with 'not run' gives it back, in the interval in which it was counted. Ruled out: counting only after the send, as retries that wait for a connection at the same time would all be allowed.

--- a/internal/decide/retry/budget.go
+++ b/internal/decide/retry/budget.go
@@ -43,6 +43,21 @@
 	}
 }
 
+// remove takes back an event that was counted at the given time, unless its bucket has been reused since.
+func (c *counter) remove(at decide.Instant) {
+	n := bucketNumber(at)
+	b := &c.buckets[n%bucketCount]
+	for {
+		old := b.Load()
+		if old>>32 != uint64(n) || old&countMask == 0 {
+			return
+		}
+		if b.CompareAndSwap(old, old-1) {
+			return
+		}
+	}
+}
+
 // recent returns the number of events in the current bucket and the n buckets before it.
 func (c *counter) recent(now decide.Instant, n int64) int64 {
 	last := bucketNumber(now)
--- a/internal/decide/retry/share.go
+++ b/internal/decide/retry/share.go
@@ -46,3 +46,6 @@
 	s.retries.add(now)
 	return true
 }
+
+// Return takes back a retry that was counted by Take at the given time: it was never sent.
+func (s *Share) Return(taken decide.Instant) { s.retries.remove(taken) }
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -140,12 +140,17 @@
 // send sends the request to the granted upstream once. It returns nil if l.exchange holds an answer to pass on.
 func (l *lifecycle) send(lastEventID string) *failure {
 	u := l.grant.Upstream()
-	if l.sends > 0 && !l.g.deps.RetryBudget.Take(l.r.service) {
-		l.grant.Release(NotSent, "")
-		return &failure{outcome: NotSent, ran: fault.RunNo, cause: errBudgetSpent}
+	giveBack := func() {}
+	if l.sends > 0 {
+		var ok bool
+		if giveBack, ok = l.g.deps.RetryBudget.Take(l.r.service); !ok {
+			l.grant.Release(NotSent, "")
+			return &failure{outcome: NotSent, ran: fault.RunNo, cause: errBudgetSpent}
+		}
 	}
 	helpers, f := l.reserveMemory()
 	if f != nil {
+		giveBack()
 		return f
 	}
 	head := &fasthttp.RequestHeader{}
@@ -164,7 +169,11 @@
 		MatchesRequest: l.matchesRequest,
 	})
 	if err != nil {
-		return l.handleSendError(err)
+		f := l.handleSendError(err)
+		if f.ran == fault.RunNo {
+			giveBack()
+		}
+		return f
 	}
 	l.attempts++
 	l.sends++
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -34,8 +34,8 @@
 	RecordRequest(catalog.ServiceName)
 	// Allows reports whether a retry would be allowed.
 	Allows(catalog.ServiceName) bool
-	// Take consumes one retry and reports whether it was allowed.
-	Take(catalog.ServiceName) bool
+	// Take consumes one retry and reports whether it was allowed. giveBack returns a retry that was never sent.
+	Take(catalog.ServiceName) (giveBack func(), ok bool)
 }
 
 // Deps are the dependencies of a Gateway.
--- a/internal/routed/budget.go
+++ b/internal/routed/budget.go
@@ -73,8 +73,9 @@
 }
 
 // Take implements gateway.RetryBudget.
-func (b *budgets) Take(s catalog.ServiceName) bool {
+func (b *budgets) Take(s catalog.ServiceName) (giveBack func(), ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.shareOf(s).Take(b.now())
+	share, now := b.shareOf(s), b.now()
+	return func() { share.Return(now) }, share.Take(now)
 }
