--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -25,6 +25,7 @@
 	prefilling    map[*run]bool           // runs whose prefill is counted in their engines' pendingMs
 	answerLatency answerLatency           // of a plain service
 	lastAnswer    map[link]decide.Instant // time of the last answer, or first event of one, over the link
+	lastIndirect  map[link]decide.Instant // the same of answers that came through another instance
 	instances     map[fleet.InstanceID]*instancePaths
 
 	now decide.Instant // time of the current step
@@ -59,7 +60,7 @@
 func New(model *Model, p Params) *State {
 	return &State{
 		model: model, params: p, engines: map[fleet.UpstreamID]*engine{}, runs: map[fleet.RequestID]*run{},
-		prefilling: map[*run]bool{}, lastAnswer: map[link]decide.Instant{}, instances: map[fleet.InstanceID]*instancePaths{}, probeLinks: map[link]bool{},
+		prefilling: map[*run]bool{}, lastAnswer: map[link]decide.Instant{}, lastIndirect: map[link]decide.Instant{}, instances: map[fleet.InstanceID]*instancePaths{}, probeLinks: map[link]bool{},
 	}
 }
 
@@ -166,9 +167,7 @@
 	s.removePrefill(r)
 	r.decoding = true
 	r.engine.failures = 0
-	if !r.indirect {
-		s.recordDirectAnswer(now, r)
-	}
+	s.recordAnswer(now, r)
 	for _, h := range r.helpers {
 		h.failures, h.helpRefusals = 0, 0
 	}
--- a/internal/decide/dispatch/reach.go
+++ b/internal/decide/dispatch/reach.go
@@ -88,10 +88,20 @@
 	return domains > 1 && recent
 }
 
-// recordDirectAnswer records that a run that didn't go through another instance began to be answered.
-func (s *State) recordDirectAnswer(now decide.Instant, r *run) {
+// recordAnswer records that a run began to be answered. If it went through another instance, the upstream is alive, and
+// the paths of the run's own instance may still be cut.
+func (s *State) recordAnswer(now decide.Instant, r *run) {
+	l := link{r.job.Domain, r.engine.Domain}
+	if r.indirect {
+		s.lastIndirect[l] = now
+		if f := r.engine.lastUnreachable[r.job.Domain]; f.dead {
+			f.dead = false
+			r.engine.lastUnreachable[r.job.Domain] = f
+		}
+		return
+	}
 	delete(r.engine.lastUnreachable, r.job.Domain)
-	s.lastAnswer[link{r.job.Domain, r.engine.Domain}] = now
+	s.lastAnswer[l] = now
 	delete(s.instances, r.job.Instance)
 }
 
--- a/internal/decide/dispatch/survey.go
+++ b/internal/decide/dispatch/survey.go
@@ -23,7 +23,7 @@
 				delete(e.lastUnreachable, domain)
 			case f.at > s.lastAnswer[l]:
 				s.pathFailures[l]++
-				s.unreachableCounts[l] += boolToInt(f.dead)
+				s.unreachableCounts[l] += boolToInt(f.dead && f.at > s.lastIndirect[l])
 			}
 		}
 		if s.model != nil && len(e.runs) > 0 {
