Log what of a read of the store a copy leaves out as older

The logs of the incident DRAIN after a restored store couldn't tell which objects of an answer a copy had left out, nor at which revision the store was.

--- a/internal/watch/replica.go
+++ b/internal/watch/replica.go
@@ -95,6 +95,7 @@
 	availableSince time.Time         // when reads succeeded again after the last outage; zero: no outage yet
 	lapsing        map[string]lapse  // by name: objects that are within their grace period
 	keepsLapsed    bool              // entries that vanish during an outage are kept for lapseGrace
+	leftOut        int               // objects that were left out because the copy had newer information
 }
 
 // lapse describes an object that is deleted from the store as of a revision and still treated as present until a
@@ -266,6 +267,7 @@
 func (r *replica) setObject(c *Change, o wire.Object) {
 	old, held := r.objects[o.Name]
 	if o.Version <= r.deletedAt[o.Name] || !held && r.known && o.Version <= r.revision {
+		r.leftOut++
 		return
 	}
 	if l, lapsing := r.lapsing[o.Name]; lapsing && o.Version <= l.revision {
@@ -273,6 +275,9 @@
 	}
 	delete(r.lapsing, o.Name)
 	if held && old.Version >= o.Version {
+		if old.Version > o.Version {
+			r.leftOut++
+		}
 		return
 	}
 	r.objects[o.Name] = o
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -157,6 +157,8 @@
 		began = later(began, now.Add(-maxAnswerLatency))
 	}
 	r.readSucceeded(began, now)
+	held, leftOut := r.revision, r.leftOut
+	defer func() { f.logLeftOut(r, held, l.Version, r.leftOut-leftOut) }()
 	if full {
 		f.publishChange(r.applyList(l, now), true, now)
 	} else {
@@ -165,6 +167,14 @@
 	return nil
 }
 
+// logLeftOut logs that what was read from the store is older than what is held: its revision is lower, or some of its
+// objects were left out.
+func (f *Follower) logLeftOut(r *replica, held, read uint64, objects int) {
+	if objects > 0 || read < held {
+		f.log.Info("store was read at an older state than the one held", "kind", r.kind, "revision", read, "held", held, "left_out", objects)
+	}
+}
+
 // later returns the later of two times.
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
