The states of the store are ordered by era and revision

Shortly before, the store had come back from a copy some seconds old and had begun to give its revisions out again. Cause: every copy, message and proof was ordered by the revision alone, so that what was written after the return counted as older than what was held, until the counter had passed that. Class: an order is taken from a number whose giver may start over.

Now a version is era and revision in one number (objects.NewVersion): every comparison in memory holds as it is, and what the list of comparisons showed needs no second rule. The first answer of a later era makes every kind be listed at once. Between instances the era is a field of its own, plus one; revisions stay what an older build understands, and messages without an era count in the present one, or a fleet would go deaf while it is upgraded. An upstream whose entry is unchanged isn't decoded anew, as its cold time would start again. Log lines show 'era.revision'.

Ruled out: lowering a copy's revision to the list's (news of the era before that is still on its way would win); forgetting everything at a return (nothing is in force until it is read again).

--- a/cmd/damaskctl/store.go
+++ b/cmd/damaskctl/store.go
@@ -17,6 +17,7 @@
 	"github.com/damaskshelf/damaskshelf/api"
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
 	"github.com/damaskshelf/damaskshelf/internal/placement"
 	"github.com/damaskshelf/damaskshelf/internal/wait"
 	"github.com/damaskshelf/damaskshelf/internal/watch"
@@ -89,7 +90,7 @@
 
 // newFleetStatus returns the status of the fleet in the snapshot. Instances are in dispatcher order.
 func newFleetStatus(snap *catalog.Snapshot, now time.Time) api.FleetStatus {
-	status := api.FleetStatus{FleetRevision: snap.FleetVersion}
+	status := api.FleetStatus{FleetRevision: objects.Revision(snap.FleetVersion)}
 	for d := range snap.DomainsOut {
 		status.DomainsOut = append(status.DomainsOut, string(d))
 	}
@@ -102,7 +103,7 @@
 	if snap.Config == nil {
 		return status
 	}
-	status.ConfigVersion, status.ConfigRevision = snap.Config.Version, snap.Config.Revision
+	status.ConfigVersion, status.ConfigRevision = snap.Config.Version, objects.Revision(snap.Config.Revision)
 	for name := range snap.Config.Services() {
 		status.Services = append(status.Services, newServiceStatus(snap, name, now))
 	}
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -13,6 +13,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
 	"github.com/damaskshelf/damaskshelf/internal/wait"
 )
@@ -163,7 +164,7 @@
 	l.g.deps.Dialect.WriteRequest(head, l.r.dispatchMeta(u, helpers, l.r.deadline.Sub(l.sentAt), lastEventID))
 	l.g.deps.Explain.Record("dispatch", l.r.ID, decide.Reason(l.grant.Reason()), "upstream", u.ID, "attempt", l.attempts+1, "class", l.r.class(), "prompt", l.r.PromptTokens,
 		"helpers", len(helpers), "holders", len(l.grant.Reservations()), "waited_ms", l.sentAt.Sub(l.r.arrived).Milliseconds(), "config", l.r.configVersion,
-		"entry_revision", u.Revision)
+		"entry_revision", objects.FormatVersion(u.Revision))
 	x, err := l.g.deps.Client.Forward(l.startWatchdog(), upstream.ForwardRequest{
 		Addr: u.Addr, Head: head, Body: l.r.body, NewConnection: l.r.route.Kind == catalog.NonIdempotent,
 		MatchesRequest: l.matchesRequest,
--- a/internal/objects/call/call.go
+++ b/internal/objects/call/call.go
@@ -57,6 +57,8 @@
 	Body    []byte
 	Headers [][2]string
 	Timeout time.Duration // of the whole call; an earlier deadline of ctx applies too
+	// ReadHeader names a header of the response that the caller reads; empty: none.
+	ReadHeader string
 }
 
 // Response is a complete response. The caller owns the body.
@@ -64,6 +66,7 @@
 	Status     int
 	Body       []byte
 	RetryAfter string // value of the header, unparsed
+	Header     string // value of Request.ReadHeader, unparsed
 }
 
 // Do sends one call. An error that wraps objects.ErrUnavailable means that nothing was sent. After any other error,
@@ -113,7 +116,7 @@
 	}
 	return Response{
 		Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...),
-		RetryAfter: string(resp.Header.Peek(fasthttp.HeaderRetryAfter)),
+		RetryAfter: string(resp.Header.Peek(fasthttp.HeaderRetryAfter)), Header: string(resp.Header.Peek(q.ReadHeader)),
 	}, nil
 }
 
--- a/internal/placement/reading.go
+++ b/internal/placement/reading.go
@@ -93,7 +93,7 @@
 	now := h.now()
 	report := readers.Report{ProofAge: unprovenAge}
 	for _, m := range reads {
-		p := decodeProof(m)
+		p := decodeProof(m, h.follower.Era())
 		report.FailingFor = max(report.FailingFor, p.FailingFor)
 		if p.Known {
 			report.ProofAge = min(report.ProofAge, p.Age)
@@ -102,7 +102,7 @@
 	h.readers.HandleReport(now, instance, report)
 	outage := h.readers.OutageDuration(now)
 	for _, m := range reads {
-		p := decodeProof(m)
+		p := decodeProof(m, h.follower.Era())
 		p.FailingFor = outage
 		h.follower.ApplyProof(p) // if changes are missing here, the reader sends a full copy
 	}
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/damaskshelf/damaskshelf/internal/objects"
 	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 	"github.com/damaskshelf/damaskshelf/internal/packed"
 	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
@@ -26,21 +27,26 @@
 
 // changeMessage returns the message of a change, with the full value of each object.
 func changeMessage(c watch.Change) (*pb.Change, error) {
-	objects := make([]*pb.Object, len(c.Objects))
+	messages := make([]*pb.Object, len(c.Objects))
 	for i, o := range c.Objects {
-		objects[i] = &pb.Object{Name: o.Name, Version: o.Version, Value: o.Value}
+		messages[i] = objectMessage(o)
 	}
-	return newChangeMessage(c, objects)
+	return newChangeMessage(c, messages)
 }
 
 // newChangeMessage returns the message of a change with the given objects, which it packs if they are long.
-func newChangeMessage(c watch.Change, objects []*pb.Object) (*pb.Change, error) {
-	m := &pb.Change{Kind: c.Kind, Whole: c.Full, From: c.From, To: c.To, Deleted: c.Deleted, Lapsing: c.Lapsing, Objects: objects}
+func newChangeMessage(c watch.Change, messages []*pb.Object) (*pb.Change, error) {
+	m := &pb.Change{
+		Kind: c.Kind, Whole: c.Full, From: revision(c.From), FromEra: eraField(c.From), To: revision(c.To), ToEra: eraField(c.To),
+		Deleted: c.Deleted, Lapsing: c.Lapsing, Objects: messages,
+	}
 	for _, span := range c.EmptySpans {
-		m.Without = append(m.Without, &pb.Span{After: span.After, Through: span.Through})
+		m.Without = append(m.Without, &pb.Span{
+			After: revision(span.After), AfterEra: eraField(span.After), Through: revision(span.Through), ThroughEra: eraField(span.Through),
+		})
 	}
 	length := 0
-	for _, o := range objects {
+	for _, o := range messages {
 		length += len(o.Value)
 	}
 	if length < packThreshold {
@@ -65,9 +71,9 @@
 // changeMessage encodes a change, with long objects as differences where these are short, and records the long
 // objects as sent.
 func (l sentObjects) changeMessage(c watch.Change) (*pb.Change, error) {
-	objects := make([]*pb.Object, len(c.Objects))
+	messages := make([]*pb.Object, len(c.Objects))
 	for i, o := range c.Objects {
-		objects[i] = &pb.Object{Name: o.Name, Version: o.Version, Value: o.Value}
+		messages[i] = objectMessage(o)
 		if len(o.Value) < diffThreshold {
 			continue
 		}
@@ -81,21 +87,47 @@
 		if err != nil {
 			return nil, fmt.Errorf("%s %q: %w", c.Kind, o.Name, err)
 		}
-		if len(difference) < len(o.Value)/2 {
-			objects[i].Value, objects[i].Base = difference, base.Version
+		if len(difference) < len(o.Value)/2 && objects.Era(base.Version) == objects.Era(o.Version) {
+			messages[i].Value, messages[i].Base = difference, revision(base.Version)
 		}
 	}
-	return newChangeMessage(c, objects)
+	return newChangeMessage(c, messages)
 }
 
 // errBaseMismatch reports an object that arrived as a difference from a version that isn't held here.
 var errBaseMismatch = errors.New("comes as a difference from another version than the one here")
 
-// decodeChange decodes a change. lookup returns the object held here, for objects that arrive as differences.
-func decodeChange(m *pb.Change, lookup func(kind, name string) (wire.Object, bool)) (watch.Change, error) {
-	c := watch.Change{Kind: m.Kind, Full: m.Whole, From: m.From, To: m.To, Deleted: m.Deleted, Lapsing: m.Lapsing}
+// Instances of builds without eras send and understand revisions alone. Messages therefore carry the era in fields of
+// its own, and a version without one counts as one of the present era.
+
+// eraField and revision are the parts of a version in messages. An era is sent plus one, as a field of 0 isn't sent.
+func eraField(version uint64) uint64 { return objects.Era(version) + 1 }
+func revision(version uint64) uint64 { return objects.Revision(version) }
+
+// decodeVersion returns the version of a revision in an era, or in the present era if the sender states none.
+func decodeVersion(eraField, revision, present uint64) uint64 {
+	if eraField == 0 {
+		return objects.NewVersion(present, revision)
+	}
+	return objects.NewVersion(eraField-1, revision)
+}
+
+// objectMessage returns the message of an object with its full value.
+func objectMessage(o wire.Object) *pb.Object {
+	return &pb.Object{Name: o.Name, Version: revision(o.Version), Era: eraField(o.Version), Value: o.Value}
+}
+
+// decodeChange decodes a change. lookup returns the object held here, for objects that arrive as differences, and
+// present is the present era.
+func decodeChange(m *pb.Change, lookup func(kind, name string) (wire.Object, bool), present uint64) (watch.Change, error) {
+	c := watch.Change{
+		Kind: m.Kind, Full: m.Whole, From: decodeVersion(m.FromEra, m.From, present), To: decodeVersion(m.ToEra, m.To, present),
+		Deleted: m.Deleted, Lapsing: m.Lapsing,
+	}
 	for _, span := range m.Without {
-		c.EmptySpans = append(c.EmptySpans, watch.Span{After: span.After, Through: span.Through})
+		c.EmptySpans = append(c.EmptySpans, watch.Span{
+			After: decodeVersion(span.AfterEra, span.After, present), Through: decodeVersion(span.ThroughEra, span.Through, present),
+		})
 	}
 	all := m.Objects
 	if len(m.Packed) > 0 {
@@ -103,35 +135,38 @@
 		if err != nil {
 			return c, fmt.Errorf("unpack %s: %w", m.Kind, err)
 		}
-		var objects pb.Objects
-		if err := proto.Unmarshal(raw, &objects); err != nil {
+		var unpacked pb.Objects
+		if err := proto.Unmarshal(raw, &unpacked); err != nil {
 			return c, fmt.Errorf("decode %s: %w", m.Kind, err)
 		}
-		all = objects.Objects
+		all = unpacked.Objects
 	}
 	for _, o := range all {
-		value, err := decodeValue(m.Kind, o, lookup)
-		if err != nil {
+		decoded := wire.Object{Kind: m.Kind, Name: o.Name, Version: decodeVersion(o.Era, o.Version, present)}
+		base := decodeVersion(o.Era, o.Base, present)
+		var err error
+		if decoded.Value, err = decodeValue(decoded, o, base, lookup); err != nil {
 			return c, fmt.Errorf("%s %q: %w", m.Kind, o.Name, err)
 		}
-		c.Objects = append(c.Objects, wire.Object{Kind: m.Kind, Name: o.Name, Version: o.Version, Value: value})
+		c.Objects = append(c.Objects, decoded)
 	}
 	return c, nil
 }
 
-// decodeValue returns an object's value, which it computes from the one held here if a difference arrived.
-func decodeValue(kind string, o *pb.Object, lookup func(kind, name string) (wire.Object, bool)) ([]byte, error) {
-	if o.Base == 0 {
-		return o.Value, nil
+// decodeValue returns the value of an object that arrived as the message m. If m holds a difference, it computes the value
+// from the object held here.
+func decodeValue(o wire.Object, m *pb.Object, base uint64, lookup func(kind, name string) (wire.Object, bool)) ([]byte, error) {
+	if m.Base == 0 {
+		return m.Value, nil
 	}
-	base, ok := lookup(kind, o.Name)
+	held, ok := lookup(o.Kind, o.Name)
 	switch {
-	case ok && base.Version == o.Version:
-		return base.Value, nil // this version already arrived by another path
-	case !ok || base.Version != o.Base:
-		return nil, fmt.Errorf("%w: base %d, held %d", errBaseMismatch, o.Base, base.Version)
+	case ok && held.Version == o.Version:
+		return held.Value, nil // this version already arrived by another path
+	case !ok || held.Version != base:
+		return nil, fmt.Errorf("%w: base %s, held %s", errBaseMismatch, objects.FormatVersion(base), objects.FormatVersion(held.Version))
 	}
-	return packed.Patch(base.Value, o.Value, maxUnpacked)
+	return packed.Patch(held.Value, m.Value, maxUnpacked)
 }
 
 // fullCopyCache keeps the last full-copy message of each kind, so that many instances that attach at one time are
@@ -163,17 +198,18 @@
 	out := make([]*pb.Proof, len(all))
 	for i, p := range all {
 		out[i] = &pb.Proof{
-			Kind: p.Kind, Known: p.Known, Revision: p.Revision, Latest: p.LastChange,
+			Kind: p.Kind, Known: p.Known, Era: eraField(p.Revision), Revision: revision(p.Revision), Latest: revision(p.LastChange),
 			AgeMs: p.Age.Milliseconds(), FailingMs: p.FailingFor.Milliseconds(),
 		}
 	}
 	return out
 }
 
-// decodeProof converts the message of a proof.
-func decodeProof(m *pb.Proof) watch.Proof {
+// decodeProof converts the message of a proof; present is the present era.
+func decodeProof(m *pb.Proof, present uint64) watch.Proof {
 	return watch.Proof{
-		Kind: m.Kind, Known: m.Known, Revision: m.Revision, LastChange: m.Latest, Age: ms(m.AgeMs), FailingFor: ms(m.FailingMs),
+		Kind: m.Kind, Known: m.Known, Revision: decodeVersion(m.Era, m.Revision, present), LastChange: decodeVersion(m.Era, m.Latest, present),
+		Age: ms(m.AgeMs), FailingFor: ms(m.FailingMs),
 	}
 }
 
@@ -193,7 +229,7 @@
 // full.
 func applyState(f *watch.Follower, changes []*pb.Change, proofs []*pb.Proof) (needed []string, err error) {
 	for _, m := range changes {
-		c, e := decodeChange(m, f.Object)
+		c, e := decodeChange(m, f.Object, f.Era())
 		if e != nil {
 			if !errors.Is(e, errBaseMismatch) { // a full copy is requested
 				err = e
@@ -206,7 +242,7 @@
 		}
 	}
 	for _, m := range proofs {
-		if f.ApplyProof(decodeProof(m)) {
+		if f.ApplyProof(decodeProof(m, f.Era())) {
 			needed = append(needed, m.Kind)
 		}
 	}
@@ -218,7 +254,7 @@
 	var out []*pb.Change
 	for _, proof := range theirs {
 		c, ok := f.FullCopy(proof.Kind)
-		if !ok || (proof.Known && proof.Revision >= c.From) {
+		if !ok || (proof.Known && decodeVersion(proof.Era, proof.Revision, f.Era()) >= c.From) {
 			continue
 		}
 		m, err := sent.message(c)
--- a/internal/placement/state_test.go
+++ b/internal/placement/state_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/damaskshelf/damaskshelf/internal/objects"
 	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
 	"github.com/damaskshelf/damaskshelf/internal/watch"
@@ -36,7 +37,7 @@
 	second, err := w.message(c)
 	is.NoErr(err)
 	is.True(first == second)
-	back, err := decodeChange(first, nil)
+	back, err := decodeChange(first, nil, 0)
 	is.NoErr(err)
 	is.Equal(back, c)
 	c.From = 10
@@ -62,7 +63,7 @@
 	m, err := changeMessage(upstreamEntries(100))
 	is.NoErr(err)
 	m.Packed[len(m.Packed)/2] ^= 0xff
-	_, err = decodeChange(m, nil)
+	_, err = decodeChange(m, nil, 0)
 	is.True(err != nil)
 }
 
@@ -116,3 +117,30 @@
 	is.NoErr(err)
 	is.Equal(len(needed), 0) // a repeated difference
 }
+
+// Guards against a fleet that ignores the news of instances whose build knows no eras, for as long as an upgrade takes:
+// their revisions count in the present era.
+func TestChangesWithoutEraCountInPresentOne(t *testing.T) {
+	is := is.New(t)
+	held := objects.NewVersion(3, 20)
+	m := &pb.Change{Kind: "k", From: 20, To: 21, Objects: []*pb.Object{{Name: "o", Version: 21, Value: []byte("{}")}}}
+	c, err := decodeChange(m, nil, objects.Era(held))
+	is.NoErr(err)
+	is.True(c.From == held && c.To > held && c.Objects[0].Version == c.To)
+	p := decodeProof(&pb.Proof{Kind: "k", Known: true, Revision: 21, Latest: 21}, objects.Era(held))
+	is.Equal(p.Revision, c.To)
+
+	back, err := changeMessage(c)
+	is.NoErr(err)
+	is.Equal(back.To, uint64(21)) // what such a build understands
+	is.Equal(back.ToEra, uint64(3+1))
+	again, err := decodeChange(back, nil, 9)
+	is.NoErr(err)
+	is.Equal(again, c)
+
+	first, err := changeMessage(watch.Change{Kind: "k", From: 20, To: 21, Deleted: []string{"o"}})
+	is.NoErr(err)
+	late, err := decodeChange(first, nil, 1) // of the first era, which has the number 0
+	is.NoErr(err)
+	is.Equal(late.To, uint64(21))
+}
--- a/internal/placement/step.go
+++ b/internal/placement/step.go
@@ -8,6 +8,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/decide/dispatch"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
 	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
 	"github.com/damaskshelf/damaskshelf/internal/wait"
 )
@@ -56,7 +57,7 @@
 	h.log.Info("refused", "request", j.ID, "reason", d.Reason, "entry", j.Instance, "prompt", j.PromptTokens,
 		"waited_ms", now.Sub(j.Arrived).Milliseconds(), "patience_left_ms", j.FirstEventDeadline.Sub(now).Milliseconds(),
 		"waiting", st.Waiting(), "running", st.Running(), "limited", limited, "limited_per_s", rate,
-		"fleet_revision", h.fleetRevision(), "retry_after_ms", d.RetryAfter.Milliseconds())
+		"fleet_revision", objects.FormatVersion(h.fleetVersion()), "retry_after_ms", d.RetryAfter.Milliseconds())
 }
 
 // stallLogInterval is the minimum time between two log lines on stalls.
@@ -74,11 +75,11 @@
 	h.stallLogged = now
 	h.log.Warn("requests wait while upstreams are idle", "service", service, "for_ms", stall.Duration.Milliseconds(), "waiting", stall.Waiting,
 		"idle", stall.Idle, "paused", stall.Paused, "full", stall.Full, "cold", stall.Cold, "limited", stall.Limited, "unreached", stall.Unreachable,
-		"cut", stall.Partitioned, "fleet_revision", h.fleetRevision())
+		"cut", stall.Partitioned, "fleet_revision", objects.FormatVersion(h.fleetVersion()))
 }
 
-// fleetRevision returns the revision of the upstreams that the states reflect, 0 if there is none; mu is held.
-func (h *hub) fleetRevision() uint64 {
+// fleetVersion returns the store version of the upstreams that the states reflect, 0 if there is none; mu is held.
+func (h *hub) fleetVersion() uint64 {
 	if h.lastSnapshot == nil {
 		return 0
 	}
--- a/internal/placement/updates.go
+++ b/internal/placement/updates.go
@@ -187,11 +187,11 @@
 	if len(theirs) == 0 {
 		return nil
 	}
-	revisions := map[string]uint64{}
+	revisions, present := map[string]uint64{}, c.follower.Era()
 	for _, p := range theirs {
 		revisions[p.Kind] = 0
 		if p.Known {
-			revisions[p.Kind] = p.Revision
+			revisions[p.Kind] = decodeVersion(p.Era, p.Revision, present)
 		}
 	}
 	own := c.follower.Proofs()
--- a/internal/watch/member.go
+++ b/internal/watch/member.go
@@ -7,6 +7,7 @@
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
 	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 )
 
@@ -23,10 +24,10 @@
 func decodeMember(o wire.Object) (*catalog.Member, error) {
 	var m memberMessage
 	if err := json.Unmarshal(o.Value, &m); err != nil {
-		return nil, fmt.Errorf("instance %q at revision %d: %w", o.Name, o.Version, err)
+		return nil, fmt.Errorf("instance %q at revision %s: %w", o.Name, objects.FormatVersion(o.Version), err)
 	}
 	if _, err := netip.ParseAddrPort(m.Addr); err != nil {
-		return nil, fmt.Errorf("instance %q at revision %d: peer_addr %q is not an IP address and port", o.Name, o.Version, m.Addr)
+		return nil, fmt.Errorf("instance %q at revision %s: peer_addr %q is not an IP address and port", o.Name, objects.FormatVersion(o.Version), m.Addr)
 	}
 	return &catalog.Member{
 		ID: fleet.InstanceID(o.Name), Addr: m.Addr, Incarnation: m.Incarnation,
--- a/internal/watch/publish.go
+++ b/internal/watch/publish.go
@@ -1,12 +1,14 @@
 package watch
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
 	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 )
 
@@ -76,7 +78,7 @@
 	f.triedRevision = o.Version
 	c, err := f.deps.Decoder.Config(o)
 	if err != nil {
-		f.log.Error("configuration can't be decoded; the last one stays in force", "revision", o.Version, "error", err)
+		f.log.Error("configuration can't be decoded; the last one stays in force", "revision", objects.FormatVersion(o.Version), "error", err)
 		return
 	}
 	if f.config != nil && c.Version <= f.config.Version {
@@ -84,7 +86,7 @@
 		return
 	}
 	f.config = c
-	f.log.Info("configuration in force", "version", c.Version, "revision", c.Revision)
+	f.log.Info("configuration in force", "version", c.Version, "revision", objects.FormatVersion(c.Revision))
 }
 
 // decodeUpstreams returns the upstreams of the current entries, and logs the upstreams whose entries have appeared,
@@ -103,6 +105,7 @@
 		if _, ok := entries[string(id)]; !ok {
 			log.info("upstream gone", "upstream", id)
 			delete(f.upstreams, id)
+			delete(f.values, id)
 			f.departures.removeWithoutStartTime(id)
 		}
 	}
@@ -115,6 +118,13 @@
 func (f *Follower) decodeUpstream(name string, o wire.Object, now time.Time, log *changeLog) *catalog.Upstream {
 	id := fleet.UpstreamID(name)
 	current := f.upstreams[id]
+	if current != nil && objects.Era(current.Revision) != objects.Era(o.Version) && bytes.Equal(f.values[id], o.Value) {
+		// The store came back from a copy. Decoded again, an upstream would start its cold time anew.
+		unchanged := *current
+		unchanged.Revision = o.Version
+		current = &unchanged
+		f.upstreams[id] = current
+	}
 	if current == nil || current.Revision != o.Version {
 		u, err := f.deps.Decoder.Upstream(o, now)
 		if err != nil {
@@ -126,7 +136,7 @@
 			return nil
 		}
 		logUpstream(log, current, u)
-		f.upstreams[id] = u
+		f.upstreams[id], f.values[id] = u, o.Value
 		current = u
 	}
 	if !current.Leaving && f.departures.has(current) {
@@ -142,10 +152,10 @@
 	switch {
 	case old == nil:
 		log.info("upstream found", "upstream", u.ID, "service", u.Service, "addr", u.Addr, "domain", u.Domain,
-			"leaving", u.Leaving, "revision", u.Revision)
+			"leaving", u.Leaving, "revision", objects.FormatVersion(u.Revision))
 	case u.Leaving != old.Leaving || u.StartTime != old.StartTime || u.Addr != old.Addr:
 		log.info("upstream changed", "upstream", u.ID, "addr", u.Addr, "leaving", u.Leaving, "born", u.StartTime,
-			"revision", u.Revision)
+			"revision", objects.FormatVersion(u.Revision))
 	}
 }
 
--- a/internal/watch/relay.go
+++ b/internal/watch/relay.go
@@ -195,6 +195,7 @@
 		return true
 	}
 	if r.revision <= p.Revision {
+		f.noteEra(p.Revision)
 		r.revision = p.Revision
 		r.recordProof(now.Add(-p.Age))
 	}
@@ -236,6 +237,7 @@
 	if r == nil {
 		return false
 	}
+	f.noteEra(in.To)
 	c, ok := r.applyChange(in, now)
 	if ok {
 		f.publishChange(c, false, now)
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -69,11 +69,13 @@
 	sharesReads bool                     // this instance shares the reading of the store with others
 	onChange    func(c Change, own bool) // nil: changes aren't reported
 
+	era           atomic.Uint64 // the latest era of the store that is known
 	mu            sync.Mutex
 	replicas      map[string]*replica                    // guarded by mu: by kind
 	config        *catalog.Config                        // guarded by mu: in force
 	triedRevision uint64                                 // guarded by mu: of the last configuration that was decoded
 	upstreams     map[fleet.UpstreamID]*catalog.Upstream // guarded by mu: decoded entries
+	values        map[fleet.UpstreamID][]byte            // guarded by mu: values that upstreams were decoded from
 	members       map[fleet.InstanceID]*catalog.Member   // guarded by mu: decoded entries
 	undecodable   map[string]uint64                      // guarded by mu: revisions of entries that can't be decoded
 	departures    *departures                            // guarded by mu
@@ -93,17 +95,18 @@
 	now := time.Now()
 	f := &Follower{
 		deps: d, log: d.Log.Named("watch"), started: now, unattachedSince: now, pauses: newPauseDetector(), joinDelay: rand.N(maxJoinDelay),
-		replicas: map[string]*replica{
-			k.Config: newReplica(k.Config, false), k.Upstreams: newReplica(k.Upstreams, true),
-			k.DomainsOut: newReplica(k.DomainsOut, false), KindMembers: newReplica(KindMembers, false),
-		},
 		upstreams:   map[fleet.UpstreamID]*catalog.Upstream{},
+		values:      map[fleet.UpstreamID][]byte{},
 		members:     map[fleet.InstanceID]*catalog.Member{},
 		undecodable: map[string]uint64{},
 		departures:  newDepartures(),
 		interrupt:   make(chan struct{}),
 		recheck:     make(chan struct{}),
 	}
+	f.replicas = map[string]*replica{
+		k.Config: newReplica(k.Config, false), k.Upstreams: newReplica(k.Upstreams, true),
+		k.DomainsOut: newReplica(k.DomainsOut, false), KindMembers: newReplica(KindMembers, false),
+	}
 	f.snapshot.Store(catalog.NewSnapshot(nil, nil, nil, nil, 0))
 	return f
 }
@@ -157,6 +160,9 @@
 		began = later(began, now.Add(-maxAnswerLatency))
 	}
 	r.readSucceeded(began, now)
+	if f.noteEra(l.Version) {
+		f.relistAll()
+	}
 	held, leftOut := r.revision, r.leftOut
 	defer func() { f.logLeftOut(r, held, l.Version, r.leftOut-leftOut) }()
 	if full {
@@ -169,9 +175,10 @@
 
 // logLeftOut logs that what was read from the store is older than what is held: its revision is lower, or some of its
 // objects were left out.
-func (f *Follower) logLeftOut(r *replica, held, read uint64, objects int) {
-	if objects > 0 || read < held {
-		f.log.Info("store was read at an older state than the one held", "kind", r.kind, "revision", read, "held", held, "left_out", objects)
+func (f *Follower) logLeftOut(r *replica, held, read uint64, leftOut int) {
+	if leftOut > 0 || read < held {
+		f.log.Info("store was read at an older state than the one held", "kind", r.kind, "revision", objects.FormatVersion(read),
+			"held", objects.FormatVersion(held), "left_out", leftOut)
 	}
 }
 
@@ -197,7 +204,7 @@
 // readFailed records and logs that a read of a kind failed. mu is held.
 func (f *Follower) readFailed(kind string, r *replica, now time.Time, err error) {
 	if r.failedSince.IsZero() {
-		f.log.Warn("store lost: the last known state stays in force", "kind", kind, "revision", r.revision, "error", err)
+		f.log.Warn("store lost: the last known state stays in force", "kind", kind, "revision", objects.FormatVersion(r.revision), "error", err)
 	}
 	r.readFailed(now)
 	f.recordOutage(now)
