What was in force stays in force while the restored store lacks it

After the store came back from a copy, a failure domain that was out got work again 0.4 s later, as its entry was missing in the copy; an upstream's leaving and a newer configuration went back in the copies, and with them in what a starting instance is sent; entries of upstreams that had registered since were gone at once. Operators and upstreams write all that again, after a while. Class: absence in one reading of the store is taken for a decision of whoever wrote there.

A copy of the store keeps, when it meets a later era: what is missing, for a grace period (10 s; upstreams 2 s, as after an outage), with each copy's own timer; and, for 30 s, the value of an object if the one read takes it back (an older configuration; the same process of an upstream that isn't leaving any more). It ends with the entry being written again, deleted in the new era, or with the period. That holds for what is read and for what other instances send: a reader that didn't hold it learns it from those who do, also under the same version.

--- a/internal/watch/merge_test.go
+++ b/internal/watch/merge_test.go
@@ -16,7 +16,7 @@
 func TestMergedChangesEqualSingleChanges(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		now := time.Now()
-		source, single, merged := newReplica("k", true), newReplica("k", false), newReplica("k", false)
+		source, single, merged := newTestReplica(true), newTestReplica(false), newTestReplica(false)
 		if rapid.Bool().Draw(r, "outage") {
 			source.availableSince = now
 		}
--- a/internal/watch/model_test.go
+++ b/internal/watch/model_test.go
@@ -198,7 +198,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		f := &modelFleet{now: time.Now()}
 		for range 3 {
-			f.copies = append(f.copies, newReplica("k", grace))
+			f.copies = append(f.copies, newTestReplica(grace))
 			f.lastSeen = append(f.lastSeen, map[string]observedState{})
 		}
 		f.pendingReads = make([]func(), len(f.copies))
--- a/internal/watch/replica.go
+++ b/internal/watch/replica.go
@@ -1,9 +1,11 @@
 package watch
 
 import (
+	"bytes"
 	"slices"
 	"time"
 
+	"github.com/damaskshelf/damaskshelf/internal/objects"
 	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 )
 
@@ -13,6 +15,11 @@
 	// back about two seconds after the store is available again, and an upstream whose entry isn't back by then is
 	// gone.
 	lapseGrace = 2 * time.Second
+	// restoreGrace is how long an object that is missing after the store came back from a copy still counts as present:
+	// until whoever wrote it has noticed and has written it again.
+	restoreGrace = 10 * time.Second
+	// restoreWindow is how long after that an object isn't replaced by one that takes back what it stated.
+	restoreWindow = 30 * time.Second
 	// minOutage is the shortest unavailability of the store during which entries may lapse unseen. It is below the
 	// time after which the platform removes the entry of an unresponsive upstream, and longer than one lost call
 	// takes.
@@ -94,8 +101,19 @@
 	readDue        time.Time         // when the pending read should have returned; zero: no read is pending
 	availableSince time.Time         // when reads succeeded again after the last outage; zero: no outage yet
 	lapsing        map[string]lapse  // by name: objects that are within their grace period
-	keepsLapsed    bool              // entries that vanish during an outage are kept for lapseGrace
-	leftOut        int               // objects that were left out because the copy had newer information
+	retention      retention
+	restoredAt     time.Time // when the store was last seen to have come back from a copy; zero: never
+	leftOut        int       // objects that were left out because the copy had newer information
+}
+
+// retention states what a copy keeps although the store doesn't have it.
+type retention struct {
+	// outageGrace is how long entries that vanish during an outage are kept, and restoreGrace how long those are that
+	// are missing after the store came back from a copy; 0: not at all.
+	outageGrace, restoreGrace time.Duration
+	// takesBack reports whether an object states less than one that was read before, for example an upstream that
+	// isn't leaving any more; nil: objects have nothing to take back.
+	takesBack func(before, read wire.Object) bool
 }
 
 // lapse describes an object that is deleted from the store as of a revision and still treated as present until a
@@ -105,11 +123,10 @@
 	until    time.Time
 }
 
-// newReplica returns an empty copy. keepsLapsed states whether entries that vanish during an outage are kept for
-// lapseGrace.
-func newReplica(kind string, keepsLapsed bool) *replica {
+// newReplica returns an empty copy.
+func newReplica(kind string, keeps retention) *replica {
 	return &replica{
-		kind: kind, keepsLapsed: keepsLapsed,
+		kind: kind, retention: keeps,
 		objects: map[string]wire.Object{}, deletedAt: map[string]uint64{}, lapsing: map[string]lapse{},
 	}
 }
@@ -148,6 +165,16 @@
 	}
 }
 
+// noteRestore records that the store came back from a copy if a version is of a later era than the copy here, and reports
+// whether it is.
+func (r *replica) noteRestore(version uint64, now time.Time) (restored bool) {
+	if r.revision == 0 || objects.Era(version) <= objects.Era(r.revision) {
+		return false
+	}
+	r.restoredAt = now
+	return true
+}
+
 // applyList applies a full list read from the store and returns what it changed. A list older than the copy is a stale
 // read and changes nothing.
 func (r *replica) applyList(l wire.List, now time.Time) Change {
@@ -156,24 +183,48 @@
 		c.To = r.revision
 		return c
 	}
+	restored := r.noteRestore(l.Version, now)
 	listed := make(map[string]bool, len(l.Objects))
 	for _, o := range l.Objects {
 		listed[o.Name] = true
-		r.setObject(&c, o)
+		r.setObject(&c, o, now)
+	}
+	if restored {
+		r.keepMissing(&c, listed, l.Version, now)
+	}
+	for _, name := range r.missingFrom(listed) {
+		r.removedFromStore(&c, name, l.Version, now)
 	}
+	return r.finishFullList(c)
+}
+
+// keepMissing starts the grace period of the objects that are missing after the store came back from a copy, also of those
+// that were missing before.
+func (r *replica) keepMissing(c *Change, listed map[string]bool, version uint64, now time.Time) {
 	for name := range r.objects {
 		if !listed[name] {
-			r.removedFromStore(&c, name, l.Version, now)
+			delete(r.lapsing, name)
+			r.startGrace(c, name, lapse{version, now.Add(r.retention.restoreGrace)})
 		}
 	}
-	return r.finishFullList(c)
+}
+
+// missingFrom returns the names of the objects that are not listed and not within their grace period already.
+func (r *replica) missingFrom(listed map[string]bool) []string {
+	var missing []string
+	for name := range r.objects {
+		if _, lapsing := r.lapsing[name]; !lapsing && !listed[name] {
+			missing = append(missing, name)
+		}
+	}
+	return missing
 }
 
 // applyWatch applies the changes that a watch of the store returned, and returns what they changed.
 func (r *replica) applyWatch(l wire.List, now time.Time) Change {
 	c := Change{Kind: r.kind, From: r.lastChange, To: max(r.revision, l.Version)}
 	for _, o := range l.Objects {
-		r.setObject(&c, o)
+		r.setObject(&c, o, now)
 	}
 	for _, name := range l.Deleted {
 		r.removedFromStore(&c, name, l.Version, now)
@@ -193,23 +244,28 @@
 	if in.Full && in.To < r.revision {
 		return c, r.known // older than this copy, so it may hold objects that have been deleted since
 	}
+	restored := r.noteRestore(in.To, now)
 	r.clearEmptySpans(&c, in)
 	listed := map[string]bool{}
 	for _, o := range in.Objects {
 		listed[o.Name] = true
-		r.setObject(&c, o)
+		if slices.Contains(in.Lapsing, o.Name) {
+			r.adoptLapsing(o)
+		}
+		r.setObject(&c, o, now)
 	}
 	for _, name := range in.Lapsing {
-		r.startGrace(&c, name, lapse{in.To, now.Add(lapseGrace)})
+		r.startGrace(&c, name, lapse{in.To, now.Add(max(r.retention.outageGrace, r.retention.restoreGrace))})
 	}
 	for _, name := range in.Deleted {
 		r.remove(&c, name, in.To)
 	}
 	if in.Full {
-		for name := range r.objects {
-			if !listed[name] {
-				r.remove(&c, name, in.To)
-			}
+		if restored { // the sender may not have held them before
+			r.keepMissing(&c, listed, in.To, now)
+		}
+		for _, name := range r.missingFrom(listed) {
+			r.remove(&c, name, in.To)
 		}
 		return r.finishFullList(c), true
 	}
@@ -264,7 +320,10 @@
 // setObject stores an object unless the copy has newer information about its name. Two readers of the store can deliver
 // their results in any order. The one that is behind must not restore an object whose deletion the other has seen, or
 // one that was deleted before this copy's first list.
-func (r *replica) setObject(c *Change, o wire.Object) {
+//
+// After the store came back from a copy, an object keeps the value that it had if the one read takes back what that
+// stated: it was lost with the store and will be written again.
+func (r *replica) setObject(c *Change, o wire.Object, now time.Time) {
 	old, held := r.objects[o.Name]
 	if o.Version <= r.deletedAt[o.Name] || !held && r.known && o.Version <= r.revision {
 		r.leftOut++
@@ -274,21 +333,40 @@
 		return // this version precedes the deletion
 	}
 	delete(r.lapsing, o.Name)
-	if held && old.Version >= o.Version {
-		if old.Version > o.Version {
-			r.leftOut++
-		}
+	switch {
+	case held && old.Version > o.Version:
+		r.leftOut++
 		return
+	case held && old.Version == o.Version:
+		// Another instance may have kept a value that this one never had.
+		if bytes.Equal(old.Value, o.Value) || !r.takesBack(o, old) {
+			return
+		}
+	case held && now.Sub(r.restoredAt) < restoreWindow && r.takesBack(old, o):
+		o.Value = old.Value
 	}
 	r.objects[o.Name] = o
 	c.Objects = append(c.Objects, o)
 }
 
-// removedFromStore records that the store has no such object as of a revision. Within lapseGrace after an outage, an
-// object of a replica that keeps lapsed entries starts its grace period. Any other object is removed at once.
+// takesBack is retention.takesBack.
+func (r *replica) takesBack(before, read wire.Object) bool {
+	return r.retention.takesBack != nil && r.retention.takesBack(before, read)
+}
+
+// adoptLapsing stores an object that another instance keeps for its grace period, if it isn't held here and wasn't
+// deleted since.
+func (r *replica) adoptLapsing(o wire.Object) {
+	if _, held := r.objects[o.Name]; !held && o.Version > r.deletedAt[o.Name] {
+		r.objects[o.Name] = o
+	}
+}
+
+// removedFromStore records that the store has no such object as of a revision. Shortly after an outage, an object of a
+// replica that keeps lapsed entries starts its grace period. Any other object is removed at once.
 func (r *replica) removedFromStore(c *Change, name string, revision uint64, now time.Time) {
-	if _, held := r.objects[name]; held && r.keepsLapsed && now.Sub(r.availableSince) < lapseGrace {
-		r.startGrace(c, name, lapse{revision, r.availableSince.Add(lapseGrace)})
+	if _, held := r.objects[name]; held && now.Sub(r.availableSince) < r.retention.outageGrace {
+		r.startGrace(c, name, lapse{revision, r.availableSince.Add(r.retention.outageGrace)})
 		return
 	}
 	r.remove(c, name, revision)
--- a/internal/watch/replica_test.go
+++ b/internal/watch/replica_test.go
@@ -9,6 +9,15 @@
 	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 )
 
+// newTestReplica returns an empty copy of the kind "k", which may keep entries that vanish during an outage.
+func newTestReplica(keepsLapsed bool) *replica {
+	var keeps retention
+	if keepsLapsed {
+		keeps = retention{outageGrace: lapseGrace, restoreGrace: lapseGrace}
+	}
+	return newReplica("k", keeps)
+}
+
 // object returns an object of kind "k".
 func object(name string, version uint64) wire.Object {
 	return wire.Object{Kind: "k", Name: name, Version: version, Value: []byte("{}")}
@@ -26,13 +35,13 @@
 func TestRelistIsPassedOnAsFullCopy(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	r := newReplica("k", false)
+	r := newTestReplica(false)
 	r.applyList(list(5, object("a", 3)), now)
 	r.known = false
 	c := r.applyList(list(7, object("a", 3), object("b", 6)), now)
 	is.True(c.Full)
 	is.Equal(len(c.Objects), 2)
-	other := newReplica("k", false)
+	other := newTestReplica(false)
 	other.applyList(list(5, object("a", 3)), now)
 	_, ok := other.applyChange(c, time.Now())
 	is.True(ok)
@@ -43,7 +52,7 @@
 // reports an earlier change of the same entry. Guards against an upstream that has left and gets work again.
 func TestEarlierChangeDoesNotRestoreDeletedObject(t *testing.T) {
 	is := is.New(t)
-	r := newReplica("k", false)
+	r := newTestReplica(false)
 	r.applyList(list(5, object("a", 3)), time.Now())
 	_, ok := r.applyChange(Change{Kind: "k", From: 5, To: 9, Deleted: []string{"a"}}, time.Now())
 	is.True(ok)
@@ -56,7 +65,7 @@
 // A change whose predecessor is missing must be rejected. Otherwise the copy would seem complete and lack objects.
 func TestChangeAfterGapIsRejected(t *testing.T) {
 	is := is.New(t)
-	r := newReplica("k", false)
+	r := newTestReplica(false)
 	r.applyList(list(5, object("a", 3)), time.Now())
 	_, ok := r.applyChange(Change{Kind: "k", From: 8, To: 9, Objects: []wire.Object{object("c", 9)}}, time.Now())
 	is.True(!ok)
@@ -70,7 +79,7 @@
 func TestLapsedEntriesAreKeptForGracePeriod(t *testing.T) {
 	is := is.New(t)
 	start := time.Now()
-	r := newReplica("k", true)
+	r := newTestReplica(true)
 	r.applyList(list(5, object("a", 3), object("b", 4)), start)
 	r.readFailed(start)
 	availableAt := start.Add(3 * time.Second)
@@ -91,7 +100,7 @@
 func TestLapsedEntryFromAnotherCopyExpires(t *testing.T) {
 	is := is.New(t)
 	start := time.Now()
-	reader, other := newReplica("k", true), newReplica("k", true)
+	reader, other := newTestReplica(true), newTestReplica(true)
 	for _, r := range []*replica{reader, other} {
 		r.applyList(list(5, object("a", 3), object("b", 4)), start)
 	}
@@ -124,7 +133,7 @@
 	is := is.New(t)
 	now := time.Now()
 	for _, lapseFirst := range []bool{true, false} {
-		r := newReplica("k", true)
+		r := newTestReplica(true)
 		r.applyList(list(5, object("a", 3)), now)
 		lapsed := Change{Kind: "k", From: 3, To: 6, Lapsing: []string{"a"}}
 		rewritten := Change{Kind: "k", From: 3, To: 7, Objects: []wire.Object{object("a", 7)}}
@@ -147,7 +156,7 @@
 // the deletion.
 func TestEntryDeletedWithoutOutageIsRemovedAtOnce(t *testing.T) {
 	is := is.New(t)
-	r := newReplica("k", true)
+	r := newTestReplica(true)
 	now := time.Now()
 	r.applyList(list(5, object("a", 3)), now)
 	r.readFailed(now)
@@ -159,7 +168,7 @@
 // A list that is older than the copy is a stale read. It must not remove newer objects.
 func TestStaleListChangesNothing(t *testing.T) {
 	is := is.New(t)
-	r := newReplica("k", false)
+	r := newTestReplica(false)
 	r.applyList(list(9, object("a", 9)), time.Now())
 	c := r.applyList(list(7), time.Now())
 	is.True(c.empty())
@@ -171,7 +180,7 @@
 // entry, so the entry could be mistaken for a new one.
 func TestMessageOlderThanCopyRestoresNothing(t *testing.T) {
 	is := is.New(t)
-	r := newReplica("k", false)
+	r := newTestReplica(false)
 	r.applyList(list(9), time.Now())
 	c, ok := r.applyChange(Change{Kind: "k", From: 2, To: 5, Objects: []wire.Object{object("north", 5)}}, time.Now())
 	is.True(ok)
@@ -188,7 +197,7 @@
 func TestUnchangedListReportsEmptySpan(t *testing.T) {
 	is := is.New(t)
 	for _, missed := range []bool{false, true} {
-		behind, reader := newReplica("k", false), newReplica("k", false)
+		behind, reader := newTestReplica(false), newTestReplica(false)
 		reader.applyList(list(0), time.Now())
 		behind.applyList(list(1, object("a", 1)), time.Now())
 		unchanged := reader.applyList(list(2), time.Now())
@@ -213,9 +222,9 @@
 func TestUnseenDeletionIsPassedOn(t *testing.T) {
 	is := is.New(t)
 	for _, watched := range []bool{true, false} {
-		behind := newReplica("k", false)
+		behind := newTestReplica(false)
 		behind.applyList(list(3, object("a", 3)), time.Now())
-		reader := newReplica("k", false)
+		reader := newTestReplica(false)
 		reader.applyList(list(2), time.Now())
 		var c Change
 		if watched {
--- a/internal/watch/restore.go
+++ b/internal/watch/restore.go
@@ -1,11 +1,16 @@
 package watch
 
 import (
+	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 )
 
-// The store may come back from a copy and lose what was written since. It then gives its revisions out again, in a later
-// era.
+// The store may come back from a copy and lose what was written since. What operators and upstreams wrote is written
+// again, after a while. Until then the copies here keep what must not be undone: a configuration in force and the keys
+// that it revokes, an upstream's leaving, a failure domain that is out of service. They also keep the entries of
+// upstreams and instances for as long as these need to write them again.
 
 // Era returns the latest era of the store that is known.
 func (f *Follower) Era() uint64 { return f.era.Load() }
@@ -21,7 +26,7 @@
 	if f.holdsNothing() {
 		return false // the first that is known
 	}
-	f.log.Warn("store came back from a copy", "era", era, "era_before", before)
+	f.log.Warn("store came back from a copy: what is missing in it stays in force until it is written again", "era", era, "era_before", before)
 	return true
 }
 
@@ -45,3 +50,37 @@
 	f.interrupt = make(chan struct{})
 	f.wakeLoops()
 }
+
+// configTakesBack reports whether a configuration that was read is older than the one before.
+func (f *Follower) configTakesBack(before, read wire.Object) bool {
+	b, err := f.deps.Decoder.Config(before)
+	if err != nil {
+		return false
+	}
+	r, err := f.deps.Decoder.Config(read)
+	return err != nil || r.Version < b.Version
+}
+
+// upstreamTakesBack reports whether an upstream that was read is not leaving although the same process was before, or may
+// have been the same. mu is held.
+func (f *Follower) upstreamTakesBack(before, read wire.Object) bool {
+	b := f.decodedUpstream(before)
+	if b == nil || !b.Leaving {
+		return false
+	}
+	r := f.decodedUpstream(read)
+	restarted := r != nil && r.StartTime != b.StartTime && r.StartTime != 0 && b.StartTime != 0
+	return r == nil || !r.Leaving && !restarted
+}
+
+// decodedUpstream decodes an upstream's entry, or returns nil if that fails. mu is held.
+func (f *Follower) decodedUpstream(o wire.Object) *catalog.Upstream {
+	if u := f.upstreams[fleet.UpstreamID(o.Name)]; u != nil && u.Revision == o.Version {
+		return u
+	}
+	u, err := f.deps.Decoder.Upstream(o, f.started)
+	if err != nil {
+		return nil
+	}
+	return u
+}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -104,8 +104,10 @@
 		recheck:     make(chan struct{}),
 	}
 	f.replicas = map[string]*replica{
-		k.Config: newReplica(k.Config, false), k.Upstreams: newReplica(k.Upstreams, true),
-		k.DomainsOut: newReplica(k.DomainsOut, false), KindMembers: newReplica(KindMembers, false),
+		k.Config:     newReplica(k.Config, retention{restoreGrace: restoreGrace, takesBack: f.configTakesBack}),
+		k.Upstreams:  newReplica(k.Upstreams, retention{outageGrace: lapseGrace, restoreGrace: lapseGrace, takesBack: f.upstreamTakesBack}),
+		k.DomainsOut: newReplica(k.DomainsOut, retention{restoreGrace: restoreGrace}),
+		KindMembers:  newReplica(KindMembers, retention{restoreGrace: restoreGrace}),
 	}
 	f.snapshot.Store(catalog.NewSnapshot(nil, nil, nil, nil, 0))
 	return f
@@ -220,7 +222,9 @@
 		}
 		now := time.Now()
 		f.mu.Lock()
-		f.publishChange(f.replicas[f.deps.Kinds.Upstreams].endGracePeriods(now), true, now)
+		for _, r := range f.replicas {
+			f.publishChange(r.endGracePeriods(now), true, now)
+		}
 		f.mu.Unlock()
 	}
 }
