Instances write their entries again when the store comes back without them

After the store came back from a copy without them, the instances' own entries stayed away for 4 s and more: the shares of the fleet's limits and the order of dispatchers are made from them. Cause: each instance looked every 2 s at the members that it knew, and didn't ask whether the entry under its name was of its own incarnation.

An instance now looks 0.25 to 0.75 s apart, without a call to the store, for an entry of its own incarnation that the store has as last read; entries that a copy merely keeps don't count. The spread keeps hundreds of instances from writing at one moment.

--- a/internal/routed/membership.go
+++ b/internal/routed/membership.go
@@ -2,17 +2,20 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/objects"
 	"github.com/damaskshelf/damaskshelf/internal/wait"
 	"github.com/damaskshelf/damaskshelf/internal/watch"
 )
 
 const (
-	// membershipCheckInterval is the time between two checks whether this instance's entry is still in the store and,
-	// on the dispatcher, whether entries of absent instances are to be removed.
-	membershipCheckInterval = 2 * time.Second
+	// membershipCheckInterval is the mean time between two checks whether this instance's entry is still in the store and,
+	// on the dispatcher, whether entries of absent instances are to be removed. The checks of instances are spread: after
+	// the store came back from a copy, all of them may have to write their entries.
+	membershipCheckInterval = 500 * time.Millisecond
 	// minAbsence is how long an instance must have had no session before its entry is removed. It is far above the time
 	// of a restart. It is far below the time in which the entries of replaced instances would outnumber those of running
 	// ones: 2,900 replacements a day among 930 instances are one every half minute.
@@ -27,11 +30,11 @@
 func (n *Node) keepMembership(ctx context.Context) {
 	p := n.parts
 	watch.Join(ctx, p.Adapter.Store, n.self, p.Log)
-	for wait.For(ctx, membershipCheckInterval) {
+	for wait.For(ctx, membershipCheckInterval/2+rand.N(membershipCheckInterval)) {
 		if !p.Gate.Ready() {
 			return // leaving
 		}
-		if n.entryMissing() {
+		if p.Follower.EntryMissing(n.self) {
 			p.Log.Warn("entry of this instance is missing from the store; joining again")
 			watch.Join(ctx, p.Adapter.Store, n.self, p.Log)
 		}
@@ -41,22 +44,11 @@
 	}
 }
 
-// entryMissing reports whether the latest member list lacks this instance. An empty list counts as not known yet.
-func (n *Node) entryMissing() bool {
-	members := n.parts.Follower.Snapshot().Members
-	for _, m := range members {
-		if m.ID == n.self.ID {
-			return false
-		}
-	}
-	return len(members) > 0
-}
-
 // removeMember removes an absent instance's entry from the store and logs the result.
 func (n *Node) removeMember(ctx context.Context, m *catalog.Member) {
 	removeCtx, cancel := context.WithTimeout(ctx, removeTimeout)
 	defer cancel()
 	err := watch.Remove(removeCtx, n.parts.Adapter.Store, m)
 	n.parts.Log.Info("instance was not heard of for long: its entry is removed", "instance", m.ID,
-		"incarnation", m.Incarnation, "revision", m.Revision, "error", err)
+		"incarnation", m.Incarnation, "revision", objects.FormatVersion(m.Revision), "error", err)
 }
--- a/internal/watch/restore.go
+++ b/internal/watch/restore.go
@@ -84,3 +84,19 @@
 	}
 	return u
 }
+
+// EntryMissing reports whether the store, as last read, has no entry of this incarnation of the instance. It returns false
+// while no instance's entry is known.
+func (f *Follower) EntryMissing(self catalog.Member) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.replicas[KindMembers]
+	if len(r.objects) == 0 {
+		return false
+	}
+	if _, lapsing := r.lapsing[string(self.ID)]; lapsing {
+		return true
+	}
+	m := f.members[self.ID]
+	return m == nil || m.Incarnation != self.Incarnation
+}
