Versions have room for eras of any size

An era over 65,535 was refused with an error, and with it every answer of the store: a store whose eras begin at a large number couldn't have been read. The low 24 bits of an era order as well, as it rises by one at a time, and 40 bits of revision last for years at thousands of changes a second. Found by reading.

--- a/internal/objects/version.go
+++ b/internal/objects/version.go
@@ -6,11 +6,12 @@
 // written since, gives its revisions out again, and raises its era. Within an era the revision orders; any state of a
 // later era is newer than all of an earlier one. A store without eras has era 0.
 
-// revisionBits is the number of a version's low bits that hold the revision. The rest hold the era.
-const revisionBits = 48
+// revisionBits is the number of a version's low bits that hold the revision: thousands of changes a second fill them in
+// years. The rest hold the low bits of the era, which rises by one at a time.
+const revisionBits = 40
 
 // NewVersion returns the version of a revision in an era.
-func NewVersion(era, revision uint64) uint64 { return era<<revisionBits | revision&(1<<revisionBits-1) }
+func NewVersion(era, revision uint64) uint64 { return era<<revisionBits | Revision(revision) }
 
 // Era returns the era of a version.
 func Era(version uint64) uint64 { return version >> revisionBits }
