Soak: the store comes back from earlier copies, among the other faults

One call in eight of the series brings the store back from one of the copies taken so far; the operator and the workers write again what they wrote up to 0.8 s later. Cuts of one daemon from the workers aren't in the series: all daemons reach a worker over the same link here; platform/path_test.go has them.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -55,6 +55,8 @@
 	t             *testing.T
 	faultRand     *rand.Rand
 	headerRand    *rand.Rand // selects the workers' headers; kept apart so that they don't change the seed's other faults
+	restoreRand   *rand.Rand // selects when the store is copied and comes back from a copy; kept apart for the same reason
+	storeCopies   []standin.StoreCopy
 	store         *standin.Store
 	storeLinks    []*proxy // from each daemon to the store
 	peerLinks     []*proxy // to each daemon from its peers
@@ -98,7 +100,8 @@
 			t.Fatal(err)
 		}
 	}
-	s := &soakRun{t: t, faultRand: rand.New(rand.NewPCG(seed, 1)), headerRand: rand.New(rand.NewPCG(seed, 2)), recorder: newRecorder(), configVersion: 1}
+	s := &soakRun{t: t, faultRand: rand.New(rand.NewPCG(seed, 1)), headerRand: rand.New(rand.NewPCG(seed, 2)),
+		restoreRand: rand.New(rand.NewPCG(seed, 3)), recorder: newRecorder(), configVersion: 1}
 	var err error
 	if s.store, err = standin.NewStore(); err != nil {
 		t.Fatal(err)
@@ -173,6 +176,7 @@
 	for end := time.Now().Add(length); time.Now().Before(end); {
 		s.injectFault()
 		s.changeWorkerHeaders()
+		s.restoreStore()
 		time.Sleep(time.Duration(s.faultRand.IntN(600)) * time.Millisecond)
 	}
 }
@@ -206,6 +210,30 @@
 	}
 }
 
+// restoreStore copies the store in one call of four, and in one of eight brings it back from an earlier copy. The operator
+// and the workers write again what they wrote.
+func (s *soakRun) restoreStore() {
+	switch s.restoreRand.IntN(8) {
+	case 0, 1:
+		s.storeCopies = append(s.storeCopies, s.store.Copy())
+	case 2:
+		if len(s.storeCopies) == 0 {
+			return
+		}
+		s.store.Restore(s.storeCopies[s.restoreRand.IntN(len(s.storeCopies))])
+		time.Sleep(time.Duration(s.restoreRand.IntN(800)) * time.Millisecond)
+		s.writeAgain()
+	}
+}
+
+// writeAgain writes the present configuration and the workers' entries.
+func (s *soakRun) writeAgain() {
+	s.putConfig()
+	for i := range s.workers {
+		s.registerWorker(i, "ready")
+	}
+}
+
 // changeWorkerHeaders makes a worker state a rate limit or a Retry-After in its responses, or neither. Three calls in eight
 // change nothing.
 func (s *soakRun) changeWorkerHeaders() {
