Bounds of the paths to upstreams: hedges, records, the search for an address

Found by reading for size and load: - each direct connection over 60 ms was tried through another instance as well; on a machine short of processor time all of them take that long, and the work would double: at most 32 such attempts at a time.

--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"strings"
+	"sync"
 
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 )
@@ -133,6 +134,24 @@
 
 	upstreams map[fleet.UpstreamID]*Upstream
 	byService map[ServiceName][]*Upstream
+	byAddr    *addrIndex
+}
+
+// addrIndex finds upstreams by address. It is built on its first use, as most snapshots are never asked.
+type addrIndex struct {
+	once   sync.Once
+	byAddr map[string][]*Upstream
+}
+
+// find returns the upstreams at an address; all are the snapshot's upstreams.
+func (x *addrIndex) find(addr string, all map[fleet.UpstreamID]*Upstream) []*Upstream {
+	x.once.Do(func() {
+		x.byAddr = make(map[string][]*Upstream, len(all))
+		for _, u := range all {
+			x.byAddr[u.Addr] = append(x.byAddr[u.Addr], u)
+		}
+	})
+	return x.byAddr[addr]
 }
 
 // NewSnapshot returns a snapshot of the arguments, which must not be modified afterwards. The version is the store
@@ -171,6 +190,7 @@
 	next.FleetVersion = version
 	next.upstreams = make(map[fleet.UpstreamID]*Upstream, len(upstreams))
 	next.byService = map[ServiceName][]*Upstream{}
+	next.byAddr = &addrIndex{}
 	for _, u := range upstreams {
 		next.upstreams[u.ID] = u
 		next.byService[u.Service] = append(next.byService[u.Service], u)
@@ -195,9 +215,12 @@
 // UpstreamByAddr returns the upstream at an address, or nil. Of several, as after an address was assigned again, it
 // returns one that accepts work if any does.
 func (s *Snapshot) UpstreamByAddr(addr string) *Upstream {
+	if s.byAddr == nil {
+		return nil
+	}
 	var found *Upstream
-	for _, u := range s.upstreams {
-		if u.Addr == addr && (found == nil || s.AcceptsWork(u)) {
+	for _, u := range s.byAddr.find(addr, s.upstreams) {
+		if found == nil || s.AcceptsWork(u) {
 			found = u
 		}
 	}
--- a/internal/tunnel/choose.go
+++ b/internal/tunnel/choose.go
@@ -49,6 +49,7 @@
 // from others in turn: near ones cost least, and may all have lost the same paths.
 func (c *chooser) choose(now time.Time, members []*catalog.Member, domain fleet.DomainID) []*catalog.Member {
 	c.mu.Lock()
+	c.forget(members)
 	all := c.group(now, members, domain)
 	out := make([]*catalog.Member, 0, maxInstances)
 	first := c.leastUsed(all.working, domain)
@@ -168,12 +169,18 @@
 	c.recordOf(id).failedAt = now
 }
 
-// forget drops the records of instances that are no members any more and have no open tunnel.
-func (c *chooser) forget(isMember func(fleet.InstanceID) bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// forget drops the records of instances that are no members any more and have no open tunnel, once there are many; mu is
+// held.
+func (c *chooser) forget(members []*catalog.Member) {
+	if len(c.records) <= 2*len(members) {
+		return
+	}
+	isMember := make(map[fleet.InstanceID]bool, len(members))
+	for _, m := range members {
+		isMember[m.ID] = true
+	}
 	for id, r := range c.records {
-		if r.open == 0 && !isMember(id) {
+		if r.open == 0 && !isMember[id] {
 			delete(c.records, id)
 		}
 	}
--- a/internal/tunnel/choose_test.go
+++ b/internal/tunnel/choose_test.go
@@ -55,6 +55,18 @@
 		is.True(n < 400/wantedInstances+40) // an instance has more than its part
 		is.Equal(c.records[id].open, n)
 	}
-	c.forget(func(fleet.InstanceID) bool { return false })
-	is.Equal(len(c.records), len(first)) // these have open tunnels
+}
+
+// Records of instances that were replaced are dropped, unless they have an open tunnel.
+func TestRecordsOfGoneInstancesAreDropped(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := newChooser()
+	c.opened(now, "in use")
+	for i := range 10 {
+		c.failed(now, fleet.InstanceID(fmt.Sprint("gone-", i)))
+	}
+	c.choose(now, newMembers("a", 2), "a")
+	is.Equal(len(c.records), 1)
+	is.True(c.records["in use"] != nil)
 }
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -161,12 +161,3 @@
 	}
 	return nil
 }
-
-// Forget drops what is known of instances that are no members any more.
-func (c *Client) Forget() {
-	members := map[fleet.InstanceID]bool{}
-	for _, m := range c.deps.Snapshot().Members {
-		members[m.ID] = true
-	}
-	c.chooser.forget(func(id fleet.InstanceID) bool { return members[id] })
-}
--- a/internal/upstream/paths.go
+++ b/internal/upstream/paths.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -21,6 +22,9 @@
 	// bypassDelay is how long a direct connection may take before another instance is asked to connect as well: a few
 	// round trips to the farthest failure domain. A lost opening packet is sent again only after a second.
 	bypassDelay = 60 * time.Millisecond
+	// maxHedges bounds the direct connections that another instance is asked to open as well because they take long. On a
+	// machine that is short of processor time all of them do, and more work would make it worse.
+	maxHedges = 32
 	// probeCheckInterval is how often it is checked, while paths are failed, whether one is due for a probe.
 	probeCheckInterval = 50 * time.Millisecond
 )
@@ -59,6 +63,7 @@
 	log    hclog.Logger
 	stats  *metrics.Registry
 	failed chan struct{} // holds a token when a path has failed, for probe
+	hedges atomic.Int64  // attempts through other instances because a direct one takes long
 
 	mu     sync.Mutex
 	state  *reach.Paths          // guarded by mu
@@ -117,7 +122,11 @@
 				return nil, a.directErr
 			}
 		case <-other:
-			a.startBypass(ctx)
+			if p.hedges.Add(1) <= maxHedges {
+				a.startBypass(ctx)
+			}
+			defer p.hedges.Add(-1)
+			other = nil
 		case <-ctx.Done():
 			return nil, fmt.Errorf("connect to %s: %w", addr, ctx.Err())
 		}
--- a/internal/upstream/paths_test.go
+++ b/internal/upstream/paths_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -19,6 +21,7 @@
 type testNet struct {
 	fails    atomic.Pointer[error] // of direct connections; nil: they open. errHang: they hang
 	bypasses atomic.Int64          // connections through the other instance
+	slow     bool                  // the other instance takes longer than callers wait
 }
 
 // errHang makes direct connections hang.
@@ -39,8 +42,12 @@
 }
 
 // Dial implements Bypass.
-func (n *testNet) Dial(context.Context, string) (net.Conn, error) {
+func (n *testNet) Dial(ctx context.Context, _ string) (net.Conn, error) {
 	n.bypasses.Add(1)
+	if n.slow {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	near, _ := net.Pipe()
 	return tunneledPipe{near}, nil
 }
@@ -161,3 +168,22 @@
 
 // Dial implements Bypass.
 func (deadBypass) Dial(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+
+// Guards against a machine short of processor time, on which all connections take long, that opens a second one for each.
+func TestSlowConnectionsHaveFewHedges(t *testing.T) {
+	is := is.New(t)
+	n, c := newTestPaths()
+	n.slow = true
+	n.cut(errHang)
+	var dials sync.WaitGroup
+	for i := range 4 * maxHedges {
+		dials.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 2*bypassDelay)
+			defer cancel()
+			_, _ = c.pool.dial(ctx, fmt.Sprint(i))
+		})
+	}
+	dials.Wait()
+	is.True(n.bypasses.Load() > 0)
+	is.True(n.bypasses.Load() <= maxHedges)
+}
