--- a/internal/watch/replica.go
+++ b/internal/watch/replica.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/damaskshelf/damaskshelf/internal/objects"
 	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 )
 
@@ -26,67 +25,6 @@
 	minOutage = time.Second
 )
 
-// Change is the difference of a kind's objects between two revisions of the store, or a full copy of them. It is
-// immutable once created.
-type Change struct {
-	Kind       string
-	Full       bool   // Objects are all objects of the kind
-	From       uint64 // revision of the preceding change; the change applies to copies as of this revision or later
-	To         uint64 // revision of the store after the change
-	Objects    []wire.Object
-	Deleted    []string
-	Lapsing    []string // deleted from the store as of To, but still treated as present for lapseGrace
-	EmptySpans []Span   // no existing object has a revision within these spans
-}
-
-// Span is the range of revisions after After, up to and including Through.
-type Span struct{ After, Through uint64 }
-
-// contains reports whether the revision is within the span.
-func (s Span) contains(revision uint64) bool { return s.After < revision && revision <= s.Through }
-
-// empty reports whether the change contains no objects, deletions, grace periods or empty spans, and isn't a full copy.
-func (c *Change) empty() bool {
-	return !c.Full && len(c.Objects) == 0 && len(c.Deleted) == 0 && len(c.Lapsing) == 0 && len(c.EmptySpans) == 0
-}
-
-// Merge returns a single change that has the effect of c followed by next.
-func (c Change) Merge(next Change) Change {
-	if next.Full {
-		return next
-	}
-	merged := Change{Kind: c.Kind, Full: c.Full, From: c.From, To: max(c.To, next.To), EmptySpans: slices.Concat(c.EmptySpans, next.EmptySpans)}
-	deleted := make(map[string]bool, len(next.Deleted))
-	for _, name := range next.Deleted {
-		deleted[name] = true
-	}
-	later := make(map[string]bool, len(next.Objects))
-	for _, o := range next.Objects {
-		later[o.Name] = true
-	}
-	for _, o := range c.Objects {
-		if !later[o.Name] && !deleted[o.Name] {
-			merged.Objects = append(merged.Objects, o)
-		}
-	}
-	merged.Objects = append(merged.Objects, next.Objects...)
-	for _, name := range c.Lapsing {
-		if !later[name] && !deleted[name] {
-			merged.Lapsing = append(merged.Lapsing, name)
-		}
-	}
-	merged.Lapsing = append(merged.Lapsing, next.Lapsing...)
-	for _, name := range c.Deleted {
-		if !later[name] && !deleted[name] {
-			merged.Deleted = append(merged.Deleted, name)
-		}
-	}
-	if !c.Full {
-		merged.Deleted = append(merged.Deleted, next.Deleted...)
-	}
-	return merged
-}
-
 // replica is this instance's copy of the objects of one kind, as of a revision of the store. It is not safe for
 // concurrent use.
 type replica struct {
@@ -106,16 +44,6 @@
 	leftOut        int       // objects that were left out because the copy had newer information
 }
 
-// retention states what a copy keeps although the store doesn't have it.
-type retention struct {
-	// outageGrace is how long entries that vanish during an outage are kept, and restoreGrace how long those are that
-	// are missing after the store came back from a copy; 0: not at all.
-	outageGrace, restoreGrace time.Duration
-	// takesBack reports whether an object states less than one that was read before, for example an upstream that
-	// isn't leaving any more; nil: objects have nothing to take back.
-	takesBack func(before, read wire.Object) bool
-}
-
 // lapse describes an object that is deleted from the store as of a revision and still treated as present until a
 // moment.
 type lapse struct {
@@ -165,16 +93,6 @@
 	}
 }
 
-// noteRestore records that the store came back from a copy if a version is of a later era than the copy here, and reports
-// whether it is.
-func (r *replica) noteRestore(version uint64, now time.Time) (restored bool) {
-	if r.revision == 0 || objects.Era(version) <= objects.Era(r.revision) {
-		return false
-	}
-	r.restoredAt = now
-	return true
-}
-
 // applyList applies a full list read from the store and returns what it changed. A list older than the copy is a stale
 // read and changes nothing.
 func (r *replica) applyList(l wire.List, now time.Time) Change {
@@ -198,28 +116,6 @@
 	return r.finishFullList(c)
 }
 
-// keepMissing starts the grace period of the objects that are missing after the store came back from a copy, also of those
-// that were missing before.
-func (r *replica) keepMissing(c *Change, listed map[string]bool, version uint64, now time.Time) {
-	for name := range r.objects {
-		if !listed[name] {
-			delete(r.lapsing, name)
-			r.startGrace(c, name, lapse{version, now.Add(r.retention.restoreGrace)})
-		}
-	}
-}
-
-// missingFrom returns the names of the objects that are not listed and not within their grace period already.
-func (r *replica) missingFrom(listed map[string]bool) []string {
-	var missing []string
-	for name := range r.objects {
-		if _, lapsing := r.lapsing[name]; !lapsing && !listed[name] {
-			missing = append(missing, name)
-		}
-	}
-	return missing
-}
-
 // applyWatch applies the changes that a watch of the store returned, and returns what they changed.
 func (r *replica) applyWatch(l wire.List, now time.Time) Change {
 	c := Change{Kind: r.kind, From: r.lastChange, To: max(r.revision, l.Version)}
@@ -349,19 +245,6 @@
 	c.Objects = append(c.Objects, o)
 }
 
-// takesBack is retention.takesBack.
-func (r *replica) takesBack(before, read wire.Object) bool {
-	return r.retention.takesBack != nil && r.retention.takesBack(before, read)
-}
-
-// adoptLapsing stores an object that another instance keeps for its grace period, if it isn't held here and wasn't
-// deleted since.
-func (r *replica) adoptLapsing(o wire.Object) {
-	if _, held := r.objects[o.Name]; !held && o.Version > r.deletedAt[o.Name] {
-		r.objects[o.Name] = o
-	}
-}
-
 // removedFromStore records that the store has no such object as of a revision. Shortly after an outage, an object of a
 // replica that keeps lapsed entries starts its grace period. Any other object is removed at once.
 func (r *replica) removedFromStore(c *Change, name string, revision uint64, now time.Time) {
