An instance that doesn't answer is asked last for other connections, also if a faster one was taken

Found by reading: an attempt that was given up because another instance had connected left no record, so that one without power was asked first again and again, 50 ms each. TestSilentInstanceIsAskedLast fails without it.

--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -107,11 +107,13 @@
 	return out
 }
 
-// open asks one instance to connect to the upstream at addr.
+// open asks one instance to connect to the upstream at addr. One that is given up because another was faster has failed too
+// if it took long: it may have lost power, and would delay the next request as well.
 func (c *Client) open(ctx context.Context, m *catalog.Member, addr string) opening {
+	began := time.Now()
 	tunnel, err := c.tryOpen(ctx, m, addr)
 	if err != nil {
-		if ctx.Err() == nil {
+		if ctx.Err() == nil || time.Since(began) >= nextInstanceDelay/2 {
 			c.chooser.failed(time.Now(), m.ID)
 		}
 		return opening{err: fmt.Errorf("through %s: %w", m.ID, err)}
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -249,3 +249,21 @@
 	is.NoErr(err)
 	_ = c.Close()
 }
+
+// Guards against requests that each wait for an instance without power before another one is asked.
+func TestSilentInstanceIsAskedLast(t *testing.T) {
+	w := newWorld(t, func(c net.Conn) { _, _ = io.ReadAll(c) })
+	members := w.snapshot.Load().Members
+	w.publish(append(members, &catalog.Member{ID: "silent", Addr: listen(t).Addr().String(), Domain: "a"})...)
+	slow := 0
+	for range 16 {
+		began := time.Now()
+		_ = w.mustDial().Close()
+		if time.Since(began) > 40*time.Millisecond {
+			slow++
+		}
+	}
+	if slow > 1 {
+		t.Fatalf("%d of 16 connections waited for the silent instance", slow)
+	}
+}
