Instances that are given up are recorded before the request goes on

TestSilentInstanceIsAskedLast failed in 1 of 20 runs: the record was written by the attempt's own goroutine, after the next connection had chosen.

--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -40,6 +40,7 @@
 
 // opening is the result of an attempt to open a tunnel.
 type opening struct {
+	via  fleet.InstanceID
 	conn *conn
 	err  error
 }
@@ -49,26 +50,27 @@
 	chosen := c.chooser.choose(time.Now(), c.members(addr), c.deps.Domain)
 	ctx, cancel := context.WithCancel(ctx)
 	results := make(chan opening, len(chosen))
-	next, pending := 0, 0
+	next, askedAt := 0, map[fleet.InstanceID]time.Time{}
 	ask := func() {
 		if next < len(chosen) {
 			m := chosen[next]
 			next++
-			pending++
+			askedAt[m.ID] = time.Now()
 			go func() { results <- c.open(ctx, m, addr) }()
 		}
 	}
 	defer func() {
 		cancel()
-		go closeLate(results, pending)
+		c.giveUp(askedAt)
+		go closeLate(results, len(askedAt))
 	}()
 	ticker := time.NewTicker(nextInstanceDelay)
 	defer ticker.Stop()
 	err := ErrNoInstance
-	for ask(); pending > 0; {
+	for ask(); len(askedAt) > 0; {
 		select {
 		case r := <-results:
-			pending--
+			delete(askedAt, r.via)
 			if r.err == nil {
 				c.deps.Metrics.Counter("connections_via_instances").Inc(1)
 				return r.conn, nil
@@ -107,18 +109,27 @@
 	return out
 }
 
-// open asks one instance to connect to the upstream at addr. One that is given up because another was faster has failed too
-// if it took long: it may have lost power, and would delay the next request as well.
+// open asks one instance to connect to the upstream at addr.
 func (c *Client) open(ctx context.Context, m *catalog.Member, addr string) opening {
-	began := time.Now()
 	tunnel, err := c.tryOpen(ctx, m, addr)
 	if err != nil {
-		if ctx.Err() == nil || time.Since(began) >= nextInstanceDelay/2 {
+		if ctx.Err() == nil {
 			c.chooser.failed(time.Now(), m.ID)
 		}
-		return opening{err: fmt.Errorf("through %s: %w", m.ID, err)}
+		return opening{via: m.ID, err: fmt.Errorf("through %s: %w", m.ID, err)}
+	}
+	return opening{via: m.ID, conn: tunnel}
+}
+
+// giveUp records that the instances asked at these times haven't answered. One that took long has failed: it may have lost
+// power, and would delay the next request as well.
+func (c *Client) giveUp(askedAt map[fleet.InstanceID]time.Time) {
+	now := time.Now()
+	for id, at := range askedAt {
+		if now.Sub(at) >= nextInstanceDelay/2 {
+			c.chooser.failed(now, id)
+		}
 	}
-	return opening{conn: tunnel}
 }
 
 // tryOpen asks an instance to connect to the upstream at addr, and returns the tunnel if it did.
