The message of a full copy is encoded once, also after the store came back from a copy

Found by reading the change: the cache compared the revision in its message, which has no era, with the version of the copy, which has one. From the first era on it never hit, and a dispatcher or relay would have encoded and packed every copy anew for each instance that attaches. Keyed by the version alone it would have been outdated after the end of a grace period, which changes a copy at the same version; so copies count their changes, and the key is both.

TestFullCopyIsEncodedOncePerChange fails without either half, as the code before did at its first check; TestEndedGraceChangesSerial shows the change at one revision.

--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -173,22 +173,28 @@
 // sent the same bytes. It is safe for concurrent use.
 type fullCopyCache struct {
 	mu   sync.Mutex
-	last map[string]*pb.Change // guarded by mu: by kind
+	last map[string]fullCopyMessage // guarded by mu: by kind
+}
+
+// fullCopyMessage is the message of the full copy with that version and serial.
+type fullCopyMessage struct {
+	from, serial uint64
+	message      *pb.Change
 }
 
 // newFullCopyCache returns an empty cache.
-func newFullCopyCache() *fullCopyCache { return &fullCopyCache{last: map[string]*pb.Change{}} }
+func newFullCopyCache() *fullCopyCache { return &fullCopyCache{last: map[string]fullCopyMessage{}} }
 
 // message returns the message of a full copy.
 func (w *fullCopyCache) message(c watch.Change) (*pb.Change, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if m := w.last[c.Kind]; m != nil && m.From == c.From {
-		return m, nil
+	if last := w.last[c.Kind]; last.message != nil && last.from == c.From && last.serial == c.Serial {
+		return last.message, nil
 	}
 	m, err := changeMessage(c)
 	if err == nil {
-		w.last[c.Kind] = m
+		w.last[c.Kind] = fullCopyMessage{c.From, c.Serial, m}
 	}
 	return m, err
 }
--- a/internal/placement/state_test.go
+++ b/internal/placement/state_test.go
@@ -144,3 +144,20 @@
 	is.NoErr(err)
 	is.Equal(late.To, uint64(21))
 }
+
+// Guards against a full copy that is encoded anew for each of hundreds of instances that attach, and against an outdated
+// one: a copy can change several times at one revision.
+func TestFullCopyIsEncodedOncePerChange(t *testing.T) {
+	is := is.New(t)
+	cache := newFullCopyCache()
+	full := watch.Change{Kind: "k", Full: true, Serial: 1, From: objects.NewVersion(3, 20), To: objects.NewVersion(3, 20)}
+	first, err := cache.message(full)
+	is.NoErr(err)
+	again, err := cache.message(full)
+	is.NoErr(err)
+	is.True(first == again)
+	full.Serial, full.Lapsing = 2, []string{"o"}
+	changed, err := cache.message(full)
+	is.NoErr(err)
+	is.Equal(changed.Lapsing, full.Lapsing)
+}
--- a/internal/watch/change.go
+++ b/internal/watch/change.go
@@ -6,16 +6,17 @@
 	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
 )
 
-// Change is the difference of a kind's objects between two revisions of the store, or a full copy of them. It is
-// immutable once created.
+// Change is the difference of a kind's objects between two states of the store, or a full copy of them. It is immutable
+// once created. Its revisions are versions, which order by era first (objects.NewVersion).
 type Change struct {
 	Kind       string
 	Full       bool   // Objects are all objects of the kind
+	Serial     uint64 // of a full copy: rises with each change of the copy that it was made from
 	From       uint64 // revision of the preceding change; the change applies to copies as of this revision or later
 	To         uint64 // revision of the store after the change
 	Objects    []wire.Object
 	Deleted    []string
-	Lapsing    []string // deleted from the store as of To, but still treated as present for lapseGrace
+	Lapsing    []string // deleted from the store as of To, but still treated as present for a grace period
 	EmptySpans []Span   // no existing object has a revision within these spans
 }
 
--- a/internal/watch/replica.go
+++ b/internal/watch/replica.go
@@ -33,6 +33,7 @@
 	deletedAt      map[string]uint64 // by name: highest revision as of which the object was known to be deleted
 	revision       uint64            // the copy includes every change up to this revision
 	lastChange     uint64            // revision of the last change that modified the copy
+	serial         uint64            // number of changes of the copy, also of several at one revision
 	known          bool              // a full list has been applied
 	provenAt       time.Time         // latest moment at which the copy is known to have been current
 	failedSince    time.Time         // first failed read since the last successful one; zero: none
@@ -172,7 +173,7 @@
 
 // fullCopy returns the whole copy as a change. Its From is the revision of the last change that modified the copy.
 func (r *replica) fullCopy() Change {
-	c := Change{Kind: r.kind, Full: true, From: r.lastChange, To: r.revision}
+	c := Change{Kind: r.kind, Full: true, Serial: r.serial, From: r.lastChange, To: r.revision}
 	for _, o := range r.objects {
 		c.Objects = append(c.Objects, o)
 	}
@@ -191,13 +192,13 @@
 	r.revision = c.To
 	if r.known && c.empty() {
 		if c.To > before {
-			r.lastChange = c.To
+			r.noteChange(c.To)
 			c.EmptySpans = []Span{{After: before, Through: c.To}}
 		}
 		return c
 	}
 	r.known = true
-	r.lastChange = c.To
+	r.noteChange(c.To)
 	return r.fullCopy()
 }
 
@@ -292,9 +293,15 @@
 	return c
 }
 
-// recordChange sets lastChange if the change isn't empty.
+// noteChange records that the copy has changed, as of a revision.
+func (r *replica) noteChange(revision uint64) {
+	r.lastChange = revision
+	r.serial++
+}
+
+// recordChange records a change of the copy unless it is empty.
 func (r *replica) recordChange(c *Change) {
 	if !c.empty() {
-		r.lastChange = c.To
+		r.noteChange(c.To)
 	}
 }
--- a/internal/watch/replica_test.go
+++ b/internal/watch/replica_test.go
@@ -238,3 +238,19 @@
 		is.True(!held)
 	}
 }
+
+// A copy that drops an object at the end of its grace period differs from the one before, although the store's revision is
+// the same.
+func TestEndedGraceChangesSerial(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	r := newTestReplica(true)
+	r.applyList(wire.List{Version: 5, Objects: []wire.Object{object("o", 5)}}, now)
+	r.availableSince = now
+	r.applyList(wire.List{Version: 6}, now)
+	before := r.fullCopy()
+	r.endGracePeriods(now.Add(lapseGrace))
+	after := r.fullCopy()
+	is.Equal(before.From, after.From)
+	is.True(before.Serial != after.Serial)
+}
