An entry that can't be decoded is logged also when the one before is kept

Found by reading: while the store lacked what was in force, a configuration or an upstream's entry that couldn't be decoded was replaced by the one before without a line. Entries of upstreams are decoded and logged in one place now (decodeEntry), which stood twice; what is kept and used stays as it was.

--- a/internal/watch/publish.go
+++ b/internal/watch/publish.go
@@ -126,12 +126,8 @@
 		f.upstreams[id] = current
 	}
 	if current == nil || current.Revision != o.Version {
-		u, err := f.deps.Decoder.Upstream(o, now)
-		if err != nil {
-			if f.undecodable[name] != o.Version {
-				f.undecodable[name] = o.Version
-				f.log.Warn("upstream entry can't be decoded", "error", err)
-			}
+		u := f.decodeEntry(o, now)
+		if u == nil {
 			delete(f.upstreams, id)
 			return nil
 		}
@@ -147,6 +143,20 @@
 	return current
 }
 
+// decodeEntry decodes an upstream's entry. It returns nil for one that can't be decoded, and logs each version of such an
+// entry once.
+func (f *Follower) decodeEntry(o wire.Object, now time.Time) *catalog.Upstream {
+	u, err := f.deps.Decoder.Upstream(o, now)
+	if err == nil {
+		return u
+	}
+	if f.undecodable[o.Name] != o.Version {
+		f.undecodable[o.Name] = o.Version
+		f.log.Warn("upstream entry can't be decoded", "error", err)
+	}
+	return nil
+}
+
 // logUpstream logs a new upstream, or an upstream whose address, start time or leaving state has changed.
 func logUpstream(log *changeLog, old, u *catalog.Upstream) {
 	switch {
--- a/internal/watch/restore.go
+++ b/internal/watch/restore.go
@@ -51,14 +51,18 @@
 	f.wakeLoops()
 }
 
-// configTakesBack reports whether a configuration that was read is older than the one before.
+// configTakesBack reports whether a configuration that was read is older than the one before, or can't be decoded.
 func (f *Follower) configTakesBack(before, read wire.Object) bool {
 	b, err := f.deps.Decoder.Config(before)
 	if err != nil {
-		return false
+		return false // logged when it was read
 	}
 	r, err := f.deps.Decoder.Config(read)
-	return err != nil || r.Version < b.Version
+	if err != nil {
+		f.log.Error("configuration can't be decoded; the one before is kept", "revision", objects.FormatVersion(read.Version), "error", err)
+		return true
+	}
+	return r.Version < b.Version
 }
 
 // upstreamTakesBack reports whether an upstream that was read is not leaving although the same process was before, or may
@@ -78,11 +82,7 @@
 	if u := f.upstreams[fleet.UpstreamID(o.Name)]; u != nil && u.Revision == o.Version {
 		return u
 	}
-	u, err := f.deps.Decoder.Upstream(o, f.started)
-	if err != nil {
-		return nil
-	}
-	return u
+	return f.decodeEntry(o, f.started)
 }
 
 // EntryMissing reports whether the store, as last read, has no entry of this incarnation of the instance. It returns false
