Reading the change once more: one piece where two stood, derived state, what is computed once

A lost tunnel is a reset connection, and the gateway needs no name of package tunnel. - dispatch: whether an instance is cut off is a query again, and old failures are dropped once a step; a stall asks it once and not for each engine. - catalog, watch: comments called versions revisions.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -108,7 +108,7 @@
 	Leaving   bool
 	ColdUntil time.Time // on this instance's monotonic clock; zero: not cold
 	StartTime int64     // Unix ms; another value under the same id means another process
-	Revision  uint64    // store revision of its last change
+	Revision  uint64    // version (package objects) of its last change
 }
 
 // Process returns the process of the upstream that this entry describes.
@@ -122,5 +122,5 @@
 	Domain      fleet.DomainID
 	CPUShare    float64 // share of a CPU core that it may use
 	LinkMbps    float64 // bandwidth of its machine's own link; 0: unknown
-	Revision    uint64  // store revision of its entry
+	Revision    uint64  // version (package objects) of its entry
 }
--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -13,7 +13,7 @@
 // Config is one version of the configuration, indexed for the request path. It is immutable.
 type Config struct {
 	Version  uint64
-	Revision uint64 // store revision at which the version was written
+	Revision uint64 // version (package objects) of the store's object
 	Limits   Limits
 
 	byHost         map[string][]*Route // by host name in lower case, longest prefix first
@@ -129,7 +129,7 @@
 type Snapshot struct {
 	Config       *Config                 // nil: none known yet
 	DomainsOut   map[fleet.DomainID]bool // failure domains that are out of service
-	FleetVersion uint64                  // store revision of the upstreams
+	FleetVersion uint64                  // version (package objects) of the upstreams
 	Members      []*Member
 
 	upstreams map[fleet.UpstreamID]*Upstream
--- a/internal/decide/dispatch/reach.go
+++ b/internal/decide/dispatch/reach.go
@@ -39,7 +39,6 @@
 	for upstream, at := range p.failed {
 		e := s.engines[upstream]
 		if e == nil || now.Sub(at) >= unreachableHoldoff {
-			delete(p.failed, upstream)
 			continue
 		}
 		if first == nil {
@@ -51,12 +50,23 @@
 		failures++
 		reachedByOthers = reachedByOthers || s.lastAnswer[link{domain, e.Domain}] > at
 	}
-	if failures == 0 {
-		delete(s.instances, id)
-	}
 	return failures > 1 && reachedByOthers
 }
 
+// forgetPathFailures drops the failed connections that don't count any more.
+func (s *State) forgetPathFailures(now decide.Instant) {
+	for id, p := range s.instances {
+		for upstream, at := range p.failed {
+			if s.engines[upstream] == nil || now.Sub(at) >= unreachableHoldoff {
+				delete(p.failed, upstream)
+			}
+		}
+		if len(p.failed) == 0 {
+			delete(s.instances, id)
+		}
+	}
+}
+
 // recordPathFailure records that the job's instance has no direct connection to the upstream; dead means that no other
 // instance connected to it either. What an instance reports that is cut off says nothing about the upstreams, and its
 // earlier reports don't either.
--- a/internal/decide/dispatch/stall.go
+++ b/internal/decide/dispatch/stall.go
@@ -30,6 +30,7 @@
 	if j == nil || st.Duration < stallThreshold {
 		return st, false
 	}
+	cutOff := s.cutOff(now, j.Instance, j.Domain)
 	for _, e := range s.orderedEngines {
 		if e.closed || len(e.runs) > 0 || e.pendingMs >= idleBelowMs {
 			continue
@@ -39,8 +40,8 @@
 		st.Full += boolToInt(now < e.fullUntil)
 		st.Cold += boolToInt(!s.underColdLimit(now, e))
 		st.Limited += boolToInt(e.limited())
-		if s.cutOff(now, j.Instance, j.Domain) {
-			continue
+		if cutOff {
+			continue // it reaches engines through other instances
 		}
 		st.Unreachable += boolToInt(e.lastUnreachable[j.Domain].dead)
 		st.Partitioned += boolToInt(s.unreachableCounts[link{j.Domain, e.Domain}] >= partitionThreshold)
--- a/internal/decide/dispatch/survey.go
+++ b/internal/decide/dispatch/survey.go
@@ -11,6 +11,7 @@
 // engines with runs, unreachable upstreams by link, rate limits, and long prompts that wait.
 func (s *State) survey(now decide.Instant) {
 	s.unreachableCounts, s.pathFailures, s.limitTotals = map[link]int{}, map[link]int{}, limitTotals{}
+	s.forgetPathFailures(now)
 	total, busy := 0.0, 0
 	for _, e := range s.orderedEngines {
 		e.refillLimit(now)
--- a/internal/decide/reach/reach.go
+++ b/internal/decide/reach/reach.go
@@ -35,8 +35,7 @@
 // direct connection opens, or when the upstream is forgotten. It is not safe for concurrent use.
 type Paths struct {
 	failed        map[string]*failedPath // by the upstream's address
-	lastConnected decide.Instant         // when a direct connection to any upstream last opened
-	everConnected bool
+	lastConnected decide.Instant         // when a direct connection to any upstream last opened; 0: never
 	lastProbe     decide.Instant
 }
 
@@ -68,7 +67,7 @@
 func (p *Paths) CutOff() bool {
 	n := 0
 	for _, f := range p.failed {
-		if !f.uncertain && (!p.everConnected || f.failedAt > p.lastConnected) {
+		if !f.uncertain && f.failedAt > p.lastConnected {
 			n++
 		}
 	}
@@ -78,7 +77,7 @@
 // Connected records that a direct connection to the upstream opened. It reports whether the path had failed before.
 // Other failed paths may work again too.
 func (p *Paths) Connected(now decide.Instant, addr string) (restored bool) {
-	p.lastConnected, p.everConnected = now, true
+	p.lastConnected = now
 	if _, restored = p.failed[addr]; !restored {
 		return false
 	}
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -12,7 +12,6 @@
 
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
-	"github.com/damaskshelf/damaskshelf/internal/tunnel"
 )
 
 // failure describes a send that failed.
@@ -86,7 +85,7 @@
 // endsPath reports whether a send can have ended with this error because the network path failed.
 func endsPath(err error) bool {
 	return errors.Is(err, errOverdue) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.ETIMEDOUT) ||
-		errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, tunnel.ErrLost)
+		errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // closeExchange closes the exchange and releases the grant after a failure.
--- a/internal/objects/call/call.go
+++ b/internal/objects/call/call.go
@@ -63,10 +63,9 @@
 
 // Response is a complete response. The caller owns the body.
 type Response struct {
-	Status     int
-	Body       []byte
-	RetryAfter string // value of the header, unparsed
-	Header     string // value of Request.ReadHeader, unparsed
+	Status int
+	Body   []byte
+	Header string // value of Request.ReadHeader, unparsed
 }
 
 // Do sends one call. An error that wraps objects.ErrUnavailable means that nothing was sent. After any other error,
@@ -116,7 +115,7 @@
 	}
 	return Response{
 		Status: resp.StatusCode(), Body: append([]byte(nil), resp.Body()...),
-		RetryAfter: string(resp.Header.Peek(fasthttp.HeaderRetryAfter)), Header: string(resp.Header.Peek(q.ReadHeader)),
+		Header: string(resp.Header.Peek(q.ReadHeader)),
 	}, nil
 }
 
--- a/internal/objects/client/weights.go
+++ b/internal/objects/client/weights.go
@@ -19,7 +19,9 @@
 // after which time to ask again. After an error the budget may have been taken.
 func (c *Client) TakeBudget(ctx context.Context, model, version string, gigabytes int64) (wait time.Duration, err error) {
 	u := fmt.Sprintf("%s/weights/%s/%s?gb=%d", c.weights, url.PathEscape(model), url.PathEscape(version), gigabytes)
-	a, err := c.calls.Do(ctx, call.Request{Method: fasthttp.MethodPost, URL: u, Timeout: callTimeout})
+	a, err := c.calls.Do(ctx, call.Request{
+		Method: fasthttp.MethodPost, URL: u, Timeout: callTimeout, ReadHeader: fasthttp.HeaderRetryAfter,
+	})
 	if err != nil {
 		return 0, err
 	}
@@ -27,7 +29,7 @@
 	case fasthttp.StatusNoContent, fasthttp.StatusOK:
 		return 0, nil
 	case fasthttp.StatusTooManyRequests:
-		seconds, err := strconv.Atoi(a.RetryAfter)
+		seconds, err := strconv.Atoi(a.Header)
 		if err != nil || seconds <= 0 {
 			return defaultBudgetDelay, nil
 		}
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -104,7 +104,7 @@
 	case pb.FromUpstream_BROKEN:
 		return fmt.Errorf("upstream's connection at instance %s broke: %w", c.via, syscall.ECONNRESET)
 	default:
-		return fmt.Errorf("%w: %s", ErrLost, c.via)
+		return fmt.Errorf("%w: %s: %w", ErrLost, c.via, syscall.ECONNRESET)
 	}
 }
 
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -69,9 +69,10 @@
 // admit counts a tunnel as open, or returns why there must be none now. The checks are those before a send of this
 // instance's own: the upstream sees the request come from here.
 func (s *Server) admit(addr string) pb.FromUpstream_Result {
-	u := s.deps.Snapshot().UpstreamByAddr(addr)
+	snap := s.deps.Snapshot()
+	u := snap.UpstreamByAddr(addr)
 	switch {
-	case u == nil, !s.deps.Snapshot().AcceptsWork(u), s.deps.Untrusted(), s.deps.HeldOff(u):
+	case u == nil, !snap.AcceptsWork(u), s.deps.Untrusted(), s.deps.HeldOff(u):
 		return pb.FromUpstream_NOT_ALLOWED
 	case s.open.Load() >= s.deps.Max:
 		return pb.FromUpstream_BUSY
@@ -110,20 +111,9 @@
 		if err != nil {
 			return
 		}
-		if _, err := c.Write(m.Data); err != nil {
-			// An upstream may answer and close before it has read the request. The answer can still be read.
-			drainTunnel(stream)
-			return
-		}
-	}
-}
-
-// drainTunnel discards what the other instance still sends.
-func drainTunnel(stream pb.DRPCTunnel_OpenStream) {
-	for {
-		if _, err := stream.Recv(); err != nil {
-			return
-		}
+		// An upstream may answer and close before it has read the request, so that writes fail. The answer can still be
+		// read, and shows how the connection ended.
+		_, _ = c.Write(m.Data)
 	}
 }
 
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -81,6 +81,13 @@
 	return &Client{pool: p}
 }
 
+// withoutIdle returns a client over the same paths without idle connections.
+func (c *Client) withoutIdle() *Client {
+	p := newPool()
+	p.paths = c.pool.paths
+	return &Client{pool: p}
+}
+
 // ProbePaths probes failed paths to upstreams until ctx ends. known reports whether an upstream has an address.
 func (c *Client) ProbePaths(ctx context.Context, known func(addr string) bool) {
 	c.pool.paths.probe(ctx, known)
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -64,7 +64,7 @@
 
 // Ping returns nil if an upstream answers a ping on a new connection within timeout.
 func (c *Client) Ping(ctx context.Context, addr string, timeout time.Duration) error {
-	fresh := New()
+	fresh := c.withoutIdle()
 	defer fresh.Close()
 	return fresh.smallCall(ctx, addr, fasthttp.MethodGet, wire.PathPing, nil, nil, timeout)
 }
--- a/internal/upstream/paths.go
+++ b/internal/upstream/paths.go
@@ -168,7 +168,7 @@
 		p.log.Info("path to upstream failed; other instances reach it", "addr", addr, "error", err, "failed_paths", p.state.FailedCount())
 	}
 	newlyCutOff := p.update()
-	if isTimeout(err) || errors.Is(err, context.DeadlineExceeded) {
+	if isTimeout(err) {
 		p.pool.invalidate(addr)
 		if newlyCutOff {
 			p.pool.invalidateAll()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -151,7 +151,7 @@
 	return c
 }
 
-// putNew adds an open connection to addr that was not used yet.
+// putNew adds an open connection to addr that was not used yet. One through another instance is closed.
 func (p *pool) putNew(addr string, raw net.Conn) { p.put(newConn(raw, addr, p.now())) }
 
 // takeIdle removes the most recently used idle connection that is usable, and returns it. It returns nil if there is
--- a/internal/upstream/service.go
+++ b/internal/upstream/service.go
@@ -39,7 +39,7 @@
 // CallNewConnection does what Call does on a new connection. It is for calls that must not be repeated: a pooled
 // connection may be dead without notice, and the first byte written to it would leave the outcome unknown.
 func (c *Client) CallNewConnection(ctx context.Context, addr string, req *fasthttp.Request, timeout time.Duration) (Answer, error) {
-	fresh := New()
+	fresh := c.withoutIdle()
 	defer fresh.Close()
 	return fresh.Call(ctx, addr, req, timeout)
 }
--- a/internal/watch/read.go
+++ b/internal/watch/read.go
@@ -166,6 +166,11 @@
 func (f *Follower) interruptReads() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.endPendingReads()
+}
+
+// endPendingReads ends the pending watches and makes idle loops check again; mu is held.
+func (f *Follower) endPendingReads() {
 	close(f.interrupt)
 	f.interrupt = make(chan struct{})
 	f.wakeLoops()
--- a/internal/watch/relay.go
+++ b/internal/watch/relay.go
@@ -46,8 +46,8 @@
 type Proof struct {
 	Kind       string
 	Known      bool          // the instance has a copy of the kind
-	Revision   uint64        // the copy includes every change up to this revision
-	LastChange uint64        // revision of the last change that modified the copy
+	Revision   uint64        // the copy includes every change up to this version
+	LastChange uint64        // version of the last change that modified the copy
 	Age        time.Duration // time since the copy was current
 	FailingFor time.Duration // how long the readers have failed to read the kind; 0: they succeed
 }
--- a/internal/watch/restore.go
+++ b/internal/watch/restore.go
@@ -46,9 +46,7 @@
 	for _, r := range f.replicas {
 		r.known = false
 	}
-	close(f.interrupt)
-	f.interrupt = make(chan struct{})
-	f.wakeLoops()
+	f.endPendingReads()
 }
 
 // configTakesBack reports whether a configuration that was read is older than the one before, or can't be decoded.
--- a/internal/watch/restore_test.go
+++ b/internal/watch/restore_test.go
@@ -19,12 +19,7 @@
 	era, revision uint64
 	objects       map[string]wire.Object
 	copied        []restoringStore // states from which it may come back
-	changes       []storeChange    // of this era
-}
-
-// storeChange is a change of the store; the object has no value if it was removed.
-type storeChange struct {
-	object wire.Object
+	changes       []wire.Object    // of this era; an object without a value was removed
 }
 
 // version returns the present version.
@@ -35,7 +30,7 @@
 	s.revision++
 	o := wire.Object{Name: name, Version: s.version(), Value: []byte{rank}}
 	s.objects[name] = o
-	s.changes = append(s.changes, storeChange{o})
+	s.changes = append(s.changes, o)
 }
 
 // remove deletes an object if it exists.
@@ -45,7 +40,7 @@
 	}
 	s.revision++
 	delete(s.objects, name)
-	s.changes = append(s.changes, storeChange{wire.Object{Name: name, Version: s.version()}})
+	s.changes = append(s.changes, wire.Object{Name: name, Version: s.version()})
 }
 
 // copyState keeps a copy from which the store may come back.
@@ -79,9 +74,9 @@
 		return l, false
 	}
 	last := map[string]wire.Object{}
-	for _, c := range s.changes {
-		if c.object.Version > from {
-			last[c.object.Name] = c.object
+	for _, o := range s.changes {
+		if o.Version > from {
+			last[o.Name] = o
 		}
 	}
 	l.Version = s.version()
