Log how answers end: their framing, and bytes after a stream's last event

Lines of streams taken for complete now show what showed their end (length, chunks, the end of the connection) and how many bytes came after the last event; lines of broken answers show the framing too. That tells the four hypotheses apart: 1 framing=connection with partial bytes, 2 another framing with partial bytes, 3 framing=connection without any, 4 an after_failure line. streams_served counts by framing.

The readers of bodies move to a file of their own.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -27,6 +27,7 @@
 	buf     []byte
 	start   int   // offset in buf of the first byte that next has not returned yet
 	readErr error // error or io.EOF of the last read; nil while r may have more
+	partial int   // bytes after the last complete event; 0 until the stream has ended
 }
 
 // newEventReader returns an eventReader that reads from r.
@@ -61,6 +62,7 @@
 func (e *eventReader) remainder() (event, error) {
 	if e.readErr == io.EOF && e.start < len(e.buf) {
 		raw := e.buf[e.start:]
+		e.partial = len(raw)
 		e.start = len(e.buf)
 		return event{raw: raw}, nil
 	}
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -12,6 +12,7 @@
 
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/upstream"
 )
 
 // failure describes a send that failed.
@@ -19,6 +20,7 @@
 	outcome Outcome   // for the grant
 	ran     fault.Run // whether this send may have run
 	cause   error
+	framing upstream.Framing // of the answer that broke off
 	atFault fleet.UpstreamID // empty: the upstream that the request was sent to
 }
 
@@ -123,7 +125,7 @@
 		}
 	}
 	l.g.deps.Explain.Record("after_failure", l.r.ID, reason, "upstream", u.ID, "at_fault", f.atFault, "outcome", f.outcome, "ran", f.ran,
-		"why", why, "attempts", l.attempts, "cause", f.cause, "took_ms", time.Since(l.sentAt).Milliseconds())
+		"why", why, "attempts", l.attempts, "cause", f.cause, "framing", f.framing, "took_ms", time.Since(l.sentAt).Milliseconds())
 	return retry
 }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -58,14 +58,14 @@
 			ctx.Response.Header.SetContentLength(n)
 		}
 	}
-	status := l.exchange.Head.StatusCode()
+	status, framing := l.exchange.Head.StatusCode(), l.exchange.Framing
 	l.exchange.Close()
 	outcome := Served
 	if status >= 500 {
 		outcome = Failed
 	}
 	l.releaseGrant(outcome, "")
-	l.recordAnswer(reasonPassedOn, "status", status, "bytes", len(body))
+	l.recordAnswer(reasonPassedOn, "status", status, "bytes", len(body), "framing", framing)
 }
 
 // recordAnswer writes the last log line of a request.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -59,7 +59,7 @@
 
 // endBrokenAnswer ends an exchange whose answer broke off, and releases the grant.
 func (l *lifecycle) endBrokenAnswer(err error) *failure {
-	f := &failure{outcome: Failed, ran: fault.RunYes, cause: err}
+	f := &failure{outcome: Failed, ran: fault.RunYes, cause: err, framing: l.exchange.Framing}
 	l.classify(f)
 	l.checkPath(f, l.exchange.Via)
 	l.closeExchange(f)
@@ -189,7 +189,8 @@
 	case s.endErr == io.EOF && len(s.buffered) == 0:
 		l.exchange.Close()
 		l.releaseGrant(Served, "")
-		l.recordAnswer(reasonServed, "events", s.eventCount)
+		l.g.deps.Metrics.Counter("streams_served", "framing", l.exchange.Framing.String()).Inc(1)
+		l.recordAnswer(reasonServed, "events", s.eventCount, "framing", l.exchange.Framing, "partial_bytes", s.events.partial)
 	case l.exchange != nil:
 		l.exchange.Close()
 		l.releaseGrant(Abandoned, "")
--- a/internal/upstream/forward.go
+++ b/internal/upstream/forward.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -25,8 +24,6 @@
 	// maxUnrelatedAnswers bounds the answers of other requests, and the interim answers, that are skipped before an
 	// exchange's own answer.
 	maxUnrelatedAnswers = 2
-	// maxTrailers bounds the trailer lines after a chunked body.
-	maxTrailers = 64
 )
 
 // Errors of a forwarded request.
@@ -52,6 +49,7 @@
 type Exchange struct {
 	Head     fasthttp.ResponseHeader
 	Via      fleet.InstanceID // the instance that the connection goes through; empty: direct
+	Framing  Framing          // of the body
 	client   *Client
 	conn     *conn
 	detach   func() bool // stops the end of the context from interrupting the exchange; false: it already has
@@ -148,16 +146,15 @@
 // initBody sets the reader of the body according to the answer's head.
 func (x *Exchange) initBody(method string) {
 	x.reusable = !x.Head.ConnectionClose()
-	status, length := x.Head.StatusCode(), x.Head.ContentLength()
-	switch {
-	case method == fasthttp.MethodHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
+	x.Framing = framingOf(method, &x.Head)
+	switch x.Framing {
+	case FramingNone:
 		x.body = strings.NewReader("")
-	case length == -1:
+	case FramingChunked:
 		x.body = &chunkedReader{chunks: httputil.NewChunkedReader(x.conn.reader), raw: x.conn.reader}
-	case length >= 0:
-		x.body = &lengthReader{r: x.conn.reader, remaining: length}
-	default:
-		// Without a length the body ends with its connection: regularly, or with a reset that Read reports.
+	case FramingLength:
+		x.body = &lengthReader{r: x.conn.reader, remaining: x.Head.ContentLength()}
+	case FramingConnection:
 		x.body, x.reusable = x.conn.reader, false
 	}
 }
@@ -212,46 +209,3 @@
 	}
 	return now.Add(time.Duration(seconds)*time.Second - idleMargin)
 }
-
-// lengthReader reads a body of known length.
-type lengthReader struct {
-	r         *bufio.Reader
-	remaining int // bytes
-}
-
-// Read implements io.Reader. It returns io.ErrUnexpectedEOF if the connection ends before the body.
-func (l *lengthReader) Read(p []byte) (int, error) {
-	if l.remaining == 0 {
-		return 0, io.EOF
-	}
-	n, err := l.r.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
-	if err == io.EOF && l.remaining > 0 {
-		err = io.ErrUnexpectedEOF
-	}
-	return n, err
-}
-
-// chunkedReader reads a chunked body and discards its trailers.
-type chunkedReader struct {
-	chunks io.Reader
-	raw    *bufio.Reader
-}
-
-// Read implements io.Reader. After the last chunk it reads up to the end of the trailers.
-func (c *chunkedReader) Read(p []byte) (int, error) {
-	n, err := c.chunks.Read(p)
-	if err != io.EOF {
-		return n, err
-	}
-	for range maxTrailers {
-		line, err := c.raw.ReadSlice('\n')
-		if err != nil {
-			return n, io.ErrUnexpectedEOF
-		}
-		if len(line) <= 2 {
-			return n, io.EOF
-		}
-	}
-	return n, errors.New("too many trailers")
-}
