A stream that ends inside an event has broken off

Cause: eventReader took the end of its input for the end of the stream and passed the bytes after the last event on as an event, whatever had ended the input. An upstream that frames its answer by the connection ends that input in order when a run crashes.

Now only an empty line ends an event, and a stream whose input ends elsewhere returns errPartialEvent: a failure like a reset, which resumes on another upstream after the last whole event within attempts, budget and time, or ends so that the caller sees it. Nothing of the part is passed on. It doesn't matter what framed the answer: chunks and lengths that end in order inside an event were taken for complete as well. Complete comment lines after the last event are outside of events and pass; so does a byte-order mark. Lines may end with LF, CRLF or CR: a stream with CR alone was buffered to its end and would now be taken for broken.

Ruled out: a mark of the upstream's own (there is none in the format), looking at the framing (it was whole in two of three cases).

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"strconv"
 )
@@ -10,24 +11,38 @@
 // maxEventBytes bounds the bytes of one event that are buffered until it is complete.
 const maxEventBytes = 1 << 20
 
-// errEventTooLong reports that an event exceeds maxEventBytes.
-var errEventTooLong = errors.New("event is too long")
+var (
+	// errEventTooLong reports that an event exceeds maxEventBytes.
+	errEventTooLong = errors.New("event is too long")
+	// errPartialEvent reports that a stream ended inside an event. The stream broke off, even if its connection and its
+	// framing ended in order.
+	errPartialEvent = errors.New("stream ended inside an event")
+)
+
+// byteOrderMark may precede a stream's first line.
+var byteOrderMark = []byte("\ufeff")
 
 // event is one complete event of a stream, byte for byte.
 type event struct {
 	raw   []byte // includes the empty line that ends the event; valid until the next call of next
 	id    int64  // valid if hasID is set
 	hasID bool
+	empty bool // there are only comments and empty lines
 }
 
-// eventReader splits a stream into complete events. A part of an event is never passed on, because the upstream may
-// stop within the event and another upstream then sends it again from its start.
+// eventReader splits a stream into complete events. A line ends with LF, CRLF or CR, and an event with an empty line. A
+// part of an event is never passed on, because the upstream may stop within the event and another upstream then sends it
+// again from its start.
 type eventReader struct {
 	r       io.Reader
 	buf     []byte
 	start   int   // offset in buf of the first byte that next has not returned yet
+	scanned int   // offset in buf of the first byte that findEvent has not examined yet
+	end     int   // offset in buf of the end of the next event; 0: not found yet
+	inLine  bool  // the line at scanned has bytes
+	afterCR bool  // the byte before scanned is a CR; an LF that follows belongs to the same line end
+	begun   bool  // bytes were returned
 	readErr error // error or io.EOF of the last read; nil while r may have more
-	partial int   // bytes after the last complete event; 0 until the stream has ended
 }
 
 // newEventReader returns an eventReader that reads from r.
@@ -35,54 +50,91 @@
 	return &eventReader{r: r, buf: make([]byte, 0, 4<<10)}
 }
 
-// next returns the next complete event. It returns io.EOF after the regular end of the stream. Bytes after the last
-// complete event are returned as an event without an id.
+// next returns the next complete event. It returns io.EOF after the end of a stream that ends between two events, and
+// errPartialEvent for one that ends inside an event.
 func (e *eventReader) next() (event, error) {
-	scanned := e.start
-	for {
-		if n := eventLength(e.buf[e.start:], scanned-e.start); n > 0 {
-			raw := e.buf[e.start : e.start+n]
-			e.start += n
-			id, ok := eventID(raw)
-			return event{raw: raw, id: id, hasID: ok}, nil
-		}
+	for !e.findEvent() {
 		if e.readErr != nil {
 			return e.remainder()
 		}
-		scanned = max(e.start, len(e.buf)-3)
-		shift, err := e.fill()
-		scanned -= shift
-		if err != nil {
-			e.readErr = err
-		}
+		e.readErr = e.fill()
 	}
+	return e.take(e.end), nil
 }
 
-// remainder returns the bytes that are left at the regular end of the stream, then the error that ended it.
+// remainder returns the comments after the last event of a stream, or the error that ended the stream.
 func (e *eventReader) remainder() (event, error) {
-	if e.readErr == io.EOF && e.start < len(e.buf) {
-		raw := e.buf[e.start:]
-		e.partial = len(raw)
-		e.start = len(e.buf)
-		return event{raw: raw}, nil
+	raw := e.buf[e.start:]
+	switch {
+	case e.readErr != io.EOF || len(raw) == 0:
+		return event{}, e.readErr
+	case e.inLine && !bytes.Equal(raw, byteOrderMark), !isEmpty(e.text(raw)):
+		return event{}, fmt.Errorf("%w, after %d bytes of it", errPartialEvent, len(raw))
+	}
+	return e.take(len(e.buf)), nil
+}
+
+// take returns the bytes up to an offset in buf as an event.
+func (e *eventReader) take(end int) event {
+	raw := e.buf[e.start:end]
+	text := e.text(raw)
+	e.start, e.end, e.begun = end, 0, true
+	id, ok := eventID(text)
+	return event{raw: raw, id: id, hasID: ok, empty: isEmpty(text)}
+}
+
+// text returns raw without the mark that may precede the stream's first line.
+func (e *eventReader) text(raw []byte) []byte {
+	if e.begun {
+		return raw
 	}
-	return event{}, e.readErr
+	return bytes.TrimPrefix(raw, byteOrderMark)
 }
 
 // hasBufferedEvent reports whether next can return a complete event without reading from the upstream.
-func (e *eventReader) hasBufferedEvent() bool { return eventLength(e.buf[e.start:], 0) > 0 }
+func (e *eventReader) hasBufferedEvent() bool { return e.findEvent() }
+
+// findEvent examines the bytes that have arrived, and reports whether they hold a complete event.
+func (e *eventReader) findEvent() bool {
+	for e.end == 0 && e.scanned < len(e.buf) {
+		b := e.buf[e.scanned]
+		e.scanned++
+		switch {
+		case b == '\n' && e.afterCR:
+			e.afterCR = false
+		case b == '\n' || b == '\r':
+			e.afterCR = b == '\r'
+			if !e.inLine {
+				e.endEvent()
+			}
+			e.inLine = false
+		default:
+			e.afterCR, e.inLine = false, true
+		}
+	}
+	return e.end > 0
+}
+
+// endEvent ends the event after the byte that was examined last. An LF that belongs to the same line end may arrive later.
+// It then precedes the next event, because waiting for it would delay this one.
+func (e *eventReader) endEvent() {
+	if e.afterCR && e.scanned < len(e.buf) && e.buf[e.scanned] == '\n' {
+		e.afterCR = false
+		e.scanned++
+	}
+	e.end = e.scanned
+}
 
-// fill reads once into buf, growing it if it is full. It returns by how many bytes it moved the buffered data towards
-// the start of buf.
-func (e *eventReader) fill() (shift int, err error) {
+// fill reads once into buf, growing it if it is full.
+func (e *eventReader) fill() error {
 	if e.start > 0 {
-		shift = e.start
 		e.buf = e.buf[:copy(e.buf, e.buf[e.start:])]
+		e.scanned -= e.start
 		e.start = 0
 	}
 	if len(e.buf) == cap(e.buf) {
 		if len(e.buf) >= maxEventBytes {
-			return shift, errEventTooLong
+			return errEventTooLong
 		}
 		grown := make([]byte, len(e.buf), 2*cap(e.buf))
 		copy(grown, e.buf)
@@ -90,35 +142,34 @@
 	}
 	n, err := e.r.Read(e.buf[len(e.buf):cap(e.buf)])
 	e.buf = e.buf[:len(e.buf)+n]
-	return shift, err
+	return err
 }
 
-// eventLength returns the length of the first event of b, including its empty line, or 0 if the event is incomplete.
-// The search begins at from.
-func eventLength(b []byte, from int) int {
-	for i := max(0, from); i < len(b); i++ {
-		if b[i] != '\n' {
-			continue
-		}
-		switch {
-		case i+1 < len(b) && b[i+1] == '\n':
-			return i + 2
-		case i+2 < len(b) && b[i+1] == '\r' && b[i+2] == '\n':
-			return i + 3
+// nextLine returns the first line of b without its end, and the bytes after it. Of a CRLF, rest begins with the LF, as an
+// empty line more.
+func nextLine(b []byte) (line, rest []byte) {
+	if i := bytes.IndexAny(b, "\r\n"); i >= 0 {
+		return b[:i], b[i+1:]
+	}
+	return b, nil
+}
+
+// isEmpty reports whether the lines of b are all empty or comments.
+func isEmpty(b []byte) bool {
+	for len(b) > 0 {
+		var line []byte
+		if line, b = nextLine(b); len(line) > 0 && line[0] != ':' {
+			return false
 		}
 	}
-	return 0
+	return true
 }
 
 // eventID returns the event's id and reports whether it has one that is a number.
 func eventID(raw []byte) (int64, bool) {
 	for len(raw) > 0 {
-		line := raw
-		if i := bytes.IndexByte(raw, '\n'); i >= 0 {
-			line, raw = raw[:i], raw[i+1:]
-		} else {
-			raw = nil
-		}
+		var line []byte
+		line, raw = nextLine(raw)
 		value, ok := bytes.CutPrefix(line, []byte("id:"))
 		if !ok {
 			continue
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -190,7 +190,7 @@
 		l.exchange.Close()
 		l.releaseGrant(Served, "")
 		l.g.deps.Metrics.Counter("streams_served", "framing", l.exchange.Framing.String()).Inc(1)
-		l.recordAnswer(reasonServed, "events", s.eventCount, "framing", l.exchange.Framing, "partial_bytes", s.events.partial)
+		l.recordAnswer(reasonServed, "events", s.eventCount, "framing", l.exchange.Framing)
 	case l.exchange != nil:
 		l.exchange.Close()
 		l.releaseGrant(Abandoned, "")
