A stream that ends with its connection before any event has broken off

Callers saw status 200, the seal and an empty, complete body. Now it is a failure before the first event: another upstream is asked where the route allows that, otherwise 502. A stream whose framing shows its end stays what it is, and so does one that its caller resumes: it may have all events already, and the end of the connection is then as good a sign as between any two events.

TestStreamWithoutEventsIsNotComplete failed before (an empty body, no error) and passes. Requests of callers were cut at each byte too (TestRequestsCutAnywhereAreNotSent): nothing is sent on of one that isn't whole; no fault there.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,10 +11,15 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskshelf/damaskshelf/internal/fault"
+	"github.com/damaskshelf/damaskshelf/internal/upstream"
 )
 
-// errStreamCut ends a caller's stream that can't be completed: the connection closes without the end mark.
-var errStreamCut = errors.New("stream can't be finished")
+var (
+	// errStreamCut ends a caller's stream that can't be completed: the connection closes without the end mark.
+	errStreamCut = errors.New("stream can't be finished")
+	// errNoEvent reports that a stream that ends with its connection ended before its first event.
+	errNoEvent = errors.New("stream ended without an event")
+)
 
 // serveStream handles a request whose answer is a stream of events. The head is sent with the first event, so that a
 // failure before it is either retried or reported as an error answer. It returns handedOver if the HTTP server reads
@@ -28,7 +33,7 @@
 			return false, l.passOnNonStream(ctx)
 		}
 		s := &streamBody{l: l, events: newEventReader(l.exchange), done: done, lastID: parseLastEventID(l.r.LastEventID)}
-		first, err := s.events.next()
+		first, err := s.readEvent()
 		if err != nil && err != io.EOF {
 			f := l.endBrokenAnswer(err)
 			if !l.decideRetry(f) {
@@ -84,7 +89,7 @@
 	done       func() // ends the lifecycle
 	buffered   []byte // events that Read has not returned yet
 	lastID     int64  // id of the last event that was accepted
-	eventCount int    // accepted events
+	eventCount int    // accepted events, without those that are empty
 	endErr     error  // io.EOF after the regular end, or errStreamCut
 	closed     bool
 }
@@ -101,7 +106,9 @@
 		}
 		s.lastID = e.id
 	}
-	s.eventCount++
+	if !e.empty {
+		s.eventCount++
+	}
 	s.l.recordEvent(time.Now())
 	s.buffered = append(s.buffered, e.raw...)
 }
@@ -134,10 +141,25 @@
 	return 0, s.endErr
 }
 
+// readEvent returns the next event of the open exchange. It returns io.EOF at the end of a complete stream.
+func (s *streamBody) readEvent() (event, error) {
+	e, err := s.events.next()
+	if err == io.EOF && s.isUnproven() {
+		err = errNoEvent
+	}
+	return e, err
+}
+
+// isUnproven reports whether the end of the connection is the only sign that the stream is complete, and the caller has no
+// event of it. An upstream that breaks off after the head looks the same.
+func (s *streamBody) isUnproven() bool {
+	return s.l.exchange.Framing == upstream.FramingConnection && s.eventCount == 0 && s.l.r.LastEventID == ""
+}
+
 // nextEvent returns the next event. If a stream breaks off, it resumes on another upstream.
 func (s *streamBody) nextEvent() (event, error) {
 	for {
-		e, err := s.events.next()
+		e, err := s.readEvent()
 		if err == nil || err == io.EOF {
 			return e, err
 		}
