A stream whose events have no ids isn't resumed

Found while asking what follows a stream that broke off: a resumed stream begins after the last event's id. Events without one were passed on, and the next upstream then sent the stream from its start, or after an earlier event, so that the caller got events twice. Such a stream now ends where it broke off, and its caller sees that. Comments don't count; an event with an id ends the doubt.

TestStreamWithoutIDsIsNotResumed failed before (both events twice) and passes.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -89,6 +89,7 @@
 	done       func() // ends the lifecycle
 	buffered   []byte // events that Read has not returned yet
 	lastID     int64  // id of the last event that was accepted
+	unnumbered bool   // events without an id were accepted after the one with lastID
 	eventCount int    // accepted events, without those that are empty
 	endErr     error  // io.EOF after the regular end, or errStreamCut
 	closed     bool
@@ -108,6 +109,7 @@
 	}
 	if !e.empty {
 		s.eventCount++
+		s.unnumbered = !e.hasID
 	}
 	s.l.recordEvent(time.Now())
 	s.buffered = append(s.buffered, e.raw...)
@@ -174,6 +176,10 @@
 func (s *streamBody) resume(cause error) bool {
 	l := s.l
 	f := l.endBrokenAnswer(cause)
+	if s.unnumbered { // no upstream can be told where to go on, and one that begins elsewhere repeats events
+		l.g.deps.Explain.Record("resume", l.r.ID, reasonStreamCut, "why", "events have no ids", "after_event", s.lastID, "cause", cause)
+		return false
+	}
 	if !l.decideRetry(f) {
 		return false
 	}
