Soak: answers in every framing, line end and place to break at

Streams of the soak now come with chunks, a length or neither, with each line end, and break off at a drawn byte: in order, abruptly or with a reset; plain answers may end with their connection. Streams are sent in pieces that end inside events, since a close exactly between two events can't be seen. Links pass a reset on as one; they turned it into an orderly end. What workers do is drawn from seed, request and arrival, no longer from the global source.

--- a/test/soak/promises_test.go
+++ b/test/soak/promises_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -26,15 +27,27 @@
 
 // recorder records the workers' runs, the statuses that callers received and the violations of promises.
 type recorder struct {
+	seed       uint64
 	mu         sync.Mutex
-	runs       map[string]int    // guarded by mu: number of runs by request id
-	statuses   map[string]int    // guarded by mu: last status that a caller received, by request id
-	violations []string          // guarded by mu: the first 20, and those that report adds
-	answers    map[string]string // guarded by mu: by request id; not written at present
+	arrivals   map[string]int // guarded by mu: number of arrivals at workers by request id
+	runs       map[string]int // guarded by mu: number of runs by request id
+	statuses   map[string]int // guarded by mu: last status that a caller received, by request id
+	violations []string       // guarded by mu: the first 20, and those that report adds
 }
 
-func newRecorder() *recorder {
-	return &recorder{runs: map[string]int{}, statuses: map[string]int{}, answers: map[string]string{}}
+func newRecorder(seed uint64) *recorder {
+	return &recorder{seed: seed, arrivals: map[string]int{}, runs: map[string]int{}, statuses: map[string]int{}}
+}
+
+// drawFor returns a source of random numbers for one arrival of a request. It depends only on the seed, the request and the
+// number of its arrivals before.
+func (r *recorder) drawFor(id string) *rand.Rand {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals[id]++
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, id, r.arrivals[id])
+	return rand.New(rand.NewPCG(r.seed, h.Sum64()))
 }
 
 // addViolation records a violation, up to 20 of them.
@@ -49,19 +62,16 @@
 // workerReply answers a request in place of a worker: mostly with success, at random with one of the workers' failures.
 func (r *recorder) workerReply(c *standin.WorkerConn, a standin.Arrival) bool {
 	id := a.AttemptID()
-	stream := strings.HasPrefix(a.Path, "/stream/") || strings.HasPrefix(a.Path, "/once/")
-	roll := rand.IntN(100)
+	draw := r.drawFor(id)
+	roll := draw.IntN(100)
 	if roll < 4 {
 		return standin.NotExecuted(c, a)
 	}
 	r.mu.Lock()
 	r.runs[id]++
 	r.mu.Unlock()
-	if stream {
-		if roll < 12 {
-			return standin.Events(streamEvents, 1+roll%(streamEvents-1), time.Millisecond)(c, a)
-		}
-		return standin.Events(streamEvents, 0, 2*time.Millisecond)(c, a)
+	if strings.HasPrefix(a.Path, "/stream/") || strings.HasPrefix(a.Path, "/once/") {
+		return drawStream(draw, roll < 14, a).Reply(c, a)
 	}
 	switch {
 	case roll < 6:
@@ -72,11 +82,41 @@
 		return standin.Garbage(c, a)
 	case roll < 12:
 		return standin.SecondAnswer(id)(c, a)
+	case roll < 14:
+		return standin.TruncatedReset(c, a)
+	case roll < 30:
+		return standin.CloseDelimited(id)(c, a)
 	default:
 		return standin.OK(id)(c, a)
 	}
 }
 
+// drawStream returns a stream in a random framing, with random line ends. A broken one ends at a random byte, in order or
+// not. Only its framing, or the part of an event, can show a break.
+func drawStream(draw *rand.Rand, broken bool, a standin.Arrival) standin.Stream {
+	s := standin.Stream{
+		LastID: streamEvents, Framing: standin.Framing(draw.IntN(3)), LineEnd: []string{"\n", "\r\n", "\r"}[draw.IntN(3)],
+		Interval: 2 * time.Millisecond, Staggered: true,
+	}
+	if !broken {
+		return s
+	}
+	s.CutAfter = 1 + draw.IntN(streamEvents-1)
+	s.CutBytes = 1 + draw.IntN(len(standin.Event(1))-1)
+	switch draw.IntN(4) {
+	case 0:
+		s.Reset = true
+	case 1:
+		s.Abrupt = s.Framing != standin.Connection
+	case 2:
+		if !a.Resumes() {
+			s.CutAfter, s.CutBytes = -1, 0
+			s.Abrupt = s.Framing != standin.Connection
+		}
+	}
+	return s
+}
+
 // runCaller sends requests in sequence until stop is closed. It reuses a connection while it is open, and replaces it at
 // random.
 func (s *soakRun) runCaller(n int, r *rand.Rand, stop <-chan struct{}) {
@@ -166,6 +206,7 @@
 // ends without an error.
 func (s *soakRun) checkStream(id, body string, err error) {
 	full := standin.AllEvents(1, streamEvents)
+	body = strings.NewReplacer("\r\n", "\n", "\r", "\n").Replace(body)
 	if err == nil && body != full {
 		s.recorder.addViolation("%s: a stream ended as complete with %q", id, body)
 	}
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -1,9 +1,11 @@
 package soak_test
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -54,13 +56,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		_ = c.Close()
+		resetConn(c)
 	}
 }
 
+// resetConn closes a connection with a TCP reset.
+func resetConn(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // close stops the proxy and resets its connections.
 func (p *proxy) close() {
 	_ = p.listener.Close()
@@ -105,7 +112,7 @@
 	p.mu.Unlock()
 }
 
-// copyBytes forwards bytes until either end closes. Once a chunk can't be forwarded, it discards everything that follows:
+// copyBytes forwards bytes until either end closes, and passes a reset on as one. Once a chunk can't be forwarded, it discards everything that follows:
 // bytes lost on a blackholed link are not delivered later.
 func (p *proxy) copyBytes(to, from net.Conn, toClient bool) {
 	defer func() {
@@ -119,6 +126,9 @@
 			_, _ = io.Copy(io.Discard, from) // the connection stays open, but delivers nothing any more
 			return
 		}
+		if errors.Is(err, syscall.ECONNRESET) {
+			resetConn(to)
+		}
 		if err != nil {
 			return
 		}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -101,7 +101,7 @@
 		}
 	}
 	s := &soakRun{t: t, faultRand: rand.New(rand.NewPCG(seed, 1)), headerRand: rand.New(rand.NewPCG(seed, 2)),
-		restoreRand: rand.New(rand.NewPCG(seed, 3)), recorder: newRecorder(), configVersion: 1}
+		restoreRand: rand.New(rand.NewPCG(seed, 3)), recorder: newRecorder(seed), configVersion: 1}
 	var err error
 	if s.store, err = standin.NewStore(); err != nil {
 		t.Fatal(err)
