Callers of HTTP/1.0 get streams without chunks, and a reset if they break off

A caller of HTTP/1.0 got chunks, which it takes for a part of the events, and the end of its connection in order for whole and broken streams alike. Such a caller now gets the events alone; a whole stream ends with its connection, and one that can't be finished ends with a reset. Before the first event a failure is an answer with a status, as for others.

The library frames streams with chunks only, so the connection is taken over for the answer. Its write timeout, the watch for a caller that leaves, the count of open connections and the planned stop hold as before, since they sit in our connection and in the lifecycle.

TestCallerWithoutChunksSeesHowStreamEnds failed before (body begins with a chunk's length).

--- a/internal/entry/callerconn/callerconn.go
+++ b/internal/entry/callerconn/callerconn.go
@@ -3,6 +3,7 @@
 package callerconn
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -79,6 +80,16 @@
 	return c.Conn.Close()
 }
 
+// Reset closes the connection with a TCP reset, so that the caller can't take its end for the end of an answer.
+func (c *Conn) Reset() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		if err := tcp.SetLinger(0); err != nil {
+			return errors.Join(err, c.Close())
+		}
+	}
+	return c.Close()
+}
+
 // Watch starts a goroutine that calls onGone, at most once, when the caller closes the connection while its request is
 // being answered. stop ends the watch and must be called before the connection is read again; onGone is not called after
 // stop has returned. If the caller sends its next request early, the watch ends without a call of onGone. A caller that
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -45,7 +45,11 @@
 		l.g.observeFirstEvent(l.r)
 		s.accept(first, err)
 		copyAnswerHead(&ctx.Response.Header, &l.exchange.Head)
-		ctx.Response.SetBodyStream(s, -1)
+		if ctx.Request.Header.IsHTTP11() {
+			ctx.Response.SetBodyStream(s, -1)
+		} else {
+			s.sendUnframed(ctx)
+		}
 		return true, nil
 	}
 }
