Torn lines of logs are skipped

Of an instance that was killed while it wrote, the last line could be read with a cut value (took_ms=12 for 1200), and the first line of its next start, behind it, was lost. Now a line without its end counts as skipped, and of two starts in one line the last one counts.

TestTornLinesAreSkipped cuts a line at each byte; it failed before (a cut line was returned).

--- a/internal/explain/logs.go
+++ b/internal/explain/logs.go
@@ -34,8 +34,9 @@
 	return fmt.Sprintf("%s %-28s %s", l.At.UTC().Format("15:04:05.000"), l.Instance, l.Text)
 }
 
-// logLineRE matches a log line that may start anywhere in the text, because log collectors add a prefix of their own.
-var logLineRE = regexp.MustCompile(`(\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}(?:Z|[+-]\d\d:?\d\d)) \[[A-Z]+\]\s+(?:damaskshelfd\.)?(\S+): (.*)$`)
+// logLineRE matches the last log line that starts in the text. Log collectors add a prefix of their own, and an instance
+// that is killed while it writes leaves a part of a line before the next one.
+var logLineRE = regexp.MustCompile(`^.*(\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}(?:Z|[+-]\d\d:?\d\d)) \[[A-Z]+\]\s+(?:damaskshelfd\.)?(\S+): (.*)$`)
 
 // timeLayouts are the layouts of a log line's time.
 var timeLayouts = []string{"2006-01-02T15:04:05.000Z", "2006-01-02T15:04:05.000-0700", "2006-01-02T15:04:05.000-07:00"}
@@ -58,7 +59,8 @@
 			continue
 		}
 		number++
-		if l, ok := parseLine(strings.TrimRight(string(raw), "\r\n")); ok {
+		l, ok := parseLine(strings.TrimRight(string(raw), "\r\n"))
+		if ok && raw[len(raw)-1] == '\n' { // without its end, the line may have been cut in the middle of a value
 			l.Number = number
 			lines = append(lines, l)
 		} else {
--- a/internal/explain/logs_test.go
+++ b/internal/explain/logs_test.go
@@ -47,3 +47,25 @@
 	is.Equal(len(explain.RequestLines(all, "abc")), 0)
 	is.Equal(len(explain.RequestLines(all, "abc1")), 1)
 }
+
+// Guards against fields that are taken for whole although their instance was killed while it wrote the line: the line ends
+// early, and the next start writes on behind it.
+func TestTornLinesAreSkipped(t *testing.T) {
+	is := is.New(t)
+	const line = "2026-04-11T09:40:38.269Z [INFO]  damaskshelfd.e.decision: answer: subject=abc1 reason=served took_ms=1200"
+	const started = "2026-04-11T09:40:39.000Z [INFO]  damaskshelfd.e: started: instance=e"
+	for n := range len(line) {
+		all, skipped, err := explain.ReadLines(strings.NewReader(line[:n]))
+		is.NoErr(err)
+		is.Equal(len(all), 0)
+		is.Equal(skipped, min(n, 1))
+		all, _, err = explain.ReadLines(strings.NewReader(line[:n] + started + "\n"))
+		is.NoErr(err)
+		is.Equal(len(all), 1)
+		is.Equal(all[0].Text, "started: instance=e")
+	}
+	all, skipped, err := explain.ReadLines(strings.NewReader(line + "\n"))
+	is.NoErr(err)
+	is.Equal(len(all), 1)
+	is.Equal(skipped, 0)
+}
