An error answer to a stream that broke off is retried, as its log line says

Found while reading what follows a broken answer: an answer with another status on a streaming route that broke off was logged as retried, its upstream was excluded, and the caller got 502 at once. It is a failure before the first event like any other.

TestBrokenErrorAnswerToStreamIsRetried failed before (502) and passes.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -30,7 +30,11 @@
 			return false, f
 		}
 		if status := l.exchange.Head.StatusCode(); status != fasthttp.StatusOK {
-			return false, l.passOnNonStream(ctx)
+			retry, f := l.passOnNonStream(ctx)
+			if retry {
+				continue
+			}
+			return false, f
 		}
 		s := &streamBody{l: l, events: newEventReader(l.exchange), done: done, lastID: parseLastEventID(l.r.LastEventID)}
 		first, err := s.readEvent()
@@ -54,16 +58,19 @@
 	}
 }
 
-// passOnNonStream passes on an answer that is not a stream.
-func (l *lifecycle) passOnNonStream(ctx *fasthttp.RequestCtx) *fault.Error {
+// passOnNonStream passes on an answer that is not a stream. If the answer broke off, it reports whether to send the request
+// again.
+func (l *lifecycle) passOnNonStream(ctx *fasthttp.RequestCtx) (retry bool, _ *fault.Error) {
 	body, err := l.readPlainAnswer()
-	if err != nil {
-		f := l.endBrokenAnswer(err)
-		l.decideRetry(f)
-		return l.finalFault(f)
+	if err == nil {
+		l.passOn(ctx, body)
+		return false, nil
 	}
-	l.passOn(ctx, body)
-	return nil
+	f := l.endBrokenAnswer(err)
+	if l.decideRetry(f) {
+		return true, nil
+	}
+	return false, l.finalFault(f)
 }
 
 // endBrokenAnswer ends an exchange whose answer broke off, and releases the grant.
