Own engines' completions are cut at each byte as well: nothing found

The event after the last part proves the end of a completion of our own interface, whatever frames it; TestCompletionsCutAnywhereAreNotComplete cuts one with chunks and one with neither.

--- a/internal/upstream/cut_test.go
+++ b/internal/upstream/cut_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -95,3 +96,41 @@
 		})
 	}
 }
+
+// Guards against a completion that ends as complete although its bytes stopped early: without the event after the last part
+// it hasn't ended, whatever its framing says.
+func TestCompletionsCutAnywhereAreNotComplete(t *testing.T) {
+	head, _, _ := strings.Cut(streamHead, "Transfer-Encoding")
+	part := func(offset int) string {
+		return fmt.Sprintf("data: {\"id\":\"r\",\"offset\":%d,\"tokens\":1,\"text\":\"x\"}\n\n", offset)
+	}
+	const done = "data: [DONE]\n\n"
+	for name, raw := range map[string]string{
+		"chunked":    streamHead + chunk(part(0)) + chunk(part(1)) + chunk(done) + "0\r\n\r\n",
+		"connection": head + "Connection: close\r\n\r\n" + part(0) + part(1) + done,
+	} {
+		t.Run(name, func(t *testing.T) {
+			complete := func(raw string) bool {
+				client := upstream.New()
+				defer client.Close()
+				s, err := startCompletion(t, client, serveBytes(t, raw).addr(), nil)
+				if err != nil {
+					return false
+				}
+				defer s.Close()
+				for err == nil {
+					_, err = s.Next()
+				}
+				return err == io.EOF
+			}
+			is := is.New(t)
+			is.True(complete(raw))
+			ended := strings.Index(raw, done) + len(strings.TrimSpace(done))
+			for n := range len(raw) {
+				if complete(raw[:n]) && (n < ended || name == "chunked") {
+					t.Errorf("%q counts as complete", raw[:n])
+				}
+			}
+		})
+	}
+}
