--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -92,7 +93,11 @@
 		is := is.New(t)
 		raw := strings.ReplaceAll("id: 7\ndata: x\n\n", "\n", lineEnd)
 		r, w := io.Pipe()
-		go func() { _, _ = io.WriteString(w, raw) }() // and then the upstream is silent
+		go func() {
+			_, _ = io.WriteString(w, raw)
+			time.Sleep(time.Second) // the upstream is silent
+			_ = w.CloseWithError(errors.New("nothing more"))
+		}()
 		e, err := newEventReader(iotest.OneByteReader(r)).next()
 		is.NoErr(err)
 		is.Equal(strings.TrimRight(string(e.raw), "\r\n"), strings.TrimRight(raw, "\r\n"))
