--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -58,6 +58,7 @@
 	f.Add([]byte("id: 1\rdata: a\r\rid: 2\rdata: b\r"), false)
 	f.Add([]byte("\ufeffid: 1\ndata: a\n\n: comment\n"), false)
 	f.Add([]byte("\ufeff"), false)
+	f.Add([]byte("id: 1\ndata: a\n\n: comm"), false)
 	f.Fuzz(func(t *testing.T, raw []byte, broken bool) {
 		errBroken := errors.New("broken off")
 		n, whole := completeEvents(string(raw))
