The slow readers run in a process of their own, and connect before they send

What callers saw, as far as the test told: no answer. Its log now names each caller's error, and they are all 'dial: i/o timeout' after 5 s, in the test's own process, which is also that of 80 workers that read 256 KB a request under the race detector: the connections stand, and the dials come to run after their own time limit. Not the daemon: quick calls beside them were all served.

The bounds stay: no caller without an answer, every quick call served, the same memory. All thousand now send at the same moment, which is harder on the daemon than before. A 502 for a silent worker is still counted apart.

--- a/test/soak/daemon_test.go
+++ b/test/soak/daemon_test.go
@@ -17,6 +17,13 @@
 var daemonPath string
 
 func TestMain(m *testing.M) {
+	if addr := os.Getenv(slowReadersEnv); addr != "" {
+		if err := runSlowReaders(addr, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
 	dir, err := os.MkdirTemp("", "soak")
 	if err == nil {
 		daemonPath = filepath.Join(dir, "damaskshelfd")
--- a/test/soak/slowreaders_test.go
+++ b/test/soak/slowreaders_test.go
@@ -2,16 +2,18 @@
 
 import (
 	"bufio"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,13 +48,9 @@
 	return 0
 }
 
-// slowCall sends a long prompt, reads nothing for a time, and returns the status, 0 if there is none, and whether the
-// answer is complete.
-func slowCall(addr string, n int) (status int, complete bool) {
-	c, err := net.DialTimeout("tcp", addr, 5*time.Second)
-	if err != nil {
-		return 0, false
-	}
+// slowCall sends a long prompt, reads nothing for a time, and returns the status of the answer, or an error if it isn't
+// complete.
+func slowCall(c net.Conn, n int) (status int, err error) {
 	defer func() { _ = c.Close() }()
 	_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
 	call := standin.Call{
@@ -66,15 +64,15 @@
 	return readStatus(c)
 }
 
-// readStatus reads an answer and returns its status, 0 if there is none, and whether it is complete.
-func readStatus(c net.Conn) (status int, complete bool) {
+// readStatus reads an answer and returns its status, or an error if it isn't complete.
+func readStatus(c net.Conn) (int, error) {
 	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
 	r, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
-		return 0, false
+		return 0, err
 	}
 	_, err = io.Copy(io.Discard, r.Body)
-	return r.StatusCode, err == nil
+	return r.StatusCode, err
 }
 
 // startSlowReadersFleet starts a store, workers and a daemon with a route to engines and one to a plain service.
@@ -133,45 +131,84 @@
 	return status == 200
 }
 
+// slowReadersEnv names the environment variable with the address that a process of slow readers calls.
+const slowReadersEnv = "SOAK_SLOW_READERS"
+
 // slowOutcomes counts how slow readers' requests ended.
-type slowOutcomes struct{ served, refused, silent, lost atomic.Int64 }
+type slowOutcomes struct {
+	Served, Refused int
+	Silent          int      // on a busy machine the workers, which run in the test's process, may be silent for too long
+	Lost            []string // what each caller without a complete answer saw
+}
 
-// count counts a request by its answer.
-func (o *slowOutcomes) count(t *testing.T, n, status int, complete bool) {
+// add counts a request by its answer.
+func (o *slowOutcomes) add(n, status int, err error) {
 	switch {
-	case status == 200 && complete:
-		o.served.Add(1)
-	case status == 503 && complete:
-		o.refused.Add(1)
-	case status == 502 && complete:
-		o.silent.Add(1) // on a busy machine the workers, which run in this process, may be silent for too long
+	case status == 200 && err == nil:
+		o.Served++
+	case status == 503 && err == nil:
+		o.Refused++
+	case status == 502 && err == nil:
+		o.Silent++
 	default:
-		o.lost.Add(1)
-		t.Logf("slow-%d: status %d, complete %t", n, status, complete)
+		o.Lost = append(o.Lost, fmt.Sprintf("slow-%d: status %d, error %v", n, status, err))
 	}
 }
 
-// Guards against an instance that ends for want of memory while a thousand callers send long prompts and don't read their
-// answers: every other caller's request on it is lost. What can't be held is refused, and prompt callers are served.
-func TestSlowReadersDontExhaustMemory(t *testing.T) {
-	d := startSlowReadersFleet(t)
+// runSlowReaders connects the slow readers, makes all their calls at once, and writes the outcomes to w. The connections
+// come first, because a thousand senders leave no time for their own dials on a busy machine.
+func runSlowReaders(addr string, w io.Writer) error {
+	var mu sync.Mutex
 	var outcomes slowOutcomes
+	conns := make([]net.Conn, slowReaders)
+	for n := range conns {
+		var err error
+		if conns[n], err = net.DialTimeout("tcp", addr, 5*time.Second); err != nil {
+			return err
+		}
+	}
 	var callers sync.WaitGroup
-	for n := range slowReaders {
+	for n, c := range conns {
 		callers.Go(func() {
-			status, complete := slowCall(d.callerAddr, n)
-			outcomes.count(t, n, status, complete)
+			status, err := slowCall(c, n)
+			mu.Lock()
+			defer mu.Unlock()
+			outcomes.add(n, status, err)
 		})
 	}
-	slowDone := make(chan struct{})
+	callers.Wait()
+	return json.NewEncoder(w).Encode(outcomes)
+}
+
+// startSlowReaders runs the slow readers in a process of their own, which the workers and their thousand requests in the
+// test's process can't delay. Its outcomes arrive in the channel.
+func startSlowReaders(t *testing.T, addr string) <-chan slowOutcomes {
+	t.Helper()
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), slowReadersEnv+"="+addr)
+	cmd.Stderr = os.Stderr
+	done := make(chan slowOutcomes, 1)
 	go func() {
-		callers.Wait()
-		close(slowDone)
+		var outcomes slowOutcomes
+		out, err := cmd.Output()
+		if err = errors.Join(err, json.Unmarshal(out, &outcomes)); err != nil {
+			outcomes.Lost = append(outcomes.Lost, fmt.Sprintf("the readers' process: %v", err))
+		}
+		done <- outcomes
 	}()
+	return done
+}
+
+// Guards against an instance that ends for want of memory while a thousand callers send long prompts and don't read their
+// answers: every other caller's request on it is lost. What can't be held is refused, and prompt callers are served.
+func TestSlowReadersDontExhaustMemory(t *testing.T) {
+	d := startSlowReadersFleet(t)
+	slowDone := startSlowReaders(t, d.callerAddr)
+	var outcomes slowOutcomes
 	quickServed, quickAsked := 0, 0
 	for running := true; running; {
 		select {
-		case <-slowDone:
+		case outcomes = <-slowDone:
 			running = false
 		case <-time.After(50 * time.Millisecond):
 			quickAsked++
@@ -181,9 +218,12 @@
 		}
 	}
 	peak := peakMemory(t, d.cmd.Process.Pid)
-	served, refused, lost := outcomes.served.Load(), outcomes.refused.Load(), outcomes.lost.Load()
-	t.Logf("served %d, refused %d, workers silent %d, lost %d; quick %d of %d; peak %d MB", served, refused, outcomes.silent.Load(),
+	served, refused, lost := outcomes.Served, outcomes.Refused, len(outcomes.Lost)
+	t.Logf("served %d, refused %d, workers silent %d, lost %d; quick %d of %d; peak %d MB", served, refused, outcomes.Silent,
 		lost, quickServed, quickAsked, peak>>20)
+	for _, l := range outcomes.Lost {
+		t.Log(l)
+	}
 	if peak > smallMemory {
 		t.Errorf("peak memory %d MB, allowed: %d MB", peak>>20, smallMemory>>20)
 	}
