--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -22,8 +22,8 @@
 )
 
 // serveStream handles a request whose answer is a stream of events. The head is sent with the first event, so that a
-// failure before it is either retried or reported as an error answer. It returns handedOver if the HTTP server reads
-// the rest of the stream; done then ends the lifecycle.
+// failure before it is either retried or reported as an error answer. It returns handedOver if the rest of the stream is
+// sent after it has returned; done then ends the lifecycle.
 func (l *lifecycle) serveStream(ctx *fasthttp.RequestCtx, done func()) (handedOver bool, _ *fault.Error) {
 	for {
 		if f := l.dispatch(l.r.LastEventID); f != nil {
