A relay that was the dispatcher stops dispatching once it has one

Instances of a large fleet attach to a relay of their failure domain first. A relay that is the dispatcher for a time takes their sessions itself. When the dispatcher before it in order returns, the relay attaches to that one, but went on placing for the instances that had attached to it, and they had no reason to leave: it stays their first candidate. So two, three dispatchers for good, each without the work of the others, on the same engines: short prompts late. In a small fleet instances leave by themselves, because they follow the dispatcher order.

Now an instance that attaches to another one closes, in order, the sessions for which it is the dispatcher; they attach again and are relayed. TestRelayStopsDispatchingOnceItHasADispatcher failed before (the instance never comes to the returned dispatcher) and passes.

--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -68,6 +68,7 @@
 	running               map[fleet.RequestID]*dispatchedGrant // guarded by mu
 	backoffs              map[fleet.InstanceID]backoff         // guarded by mu
 	relayed               map[fleet.InstanceID]*remoteSink     // guarded by mu: instances that this one relays for
+	demoted               chan struct{}                        // guarded by mu: closed, and replaced, when this instance attaches to another one
 	lastRelaySearch       time.Time                            // guarded by mu: when a relay to a preceding dispatcher was last searched for
 	requestedAt           map[string]time.Time                 // guarded by mu: when each kind was last requested
 	dispatcherBehindSince map[string]time.Time                 // guarded by mu: since when the dispatcher has lacked changes, by kind
@@ -86,7 +87,7 @@
 		limits: newLimitTable(log.Named("placement")), holdoffs: newHoldoffs(log.Named("placement")),
 		waiting: map[fleet.RequestID]*waitingRequest{}, running: map[fleet.RequestID]*dispatchedGrant{},
 		backoffs: map[fleet.InstanceID]backoff{}, relayed: map[fleet.InstanceID]*remoteSink{}, requestedAt: map[string]time.Time{}, updates: newOutbox[update](),
-		orderCheck: make(chan struct{}, 1),
+		orderCheck: make(chan struct{}, 1), demoted: make(chan struct{}),
 	}
 	c.process = rand.Uint64()
 	c.local = NewLocalPlacer(f.Snapshot, c.limits.isLimited)
@@ -255,7 +256,8 @@
 // switchSession makes s the current session and reports what has changed since its first message, because those
 // changes went to the previous session only. Without the report, the new dispatcher would keep a finished run, with
 // its engines' slots and prefill, in its records until the next change of dispatcher, and those engines would get no
-// short prompts.
+// short prompts. Instances for which this one is the dispatcher attach again if it has another one now: two dispatchers
+// would place on the same engines.
 func (c *Client) switchSession(s *session) {
 	c.mu.Lock()
 	old := c.session
@@ -263,6 +265,10 @@
 	delete(c.backoffs, s.peerID)
 	s.send(c.changesSince(s.firstMessage)) // under the lock, so that later messages follow it
 	c.applyDuty()
+	if s.peerID != c.self {
+		close(c.demoted)
+		c.demoted = make(chan struct{})
+	}
 	c.mu.Unlock()
 	c.log.Info("dispatcher", "instance", s.peerID)
 	if old != nil {
--- a/internal/placement/relay.go
+++ b/internal/placement/relay.go
@@ -57,22 +57,22 @@
 	wait.Until(ctx, time.Now().Add(relaySessionWait), relayPollInterval, func() bool { return c.Dispatcher() != "" })
 }
 
-// admit decides how to serve an instance that attaches: as its dispatcher (via is nil), as a relay over the session
-// via, or not at all.
-func (c *Client) admit(instance fleet.InstanceID, first *pb.FromEntry) (via *session, _ error) {
+// admit decides how to serve an instance that attaches: as its dispatcher (via is nil) until demoted is closed, as a relay
+// over the session via, or not at all.
+func (c *Client) admit(instance fleet.InstanceID, first *pb.FromEntry) (via *session, demoted <-chan struct{}, _ error) {
 	c.mu.Lock()
-	s := c.session
+	s, demoted := c.session, c.demoted
 	c.mu.Unlock()
 	if first.ViaRelay && (s == nil || s.peerID == instance) {
-		return nil, errNoSession
+		return nil, nil, errNoSession
 	}
 	if s == nil || s.peerID == c.self || s.peerID == instance {
-		return nil, c.checkDispatchFor(instance, first)
+		return nil, demoted, c.checkDispatchFor(instance, first)
 	}
 	if first.OnlyToPass && !(s.isLive() && c.precedes(s.peerID, instance)) {
-		return nil, errNoRelay
+		return nil, nil, errNoRelay
 	}
-	return s, nil
+	return s, nil, nil
 }
 
 // checkDispatchFor returns an error if this instance must not be the dispatcher of one that attaches. An instance
--- a/internal/placement/session.go
+++ b/internal/placement/session.go
@@ -143,7 +143,7 @@
 			}
 		}
 	}()
-	via, err := s.c.admit(instance, first)
+	via, demoted, err := s.c.admit(instance, first)
 	if err != nil {
 		return err
 	}
@@ -152,17 +152,28 @@
 	if via != nil {
 		return s.c.relay(stream, instance, to, via, first)
 	}
-	h := s.c.hub
-	h.applyChanges(first)
-	h.attach(instance, to, first)
-	defer h.detach(instance, to)
+	s.c.hub.applyChanges(first)
+	s.c.hub.attach(instance, to, first)
+	defer s.c.hub.detach(instance, to)
+	streamErr := make(chan error, 1)
+	go func() { streamErr <- s.c.dispatchFor(stream, instance, to) }()
+	select {
+	case <-demoted:
+		return nil // closes the session in order, so that the instance attaches again
+	case err := <-streamErr:
+		return err
+	}
+}
+
+// dispatchFor processes an attached instance's messages as its dispatcher until the session ends.
+func (c *Client) dispatchFor(stream pb.DRPCPlacement_AttachStream, instance fleet.InstanceID, to sink) error {
 	for {
 		m, err := stream.Recv()
 		if err != nil {
 			return err
 		}
-		h.applyChanges(m)
-		h.receive(instance, to, m)
+		c.hub.applyChanges(m)
+		c.hub.receive(instance, to, m)
 	}
 }
 
--- a/internal/placement/tier_test.go
+++ b/internal/placement/tier_test.go
@@ -151,30 +151,49 @@
 func TestRelayWithoutDispatcherPlacesForNobody(t *testing.T) {
 	is := is.New(t)
 	p := newTestClient(t, "lone", "d")
-	_, err := p.admit("weak", &pb.FromEntry{Entry: "weak", ViaRelay: true})
+	_, _, err := p.admit("weak", &pb.FromEntry{Entry: "weak", ViaRelay: true})
 	is.True(isTransient(err))
-	_, err = p.admit("weak", &pb.FromEntry{Entry: "weak"})
+	_, _, err = p.admit("weak", &pb.FromEntry{Entry: "weak"})
 	is.NoErr(err) // as the dispatcher
 }
 
+// withoutDispatcher returns the members without the dispatcher.
+func (f *tieredFleet) withoutDispatcher() []wire.Object {
+	return slices.DeleteFunc(slices.Clone(f.members), func(o wire.Object) bool { return o.Name == string(f.dispatcher.self) })
+}
+
+// setMembers sets the members that the relay and the weak instance know, as of a revision.
+func (f *tieredFleet) setMembers(members []wire.Object, revision uint64) {
+	members = slices.Clone(members)
+	for i := range members {
+		members[i].Version = revision
+	}
+	for _, p := range []*testClient{f.relay, f.weak} {
+		p.follower.ApplyChange(watch.Change{Kind: watch.KindMembers, Full: true, To: revision, Objects: members})
+	}
+}
+
 // Guards against instances that lose their places when a relay becomes the dispatcher: they attach to it again.
 func TestInstancesStayWithARelayThatBecomesTheDispatcher(t *testing.T) {
 	f := newTieredFleet(t)
 	waitUntil(t, "attached through the relay", func() bool { return f.weak.Dispatcher() == f.relay.self && f.dispatcher.attached("weak") })
-	var left []wire.Object
-	for _, o := range f.members {
-		if o.Name != string(f.dispatcher.self) {
-			left = append(left, o)
-		}
-	}
-	for _, p := range []*testClient{f.relay, f.weak} {
-		p.follower.ApplyChange(watch.Change{Kind: watch.KindMembers, Full: true, To: 2, Objects: left})
-	}
+	f.setMembers(f.withoutDispatcher(), 2)
 	waitUntil(t, "attached to the next dispatcher", func() bool {
 		return f.relay.Dispatcher() == f.relay.self && f.weak.Dispatcher() == f.relay.self && f.relay.attached("weak")
 	})
 }
 
+// Guards against two dispatchers on the same engines for good, which makes answers late: a relay was the dispatcher for a
+// time, and goes on placing for the instances that attached to it then, because it stays the first that they try.
+func TestRelayStopsDispatchingOnceItHasADispatcher(t *testing.T) {
+	f := newTieredFleet(t)
+	f.setMembers(f.withoutDispatcher(), 2)
+	waitUntil(t, "the relay dispatches", func() bool { return f.relay.Dispatcher() == f.relay.self && f.relay.attached("weak") })
+	f.setMembers(f.members, 3)
+	waitUntil(t, "attached to the returned dispatcher", func() bool { return f.relay.Dispatcher() == f.dispatcher.self })
+	waitUntil(t, "attached through the relay", func() bool { return f.dispatcher.attached("weak") && !f.relay.attached("weak") })
+}
+
 // Guards against an instance that gets no places for good: it attaches to its relay again while its first connection is
 // still open there, and when that ends, the dispatcher takes the instance for gone.
 func TestSecondSessionAtARelaySurvivesTheFirst(t *testing.T) {
