The last message of a session is processed before a former dispatcher drops the session

Found by reading: the goroutine that receives could still process a message after the detach, and the instances that it relays would stay attached to a hub that dispatches for nobody. The session is closed first, and its receiver awaited. Tests of placement three times under the race detector: passed.

--- a/internal/placement/session.go
+++ b/internal/placement/session.go
@@ -159,7 +159,9 @@
 	go func() { streamErr <- s.c.dispatchFor(stream, instance, to) }()
 	select {
 	case <-demoted:
-		return nil // closes the session in order, so that the instance attaches again
+		_ = stream.Close() // in order, so that the instance attaches again
+		<-streamErr        // a message that is processed after the detach would leave its relayed instances attached
+		return nil
 	case err := <-streamErr:
 		return err
 	}
