--- a/internal/upstream/cut_test.go
+++ b/internal/upstream/cut_test.go
@@ -40,8 +40,8 @@
 	})
 }
 
-// forward sends a request and returns the body of the answer, and its framing once the head was read.
-func forward(addr string) (string, upstream.Framing, error) {
+// forward sends a request and reads the whole answer. It returns the answer's framing once the head was read.
+func forward(addr string) (upstream.Framing, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	client := upstream.New()
@@ -52,11 +52,11 @@
 	head.SetHost("h")
 	x, err := client.Forward(ctx, upstream.ForwardRequest{Addr: addr, Head: head})
 	if err != nil {
-		return "", upstream.FramingNone, err
+		return upstream.FramingNone, err
 	}
 	defer x.Close()
-	body, err := io.ReadAll(x)
-	return string(body), x.Framing, err
+	_, err = io.ReadAll(x)
+	return x.Framing, err
 }
 
 // Guards against an answer that is taken for complete although its bytes stopped early, in order. Only one that ends with
@@ -65,10 +65,10 @@
 	for name, raw := range answers {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			_, _, err := forward(serveBytes(t, raw).addr())
+			_, err := forward(serveBytes(t, raw).addr())
 			is.NoErr(err)
 			for n := range len(raw) {
-				_, framing, err := forward(serveBytes(t, raw[:n]).addr())
+				framing, err := forward(serveBytes(t, raw[:n]).addr())
 				if err == nil && framing != upstream.FramingConnection {
 					t.Errorf("%q counts as complete", raw[:n])
 				}
