A stream without ids is refused another send where all others are

The reason is now part of the failure, and canRetry, which gives all reasons, gives it too; the log line is after_failure with why="events have no ids". Callers see the same.

--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -21,6 +21,7 @@
 	ran     fault.Run // whether this send may have run
 	cause   error
 	framing upstream.Framing // of the answer that broke off
+	noRetry string           // why no other send may follow; empty: nothing known
 	atFault fleet.UpstreamID // empty: the upstream that the request was sent to
 }
 
@@ -134,6 +135,8 @@
 	switch {
 	case l.ended():
 		return false, "no time or caller left"
+	case f.noRetry != "":
+		return false, f.noRetry
 	case errors.Is(f.cause, errBudgetSpent):
 		return false, "retry budget is spent"
 	case f.ran != fault.RunNo && !l.r.route.Repeatable():
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -188,8 +188,7 @@
 	l := s.l
 	f := l.endBrokenAnswer(cause)
 	if s.unnumbered { // no upstream can be told where to go on, and one that begins elsewhere repeats events
-		l.g.deps.Explain.Record("resume", l.r.ID, reasonStreamCut, "why", "events have no ids", "after_event", s.lastID, "cause", cause)
-		return false
+		f.noRetry = "events have no ids"
 	}
 	if !l.decideRetry(f) {
 		return false
--- a/internal/gateway/unframed.go
+++ b/internal/gateway/unframed.go
@@ -7,23 +7,22 @@
 	"runtime/debug"
 
 	"github.com/valyala/fasthttp"
-)
 
-// resetter is a connection that can end with a TCP reset.
-type resetter interface{ Reset() error }
+	"github.com/damaskshelf/damaskshelf/internal/entry/callerconn"
+)
 
 // sendUnframed sends the stream to a caller that knows no chunks. Such a caller takes the end of its connection for the
 // end of the stream, so a stream that can't be finished ends with a reset.
 func (s *streamBody) sendUnframed(ctx *fasthttp.RequestCtx) {
 	ctx.Response.Header.SetConnectionClose()
 	head := append([]byte(nil), ctx.Response.Header.Header()...)
-	caller := ctx.Conn()
+	caller, resettable := ctx.Conn().(*callerconn.Conn)
 	ctx.HijackSetNoResponse(true)
 	ctx.Hijack(func(c net.Conn) {
 		defer func() { _ = s.Close() }()
 		err := s.copyTo(c, head)
-		if r, ok := caller.(resetter); ok && err != nil {
-			_ = r.Reset()
+		if resettable && err != nil {
+			_ = caller.Reset()
 		}
 	})
 }
