--- a/internal/upstream/cut_test.go
+++ b/internal/upstream/cut_test.go
@@ -18,16 +18,16 @@
 
 // answers are answers in each framing, with what may come before and after a body.
 var answers = map[string]string{
-	"length":            "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 13\r\n\r\n{\"held\":true}",
+	"length":            "HTTP/1.1 200 OK\r\nX-Any: s\r\nContent-Length: 13\r\n\r\n{\"held\":true}",
 	"chunked":           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7\r\n{\"held\"\r\n6;ext=1\r\n:true}\r\n0\r\n\r\n",
 	"trailers":          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: A, B\r\n\r\nd\r\n{\"held\":true}\r\n0\r\nA: 1\r\nB: 2\r\n\r\n",
 	"short trailer":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nd\r\n{\"held\":true}\r\n0\r\nA\n\r\n",
 	"interim":           "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"held\":true}",
 	"many digits":       "HTTP/1.1 200 OK\r\nContent-Length: 0000013\r\n\r\n{\"held\":true}",
-	"no content":        "HTTP/1.1 204 No Content\r\nServer-Seal: s\r\n\r\n",
+	"no content":        "HTTP/1.1 204 No Content\r\nX-Any: s\r\n\r\n",
 	"empty":             "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
-	"connection":        "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nConnection: close\r\n\r\n{\"held\":true}",
-	"connection of 1.0": "HTTP/1.0 200 OK\r\nServer-Seal: s\r\n\r\n{\"held\":true}",
+	"connection":        "HTTP/1.1 200 OK\r\nX-Any: s\r\nConnection: close\r\n\r\n{\"held\":true}",
+	"connection of 1.0": "HTTP/1.0 200 OK\r\nX-Any: s\r\n\r\n{\"held\":true}",
 }
 
 // serveBytes answers each connection's first request with the bytes, and then closes the connection in order.
--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/damaskshelf/damaskshelf/platform/standin"
 )
 
 // linkState is how a proxy treats its connections and their bytes.
@@ -56,16 +58,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		resetConn(c)
-	}
-}
-
-// resetConn closes a connection with a TCP reset.
-func resetConn(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+		standin.ResetConn(c)
 	}
-	_ = c.Close()
 }
 
 // close stops the proxy and resets its connections.
@@ -127,7 +121,7 @@
 			return
 		}
 		if errors.Is(err, syscall.ECONNRESET) {
-			resetConn(to)
+			standin.ResetConn(to)
 		}
 		if err != nil {
 			return
