--- a/review/_rig/slowreader.go
+++ b/review/_rig/slowreader.go
@@ -17,15 +17,14 @@
 
 // Sizes of the case stop-slow-reader.
 const (
-	reportPrefix   = "/rapu33/"
-	reportBytes    = 3_000_000
-	reportTimeout  = 15 * time.Second // timeout_ms of the route, and the client's deadline
-	reportClients  = 4
-	readRate       = 500_000 // bytes a second that a client reads
-	readPiece      = 8_000
-	receiveBuffer  = 16 << 10
-	segmentBytes   = 1448 // on loopback a segment has 64 KB, and the system buffers megabytes of an answer
-	stopAfterBytes = 100_000
+	reportPrefix  = "/rapu33/"
+	reportBytes   = 400_000
+	reportTimeout = 15 * time.Second // timeout_ms of the route, and the client's deadline
+	reportClients = 4
+	readBefore    = 4_000 // bytes that a client reads at once
+	readPause     = 4500 * time.Millisecond
+	receiveBuffer = 4 << 10
+	segmentBytes  = 536 // on loopback a segment has 64 KB, and the system buffers megabytes of an answer
 )
 
 // reportReply answers at once with a long body of known length.
@@ -122,7 +121,7 @@
 	}()
 }
 
-// readReport asks for a report and reads it slowly. It calls begun once the first bytes of the body have arrived, and
+// readReport asks for a report and reads it slowly: its beginning, and after a pause the rest. It calls begun before the pause, and
 // reports whether the answer ended early although the client's deadline and the route's timeout were not reached.
 func readReport(w *world, d *daemon, begun func()) (cut bool) {
 	var once sync.Once
@@ -148,20 +147,16 @@
 	}
 	a := headOf(resp)
 	w.rec.linef("client: attempt %s: status %d, seal %q, length %d", id, a.status, a.seal, a.contentLength)
-	got := int64(0)
-	piece := make([]byte, readPiece)
-	for {
-		n, err := io.ReadFull(resp.Body, piece)
-		got += int64(n)
-		if got >= stopAfterBytes {
-			once.Do(begun)
-		}
-		if err != nil {
-			took := time.Since(sentAt)
-			whole := got == a.contentLength
-			w.rec.linef("client: attempt %s: %d of %d bytes after %.2f s: %v", id, got, a.contentLength, took.Seconds(), err)
-			return !whole && took < reportTimeout
-		}
-		time.Sleep(time.Duration(float64(n) / readRate * float64(time.Second)))
+	got, err := io.CopyN(io.Discard, resp.Body, readBefore)
+	once.Do(begun)
+	if err == nil {
+		time.Sleep(readPause)
+		var rest int64
+		rest, err = io.Copy(io.Discard, resp.Body)
+		got += rest
 	}
+	took := time.Since(sentAt)
+	whole := got == a.contentLength
+	w.rec.linef("client: attempt %s: %d of %d bytes after %.2f s: error %v", id, got, a.contentLength, took.Seconds(), err)
+	return !whole && took < reportTimeout
 }
--- a/review/_rig/world.go
+++ b/review/_rig/world.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -55,7 +56,7 @@
 	store   *standin.Store
 	workers []*standin.Worker
 	daemons []*daemon
-	config  map[string]any
+	ports   map[int]bool // that were given to daemons
 }
 
 // newWorld starts a store.
@@ -75,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &world{rec: &recorder{start: time.Now(), file: file}, dir: dir, path: path, store: store}, nil
+	return &world{rec: &recorder{start: time.Now(), file: file}, dir: dir, path: path, store: store, ports: map[int]bool{}}, nil
 }
 
 // close ends all processes and stand-ins.
@@ -104,7 +105,7 @@
 
 // putConfig writes the first configuration.
 func (w *world) putConfig(routes ...route) {
-	w.config = map[string]any{
+	w.store.Put("config", "main", map[string]any{
 		"version": 7, "routes": routes,
 		"services": []any{
 			map[string]any{"name": plainService, "health_path": "/health", "max_conns": 52, "cold_start_s": 0.0, "cold_per_s": 0.0},
@@ -112,8 +113,7 @@
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []any{map[string]any{"name": workspace, "api_keys": []string{apiKey}, "priority": 1}},
-	}
-	w.store.Put("config", "main", w.config)
+	})
 }
 
 // addWorker starts a worker of the plain service and registers it.
@@ -140,14 +140,29 @@
 	exitedAt             time.Time     // valid once exited is closed
 }
 
-// freeAddr returns a free loopback address.
-func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// Ports of the daemons lie below the range that the system gives to outgoing connections, so that none of these takes one
+// before its daemon binds it.
+const (
+	minPort   = 20_000
+	portCount = 10_000
+	portTries = 200
+)
+
+// freeAddr returns a free loopback address that it hasn't returned before.
+func (w *world) freeAddr() (string, error) {
+	for range portTries {
+		port := minPort + rand.IntN(portCount)
+		if w.ports[port] {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		w.ports[port] = true
+		return l.Addr().String(), l.Close()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 // addDaemon starts an instance with the command of the deploy file. Its settings are those that the deploy file's
@@ -156,7 +171,7 @@
 	d := &daemon{name: "edge-" + zone + "-1"}
 	addrs := make([]string, 4)
 	for i := range addrs {
-		a, err := freeAddr()
+		a, err := w.freeAddr()
 		if err != nil {
 			return nil, err
 		}
