--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# run-case.sh FOLDER CASE: runs a case of the rig and writes FOLDER/record.txt. With TROUBLE=0 the disruption is left out.
+# run-case.sh CASE RECORD: runs a case of the rig, which writes the file RECORD. With TROUBLE=0 the disruption is left out.
 # Exit status: 0 the rule held, 1 the rule was broken, 2 the case could not run.
 review=$(cd "$(dirname "$0")" && pwd)
 target=$review/../target
@@ -8,7 +8,7 @@
 fi
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-"$target/review-rig" -case "$2" -daemon "$target/damaskshelfd" -record "$1/record.txt" -trouble=$trouble
+"$target/review-rig" -case "$1" -daemon "$target/damaskshelfd" -record "$2" -trouble=$trouble
 status=$?
 case $status in
 0 | 1) exit $status ;;
