A request stays in flight until its answer has left the instance

Cause: a request left the gate when its handler returned, before the HTTP server had written the answer. The stop saw nothing in flight and gave the server 250 ms. Streams left it when their body was read to the end, before the last buffer was flushed; refusals weren't counted at all; so it was in our own interface. Class: the end of our own work is taken for the end of the answer.

Fix: the callers' connection knows its pending answer. A request is counted when it has been read and leaves the gate when its connection becomes idle (the server has flushed the answer) or is closed: plain answers, streams, refusals, hijacked connections, and requests that the HTTP library refuses, in both interfaces. So a stop uses the time that it has, and ends with the last byte. What the end of the grace cuts is logged by request, with the bytes written. Tunnels already leave after their last message is sent.

Not covered, by reading: with pipelined requests the HTTP library may hold an answer back until the next request is answered; the next one is counted as soon as it is whole.

--- a/internal/entry/callerconn/callerconn.go
+++ b/internal/entry/callerconn/callerconn.go
@@ -17,7 +17,8 @@
 	MaxOpen      int64         // connections beyond this number are closed at once; 0: no bound
 	OnRefused    func()        // called for each connection closed because of MaxOpen; may be nil
 
-	open atomic.Int64
+	mu   sync.Mutex
+	open map[*Conn]struct{} // guarded by mu
 }
 
 // Accept returns the next connection as a *Conn.
@@ -27,16 +28,37 @@
 		if err != nil {
 			return nil, err
 		}
-		if n := l.open.Add(1); l.MaxOpen > 0 && n > l.MaxOpen {
-			l.open.Add(-1)
-			_ = c.Close()
-			if l.OnRefused != nil {
-				l.OnRefused()
-			}
-			continue
+		if wrapped := l.add(c); wrapped != nil {
+			return wrapped, nil
 		}
-		return &Conn{Conn: c, writeTimeout: l.WriteTimeout, onClose: func() { l.open.Add(-1) }}, nil
+		_ = c.Close()
+		if l.OnRefused != nil {
+			l.OnRefused()
+		}
+	}
+}
+
+// add wraps a connection and adds it to the open ones. It returns nil if there are MaxOpen already.
+func (l *Listener) add(nc net.Conn) *Conn {
+	c := &Conn{Conn: nc, writeTimeout: l.WriteTimeout}
+	c.onClose = func() { l.remove(c) }
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.MaxOpen > 0 && int64(len(l.open)) >= l.MaxOpen {
+		return nil
 	}
+	if l.open == nil {
+		l.open = map[*Conn]struct{}{}
+	}
+	l.open[c] = struct{}{}
+	return c
+}
+
+// remove removes a connection from the open ones.
+func (l *Listener) remove(c *Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, c)
 }
 
 // Conn is a caller's connection.
@@ -45,9 +67,12 @@
 	writeTimeout time.Duration
 	onClose      func() // called once, by the first Close
 	closeOnce    sync.Once
+	written      atomic.Int64 // bytes
 
-	mu     sync.Mutex
-	peeked []byte // guarded by mu: bytes that a Watch read, to be returned by Read
+	mu      sync.Mutex
+	peeked  []byte         // guarded by mu: bytes that a Watch read, to be returned by Read
+	pending *pendingAnswer // guarded by mu; nil: no request is handled
+	closed  bool           // guarded by mu
 }
 
 // Read reads from the connection. Bytes that a Watch read come first.
@@ -71,13 +96,19 @@
 			return 0, err
 		}
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
 }
 
 // Close closes the connection. Only the first call counts the connection as closed.
 func (c *Conn) Close() error {
-	c.closeOnce.Do(c.onClose)
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	c.closeOnce.Do(func() {
+		c.onClose()
+		c.endAnswer(true)
+	})
+	return err
 }
 
 // Reset closes the connection with a TCP reset, so that the caller can't take its end for the end of an answer.
--- a/internal/entry/callerconn/idle.go
+++ b/internal/entry/callerconn/idle.go
@@ -15,8 +15,12 @@
 	conns map[net.Conn]struct{} // guarded by mu
 }
 
-// OnStateChange adds a connection that becomes idle and removes any other. It is the ConnState of a fasthttp.Server.
+// OnStateChange adds a connection that becomes idle, whose pending answer has ended, and removes any other. It is the
+// ConnState of a fasthttp.Server.
 func (i *IdleConns) OnStateChange(c net.Conn, s fasthttp.ConnState) {
+	if answered, ok := c.(*Conn); ok && s == fasthttp.StateIdle {
+		answered.endAnswer(false) // the server has written the answer
+	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if s != fasthttp.StateIdle {
--- a/internal/entry/command/command.go
+++ b/internal/entry/command/command.go
@@ -70,11 +70,10 @@
 		h.refuse(ctx, m, err)
 		return
 	}
-	if err := h.deps.Gate.Enter(); err != nil {
+	if err := h.deps.Gate.Admit(); err != nil {
 		h.refuse(ctx, m, err)
 		return
 	}
-	defer h.deps.Gate.Leave()
 	callCtx, cancel := context.WithDeadline(h.base, m.Deadline)
 	defer cancel()
 	a, replayed, err := h.run(callCtx, m, intake.ReadCall(ctx))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -67,8 +67,8 @@
 	s := &Server{limits: d.Limits, metrics: d.Metrics, log: d.Log.Named("entry"), serveErr: make(chan error, 1)}
 	s.http = &fasthttp.Server{
 		Name:                  "damaskshelf",
-		Handler:               closeWhenStopping(d.Gate, routes(d).Handler),
-		ErrorHandler:          s.errorHandler(d.NewID),
+		Handler:               countRequests(d.Gate, closeWhenStopping(d.Gate, routes(d).Handler)),
+		ErrorHandler:          s.errorHandler(d.Gate, d.NewID),
 		ReadTimeout:           time.Duration(d.Limits.HeaderTimeout),
 		IdleTimeout:           idleTimeout,
 		ReadBufferSize:        d.Limits.MaxHeaderBytes,
@@ -107,6 +107,20 @@
 	return r
 }
 
+// countRequests wraps next so that each request is in flight until its answer has left the instance.
+func countRequests(g *gate.Gate, next fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		countRequest(g, ctx)
+		next(ctx)
+	}
+}
+
+// countRequest counts a request as in flight until its answer has left the instance.
+func countRequest(g *gate.Gate, ctx *fasthttp.RequestCtx) {
+	g.Count()
+	callerconn.Begin(ctx.Conn(), "", g.Leave)
+}
+
 // closeWhenStopping wraps next so that answers close their connection while the instance is stopping. Callers and the
 // balancer then use another connection. Without that, a request that arrives on a kept-alive connection at the moment
 // of the shutdown would be cut off without an answer.
@@ -175,7 +189,7 @@
 
 // errorHandler returns the handler for requests that the HTTP library rejects before a route handler runs. Nothing of
 // such a request is dispatched.
-func (s *Server) errorHandler(newID func() string) func(*fasthttp.RequestCtx, error) {
+func (s *Server) errorHandler(g *gate.Gate, newID func() string) func(*fasthttp.RequestCtx, error) {
 	return func(ctx *fasthttp.RequestCtx, err error) {
 		var smallBuffer *fasthttp.ErrSmallBuffer
 		var netErr net.Error
@@ -189,6 +203,7 @@
 			f = fault.New(fault.SlowCaller, "request: not whole after %s", time.Duration(s.limits.HeaderTimeout))
 		}
 		s.metrics.Counter("refused", "kind", f.Kind.String()).Inc(1)
+		countRequest(g, ctx)
 		intake.Refuse(ctx, requestID(ctx, newID), f)
 	}
 }
--- a/internal/entry/gate/gate.go
+++ b/internal/entry/gate/gate.go
@@ -25,20 +25,29 @@
 	idle     atomic.Pointer[chan struct{}] // set by AwaitIdle; closed when no request is in flight
 }
 
-// Enter counts a request as in flight, or returns an error if new requests are refused. After a nil error the caller
-// must call Leave.
-func (g *Gate) Enter() error {
-	// The request is counted before the state is read. Otherwise a stop could set the state and see a count of zero
-	// while a request that read the state earlier is about to be counted, and would cut it off.
-	g.inFlight.Add(1)
+// Count counts a request as in flight. The caller must call Leave once its answer, a refusal too, has left the instance.
+func (g *Gate) Count() { g.inFlight.Add(1) }
+
+// Admit returns an error if new requests are refused. The request must be counted before: otherwise a stop could see a
+// count of zero while a request that was admitted earlier is about to be counted, and would cut it off.
+func (g *Gate) Admit() error {
 	if g.state.Load() == refusing {
-		g.Leave()
 		return fault.New(fault.Stopping, "this instance is stopping")
 	}
 	return nil
 }
 
-// Leave ends a request that Enter counted as in flight.
+// Enter counts and admits a request. After a nil error the caller must call Leave.
+func (g *Gate) Enter() error {
+	g.Count()
+	if err := g.Admit(); err != nil {
+		g.Leave()
+		return err
+	}
+	return nil
+}
+
+// Leave ends a request that Count or Enter counted as in flight.
 func (g *Gate) Leave() {
 	if g.inFlight.Add(-1) > 0 {
 		return
--- a/internal/entry/query/handler.go
+++ b/internal/entry/query/handler.go
@@ -148,7 +148,7 @@
 		h.refuse(ctx, meta, err)
 		return
 	}
-	if err := h.gate.Enter(); err != nil {
+	if err := h.gate.Admit(); err != nil {
 		h.refuse(ctx, meta, err)
 		return
 	}
@@ -207,12 +207,11 @@
 	}
 }
 
-// end releases the resources of the session and leaves the gate. It is called exactly once.
+// end releases the resources of the session. It is called exactly once.
 func (s *session) end() {
 	s.abandon()
 	s.unwatch()
 	s.cancel()
-	s.h.gate.Leave()
 }
 
 // choice is the text of a chunk, in the form of the usual completions API.
--- a/internal/entry/query/read.go
+++ b/internal/entry/query/read.go
@@ -22,11 +22,10 @@
 		h.refuse(ctx, m, err)
 		return
 	}
-	if err := h.gate.Enter(); err != nil {
+	if err := h.gate.Admit(); err != nil {
 		h.refuse(ctx, m, err)
 		return
 	}
-	defer h.gate.Leave()
 	readCtx, cancel := context.WithDeadline(h.base, m.Deadline)
 	defer cancel()
 	a, err := h.read(readCtx, m, intake.ReadCall(ctx))
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/entry/callerconn"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 )
@@ -52,6 +53,7 @@
 func (l *lifecycle) passOn(ctx *fasthttp.RequestCtx, body []byte) {
 	copyAnswerHead(&ctx.Response.Header, &l.exchange.Head)
 	l.setPlainBody(ctx, body)
+	callerconn.SetBodyLength(ctx.Conn(), len(body))
 	if l.r.method == fasthttp.MethodHead {
 		ctx.Response.SkipBody = true
 		if n := l.exchange.Head.ContentLength(); n >= 0 {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -72,7 +72,7 @@
 type Gateway struct {
 	deps           Deps
 	http           *fasthttp.Server
-	listener       net.Listener
+	listener       *callerconn.Listener
 	idle           callerconn.IdleConns
 	serveErr       chan error // result of the HTTP server
 	listeningSince time.Time  // zero: not listening yet
@@ -113,7 +113,10 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	g.listener = l
+	g.listener = &callerconn.Listener{
+		Listener: l, WriteTimeout: g.deps.Limits.WriteStall, MaxOpen: int64(g.deps.Limits.MaxConnections),
+		OnRefused: func() { g.deps.Metrics.Counter("connections_refused").Inc(1) },
+	}
 	g.listeningSince = time.Now()
 	return nil
 }
@@ -122,13 +125,10 @@
 func (g *Gateway) Addr() string { return g.listener.Addr().String() }
 
 // Serve accepts callers until Shutdown.
-func (g *Gateway) Serve() {
-	watched := &callerconn.Listener{
-		Listener: g.listener, WriteTimeout: g.deps.Limits.WriteStall, MaxOpen: int64(g.deps.Limits.MaxConnections),
-		OnRefused: func() { g.deps.Metrics.Counter("connections_refused").Inc(1) },
-	}
-	g.serveErr <- g.http.Serve(watched)
-}
+func (g *Gateway) Serve() { g.serveErr <- g.http.Serve(g.listener) }
+
+// Unwritten returns the answers that haven't left this instance yet.
+func (g *Gateway) Unwritten() []callerconn.Answer { return g.listener.Unwritten() }
 
 // CloseIdle closes the connections without a request and returns their number.
 func (g *Gateway) CloseIdle() int { return g.idle.CloseAll() }
@@ -153,8 +153,9 @@
 		ctx.SetConnectionClose()
 	}
 	r, f := g.readRequest(ctx, g.awaitSnapshot(), arrived)
+	g.beginAnswer(ctx, r)
 	if f == nil {
-		if err := g.deps.Gate.Enter(); err != nil {
+		if err := g.deps.Gate.Admit(); err != nil {
 			f = fault.From(err)
 		}
 	}
@@ -167,6 +168,12 @@
 	g.handle(ctx, r)
 }
 
+// beginAnswer counts a request as in flight until its answer has left the instance.
+func (g *Gateway) beginAnswer(ctx *fasthttp.RequestCtx, r *request) {
+	g.deps.Gate.Count()
+	callerconn.Begin(ctx.Conn(), r.ID, g.deps.Gate.Leave)
+}
+
 // startupWait is how long after its start an instance lets requests wait for a configuration and upstreams instead
 // of refusing them, because callers retry only once. Both are known within less time, even if the instance tries a
 // dead instance first.
@@ -187,7 +194,7 @@
 }
 
 // handle answers an admitted request. The lifecycle of a stream that was handed over ends with its body. Any other
-// lifecycle ends here, also after a panic: a request that never leaves the gate would block a planned stop.
+// lifecycle ends here, also after a panic.
 func (g *Gateway) handle(ctx *fasthttp.RequestCtx, r *request) {
 	l, end := g.newLifecycle(ctx, r)
 	handedOver := false
@@ -227,7 +234,6 @@
 		cancel(nil)
 		stop()
 		g.releaseHeld(r)
-		g.deps.Gate.Leave()
 	}
 }
 
@@ -327,5 +333,7 @@
 	case errors.As(err, &ne) && ne.Timeout():
 		f = g.slowCaller()
 	}
-	g.refuse(ctx, &request{arrived: time.Now()}, f)
+	r := &request{arrived: time.Now()}
+	g.beginAnswer(ctx, r)
+	g.refuse(ctx, r, f)
 }
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -262,6 +262,7 @@
 	p.Gate.RefuseNew()
 	p.Log.Info("refusing new requests", "in_flight", p.Gate.InFlight(), "idle_closed", p.Gateway.CloseIdle())
 	err := p.Gate.AwaitIdle(drainCtx)
+	n.logCutAnswers(err)
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), margin/2)
 	defer cancelClose()
 	err = errors.Join(err, shutdownAll(closeCtx, p.Gateway.Shutdown, p.Status.shutdown))
@@ -271,6 +272,17 @@
 	return err
 }
 
+// logCutAnswers logs the answers that haven't left the instance when the wait for them ended with an error.
+func (n *Node) logCutAnswers(waitErr error) {
+	if waitErr == nil {
+		return
+	}
+	for _, a := range n.parts.Gateway.Unwritten() {
+		n.parts.Log.Warn("answer cut off by the end of the stop", "request", a.Request, "took_ms", time.Since(a.Began).Milliseconds(),
+			"written_bytes", a.WrittenBytes, "body_bytes", a.BodyBytes)
+	}
+}
+
 // leave removes this instance's entry from the store.
 func (n *Node) leave(parent context.Context) {
 	ctx, cancel := context.WithTimeout(parent, leaveTimeout)
