An instance out of descriptors goes on accepting, and says that it isn't ready

Cause: the HTTP library takes EMFILE for the end of its listener and returns; nobody looks at the result. max_connections was 4,096 for any number of descriptors. Class: a passing lack of something is taken for the end.

Fix: accept.Listener goes on after a shortage (descriptors, memory, buffers, connections that end before they are accepted), with pauses of 5 to 200 ms, one line when it begins and one when it is over; callers', instances', balancer's and metrics' listeners and our own interface's. While callers can't be accepted the instance isn't ready; that belief ends by its age, since a balancer sends no connection that would show the end. Callers' connections are bound by 0.4 of the descriptors (each request takes a second one), and the one that has been without a request for longest is closed before one is refused.

--- a/internal/entry/callerconn/answer_test.go
+++ b/internal/entry/callerconn/answer_test.go
@@ -143,3 +143,64 @@
 		})
 	}
 }
+
+// Guards against an instance whose callers keep so many idle connections that nobody else gets one.
+func TestIdleConnectionsMakeRoomForOthers(t *testing.T) {
+	is := is.New(t)
+	const most = 3
+	pipes := &pipeListener{conns: make(chan net.Conn, 1)}
+	var idle callerconn.IdleConns
+	var refused atomic.Int32
+	l := &callerconn.Listener{Listener: pipes, MaxOpen: most, CloseIdle: idle.CloseOldest, OnRefused: func() { refused.Add(1) }}
+	release, working, isIdle := make(chan struct{}), make(chan struct{}, most), make(chan struct{}, 4*most)
+	server := &fasthttp.Server{
+		ConnState: func(c net.Conn, s fasthttp.ConnState) {
+			idle.OnStateChange(c, s)
+			if s == fasthttp.StateIdle {
+				isIdle <- struct{}{}
+			}
+		},
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			if string(ctx.Path()) == "/slow" {
+				working <- struct{}{}
+				<-release
+			}
+		},
+	}
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(l) }()
+	defer func() {
+		_ = pipes.Close()
+		<-done
+	}()
+	open := func(path string) net.Conn {
+		near, far := net.Pipe()
+		pipes.conns <- far
+		_ = near.SetDeadline(time.Now().Add(10 * time.Second))
+		_, _ = io.WriteString(near, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		return near
+	}
+	answered := func(c net.Conn) bool {
+		resp := fasthttp.Response{}
+		return resp.Read(bufio.NewReader(c)) == nil
+	}
+	var busy []net.Conn
+	openSlow := func() {
+		busy = append(busy, open("/slow"))
+		<-working
+	}
+	openSlow()
+	openSlow()
+	for range 2 * most { // each takes the place of the idle one before
+		is.True(answered(open("/")))
+		<-isIdle
+	}
+	is.Equal(refused.Load(), int32(0))
+	openSlow() // takes the last place
+	is.True(!answered(open("/")))
+	is.Equal(refused.Load(), int32(1))
+	close(release)
+	for _, c := range busy {
+		is.True(answered(c)) // none was closed for another
+	}
+}
--- a/internal/entry/callerconn/callerconn.go
+++ b/internal/entry/callerconn/callerconn.go
@@ -14,8 +14,9 @@
 type Listener struct {
 	net.Listener
 	WriteTimeout time.Duration // timeout of each write on a connection; 0: none
-	MaxOpen      int64         // connections beyond this number are closed at once; 0: no bound
-	OnRefused    func()        // called for each connection closed because of MaxOpen; may be nil
+	MaxOpen      int64         // open connections; 0: no bound
+	CloseIdle    func() bool   // closes a connection without a request to make room for another; false: there is none; may be nil
+	OnRefused    func()        // called for each connection closed at once because of MaxOpen; may be nil
 
 	mu   sync.Mutex
 	open map[*Conn]struct{} // guarded by mu
@@ -31,6 +32,11 @@
 		if wrapped := l.add(c); wrapped != nil {
 			return wrapped, nil
 		}
+		if l.CloseIdle != nil && l.CloseIdle() {
+			if wrapped := l.add(c); wrapped != nil {
+				return wrapped, nil
+			}
+		}
 		_ = c.Close()
 		if l.OnRefused != nil {
 			l.OnRefused()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/accept"
 	"github.com/damaskshelf/damaskshelf/internal/entry/callerconn"
 	"github.com/damaskshelf/damaskshelf/internal/entry/command"
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
@@ -168,9 +169,10 @@
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve() {
 	listener := &callerconn.Listener{
-		Listener:     s.listener,
+		Listener:     accept.Retrying(s.listener, "callers", s.log),
 		WriteTimeout: writeTimeout,
 		MaxOpen:      int64(s.limits.MaxConnections),
+		CloseIdle:    s.idleConns.CloseOldest,
 		OnRefused:    func() { s.metrics.Counter("connections_refused").Inc(1) },
 	}
 	s.serveErr <- s.http.Serve(listener)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskshelf/damaskshelf/internal/accept"
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
 	"github.com/damaskshelf/damaskshelf/internal/entry/callerconn"
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
@@ -72,6 +73,7 @@
 type Gateway struct {
 	deps           Deps
 	http           *fasthttp.Server
+	accepting      *accept.Listener
 	listener       *callerconn.Listener
 	idle           callerconn.IdleConns
 	serveErr       chan error // result of the HTTP server
@@ -113,8 +115,10 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
+	g.accepting = accept.Retrying(l, "callers", g.log)
 	g.listener = &callerconn.Listener{
-		Listener: l, WriteTimeout: g.deps.Limits.WriteStall, MaxOpen: int64(g.deps.Limits.MaxConnections),
+		Listener: g.accepting, WriteTimeout: g.deps.Limits.WriteStall, MaxOpen: int64(g.deps.Limits.MaxConnections),
+		CloseIdle: g.idle.CloseOldest,
 		OnRefused: func() { g.deps.Metrics.Counter("connections_refused").Inc(1) },
 	}
 	g.listeningSince = time.Now()
@@ -127,6 +131,9 @@
 // Serve accepts callers until Shutdown.
 func (g *Gateway) Serve() { g.serveErr <- g.http.Serve(g.listener) }
 
+// Accepting reports whether callers' connections can be accepted now.
+func (g *Gateway) Accepting() bool { return !g.accepting.Failing() }
+
 // Unwritten returns the answers that haven't left this instance yet.
 func (g *Gateway) Unwritten() []callerconn.Answer { return g.listener.Unwritten() }
 
--- a/internal/routed/descriptors.go
+++ b/internal/routed/descriptors.go
@@ -16,6 +16,15 @@
 // connections are among those of other instances.
 const tunnelShare = 0.125
 
+// callerShare is the fraction of the descriptors that callers' connections may take. Each request takes a second one, to
+// its upstream.
+const callerShare = 0.4
+
+// maxCallerConns returns how many connections of callers this instance keeps open.
+func maxCallerConns(l api.RoutedLimits) int {
+	return min(l.MaxConnections, max(1, int(callerShare*float64(maxDescriptors(l)))))
+}
+
 // maxTunnels returns how many tunnels this instance serves at one time.
 func maxTunnels(l api.RoutedLimits) int64 {
 	return int64(tunnelShare * float64(maxDescriptors(l)) / 2)
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -16,6 +16,7 @@
 	"go.uber.org/dig"
 
 	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/accept"
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
 	"github.com/damaskshelf/damaskshelf/internal/explain"
@@ -167,7 +168,7 @@
 		Snapshot: f.Snapshot, Untrusted: f.Untrusted, Dialect: a.Dialect, Placer: p, RetryBudget: b, Client: c, Memory: a.Memory(c, p.ObserveAnswer),
 		Gate: g, MarkLeaving: p.MarkLeaving, HeldOff: p.HeldOff, ObserveAnswer: p.ObserveAnswer, Explain: rec, Metrics: m, Log: log,
 		Limits: gateway.Limits{
-			MaxHeaderBytes: l.MaxHeaderBytes, MaxBodyBytes: l.MaxBodyBytes, MaxConnections: l.MaxConnections,
+			MaxHeaderBytes: l.MaxHeaderBytes, MaxBodyBytes: l.MaxBodyBytes, MaxConnections: maxCallerConns(l),
 			MaxHeldBytes: int64(l.MaxHeldBytes),
 			ReadTimeout:  time.Duration(l.ReadTimeout), IdleTimeout: time.Duration(l.IdleTimeout), WriteStall: writeStallTimeout,
 		},
@@ -191,7 +192,7 @@
 	}
 	n.self.Addr = advertisedAddr(n.self.Addr, peers.Addr())
 	n.runInBackground(func(ctx context.Context) {
-		if err := p.Placer.Serve(ctx, peers, maxPeerConns(p.Settings.Routed.Limits), p.Tunnels.Register); err != nil {
+		if err := p.Placer.Serve(ctx, accept.Retrying(peers, "instances", p.Log), maxPeerConns(p.Settings.Routed.Limits), p.Tunnels.Register); err != nil {
 			p.Log.Error("peers' listener ended", "error", err)
 		}
 	})
--- a/internal/routed/status.go
+++ b/internal/routed/status.go
@@ -12,7 +12,9 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/accept"
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
+	"github.com/damaskshelf/damaskshelf/internal/gateway"
 	"github.com/damaskshelf/damaskshelf/internal/httplog"
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
 	"github.com/damaskshelf/damaskshelf/internal/placement"
@@ -31,14 +33,15 @@
 	readyListener              net.Listener
 	metricsListener            net.Listener // nil: the metrics are not served
 	serveErrors                chan error   // results of the servers, with room for both
+	log                        hclog.Logger
 }
 
 // newStatusServer returns a statusServer that is not bound to its addresses yet.
-func newStatusServer(s api.Settings, o Options, f *watch.Follower, p *placement.Client, g *gate.Gate,
+func newStatusServer(s api.Settings, o Options, f *watch.Follower, p *placement.Client, callers *gateway.Gateway, g *gate.Gate,
 	m *metrics.Registry, log hclog.Logger) *statusServer {
 	readyRouter := router.New()
 	readyRouter.GET(s.Routed.ReadyPath, func(ctx *fasthttp.RequestCtx) {
-		if reason := notReadyReason(f, g); reason != "" {
+		if reason := notReadyReason(f, callers, g); reason != "" {
 			ctx.Error(reason, fasthttp.StatusServiceUnavailable)
 			return
 		}
@@ -55,17 +58,19 @@
 	})
 	return &statusServer{
 		readyServer: newHTTPServer(readyRouter, log), metricsServer: newHTTPServer(metricsRouter, log),
-		serveErrors: make(chan error, 2),
+		serveErrors: make(chan error, 2), log: log,
 	}
 }
 
 // notReadyReason returns why the load balancer should send no callers to this instance now, or "" if it should.
-func notReadyReason(f *watch.Follower, g *gate.Gate) string {
+func notReadyReason(f *watch.Follower, callers *gateway.Gateway, g *gate.Gate) string {
 	switch {
 	case !g.Ready():
 		return "this instance is stopping"
 	case f.Snapshot().Config == nil:
 		return "no configuration is known yet"
+	case !callers.Accepting():
+		return "callers' connections can't be accepted"
 	default:
 		return ""
 	}
@@ -95,9 +100,9 @@
 // serve serves until shutdown is called.
 func (s *statusServer) serve() {
 	if s.metricsListener != nil {
-		go func() { s.serveErrors <- s.metricsServer.Serve(s.metricsListener) }()
+		go func() { s.serveErrors <- s.metricsServer.Serve(accept.Retrying(s.metricsListener, "metrics", s.log)) }()
 	}
-	s.serveErrors <- s.readyServer.Serve(s.readyListener)
+	s.serveErrors <- s.readyServer.Serve(accept.Retrying(s.readyListener, "balancer", s.log))
 }
 
 // shutdown shuts both servers down.
