The last log line tells how a process ended, a panic included

A panic in a background goroutine ends the process with a trace on standard error and leaves no log line; a planned stop and a failed start say so, but not with which exit status.

- internal/crash: Report is deferred at the start of a goroutine.
It reports goroutine, cause and stack in one line, waits 200 ms at most until logsink has written it, and panics again with the same value: the runtime's trace on standard error and the exit status 2 stay as they were.
A second panic waits for the first one's line.
- Deferred in routed.runInBackground, which all of the instance's own loops go through, and in the goroutines and drpc handlers of placement, watch, tunnel, upstream, gateway and callerconn, and in the daemon's main, settings and stop.
- `process ends: reason=... exit_status=...` at each end that the process chooses: stopped, stop_failed, not_started.
- The stack of a request's panic, which was already logged, takes one line instead of one for each frame.

The completions interface (internal/node and what it starts) has Report in its main goroutine only.

--- a/cmd/damaskshelfd/main.go
+++ b/cmd/damaskshelfd/main.go
@@ -4,7 +4,8 @@
 // makes a planned stop: it waits for the requests in flight. During the stop, further SIGTERMs have no effect, since a
 // platform may send more than one; a SIGINT ends the requests still in flight with an explicit error.
 //
-// Exit statuses: 0 the planned stop completed, 1 the start or the stop failed, 2 invalid settings or usage.
+// Exit statuses: 0 the planned stop completed, 1 the start or the stop failed, 2 invalid settings or usage, or a
+// panic.
 package main
 
 import (
@@ -15,12 +16,14 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 	"github.com/damaskshelf/damaskshelf/internal/logsink"
 	"github.com/damaskshelf/damaskshelf/internal/node"
 	"github.com/damaskshelf/damaskshelf/internal/routed"
@@ -34,6 +37,9 @@
 	exitUsage  = 2
 )
 
+// exitPanicked is the exit status that the runtime chooses for a panic.
+const exitPanicked = 2
+
 // logFlushTimeout limits the time for writing the last log lines before the process exits.
 const logFlushTimeout = 200 * time.Millisecond
 
@@ -71,10 +77,26 @@
 		fmt.Fprintln(out, "settings are good")
 		return exitDone
 	}
-	sink := logsink.New(out)
+	log, sink := openLog(s, out)
 	defer sink.Close(logFlushTimeout)
+	status, reason := serve(s, *path, log, sink, hangups, stops)
+	log.Named(s.Instance).Info("process ends", "reason", reason, "exit_status", status)
+	return status
+}
+
+// openLog returns a logger that writes to out through the returned sink. It logs the panic that ends the process, too.
+func openLog(s api.Settings, out io.Writer) (hclog.Logger, *logsink.Sink) {
+	sink := logsink.New(out)
 	log := hclog.New(&hclog.LoggerOptions{Name: "damaskshelfd", Level: hclog.LevelFromString(s.LogLevel), Output: sink})
-	return serve(s, *path, log, sink, hangups, stops)
+	crash.OnReport(func(p crash.Panic) { logPanic(log.Named(s.Instance), sink, p) })
+	return log, sink
+}
+
+// logPanic logs the panic that ends the process, and waits at most logFlushTimeout until the line is written.
+func logPanic(log hclog.Logger, sink *logsink.Sink, p crash.Panic) {
+	cause := strings.ReplaceAll(fmt.Sprint(p.Cause), "\n", " | ")
+	log.Error("process ends", "reason", "panic", "exit_status", exitPanicked, "goroutine", p.Goroutine, "cause", cause, "stack", p.Stack)
+	sink.Close(logFlushTimeout)
 }
 
 // instance is the server that the process runs. The settings select its implementation.
@@ -107,8 +129,9 @@
 }
 
 // serve starts the instance, waits for a signal to stop and stops it. An interrupt during the stop aborts the requests
-// in flight. It returns the exit status.
-func serve(s api.Settings, path string, log hclog.Logger, sink *logsink.Sink, hangups, signals <-chan os.Signal) int {
+// in flight. It returns the exit status and the reason of the end, in one word.
+func serve(s api.Settings, path string, log hclog.Logger, sink *logsink.Sink, hangups, signals <-chan os.Signal) (status int, reason string) {
+	defer crash.Report("main")
 	limitMemory(s)
 	inst, err := newInstance(s, log, sink)
 	if err == nil {
@@ -116,22 +139,28 @@
 	}
 	if err != nil {
 		log.Error("not started", "error", err)
-		return exitFailed
+		return exitFailed, "not_started"
 	}
 	reloadCtx, stopReloads := context.WithCancel(context.Background())
 	defer stopReloads()
 	r := &reloader{path: path, log: log.Named("settings"), apply: inst.Reload}
-	go r.run(reloadCtx, hangups)
+	go func() {
+		defer crash.Report("settings")
+		r.run(reloadCtx, hangups)
+	}()
 	log.Info("signal", "name", <-signals)
 	stopped := make(chan error, 1)
-	go func() { stopped <- inst.Stop() }()
+	go func() {
+		defer crash.Report("stop")
+		stopped <- inst.Stop()
+	}()
 	for {
 		select {
 		case err := <-stopped:
 			if err != nil {
-				return exitFailed
+				return exitFailed, "stop_failed"
 			}
-			return exitDone
+			return exitDone, "stopped"
 		case sig := <-signals:
 			if sig != os.Interrupt {
 				log.Info("already stopping", "signal", sig)
--- a/internal/entry/callerconn/callerconn.go
+++ b/internal/entry/callerconn/callerconn.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 )
 
 // Listener wraps accepted connections in Conns and bounds the number of open ones.
@@ -136,6 +138,7 @@
 	var stopping atomic.Bool
 	_ = c.Conn.SetReadDeadline(time.Time{})
 	go func() {
+		defer crash.Report("watch of caller")
 		defer close(done)
 		var b [1]byte
 		n, err := c.Conn.Read(b[:])
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"runtime/debug"
 	"time"
 
 	"github.com/fasthttp/router"
@@ -15,6 +14,7 @@
 
 	"github.com/damaskshelf/damaskshelf/api"
 	"github.com/damaskshelf/damaskshelf/internal/accept"
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 	"github.com/damaskshelf/damaskshelf/internal/entry/callerconn"
 	"github.com/damaskshelf/damaskshelf/internal/entry/command"
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
@@ -102,7 +102,7 @@
 	}
 	// A panic in one request must not end the process and with it all other requests.
 	r.PanicHandler = func(ctx *fasthttp.RequestCtx, cause any) {
-		d.Log.Error("panic", "path", string(ctx.Path()), "cause", cause, "stack", string(debug.Stack()))
+		d.Log.Error("panic", "path", string(ctx.Path()), "cause", cause, "stack", crash.Stack())
 		intake.Refuse(ctx, requestID(ctx, d.NewID), fault.NewWithRun(fault.Internal, fault.RunUnknown, "defect; see the log"))
 	}
 	return r
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/wait"
 )
@@ -91,6 +92,7 @@
 // reserveOne makes one reservation. It retries until the engine accepts or refuses it, or ctx ends. Repeating a call
 // with the same ticket is safe.
 func (r *reservationSet) reserveOne(ctx context.Context, i int) error {
+	defer crash.Report("reservation")
 	item := r.items[i]
 	for {
 		err := r.memory.Reserve(ctx, item.Upstream, r.tickets[i], item.Tokens, reservationTTL)
@@ -106,6 +108,7 @@
 // renew renews one reservation until ctx ends. A failed renewal is retried after callRetryInterval, because an
 // expired reservation breaks off the request that uses the memory.
 func (r *reservationSet) renew(ctx context.Context, i int) {
+	defer crash.Report("renewal of reservation")
 	item := r.items[i]
 	pause := renewInterval
 	for wait.For(ctx, pause) {
@@ -135,6 +138,7 @@
 
 // releaseOne retries the release of one reservation until it succeeds or ctx ends.
 func (r *reservationSet) releaseOne(ctx context.Context, i int) {
+	defer crash.Report("release of reservation")
 	for {
 		err := r.memory.Release(ctx, r.items[i].Upstream, r.tickets[i])
 		if err == nil {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"runtime/debug"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -14,6 +13,7 @@
 
 	"github.com/damaskshelf/damaskshelf/internal/accept"
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 	"github.com/damaskshelf/damaskshelf/internal/entry/callerconn"
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
 	"github.com/damaskshelf/damaskshelf/internal/explain"
@@ -321,7 +321,7 @@
 	if cause == nil {
 		return
 	}
-	g.log.Error("panic", "path", string(ctx.Path()), "cause", cause, "stack", string(debug.Stack()))
+	g.log.Error("panic", "path", string(ctx.Path()), "cause", cause, "stack", crash.Stack())
 	ctx.Response.Reset()
 	ctx.SetStatusCode(fault.Internal.Rule().Status)
 	ctx.SetConnectionClose()
--- a/internal/gateway/unframed.go
+++ b/internal/gateway/unframed.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"io"
 	"net"
-	"runtime/debug"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 	"github.com/damaskshelf/damaskshelf/internal/entry/callerconn"
 )
 
@@ -31,7 +31,7 @@
 func (s *streamBody) copyTo(w io.Writer, head []byte) (err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
-			s.l.g.log.Error("panic", "request", s.l.r.ID, "cause", cause, "stack", string(debug.Stack()))
+			s.l.g.log.Error("panic", "request", s.l.r.ID, "cause", cause, "stack", crash.Stack())
 			err = fmt.Errorf("panic: %v", cause)
 		}
 	}()
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync/atomic"
 	"time"
+
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 )
 
 // errOverdue ends a send whose upstream has been silent for too long.
@@ -43,6 +45,7 @@
 
 // expireWatchdog ends the send if the retry budget allows another one. Otherwise the answer may still arrive.
 func (l *lifecycle) expireWatchdog(w *watchdog) {
+	defer crash.Report("watchdog of answer")
 	if l.g.deps.RetryBudget.Allows(l.r.service) {
 		w.expired.Store(true)
 		w.cancel(errOverdue)
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -17,6 +17,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/peer"
 	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
@@ -218,12 +219,14 @@
 	first := c.firstMessage()
 	s := &session{peerID: c.self, firstMessage: first, send: func(m *pb.FromEntry) { from.put(m) }, end: cancel, done: sessionCtx.Done()}
 	go func() {
+		defer crash.Report("local session, from dispatcher")
 		for items := to.out.takeAll(sessionCtx); items != nil; items = to.out.takeAll(sessionCtx) {
 			c.receiveFrom(s, mergeToEntry(items))
 		}
 	}()
 	go c.sendHeartbeats(sessionCtx, s)
 	go func() {
+		defer crash.Report("local session, to dispatcher")
 		c.hub.attach(c.self, to, first)
 		defer c.hub.detach(c.self, to)
 		for items := from.takeAll(sessionCtx); items != nil; items = from.takeAll(sessionCtx) {
--- a/internal/placement/invite.go
+++ b/internal/placement/invite.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/peer"
 	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
@@ -73,6 +74,7 @@
 
 // inviteMembers invites members that have just joined, while this instance is the dispatcher, until ctx ends.
 func (c *Client) inviteMembers(ctx context.Context) {
+	defer crash.Report("placement invitations")
 	invites := invitations{}
 	var seen []*catalog.Member
 	var pending sync.WaitGroup
@@ -103,12 +105,14 @@
 
 // invite sends members the address of their relay or of this instance, and waits until all attempts have ended.
 func (c *Client) invite(ctx context.Context, due []*catalog.Member) {
+	defer crash.Report("placement invitations")
 	c.log.Info("members are invited", "members", len(due), "first", due[0].ID)
 	var wg sync.WaitGroup
 	slots := make(chan struct{}, concurrentInvites(len(due)))
 	for _, to := range due {
 		slots <- struct{}{}
 		wg.Go(func() {
+			defer crash.Report("placement invitations")
 			defer func() { <-slots }()
 			if err := sendOnce(ctx, to.Addr, &pb.FromEntry{Invitation: c.invitationFor(to)}); err != nil {
 				c.log.Debug("failed to invite member", "instance", to.ID, "error", err)
--- a/internal/placement/reading.go
+++ b/internal/placement/reading.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 	"github.com/damaskshelf/damaskshelf/internal/decide/readers"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
@@ -36,6 +37,7 @@
 // store go. It doesn't wait for the dispatcher's heartbeats: those may be delayed behind a long copy, and the
 // dispatcher would drop the work of an instance that sends nothing for that long.
 func (c *Client) sendHeartbeats(ctx context.Context, s *session) {
+	defer crash.Report("placement heartbeats")
 	for wait.For(ctx, heartbeatInterval) {
 		s.send(&pb.FromEntry{Reads: proofMessages(c.follower.ReaderProofs())})
 	}
--- a/internal/placement/relay.go
+++ b/internal/placement/relay.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcerr"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
 	"github.com/damaskshelf/damaskshelf/internal/wait"
@@ -132,6 +133,7 @@
 // forwardMessages forwards messages until the attached instance's session ends. Heartbeats end here: they are for the
 // receiver, and the dispatcher has this instance's own.
 func (c *Client) forwardMessages(stream pb.DRPCPlacement_AttachStream, instance fleet.InstanceID, to *remoteSink, via *session, first *pb.FromEntry) error {
+	defer crash.Report("relay for another instance")
 	for m := first; ; {
 		if proto.Size(m) > 0 {
 			via.send(&pb.FromEntry{Passed: []*pb.Passed{{Entry: string(instance), Message: m, RelaysState: true}}})
--- a/internal/placement/session.go
+++ b/internal/placement/session.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/peer"
 	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
@@ -115,6 +116,7 @@
 
 // Attach implements placementpb.DRPCPlacementServer. It accepts an invitation, or serves a session until it ends.
 func (s rpcServer) Attach(raw pb.DRPCPlacement_AttachStream) error {
+	defer crash.Report("session of another instance")
 	first, err := raw.Recv()
 	if err != nil {
 		return err
@@ -135,6 +137,7 @@
 	defer stream.timer.Stop()
 	to := &remoteSink{out: newOutbox[*pb.ToEntry](), disconnect: cancel}
 	go func() {
+		defer crash.Report("session of another instance, sending")
 		defer func() { _ = stream.Close() }()
 		for items := to.out.takeAll(ctx); items != nil; items = to.out.takeAll(ctx) {
 			if err := stream.Send(mergeToEntry(items)); err != nil {
@@ -169,6 +172,7 @@
 
 // dispatchFor processes an attached instance's messages as its dispatcher until the session ends.
 func (c *Client) dispatchFor(stream pb.DRPCPlacement_AttachStream, instance fleet.InstanceID, to sink) error {
+	defer crash.Report("session of another instance, receiving")
 	for {
 		m, err := stream.Recv()
 		if err != nil {
@@ -292,6 +296,7 @@
 	}
 	go c.sendHeartbeats(sessionCtx, s)
 	go func() {
+		defer crash.Report("session with dispatcher, receiving")
 		defer stop()
 		for ; err == nil; m, err = stream.Recv() {
 			c.receiveFrom(s, m)
@@ -299,6 +304,7 @@
 		s.handedOver.Store(errors.Is(err, io.EOF))
 	}()
 	go func() {
+		defer crash.Report("session with dispatcher, sending")
 		defer stop()
 		for items := out.takeAll(sessionCtx); items != nil; items = out.takeAll(sessionCtx) {
 			if err := stream.Send(mergeFromEntry(items)); err != nil {
--- a/internal/placement/step.go
+++ b/internal/placement/step.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/decide/dispatch"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
@@ -116,6 +117,7 @@
 // run makes decisions whenever something has changed or a step is due, and calls sendProofs with each heartbeat,
 // until ctx ends.
 func (h *hub) run(ctx context.Context, sendProofs func()) {
+	defer crash.Report("dispatcher")
 	lastHeartbeat := time.Now()
 	for ctx.Err() == nil {
 		h.waitForWork(ctx)
--- a/internal/placement/updates.go
+++ b/internal/placement/updates.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
 	"github.com/damaskshelf/damaskshelf/internal/wait"
 	"github.com/damaskshelf/damaskshelf/internal/watch"
@@ -42,6 +43,7 @@
 // sendUpdates sends queued updates until ctx ends: to all attached instances, and changes that were read here also to
 // the dispatcher.
 func (c *Client) sendUpdates(ctx context.Context) {
+	defer crash.Report("placement updates")
 	rotation := &proofRotation{sentRevision: map[string]uint64{}}
 	sent := sentObjects{}
 	for items := c.updates.takeAll(ctx); items != nil; items = c.updates.takeAll(ctx) {
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -18,6 +18,7 @@
 	"github.com/damaskshelf/damaskshelf/api"
 	"github.com/damaskshelf/damaskshelf/internal/accept"
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
 	"github.com/damaskshelf/damaskshelf/internal/explain"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
@@ -191,17 +192,17 @@
 		return err
 	}
 	n.self.Addr = advertisedAddr(n.self.Addr, peers.Addr())
-	n.runInBackground(func(ctx context.Context) {
+	n.runInBackground("peers' listener", func(ctx context.Context) {
 		if err := p.Placer.Serve(ctx, accept.Retrying(peers, "instances", p.Log), maxPeerConns(p.Settings.Routed.Limits), p.Tunnels.Register); err != nil {
 			p.Log.Error("peers' listener ended", "error", err)
 		}
 	})
-	n.runInBackground(p.Placer.Run)
-	n.runInBackground(func(ctx context.Context) { p.Client.ProbePaths(ctx, n.isUpstream) })
-	n.runInBackground(func(context.Context) { p.Gateway.Serve() })
-	n.runInBackground(func(context.Context) { p.Status.serve() })
-	n.runInBackground(p.Follower.Run)
-	n.runInBackground(n.keepMembership)
+	n.runInBackground("placement", p.Placer.Run)
+	n.runInBackground("probes of paths", func(ctx context.Context) { p.Client.ProbePaths(ctx, n.isUpstream) })
+	n.runInBackground("callers' listener", func(context.Context) { p.Gateway.Serve() })
+	n.runInBackground("status listeners", func(context.Context) { p.Status.serve() })
+	n.runInBackground("watch", p.Follower.Run)
+	n.runInBackground("membership", n.keepMembership)
 	p.Log.Info("started", "instance", p.Settings.Instance, "failure_domain", p.Settings.FailureDomain,
 		"callers", p.Gateway.Addr(), "incarnation", n.self.Incarnation)
 	return nil
@@ -221,11 +222,13 @@
 	return configured
 }
 
-// runInBackground calls f in a goroutine, with a context that ends when the instance has drained.
-func (n *Node) runInBackground(f func(ctx context.Context)) {
+// runInBackground calls f in a goroutine, with a context that ends when the instance has drained. If f panics, the panic
+// is reported under the goroutine's name.
+func (n *Node) runInBackground(name string, f func(ctx context.Context)) {
 	n.wg.Add(1)
 	go func() {
 		defer n.wg.Done()
+		defer crash.Report(name)
 		f(n.background)
 	}()
 }
@@ -258,7 +261,7 @@
 	defer cancel()
 	p.Log.Info("stopping", "in_flight", p.Gate.InFlight())
 	p.Gate.MarkUnready()
-	n.runInBackground(func(context.Context) { n.leave(drainCtx) })
+	n.runInBackground("leaving", func(context.Context) { n.leave(drainCtx) })
 	wait.For(drainCtx, time.Duration(stopSettings.BalancerLag))
 	p.Gate.RefuseNew()
 	p.Log.Info("refusing new requests", "in_flight", p.Gate.InFlight(), "idle_closed", p.Gateway.CloseIdle())
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
 	"github.com/damaskshelf/damaskshelf/internal/peer"
@@ -111,6 +112,7 @@
 
 // open asks one instance to connect to the upstream at addr.
 func (c *Client) open(ctx context.Context, m *catalog.Member, addr string) opening {
+	defer crash.Report("tunnel, opening")
 	tunnel, err := c.tryOpen(ctx, m, addr)
 	if err != nil {
 		if ctx.Err() == nil {
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -10,6 +10,7 @@
 
 	"storj.io/drpc/drpcconn"
 
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	pb "github.com/damaskshelf/damaskshelf/internal/tunnel/tunnelpb"
 )
@@ -42,6 +43,7 @@
 
 // copyToTunnel sends what is written to the connection.
 func (c *conn) copyToTunnel() {
+	defer crash.Report("tunnel, sending")
 	buffer := make([]byte, chunkBytes)
 	for {
 		n, err := c.far.Read(buffer)
@@ -56,6 +58,7 @@
 
 // copyFromTunnel passes on what the upstream sends, and closes the pipe at the end of the tunnel.
 func (c *conn) copyFromTunnel() {
+	defer crash.Report("tunnel, receiving")
 	defer func() {
 		_ = c.rpc.Close()
 		c.onEnd(c.end.Load() == int32(pb.FromUpstream_OPEN) && !c.closed.Load())
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -11,6 +11,7 @@
 	"storj.io/drpc"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
 	pb "github.com/damaskshelf/damaskshelf/internal/tunnel/tunnelpb"
@@ -42,6 +43,7 @@
 
 // Open implements tunnelpb.DRPCTunnelServer.
 func (s *Server) Open(stream pb.DRPCTunnel_OpenStream) error {
+	defer crash.Report("tunnel for another instance")
 	first, err := stream.Recv()
 	if err != nil {
 		return err
@@ -105,6 +107,7 @@
 // copyToUpstream copies what the other instance sends to the upstream's connection, and closes it at the end of the
 // tunnel: that tells the upstream to stop the work.
 func copyToUpstream(c net.Conn, stream pb.DRPCTunnel_OpenStream) {
+	defer crash.Report("tunnel for another instance, to upstream")
 	defer func() { _ = c.Close() }()
 	for {
 		m, err := stream.Recv()
--- a/internal/upstream/attempts.go
+++ b/internal/upstream/attempts.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 )
 
 // attempt is the result of one way to connect.
@@ -45,6 +47,7 @@
 func (a *attempts) start(ctx context.Context, dial Dialer, bypassed bool) {
 	a.pending++
 	go func() {
+		defer crash.Report("connecting to upstream")
 		dialCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), connectTimeout)
 		defer cancel()
 		c, err := dial(dialCtx, a.addr)
--- a/internal/upstream/guard.go
+++ b/internal/upstream/guard.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/decide/stream"
 )
@@ -119,6 +120,7 @@
 	}
 	g.wg.Add(1)
 	go func() {
+		defer crash.Report("probe of upstream")
 		defer g.wg.Done()
 		err := g.client.Ping(g.probeCtx, g.conn.addr, g.limits.Params.ProbeTimeout)
 		g.mu.Lock()
--- a/internal/upstream/paths.go
+++ b/internal/upstream/paths.go
@@ -11,6 +11,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/decide/reach"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
@@ -231,6 +232,7 @@
 
 // runCheck connects to the upstream at addr to find out whether the direct path works.
 func (p *paths) runCheck(addr string, check *pathCheck) {
+	defer crash.Report("path check")
 	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 	defer cancel()
 	c, err := p.dial(ctx, addr)
--- a/internal/watch/read.go
+++ b/internal/watch/read.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 	"github.com/damaskshelf/damaskshelf/internal/objects"
 	"github.com/damaskshelf/damaskshelf/internal/wait"
 )
@@ -37,6 +38,7 @@
 
 // readLoop reads a kind from the store whenever this instance has to, until ctx ends.
 func (f *Follower) readLoop(ctx context.Context, kind string) {
+	defer crash.Report("watch " + kind)
 	delay := time.Duration(0)
 	for wait.For(ctx, delay) {
 		began := time.Now()
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/objects"
 	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
@@ -215,6 +216,7 @@
 
 // expireLoop checks for pauses of the process and for ended grace periods until ctx ends.
 func (f *Follower) expireLoop(ctx context.Context) {
+	defer crash.Report("watch expiry")
 	for wait.For(ctx, expiryInterval) {
 		if paused := f.pauses.tick(); paused > 0 {
 			f.log.Warn("process was paused: nothing is sent until what is known is proven", "for", paused)
