Logs tell how other instances and the life before ended

Others' lines of the end of a session ("instance detached", "dispatcher lost", "was reset") didn't tell a connection that ended from silence.

- Joining meets the entry of the life before under its own id in the store's conflict, whose write id holds the incarnation: no further call.
`the process before this one ended without a planned stop: former_incarnation=... started=...` as a warning; nothing after a planned stop, which removes the entry.
- `instance detached` and the new `relayed instance's session ended` have a cause: connection ended, timed out, closed in order, attached elsewhere, session with (its) relay ended.
On the instance's side `dispatcher lost` tells a time-out from a session that ended right away, and `was reset` names the connection's error and how long nothing had come.

What it doesn't tell: a planned stop closes its connections too, so others write `connection ended` for it as for a kill; the instance's own log and the next life tell these two apart.

Before: no cause in these lines, and Join returned nothing.

--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -44,8 +45,11 @@
 	handoverPause = 10 * time.Millisecond
 )
 
-// errSessionLost reports that the other side sent nothing within the timeout, or closed the session.
-var errSessionLost = errors.New("dispatcher timed out or closed the session")
+// Errors of a session that has ended.
+var (
+	errSessionSilent = errors.New("session timed out: nothing was received")
+	errSessionShort  = errors.New("session ended right after it was opened")
+)
 
 // Client places requests through the dispatcher, which is the first reachable member in dispatcher order. When the
 // dispatcher times out, the next member takes over and rebuilds its state from the in-flight work that the instances
@@ -228,7 +232,7 @@
 	go func() {
 		defer crash.Report("local session, to dispatcher")
 		c.hub.attach(c.self, to, first)
-		defer c.hub.detach(c.self, to)
+		defer c.hub.detach(c.self, to, causeReplaced)
 		for items := from.takeAll(sessionCtx); items != nil; items = from.takeAll(sessionCtx) {
 			c.hub.receive(c.self, to, mergeFromEntry(items))
 		}
@@ -331,10 +335,13 @@
 	case s.handedOver.Load() && shortLived:
 		wait.For(ctx, handoverPause)
 	case s.handedOver.Load():
-	case s.timedOut.Load() || shortLived:
-		c.recordFailure(s.peerID, errSessionLost)
+	case s.timedOut.Load():
+		c.recordFailure(s.peerID, errSessionSilent)
+	case shortLived:
+		c.recordFailure(s.peerID, fmt.Errorf("%w: %s", errSessionShort, s.endCause()))
 	default:
-		c.log.Warn("session with the dispatcher was reset", "instance", s.peerID)
+		c.log.Warn("session with the dispatcher was reset", "instance", s.peerID, "cause", s.endCause(),
+			"silent_ms", s.idleTime().Milliseconds())
 	}
 }
 
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -121,8 +121,8 @@
 }
 
 // detach ends the session s of an instance and drops its work. The instance reports work that is still running when
-// it attaches again.
-func (h *hub) detach(instance fleet.InstanceID, s sink) {
+// it attaches again. cause is how the session ended, for the log.
+func (h *hub) detach(instance fleet.InstanceID, s sink, cause string) {
 	h.detachRelayed(s)
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -132,7 +132,7 @@
 	delete(h.sinks, instance)
 	delete(h.sessions, instance)
 	delete(h.domains, instance)
-	h.log.Info("instance detached", "entry", instance, "attached", len(h.sinks))
+	h.log.Info("instance detached", "entry", instance, "cause", cause, "attached", len(h.sinks))
 	h.chooseReaders()
 	for _, st := range h.services {
 		st.RemoveInstance(instance)
--- a/internal/placement/limits_test.go
+++ b/internal/placement/limits_test.go
@@ -131,7 +131,7 @@
 	if before != nil {
 		go func() {
 			time.Sleep(n.fleet.randomDuration(sessionTimeout))
-			before.detach(n.id, n)
+			before.detach(n.id, n, causeReplaced)
 		}()
 	}
 	h.attach(n.id, n, &pb.FromEntry{Entry: string(n.id), Domain: "d", Limits: n.limits.messages(n.fleet.snapshot.Load())})
--- a/internal/placement/relay.go
+++ b/internal/placement/relay.go
@@ -100,7 +100,7 @@
 
 // relay forwards an attached instance's messages until either session ends. When this instance's own session ends, it
 // closes the attached instance's session in order, so that the instance attaches again.
-func (c *Client) relay(stream pb.DRPCPlacement_AttachStream, instance fleet.InstanceID, to *remoteSink, via *session, first *pb.FromEntry) error {
+func (c *Client) relay(stream timeoutStream, instance fleet.InstanceID, to *remoteSink, via *session, first *pb.FromEntry) error {
 	c.mu.Lock()
 	c.relayed[instance] = to
 	c.mu.Unlock()
@@ -113,6 +113,7 @@
 	case <-via.done:
 		return nil
 	case err := <-streamErr:
+		c.log.Info("relayed instance's session ended", "entry", instance, "cause", stream.endCause(err))
 		return err
 	}
 }
@@ -227,7 +228,7 @@
 		known := s != nil && s.via == via
 		switch {
 		case p.Ended && known:
-			h.detach(instance, s)
+			h.detach(instance, s, causeAtRelay)
 		case p.Ended || p.Message == nil:
 		case p.Message.Entry != "":
 			h.applyChanges(p.Message)
@@ -253,7 +254,7 @@
 	}
 	h.mu.Unlock()
 	for instance, s := range relayed {
-		h.detach(instance, s)
+		h.detach(instance, s, causeRelayLost)
 	}
 }
 
--- a/internal/placement/relay_test.go
+++ b/internal/placement/relay_test.go
@@ -69,6 +69,12 @@
 
 // newTestClient starts a client without members, which runs until the test ends.
 func newTestClient(t *testing.T, id fleet.InstanceID, domain fleet.DomainID) *testClient {
+	t.Helper()
+	return newLoggingClient(t, id, domain, hclog.NewNullLogger())
+}
+
+// newLoggingClient is newTestClient for a client that logs to log.
+func newLoggingClient(t *testing.T, id fleet.InstanceID, domain fleet.DomainID, log hclog.Logger) *testClient {
 	t.Helper()
 	bound, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -76,7 +82,7 @@
 	}
 	l := &resettableListener{Listener: bound}
 	f := newTestFollower()
-	p := &testClient{Client: NewClient(id, domain, f, hclog.NewNullLogger()), addr: l.Addr().String(), listener: l}
+	p := &testClient{Client: NewClient(id, domain, f, log), addr: l.Addr().String(), listener: l}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 2)
 	go func() { done <- p.Serve(ctx, l, maxTestConns) }()
@@ -388,7 +394,7 @@
 		return false
 	}
 	p.setMembersOf(t, 2, 7, addrs)
-	p.recordFailure("i2", errSessionLost)
+	p.recordFailure("i2", errSessionSilent)
 	is.True(inBackoff())
 	p.setMembersOf(t, 3, 8, addrs)
 	is.True(!inBackoff())
--- a/internal/placement/session.go
+++ b/internal/placement/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -104,7 +105,42 @@
 // short prompts for as long as the dispatcher runs.
 type timeoutStream struct {
 	pb.DRPCPlacement_AttachStream
-	timer *time.Timer // ends the session
+	timer    *time.Timer  // ends the session
+	timedOut *atomic.Bool // set when timer has ended the session
+}
+
+// Causes of the end of an instance's session, for the log. Others are errors of the connection.
+const (
+	causeTimedOut  = "timed out"                    // nothing arrived
+	causeInOrder   = "closed in order"              // by the instance
+	causeConnEnded = "connection ended"             // by a close or a reset, as of a process that has ended
+	causeReplaced  = "attached elsewhere"           // this instance has another dispatcher
+	causeAtRelay   = "session with its relay ended" // the relay's log has its cause
+	causeRelayLost = "session with the relay ended" // of a relayed instance
+)
+
+// newTimeoutStream returns the stream of a session that end ends.
+func newTimeoutStream(raw pb.DRPCPlacement_AttachStream, end func()) timeoutStream {
+	s := timeoutStream{DRPCPlacement_AttachStream: raw, timedOut: &atomic.Bool{}}
+	s.timer = time.AfterFunc(sessionTimeout, func() {
+		s.timedOut.Store(true)
+		end()
+	})
+	return s
+}
+
+// endCause returns why the session has ended, for the log. err is the result of receiving.
+func (s timeoutStream) endCause(err error) string {
+	switch {
+	case s.timedOut.Load():
+		return causeTimedOut
+	case errors.Is(err, io.EOF):
+		return causeInOrder
+	case errors.Is(err, context.Canceled):
+		return causeConnEnded // drpc reports either this or the connection's own error
+	default:
+		return fmt.Sprintf("%s: %v", causeConnEnded, err)
+	}
 }
 
 // Recv implements placementpb.DRPCPlacement_AttachStream.
@@ -133,7 +169,7 @@
 	instance := fleet.InstanceID(first.Entry)
 	ctx, cancel := context.WithCancel(raw.Context())
 	defer cancel()
-	stream := timeoutStream{raw, time.AfterFunc(sessionTimeout, cancel)}
+	stream := newTimeoutStream(raw, cancel)
 	defer stream.timer.Stop()
 	to := &remoteSink{out: newOutbox[*pb.ToEntry](), disconnect: cancel}
 	go func() {
@@ -157,7 +193,8 @@
 	}
 	s.c.hub.applyChanges(first)
 	s.c.hub.attach(instance, to, first)
-	defer s.c.hub.detach(instance, to)
+	cause := causeReplaced
+	defer func() { s.c.hub.detach(instance, to, cause) }()
 	streamErr := make(chan error, 1)
 	go func() { streamErr <- s.c.dispatchFor(stream, instance, to) }()
 	select {
@@ -166,6 +203,7 @@
 		<-streamErr        // a message that is processed after the detach would leave its relayed instances attached
 		return nil
 	case err := <-streamErr:
+		cause = stream.endCause(err)
 		return err
 	}
 }
@@ -217,6 +255,16 @@
 	timedOut     atomic.Bool  // the session ended because nothing arrived in time
 	lastReceived atomic.Int64 // when bytes last arrived, in ns since openedAt; 0: none yet
 	duty         atomic.Int32 // the last pb.ToEntry_Duty that arrived
+
+	receiveErr atomic.Pointer[error] // that ended the session; nil: another cause
+}
+
+// endCause returns why the session has ended, for the log.
+func (s *session) endCause() string {
+	if err := s.receiveErr.Load(); err != nil {
+		return (*err).Error()
+	}
+	return "ended by this instance"
 }
 
 // isLive reports whether bytes arrived recently enough that the dispatcher counts as alive.
@@ -302,6 +350,7 @@
 			c.receiveFrom(s, m)
 		}
 		s.handedOver.Store(errors.Is(err, io.EOF))
+		s.receiveErr.Store(&err)
 	}()
 	go func() {
 		defer crash.Report("session with dispatcher, sending")
--- a/internal/placement/timeout_test.go
+++ b/internal/placement/timeout_test.go
@@ -4,12 +4,16 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
+	"path/filepath"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
+	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -22,6 +26,12 @@
 // attachSilentInstance attaches an instance with a prompt in prefill to p. It sends nothing more, and its connection
 // stays open.
 func attachSilentInstance(t *testing.T, p *testClient, id fleet.InstanceID) {
+	t.Helper()
+	attachInstance(t, p, id)
+}
+
+// attachInstance attaches an instance with a prompt in prefill to p.
+func attachInstance(t *testing.T, p *testClient, id fleet.InstanceID) (*drpcconn.Conn, pb.DRPCPlacement_AttachClient) {
 	t.Helper()
 	conn, err := peer.Dial(t.Context(), p.addr)
 	if err != nil {
@@ -36,6 +46,37 @@
 	if err := stream.Send(&pb.FromEntry{Entry: string(id), Running: []*pb.Running{work}}); err != nil {
 		t.Fatal(err)
 	}
+	return conn, stream
+}
+
+// Guards against logs in which an instance whose process ended can't be told from one that is silent.
+func TestEndOfSessionIsLoggedWithCause(t *testing.T) {
+	is := is.New(t)
+	file, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	is.NoErr(err)
+	defer func() { _ = file.Close() }()
+	p := newLoggingClient(t, "i1", "d", hclog.New(&hclog.LoggerOptions{Output: file}))
+	p.setMembers(t, 1, map[fleet.InstanceID]string{"i1": p.addr})
+	waitUntil(t, "the instance dispatches for itself", func() bool { return p.Dispatcher() == "i1" })
+	for _, c := range []struct {
+		id    fleet.InstanceID
+		end   func(*drpcconn.Conn, pb.DRPCPlacement_AttachClient)
+		cause string
+	}{
+		{"silent", func(*drpcconn.Conn, pb.DRPCPlacement_AttachClient) {}, causeTimedOut},
+		{"closed", func(_ *drpcconn.Conn, s pb.DRPCPlacement_AttachClient) { _ = s.Close() }, causeInOrder},
+		{"ended", func(c *drpcconn.Conn, _ pb.DRPCPlacement_AttachClient) { _ = c.Transport().Close() }, causeConnEnded},
+	} {
+		conn, stream := attachInstance(t, p, c.id)
+		waitUntil(t, "attached", func() bool { return p.attached(c.id) })
+		c.end(conn, stream)
+		waitUntil(t, "detached", func() bool { return !p.attached(c.id) })
+		raw, err := os.ReadFile(file.Name())
+		is.NoErr(err)
+		if want := fmt.Sprintf("instance detached: entry=%s cause=\"%s", c.id, c.cause); !strings.Contains(string(raw), want) {
+			t.Errorf("no line %q in\n%s", want, raw)
+		}
+	}
 }
 
 // runningRequests returns the number of a service's requests that the dispatcher holds as running.
--- a/internal/routed/membership.go
+++ b/internal/routed/membership.go
@@ -29,7 +29,7 @@
 // a share of the limits that the instances divide among them. It returns when the instance is leaving or ctx ends.
 func (n *Node) keepMembership(ctx context.Context) {
 	p := n.parts
-	watch.Join(ctx, p.Adapter.Store, n.self, p.Log)
+	watch.LogFormerLife(watch.Join(ctx, p.Adapter.Store, n.self, p.Log), p.Log)
 	for wait.For(ctx, membershipCheckInterval/2+rand.N(membershipCheckInterval)) {
 		if !p.Gate.Ready() {
 			return // leaving
--- a/internal/watch/join.go
+++ b/internal/watch/join.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/objects"
 	"github.com/damaskshelf/damaskshelf/internal/settle"
 	"github.com/damaskshelf/damaskshelf/internal/wait"
@@ -18,41 +21,70 @@
 const joinRetryDelay = 250 * time.Millisecond
 
 // Join writes the entry of this instance to the store and retries until that succeeds or ctx ends. It replaces the
-// entry of an earlier incarnation under the same id.
-func Join(ctx context.Context, s objects.Store, self catalog.Member, log hclog.Logger) {
+// entry of an earlier incarnation under the same id, and returns that incarnation, or 0 if there was no such entry. An
+// incarnation that made a planned stop has removed its entry.
+func Join(ctx context.Context, s objects.Store, self catalog.Member, log hclog.Logger) (replaced uint64) {
 	for {
-		err := putMember(ctx, s, self)
+		found, err := putMember(ctx, s, self)
+		if found != 0 {
+			replaced = found // a write whose answer is lost may have replaced it
+		}
 		if err == nil {
 			log.Info("joined", "instance", self.ID, "incarnation", self.Incarnation)
-			return
+			return replaced
 		}
 		log.Debug("joining failed; retrying", "error", err)
 		if !wait.For(ctx, joinRetryDelay) {
-			return
+			return replaced
 		}
 	}
 }
 
+// LogFormerLife logs that the incarnation of this instance that ran before ended without a planned stop: its entry was
+// still in the store. An incarnation is numbered by the time at which it started.
+func LogFormerLife(former uint64, log hclog.Logger) {
+	if former != 0 {
+		log.Warn("the process before this one ended without a planned stop", "former_incarnation", former,
+			"started", time.Unix(0, int64(former)).UTC().Format(time.RFC3339Nano))
+	}
+}
+
 // memberKey returns the key of an instance's entry.
 func memberKey(m *catalog.Member) objects.Key {
 	return objects.Key{Kind: KindMembers, Name: string(m.ID)}
 }
 
-// putMember writes the entry of this instance once. If another entry exists under the id, it is replaced.
-func putMember(ctx context.Context, s objects.Store, self catalog.Member) error {
+// putMember writes the entry of this instance once. If another entry exists under the id, it is replaced, and its
+// incarnation is returned.
+func putMember(ctx context.Context, s objects.Store, self catalog.Member) (replaced uint64, err error) {
 	value, err := encodeMember(&self)
 	if err != nil {
-		return fmt.Errorf("encode instance: %w", err)
+		return 0, fmt.Errorf("encode instance: %w", err)
 	}
-	w := objects.Write{Key: memberKey(&self), WriteID: fmt.Sprintf("%s/%d", self.ID, self.Incarnation), Value: value}
+	w := objects.Write{Key: memberKey(&self), WriteID: memberWriteID(self.ID, self.Incarnation), Value: value}
 	_, err = settle.Put(ctx, s, w)
 	var conflict *objects.ConflictError
 	if !errors.As(err, &conflict) {
-		return err
+		return 0, err
 	}
 	w.IfVersion = conflict.Current
 	_, err = settle.Put(ctx, s, w)
-	return err
+	return incarnationOf(conflict.WriteID, self.ID), err
+}
+
+// memberWriteID returns the id of the write of an instance's entry.
+func memberWriteID(id fleet.InstanceID, incarnation uint64) string {
+	return fmt.Sprintf("%s/%d", id, incarnation)
+}
+
+// incarnationOf returns the incarnation in the id of a write of an instance's entry, or 0 if there is none.
+func incarnationOf(writeID string, id fleet.InstanceID) uint64 {
+	text, own := strings.CutPrefix(writeID, string(id)+"/")
+	incarnation, err := strconv.ParseUint(text, 10, 64)
+	if !own || err != nil {
+		return 0 // written by another program
+	}
+	return incarnation
 }
 
 // Leave deletes the entry of this instance if it still belongs to this incarnation.
