The loss of the log's reader doesn't end the process

What callers saw: every request in flight at an instance ends at once with a closed connection, at the next log line after the reader of the instance's standard output or standard error has gone. If one collector reads the output of all instances and restarts, all end together.

Cause: a write to a pipe without a reader raises SIGPIPE. For descriptors 1 and 2 Go's runtime ends the process by it unless the program handles the signal. internal/logsink ignored the write's error but never got to see it. The process leaves no line and no trace: exit by signal 13.

--- a/cmd/damaskshelfd/main.go
+++ b/cmd/damaskshelfd/main.go
@@ -46,9 +46,11 @@
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
 // catchSignals registers for all signals that the process handles. SIGHUP must be among them: its default action ends
-// the process, and the requests in flight with it.
+// the process, and the requests in flight with it. SIGPIPE is ignored: the runtime ends the process at a write to standard
+// output or standard error whose reader is gone, unless the signal is handled.
 func catchSignals() (hangups, stops <-chan os.Signal) {
 	h, s := make(chan os.Signal, 4), make(chan os.Signal, 2)
+	signal.Ignore(syscall.SIGPIPE)
 	signal.Notify(h, syscall.SIGHUP)
 	signal.Notify(s, syscall.SIGTERM, os.Interrupt)
 	return h, s
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -19,9 +19,12 @@
 	reportInterval = time.Second
 )
 
-// Sink is an io.Writer that queues whole lines and writes them in the background. It is safe for concurrent use.
+// Sink is an io.Writer that queues whole lines and writes them in the background. It is safe for concurrent use. Lines that
+// can't be written, as the reader of a pipe is gone or a disk is full, count as dropped.
 type Sink struct {
-	out io.Writer
+	out io.Writer // used by run only
+	// partial states that the last line was written in part, so that the next one must not follow on it; used by run only.
+	partial bool
 
 	mu              sync.Mutex
 	queue           [][]byte // guarded by mu
@@ -95,16 +98,48 @@
 	for range s.wake {
 		lines, dropped := s.dequeue(time.Since(lastReport) >= reportInterval)
 		for _, l := range lines {
-			// Errors are reported in the log, so there is no place to report an error of the log itself.
-			_, _ = s.out.Write(l)
+			if !s.writeLine(l) {
+				s.addDrops(1)
+			}
 		}
 		if dropped > 0 {
 			lastReport = time.Now()
-			_, _ = fmt.Fprintf(s.out, "%s [WARN]  log: lines dropped: count=%d\n", lastReport.UTC().Format(time.RFC3339), dropped)
+			report := fmt.Appendf(nil, "%s [WARN]  log: lines dropped: count=%d\n", lastReport.UTC().Format(time.RFC3339), dropped)
+			if !s.writeLine(report) {
+				s.restoreUnreported(dropped)
+			}
 		}
 	}
 }
 
+// writeLine reports whether the whole line was written. Errors are reported in the log, so there is no place to report an
+// error of the log itself, but the number of dropped lines is.
+func (s *Sink) writeLine(line []byte) bool {
+	if s.partial {
+		line = append([]byte{'\n'}, line...)
+	}
+	n, err := s.out.Write(line)
+	if n > 0 {
+		s.partial = n < len(line)
+	}
+	return err == nil
+}
+
+// addDrops counts lines as dropped.
+func (s *Sink) addDrops(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.totalDropped += n
+	s.unreportedDrops += n
+}
+
+// restoreUnreported counts dropped lines as unreported again, because their report could not be written.
+func (s *Sink) restoreUnreported(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unreportedDrops += n
+}
+
 // dequeue removes and returns the queued lines. If withDropped is set, it also returns the number of lines dropped since
 // the last report, and resets that number.
 func (s *Sink) dequeue(withDropped bool) (lines [][]byte, dropped int) {
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -78,3 +80,60 @@
 	is.Equal(lines[1000], "line 1000")
 	sink.Close(time.Second)
 }
+
+// brokenWriter passes on writes to w. While broken is set, it writes a part of each line and then fails.
+type brokenWriter struct {
+	w      io.Writer
+	broken atomic.Bool
+	part   int // number of bytes that are written before the failure
+}
+
+// Write implements io.Writer.
+func (b *brokenWriter) Write(p []byte) (int, error) {
+	if b.broken.Load() {
+		n, _ := b.w.Write(p[:min(b.part, len(p))])
+		return n, syscall.EPIPE
+	}
+	return b.w.Write(p)
+}
+
+// Guards against lines that are lost without a trace while the log can't be written: they are counted, the count is
+// reported once the log can be written again, and a line never follows on a part of another one.
+func TestLinesThatCannotBeWrittenAreReportedLater(t *testing.T) {
+	for _, part := range []int{0, 5} {
+		t.Run(fmt.Sprintf("%d bytes are written", part), func(t *testing.T) {
+			is := is.New(t)
+			buffer := &lockedBuffer{}
+			w := &brokenWriter{w: buffer, part: part}
+			sink := logsink.New(w)
+			defer sink.Close(time.Second)
+			w.broken.Store(true)
+			const lost = 10
+			for i := range lost {
+				_, _ = fmt.Fprintf(sink, "unwritten line %d\n", i)
+			}
+			end := time.Now().Add(10 * time.Second)
+			for sink.Dropped() < lost && time.Now().Before(end) {
+				time.Sleep(time.Millisecond)
+			}
+			is.Equal(sink.Dropped(), lost)
+			time.Sleep(time.Second) // a report is due, but can't be written
+			_, _ = fmt.Fprintf(sink, "unwritten line %d\n", lost)
+			for sink.Dropped() < lost+1 && time.Now().Before(end) {
+				time.Sleep(time.Millisecond)
+			}
+			w.broken.Store(false)
+			for !strings.Contains(buffer.String(), "lines dropped: count=11\n") {
+				if time.Now().After(end) {
+					t.Fatalf("the dropped lines are not reported: %q", buffer.String())
+				}
+				_, _ = fmt.Fprintf(sink, "written line\n")
+				time.Sleep(20 * time.Millisecond)
+			}
+			is.Equal(sink.Dropped(), lost+1)
+			for line := range strings.Lines(buffer.String()) {
+				is.True(!strings.HasPrefix(line, "unwr") || len(line) <= part+len("\n")) // a part of a line stands by itself
+			}
+		})
+	}
+}
--- a/test/soak/daemon_test.go
+++ b/test/soak/daemon_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -48,6 +49,8 @@
 	readyAddr    string
 	settingsPath string
 	logFile      *os.File
+	stdout       *os.File // nil: logFile
+	stderr       *os.File // nil: logFile
 	cmd          *exec.Cmd
 	exited       chan struct{} // closed when the process has ended
 }
@@ -113,7 +116,7 @@
 func (d *daemon) start(t *testing.T) {
 	t.Helper()
 	d.cmd = exec.Command(daemonPath, "-settings", d.settingsPath)
-	d.cmd.Stdout, d.cmd.Stderr = d.logFile, d.logFile
+	d.cmd.Stdout, d.cmd.Stderr = cmp.Or(d.stdout, d.logFile), cmp.Or(d.stderr, d.logFile)
 	if err := d.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
