A log line when the process's memory is nearly used up

Nothing said beforehand that its memory was running out.

The instance reads its resident memory twice a second (/proc/self/statm) and warns once when it passes 0.8 of limits.memory_mb, with the heap beside it, and says once when it is below 0.7 again. Without a limit in the settings, or where the file can't be read (one warning), it doesn't watch. A rise from 0.8 to the limit within half a second still leaves no line.

--- a/cmd/damaskshelfd/life_test.go
+++ b/cmd/damaskshelfd/life_test.go
@@ -60,9 +60,8 @@
 	time.Sleep(10 * time.Second) // the panic comes earlier
 }
 
-// routedSettings writes settings of a routed instance without a store and returns the path. Its callers' address is
-// the one given.
-func routedSettings(t *testing.T, callers string) string {
+// routedSettings writes settings of a routed instance without a store and returns the path.
+func routedSettings(t *testing.T, callers string, memoryMB int) string {
 	t.Helper()
 	raw, err := json.Marshal(map[string]any{
 		"instance": "entry-1", "region": "r", "failure_domain": "a",
@@ -72,7 +71,7 @@
 			"ready_path": "/-/ready", "store": map[string]any{"address": "127.0.0.1:1"},
 			"retries": map[string]any{"ratio": 0.2, "slack": 1000},
 			"stop":    map[string]any{"lag": "10ms", "grace": "1s"},
-			"limits":  map[string]any{"memory_mb": 256, "max_header_bytes": 20 << 10},
+			"limits":  map[string]any{"memory_mb": memoryMB, "max_header_bytes": 20 << 10},
 		},
 	})
 	if err != nil {
@@ -104,7 +103,7 @@
 // differ from that of a killed process.
 func TestPanicInBackgroundIsLastLogLine(t *testing.T) {
 	is := is.New(t)
-	cmd, out, errOut := child("panic", routedSettings(t, "127.0.0.1:0"))
+	cmd, out, errOut := child("panic", routedSettings(t, "127.0.0.1:0", 256))
 	is.True(cmd.Run() != nil)
 	is.Equal(cmd.ProcessState.ExitCode(), exitPanicked)
 	is.True(strings.Contains(errOut.String(), "panic: decoding")) // the runtime's trace is not swallowed
@@ -124,14 +123,14 @@
 		taken, err := net.Listen("tcp", "127.0.0.1:0")
 		is.NoErr(err)
 		defer func() { _ = taken.Close() }()
-		cmd, out, _ := child("daemon", "-settings", routedSettings(t, taken.Addr().String()))
+		cmd, out, _ := child("daemon", "-settings", routedSettings(t, taken.Addr().String(), 256))
 		is.True(cmd.Run() != nil)
 		is.Equal(cmd.ProcessState.ExitCode(), exitFailed)
 		is.True(strings.HasSuffix(lastLine(out.String()), "damaskshelfd.entry-1: process ends: reason=not_started exit_status=1"))
 	})
 	t.Run("planned stop", func(t *testing.T) {
 		is := is.New(t)
-		cmd, _, _ := child("daemon", "-settings", routedSettings(t, "127.0.0.1:0"))
+		cmd, _, _ := child("daemon", "-settings", routedSettings(t, "127.0.0.1:0", 256))
 		file, err := os.Create(filepath.Join(t.TempDir(), "log"))
 		is.NoErr(err)
 		cmd.Stdout = file
@@ -143,6 +142,20 @@
 	})
 }
 
+// Guards against a process that is killed for its memory, and whose log doesn't show that it had nearly used it up.
+func TestHighMemoryIsLogged(t *testing.T) {
+	is := is.New(t)
+	const memoryMB = 16 // less than any process of ours needs
+	cmd, _, _ := child("daemon", "-settings", routedSettings(t, "127.0.0.1:0", memoryMB))
+	file, err := os.Create(filepath.Join(t.TempDir(), "log"))
+	is.NoErr(err)
+	cmd.Stdout = file
+	is.NoErr(cmd.Start())
+	awaitLine(t, file.Name(), "[WARN]  damaskshelfd.entry-1: use of memory is high: resident_mb=")
+	is.NoErr(cmd.Process.Signal(os.Interrupt))
+	is.NoErr(cmd.Wait())
+}
+
 // awaitLine waits until a log contains text, and returns the log.
 func awaitLine(t *testing.T, path, text string) string {
 	t.Helper()
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -203,6 +203,7 @@
 	n.runInBackground("status listeners", func(context.Context) { p.Status.serve() })
 	n.runInBackground("watch", p.Follower.Run)
 	n.runInBackground("membership", n.keepMembership)
+	n.runInBackground("memory", n.watchMemory)
 	p.Log.Info("started", "instance", p.Settings.Instance, "failure_domain", p.Settings.FailureDomain,
 		"callers", p.Gateway.Addr(), "incarnation", n.self.Incarnation)
 	return nil
