A panic while a stream is read is logged, and not taken for a caller that left

What callers saw: a stream breaks off in the middle although its worker goes on. The log said `answer: reason=caller_gone cause=<nil>` and nothing of a panic, so that it looked as if the caller had left.

Cause: the HTTP library reads a stream's body in its own code, recovers from a panic there and turns it into an error that it logs at debug level. Our handler's recover isn't on that stack, and the body is closed later as one that its caller didn't read to the end.

Evidence: an instance whose connection to an upstream panics in Read after the third of six events. Before: the caller has three events, the log has the answer line above and no line of the panic. After: `gateway: panic: request=... cause=... stack=...` and `reason=stream_cut`.

Fix: streamBody.Read recovers itself, logs the panic with the request's id and ends the stream as cut.

Ruled out as well: plain answers and hijacked connections, whose panics were logged.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
 )
@@ -17,6 +18,8 @@
 var (
 	// errStreamCut ends a caller's stream that can't be completed: the connection closes without the end mark.
 	errStreamCut = errors.New("stream can't be finished")
+	// errPanicked ends a caller's stream in the same way, after a panic.
+	errPanicked = errors.New("reading the stream panicked")
 	// errNoEvent reports that a stream that ends with its connection ended before its first event.
 	errNoEvent = errors.New("stream ended without an event")
 )
@@ -102,7 +105,7 @@
 	lastID     int64  // id of the last event that was accepted
 	unnumbered bool   // events without an id were accepted after the one with lastID
 	eventCount int    // accepted events, without those that are empty
-	endErr     error  // io.EOF after the regular end, or errStreamCut
+	endErr     error  // io.EOF after the regular end, errStreamCut or errPanicked
 	closed     bool
 }
 
@@ -139,7 +142,8 @@
 
 // Read returns buffered data. If nothing is buffered, it waits for the next event first. It also buffers the complete
 // events that have already arrived.
-func (s *streamBody) Read(p []byte) (int, error) {
+func (s *streamBody) Read(p []byte) (n int, err error) {
+	defer s.recoverPanic(&err)
 	for len(s.buffered) == 0 && s.endErr == nil {
 		s.accept(s.nextEvent())
 	}
@@ -154,6 +158,17 @@
 	return 0, s.endErr
 }
 
+// recoverPanic ends the stream after a panic, sets *err and logs the panic. Without it, the HTTP server would recover, would
+// not close the stream, and would log the panic at debug level only.
+func (s *streamBody) recoverPanic(err *error) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	s.l.g.log.Error("panic", "request", s.l.r.ID, "cause", cause, "stack", crash.Stack())
+	s.endErr, *err = errPanicked, errPanicked
+}
+
 // readEvent returns the next event of the open exchange. It returns io.EOF at the end of a complete stream.
 func (s *streamBody) readEvent() (event, error) {
 	e, err := s.events.next()
@@ -229,6 +244,12 @@
 		l.releaseGrant(Served, "")
 		l.g.deps.Metrics.Counter("streams_served", "framing", l.exchange.Framing.String()).Inc(1)
 		l.recordAnswer(reasonServed, "events", s.eventCount, "framing", l.exchange.Framing)
+	case s.endErr == errPanicked:
+		if l.exchange != nil {
+			l.exchange.Close()
+			l.releaseGrant(Abandoned, "")
+		}
+		l.recordAnswer(reasonStreamCut, "events", s.eventCount, "cause", s.endErr)
 	case l.exchange != nil:
 		l.exchange.Close()
 		l.releaseGrant(Abandoned, "")
