A panic in a refusal or in a question for readiness ends no other request

Class of "one request ends the process" (docs/DECISIONS.md: a panic of one request is answered and logged). Three of our functions are called by the HTTP library outside the handlers that recover: the refusal of a request that the library can't read, the answer of the readiness probe, and the metrics. A panic in one of them ends the process, and with it all requests in flight; a malformed request reaches the first.

No input is known that makes them panic.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -329,6 +329,7 @@
 
 // refuseUnread answers a request that the HTTP library rejects before a handler runs. No part of it was forwarded.
 func (g *Gateway) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
+	defer g.recoverPanic(ctx)
 	var small *fasthttp.ErrSmallBuffer
 	var ne net.Error
 	f := fault.New(fault.BadRequest, "request: %v", err)
--- a/internal/routed/status.go
+++ b/internal/routed/status.go
@@ -13,6 +13,7 @@
 
 	"github.com/damaskshelf/damaskshelf/api"
 	"github.com/damaskshelf/damaskshelf/internal/accept"
+	"github.com/damaskshelf/damaskshelf/internal/crash"
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
 	"github.com/damaskshelf/damaskshelf/internal/gateway"
 	"github.com/damaskshelf/damaskshelf/internal/httplog"
@@ -78,6 +79,11 @@
 
 // newHTTPServer returns a server for small requests, with the limits of the status server.
 func newHTTPServer(r *router.Router, log hclog.Logger) *fasthttp.Server {
+	// A panic in one request must not end the process and with it callers' requests.
+	r.PanicHandler = func(ctx *fasthttp.RequestCtx, cause any) {
+		log.Error("panic", "path", string(ctx.Path()), "cause", cause, "stack", crash.Stack())
+		ctx.Error("defect; see the log", fasthttp.StatusInternalServerError)
+	}
 	return &fasthttp.Server{
 		Handler: r.Handler, ReadTimeout: statusReadTimeout, ReadBufferSize: statusHeaderBytes,
 		NoDefaultServerHeader: true, Logger: httplog.Logger{Log: log},
--- a/internal/routed/status_test.go
+++ b/internal/routed/status_test.go
@@ -1,12 +1,16 @@
 package routed
 
 import (
+	"bytes"
 	"context"
 	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fasthttp/router"
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttputil"
@@ -44,3 +48,17 @@
 		is.NoErr(err)
 	})
 }
+
+// Guards against a question for readiness or metrics that ends the process, and with it all requests of callers.
+func TestPanicInStatusEndsNoRequest(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	r := router.New()
+	r.GET("/ready", func(*fasthttp.RequestCtx) { panic("no state") })
+	s := newHTTPServer(r, hclog.New(&hclog.LoggerOptions{Output: &out}))
+	ctx := &fasthttp.RequestCtx{}
+	ctx.Request.SetRequestURI("/ready")
+	s.Handler(ctx)
+	is.Equal(ctx.Response.StatusCode(), fasthttp.StatusInternalServerError)
+	is.True(strings.Contains(out.String(), `panic: path=/ready cause="no state" stack="`))
+}
