--- a/internal/placement/session.go
+++ b/internal/placement/session.go
@@ -136,13 +136,20 @@
 		return causeTimedOut
 	case errors.Is(err, io.EOF):
 		return causeInOrder
-	case errors.Is(err, context.Canceled):
-		return causeConnEnded // drpc reports either this or the connection's own error
 	default:
-		return fmt.Sprintf("%s: %v", causeConnEnded, err)
+		return connCause(err)
 	}
 }
 
+// connCause returns the cause of the end of a connection, for the log. drpc reports either the connection's own error or
+// that the stream's context was canceled, which says less.
+func connCause(err error) string {
+	if errors.Is(err, context.Canceled) {
+		return causeConnEnded
+	}
+	return fmt.Sprintf("%s: %v", causeConnEnded, err)
+}
+
 // Recv implements placementpb.DRPCPlacement_AttachStream.
 func (s timeoutStream) Recv() (*pb.FromEntry, error) {
 	m, err := s.DRPCPlacement_AttachStream.Recv()
@@ -262,7 +269,7 @@
 // endCause returns why the session has ended, for the log.
 func (s *session) endCause() string {
 	if err := s.receiveErr.Load(); err != nil {
-		return (*err).Error()
+		return connCause(*err)
 	}
 	return "ended by this instance"
 }
