A panic ends the process although nobody reads its standard error

What callers saw: nothing at all. An instance that panics while the reader of its standard error has stopped reading stands still with all its connections: the runtime stops every goroutine, and waits without limit to write its trace to a full pipe. The process neither serves nor ends, so that nobody starts it again. Seen with a child process whose standard error is a full pipe: still there after 4 s, and after the test's 5 s.

Cause: internal/logsink keeps requests from waiting for a reader, but the runtime writes its trace by itself.

Fix: after its own line (200 ms at most) the daemon asks whether standard error takes bytes within another 200 ms. If it doesn't, it exits with the runtime's status for a panic; cause and stack are in the log's last line. Otherwise the runtime ends the process with its trace as before. Setting the descriptor to non-blocking was ruled out: it would change the pipe for all processes that share it.

--- a/cmd/damaskshelfd/life_test.go
+++ b/cmd/damaskshelfd/life_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
 
 	"github.com/damaskshelf/damaskshelf/api"
 	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
@@ -116,6 +117,39 @@
 	}
 }
 
+// fullPipe returns a pipe that takes no more bytes until it is read.
+func fullPipe(t *testing.T) (r, w *os.File) {
+	t.Helper()
+	fds := make([]int, 2)
+	if err := unix.Pipe2(fds, unix.O_CLOEXEC); err != nil {
+		t.Fatal(err)
+	}
+	size, err := unix.FcntlInt(uintptr(fds[1]), unix.F_GETPIPE_SZ, 0)
+	if err == nil {
+		_, err = unix.Write(fds[1], make([]byte, size))
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, w = os.NewFile(uintptr(fds[0]), "pipe"), os.NewFile(uintptr(fds[1]), "pipe")
+	t.Cleanup(func() { _, _ = r.Close(), w.Close() })
+	return r, w
+}
+
+// Guards against a process that neither serves nor ends: it panics while the reader of its standard error has stopped
+// reading, and the runtime waits for ever to write its trace. Callers wait with it, and nobody starts it again.
+func TestPanicEndsProcessWhoseErrorsNobodyReads(t *testing.T) {
+	is := is.New(t)
+	cmd, out, _ := child("panic", routedSettings(t, "127.0.0.1:0", 256))
+	_, cmd.Stderr = fullPipe(t)
+	is.NoErr(cmd.Start())
+	hung := time.AfterFunc(5*time.Second, func() { _ = cmd.Process.Kill() })
+	is.True(cmd.Wait() != nil)
+	is.True(hung.Stop()) // ended by itself
+	is.Equal(cmd.ProcessState.ExitCode(), exitPanicked)
+	is.True(strings.Contains(lastLine(out.String()), "process ends: reason=panic"))
+}
+
 // The last line tells how a process ended that could choose it.
 func TestEndIsLastLogLine(t *testing.T) {
 	t.Run("failed start", func(t *testing.T) {
--- a/cmd/damaskshelfd/main.go
+++ b/cmd/damaskshelfd/main.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sys/unix"
 
 	"github.com/damaskshelf/damaskshelf/api"
 	"github.com/damaskshelf/damaskshelf/internal/crash"
@@ -94,11 +95,27 @@
 	return log, sink
 }
 
-// logPanic logs the panic that ends the process, and waits at most logFlushTimeout until the line is written.
+// logPanic logs the panic that ends the process, and waits at most logFlushTimeout until the line is written. It ends the
+// process itself if standard error takes no bytes: the runtime would wait without limit to write its trace.
 func logPanic(log hclog.Logger, sink *logsink.Sink, p crash.Panic) {
 	cause := strings.ReplaceAll(fmt.Sprint(p.Cause), "\n", " | ")
 	log.Error("process ends", "reason", "panic", "exit_status", exitPanicked, "goroutine", p.Goroutine, "cause", cause, "stack", p.Stack)
 	sink.Close(logFlushTimeout)
+	if isBlocked(syscall.Stderr) {
+		os.Exit(exitPanicked)
+	}
+}
+
+// isBlocked reports whether a descriptor takes no bytes within logFlushTimeout, as that of a full pipe.
+func isBlocked(fd int) bool {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLOUT}}
+	for limit := time.Now().Add(logFlushTimeout); ; {
+		n, err := unix.Poll(fds, max(0, int(time.Until(limit).Milliseconds())))
+		if err == unix.EINTR {
+			continue
+		}
+		return err == nil && n == 0
+	}
 }
 
 // instance is the server that the process runs. The settings select its implementation.
