The test of limits says which case broke them

TestUpstreamLimitHoldsAcrossDispatcherChanges failed twice more in 13,500 random cases (175 requests where 168 are allowed at 27.09 a second; 71 where 67 are at 10.28), and said neither how many instances nor which events. It now prints the case, and lets rapid look for a smaller one: before, one failure made every later try count as failed too. The bound is the same.

Not traced: 8,000 cases of the same seed passed after that, so that the order of events within a case isn't fixed by its seed.

--- a/internal/placement/limits_test.go
+++ b/internal/placement/limits_test.go
@@ -295,6 +295,8 @@
 		seed := rapid.Uint64().Draw(r, "seed")
 		events := rapid.SliceOfN(rapid.IntRange(0, 2), 0, 5).Draw(r, "events")
 		pauses := rapid.SliceOfN(rapid.IntRange(0, maxEventMs), 5, 5).Draw(r, "pauses in ms")
+		var got int
+		var allowed float64
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			f := newLimitedFleet(n, rate, 5*rate+20, seed)
@@ -316,12 +318,11 @@
 			}
 			time.Sleep(time.Until(from.Add(2 * limitWindow)))
 			f.drain(cancel)
-			if got := f.maxArrivals(from, time.Now()); float64(got) > f.allowedArrivals() {
-				t.Errorf("%d requests in %s reach an upstream that takes %.2f a second, allowed %.0f", got, limitWindow, rate, f.allowedArrivals())
-			}
+			got, allowed = f.maxArrivals(from, time.Now()), f.allowedArrivals()
 		})
-		if t.Failed() {
-			r.FailNow()
+		if float64(got) > allowed {
+			r.Fatalf("%d requests in %s reach an upstream that takes %.2f a second, allowed %.0f; instances %d, seed %d, events %v, pauses in ms %v",
+				got, limitWindow, rate, allowed, n, seed, events, pauses)
 		}
 	})
 }
