An instance whose listener ends by itself stops, and says why

What callers would see: an instance whose listener for callers, for other instances or for the balancer has ended goes on with what it has, looks alive in the store and serves nobody new, until somebody restarts it. Its log said nothing, or one line for peers.

Cause: the goroutine that serves was the last one to know: its result lay in a channel that only a planned stop reads.

Fix: the end of such a listener before a stop is a failure of the instance: the process logs it, makes its planned stop, so that requests in flight end in their own time, and exits with status 1; the platform starts it again. Without metrics it serves on and says so once. Both interfaces.

--- a/cmd/damaskshelfd/main.go
+++ b/cmd/damaskshelfd/main.go
@@ -123,6 +123,8 @@
 	Start() error
 	Stop() error
 	Abort()
+	// Failed returns a channel that receives why the instance can't go on to serve.
+	Failed() <-chan error
 	// Reload applies the settings that can change at run time, and logs whether others need a restart.
 	Reload(api.Settings)
 }
@@ -147,7 +149,7 @@
 	}
 }
 
-// serve starts the instance, waits for a signal to stop and stops it. An interrupt during the stop aborts the requests
+// serve starts the instance, waits for a signal to stop or for a failure, and stops it. An interrupt during the stop aborts the requests
 // in flight. It returns the exit status and the reason of the end, in one word.
 func serve(s api.Settings, path string, log hclog.Logger, sink *logsink.Sink, hangups, signals <-chan os.Signal) (status int, reason string) {
 	defer crash.Report("main")
@@ -167,7 +169,7 @@
 		defer crash.Report("settings")
 		r.run(reloadCtx, hangups)
 	}()
-	log.Info("signal", "name", <-signals)
+	failed := awaitEnd(inst, log, signals)
 	stopped := make(chan error, 1)
 	go func() {
 		defer crash.Report("stop")
@@ -176,10 +178,7 @@
 	for {
 		select {
 		case err := <-stopped:
-			if err != nil {
-				return exitFailed, "stop_failed"
-			}
-			return exitDone, "stopped"
+			return endOf(failed, err)
 		case sig := <-signals:
 			if sig != os.Interrupt {
 				log.Info("already stopping", "signal", sig)
@@ -190,3 +189,27 @@
 		}
 	}
 }
+
+// awaitEnd waits until the instance is to be stopped, and reports whether it is because it has failed.
+func awaitEnd(inst instance, log hclog.Logger, signals <-chan os.Signal) (failed bool) {
+	select {
+	case sig := <-signals:
+		log.Info("signal", "name", sig)
+		return false
+	case err := <-inst.Failed():
+		log.Error("instance can't go on to serve; it stops", "error", err)
+		return true
+	}
+}
+
+// endOf returns the exit status and the reason of the end of an instance whose stop returned stopErr.
+func endOf(failed bool, stopErr error) (status int, reason string) {
+	switch {
+	case failed:
+		return exitFailed, "failed"
+	case stopErr != nil:
+		return exitFailed, "stop_failed"
+	default:
+		return exitDone, "stopped"
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -166,8 +166,8 @@
 // Addr returns the address at which callers connect.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// Serve accepts connections until Shutdown.
-func (s *Server) Serve() {
+// Serve accepts connections until Shutdown, and returns what ended it.
+func (s *Server) Serve() error {
 	listener := &callerconn.Listener{
 		Listener:     accept.Retrying(s.listener, "callers", s.log),
 		WriteTimeout: writeTimeout,
@@ -175,7 +175,9 @@
 		CloseIdle:    s.idleConns.CloseOldest,
 		OnRefused:    func() { s.metrics.Counter("connections_refused").Inc(1) },
 	}
-	s.serveErr <- s.http.Serve(listener)
+	err := s.http.Serve(listener)
+	s.serveErr <- err
+	return err
 }
 
 // CloseIdle closes the connections without a request in flight and returns their number.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -128,8 +128,12 @@
 // Addr returns the address on which callers connect.
 func (g *Gateway) Addr() string { return g.listener.Addr().String() }
 
-// Serve accepts callers until Shutdown.
-func (g *Gateway) Serve() { g.serveErr <- g.http.Serve(g.listener) }
+// Serve accepts callers until Shutdown, and returns what ended it.
+func (g *Gateway) Serve() error {
+	err := g.http.Serve(g.listener)
+	g.serveErr <- err
+	return err
+}
 
 // Accepting reports whether callers' connections can be accepted now.
 func (g *Gateway) Accepting() bool { return !g.accepting.Failing() }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"go.uber.org/dig"
 
 	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/accept"
 	"github.com/damaskshelf/damaskshelf/internal/claim"
 	"github.com/damaskshelf/damaskshelf/internal/entry"
 	"github.com/damaskshelf/damaskshelf/internal/entry/command"
@@ -40,6 +41,7 @@
 	wg         sync.WaitGroup
 	stopOnce   sync.Once
 	stopErr    error // result of the first stop
+	failure    *accept.Failure
 }
 
 // parts are the parts of a Node, as the container resolves them.
@@ -82,7 +84,7 @@
 	if o.Log == nil {
 		o.Log = hclog.NewNullLogger()
 	}
-	n := &Node{}
+	n := &Node{failure: accept.NewFailure()}
 	if err := assemble(s, o, func(p parts) { n.parts = p }); err != nil {
 		return nil, fmt.Errorf("assemble instance %s: %w", s.Instance, err)
 	}
@@ -103,7 +105,11 @@
 	if err := p.Operators.listen(p.Settings.Listen.Operators); err != nil {
 		return errors.Join(err, p.Callers.CloseListener(), p.Follower.Close())
 	}
-	n.runInBackground(func(context.Context) { p.Callers.Serve() })
+	n.runInBackground(func(context.Context) {
+		if err := p.Callers.Serve(); p.Gate.Ready() {
+			n.failure.Record("callers", err)
+		}
+	})
 	n.runInBackground(func(context.Context) { p.Operators.serve() })
 	n.runInBackground(p.Follower.Run)
 	n.runInBackground(p.Observer.Run)
@@ -129,6 +135,9 @@
 	}()
 }
 
+// Failed returns a channel that receives why the instance can't go on to serve. It is then to be stopped.
+func (n *Node) Failed() <-chan error { return n.failure.First() }
+
 // CallersAddr returns the address of the callers' listener.
 func (n *Node) CallersAddr() string { return n.parts.Callers.Addr() }
 
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -58,6 +58,7 @@
 	wg             sync.WaitGroup
 	stopOnce       sync.Once
 	stopErr        error // result of the stop
+	failure        *accept.Failure
 }
 
 // parts are the components that the container assembles.
@@ -109,7 +110,7 @@
 			return nil, fmt.Errorf("assemble instance %s: %w", s.Instance, err)
 		}
 	}
-	n := &Node{}
+	n := &Node{failure: accept.NewFailure()}
 	n.settings.Store(&s)
 	if err := c.Invoke(func(p parts) { n.parts = p }); err != nil {
 		return nil, fmt.Errorf("assemble instance %s: %w", s.Instance, err)
@@ -192,15 +193,14 @@
 		return err
 	}
 	n.self.Addr = advertisedAddr(n.self.Addr, peers.Addr())
-	n.runInBackground("peers' listener", func(ctx context.Context) {
-		if err := p.Placer.Serve(ctx, accept.Retrying(peers, "instances", p.Log), maxPeerConns(p.Settings.Routed.Limits), p.Tunnels.Register); err != nil {
-			p.Log.Error("peers' listener ended", "error", err)
-		}
+	n.serveInBackground("instances", func(ctx context.Context) error {
+		return p.Placer.Serve(ctx, accept.Retrying(peers, "instances", p.Log), maxPeerConns(p.Settings.Routed.Limits), p.Tunnels.Register)
 	})
 	n.runInBackground("placement", p.Placer.Run)
 	n.runInBackground("probes of paths", func(ctx context.Context) { p.Client.ProbePaths(ctx, n.isUpstream) })
-	n.runInBackground("callers' listener", func(context.Context) { p.Gateway.Serve() })
-	n.runInBackground("status listeners", func(context.Context) { p.Status.serve() })
+	n.serveInBackground("callers", func(context.Context) error { return p.Gateway.Serve() })
+	n.serveInBackground("balancer", func(context.Context) error { return p.Status.serveReady() })
+	n.runInBackground("metrics", func(context.Context) { p.Status.serveMetrics() })
 	n.runInBackground("watch", p.Follower.Run)
 	n.runInBackground("membership", n.keepMembership)
 	n.runInBackground("memory", n.watchMemory)
@@ -234,6 +234,20 @@
 	}()
 }
 
+// serveInBackground calls serve, which accepts connections of the named others, in a goroutine. If it returns before the
+// instance stops, the instance has failed.
+func (n *Node) serveInBackground(name string, serve func(ctx context.Context) error) {
+	n.runInBackground("listener for "+name, func(ctx context.Context) {
+		err := serve(ctx)
+		if n.parts.Gate.Ready() {
+			n.failure.Record(name, err)
+		}
+	})
+}
+
+// Failed returns a channel that receives why the instance can't go on to serve. It is then to be stopped.
+func (n *Node) Failed() <-chan error { return n.failure.First() }
+
 const (
 	// closeMargin is the part of the grace period that is reserved for closing listeners and connections. Of a short
 	// grace period, a quarter is reserved.
--- a/internal/routed/status.go
+++ b/internal/routed/status.go
@@ -33,7 +33,6 @@
 	readyServer, metricsServer *fasthttp.Server
 	readyListener              net.Listener
 	metricsListener            net.Listener // nil: the metrics are not served
-	serveErrors                chan error   // results of the servers, with room for both
 	log                        hclog.Logger
 }
 
@@ -59,7 +58,7 @@
 	})
 	return &statusServer{
 		readyServer: newHTTPServer(readyRouter, log), metricsServer: newHTTPServer(metricsRouter, log),
-		serveErrors: make(chan error, 2), log: log,
+		log: log,
 	}
 }
 
@@ -103,12 +102,19 @@
 	return nil
 }
 
-// serve serves until shutdown is called.
-func (s *statusServer) serve() {
-	if s.metricsListener != nil {
-		go func() { s.serveErrors <- s.metricsServer.Serve(accept.Retrying(s.metricsListener, "metrics", s.log)) }()
+// serveReady answers readiness probes until shutdown is called, and returns what ended it.
+func (s *statusServer) serveReady() error {
+	return s.readyServer.Serve(accept.Retrying(s.readyListener, "balancer", s.log))
+}
+
+// serveMetrics serves the metrics until shutdown is called. An instance serves its callers without them.
+func (s *statusServer) serveMetrics() {
+	if s.metricsListener == nil {
+		return
+	}
+	if err := s.metricsServer.Serve(accept.Retrying(s.metricsListener, "metrics", s.log)); err != nil {
+		s.log.Error("metrics are served no longer", "error", err)
 	}
-	s.serveErrors <- s.readyServer.Serve(accept.Retrying(s.readyListener, "balancer", s.log))
 }
 
 // shutdown shuts both servers down.
--- a/internal/routed/status_test.go
+++ b/internal/routed/status_test.go
@@ -34,11 +34,12 @@
 		is := is.New(t)
 		listener := func() net.Listener { return lateCloseListener{fasthttputil.NewInmemoryListener()} }
 		s := &statusServer{
-			readyServer: &fasthttp.Server{}, metricsServer: &fasthttp.Server{}, serveErrors: make(chan error, 2),
-			readyListener: listener(), metricsListener: listener(),
+			readyServer: &fasthttp.Server{}, metricsServer: &fasthttp.Server{},
+			readyListener: listener(), metricsListener: listener(), log: hclog.NewNullLogger(),
 		}
 		callers, callersOn := &fasthttp.Server{}, listener()
-		go s.serve()
+		go func() { _ = s.serveReady() }()
+		go s.serveMetrics()
 		go func() { _ = callers.Serve(callersOn) }()
 		synctest.Wait()
 		ctx, cancel := context.WithTimeout(t.Context(), closeMargin/2)
