after_failure: how late an overdue answer was judged, and what lay unread

A send that ends with "upstream is silent: its answer is overdue" may have had a silent upstream, or an instance that was late itself. The line that says so named neither. It now has late_ms, how long after the due time the watchdog judged, and unread_bytes, what lay in the connection at that moment and nobody had read.

Nothing is decided by it yet. upstream.Unread looks at the connection of one exchange: a peek and the count of the socket's receive queue. The end of a connection counts as something to read, with 0 bytes.

--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -165,9 +165,10 @@
 	l.g.deps.Explain.Record("dispatch", l.r.ID, decide.Reason(l.grant.Reason()), "upstream", u.ID, "attempt", l.attempts+1, "class", l.r.class(), "prompt", l.r.PromptTokens,
 		"helpers", len(helpers), "holders", len(l.grant.Reservations()), "waited_ms", l.sentAt.Sub(l.r.arrived).Milliseconds(), "config", l.r.configVersion,
 		"entry_revision", objects.FormatVersion(u.Revision))
-	x, err := l.g.deps.Client.Forward(l.startWatchdog(), upstream.ForwardRequest{
+	sendCtx := l.startWatchdog()
+	x, err := l.g.deps.Client.Forward(sendCtx, upstream.ForwardRequest{
 		Addr: u.Addr, Head: head, Body: l.r.body, NewConnection: l.r.route.Kind == catalog.NonIdempotent,
-		MatchesRequest: l.matchesRequest,
+		MatchesRequest: l.matchesRequest, Unread: l.unread(),
 	})
 	if err != nil {
 		f := l.handleSendError(err)
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/damaskshelf/damaskshelf/internal/upstream"
 )
 
 // errOverdue ends a send whose upstream has been silent for too long.
@@ -23,6 +26,12 @@
 	timer      *time.Timer
 	maxSilence time.Duration // between two events
 	expired    atomic.Bool   // set when the watchdog ends the send
+	unread     upstream.Unread
+
+	mu          sync.Mutex
+	due         time.Time     // guarded by mu: when the answer, or the next event, is overdue
+	lateBy      time.Duration // guarded by mu: how much later than due the send was ended
+	unreadBytes int           // guarded by mu: bytes of the upstream that nobody had read by then
 }
 
 // startWatchdog starts the watchdog of the next send and returns the context of that send. Without a watchdog that is
@@ -36,23 +45,55 @@
 	}
 	ctx, cancel := context.WithCancelCause(l.ctx)
 	w := &watchdog{cancel: cancel, maxSilence: time.Duration(float64(l.r.silenceTolerance()) * silenceShare)}
+	w.due = time.Now().Add(timeout)
 	w.timer = time.AfterFunc(timeout, func() { l.expireWatchdog(w) })
 	l.watchdog = w
 	return ctx
 }
 
+// unread returns what shows the watchdog what has arrived, or nil without a watchdog.
+func (l *lifecycle) unread() *upstream.Unread {
+	if l.watchdog == nil {
+		return nil
+	}
+	return &l.watchdog.unread
+}
+
 // expireWatchdog ends the send if the retry budget allows another one. Otherwise the answer may still arrive.
 func (l *lifecycle) expireWatchdog(w *watchdog) {
 	if l.g.deps.RetryBudget.Allows(l.r.service) {
+		w.observeExpiry(time.Now())
 		w.expired.Store(true)
 		w.cancel(errOverdue)
 	}
 }
 
+// observeExpiry records what shows later whether the upstream was silent, or this instance late.
+func (w *watchdog) observeExpiry(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lateBy = now.Sub(w.due)
+	w.unreadBytes, _ = w.unread.Look()
+}
+
+// watchdogFields returns what is logged of a send that the watchdog ended.
+func (l *lifecycle) watchdogFields() []any {
+	if !l.watchdogExpired() {
+		return nil
+	}
+	w := l.watchdog
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return []any{"late_ms", w.lateBy.Milliseconds(), "unread_bytes", w.unreadBytes}
+}
+
 // resetWatchdog restarts the watchdog's timer after an event.
 func (l *lifecycle) resetWatchdog() {
-	if l.watchdog != nil {
-		l.watchdog.timer.Reset(l.watchdog.maxSilence)
+	if w := l.watchdog; w != nil {
+		w.mu.Lock()
+		w.due = time.Now().Add(w.maxSilence)
+		w.mu.Unlock()
+		w.timer.Reset(w.maxSilence)
 	}
 }
 
--- a/internal/upstream/forward.go
+++ b/internal/upstream/forward.go
@@ -39,7 +39,8 @@
 	Addr          string
 	Head          *fasthttp.RequestHeader // complete except for the body's length
 	Body          []byte
-	NewConnection bool // use a new connection instead of an idle one
+	NewConnection bool    // use a new connection instead of an idle one
+	Unread        *Unread // shows what arrives for the exchange; nil: nobody asks
 	// MatchesRequest reports whether an answer belongs to this request. If it is nil, every answer does.
 	MatchesRequest func(*fasthttp.ResponseHeader) bool
 }
@@ -66,6 +67,9 @@
 	if err != nil {
 		return nil, &CallError{Cause: err}
 	}
+	if q.Unread != nil {
+		q.Unread.conn.Store(cn)
+	}
 	x := &Exchange{Via: cn.via, client: c, conn: cn}
 	deadline, _ := ctx.Deadline()
 	_ = cn.SetDeadline(deadline)
