An instance's own delay is not its upstream's silence

What callers saw: streams cut although their workers sent on. With real daemons on a machine on which they don't run for 1.2 s at a time, `after_failure` says "upstream is silent: its answer is overdue", then "retry budget is spent".

Cause: the watchdog was one timer per event. It ran out by itself, whether the instance had run and whether anything had asked the connection for data. A process that goes on after a pause finds the timer expired and the events unread in the socket, and the timer's goroutine is as quick as the reader. The same without any pause: an instance that waits for its caller to read doesn't read what the worker sends.

Fix: the wait is checked in eighths. Only an instance that ran and listened all the while judges: a check that comes later than the next one was due, or while nothing reads the connection, begins the wait anew, and what lies unread in the connection at the due time does too. No bound has grown: an upstream that is truly silent is given up after the same time as before. After a pause it gets one whole wait. A machine that was frozen receives what was sent meanwhile only when the sender sends it again, so an empty socket right after a pause shows nothing. `after_failure` has absent_ms, for how long the instance was found not to have run.

Ruled out: a longer silence (a longer pause passes it as well); asking watch's pauseDetector (its threshold of 600 ms is for what is out of date, and it knows nothing of a caller that reads slowly).

--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -69,7 +69,7 @@
 	switch {
 	case l.ended():
 		f.outcome = Abandoned
-	case l.watchdogExpired():
+	case l.watchdog.hasExpired():
 		f.cause = errOverdue
 	}
 }
@@ -126,7 +126,7 @@
 		}
 	}
 	l.g.deps.Explain.Record("after_failure", l.r.ID, reason, append([]any{"upstream", u.ID, "at_fault", f.atFault, "outcome", f.outcome, "ran", f.ran,
-		"why", why, "attempts", l.attempts, "cause", f.cause, "framing", f.framing, "took_ms", time.Since(l.sentAt).Milliseconds()}, l.watchdogFields()...)...)
+		"why", why, "attempts", l.attempts, "cause", f.cause, "framing", f.framing, "took_ms", time.Since(l.sentAt).Milliseconds()}, l.watchdog.fields()...)...)
 	return retry
 }
 
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -111,7 +111,7 @@
 // readPlainAnswer reads an answer that is buffered until it is complete. Its bytes are counted until the request ends,
 // also over the limit: an answer that is ready is delivered, and new requests are refused instead.
 func (l *lifecycle) readPlainAnswer() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(l.exchange, maxPlainBytes+1))
+	body, err := io.ReadAll(io.LimitReader(watchedBody{l}, maxPlainBytes+1))
 	if err == nil && len(body) > maxPlainBytes {
 		return nil, fmt.Errorf("answer is over %d bytes", maxPlainBytes)
 	}
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -168,7 +168,7 @@
 	sendCtx := l.startWatchdog()
 	x, err := l.g.deps.Client.Forward(sendCtx, upstream.ForwardRequest{
 		Addr: u.Addr, Head: head, Body: l.r.body, NewConnection: l.r.route.Kind == catalog.NonIdempotent,
-		MatchesRequest: l.matchesRequest, Unread: l.unread(),
+		MatchesRequest: l.matchesRequest, Unread: unreadOf(l.watchdog),
 	})
 	if err != nil {
 		f := l.handleSendError(err)
@@ -177,6 +177,7 @@
 		}
 		return f
 	}
+	l.watchdog.update(func(s *silence, _ time.Time) { s.listening = false }) // until the body is read
 	l.attempts++
 	l.sends++
 	l.recordWay(x.Via)
@@ -213,7 +214,7 @@
 
 // releaseGrant releases the grant and the memory reserved for it, and stops the watchdog.
 func (l *lifecycle) releaseGrant(o Outcome, atFault fleet.UpstreamID) {
-	l.stopWatchdog()
+	l.watchdog.stop()
 	if l.reservations != nil {
 		l.reservations.release()
 		l.reservations = nil
--- /dev/null
+++ b/internal/gateway/silence_test.go
@@ -0,0 +1,48 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against an instance that takes its own pause for its upstream's silence, and ends a stream that its worker goes on
+// with. Each case tells at which time after the start, in ms, an upstream that sends nothing counts as silent: after a wait
+// of 800 ms in which the instance ran and listened.
+func TestSilenceIsJudgedOnlyWhileRunningAndListening(t *testing.T) {
+	const timeout, maxSilence = 800 * time.Millisecond, 1600 * time.Millisecond
+	for name, c := range map[string]struct {
+		pauseAt, pauseFor   int // ms; 0: no pause
+		deafFrom, deafUntil int // ms: nothing reads the connection
+		unreadUntil         int // ms: something has arrived that nobody has read
+		want                int // ms
+	}{
+		"runs and listens":                   {want: 800},
+		"runs late by less than a check":     {pauseAt: 300, pauseFor: 80, want: 800},
+		"is paused across the due time":      {pauseAt: 650, pauseFor: 1200, want: 1850 + 800},
+		"is paused early on":                 {pauseAt: 50, pauseFor: 1200, want: 1250 + 800},
+		"waits for its caller to read":       {deafFrom: 150, deafUntil: 3000, want: 2900 + 800},
+		"has not read what has arrived":      {unreadUntil: 1700, want: 1600 + 800},
+		"is paused with something unread":    {pauseAt: 650, pauseFor: 1200, unreadUntil: 2700, want: 1850 + 800 + 800},
+		"listens again long before the wait": {deafFrom: 50, deafUntil: 150, want: 900},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start := time.Now()
+			at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+			s := newSilence(start, timeout, maxSilence)
+			for range 1000 {
+				now := s.nextCheck
+				if paused := c.pauseFor > 0 && !now.Before(at(c.pauseAt)) && now.Before(at(c.pauseAt+c.pauseFor)); paused {
+					now = at(c.pauseAt + c.pauseFor)
+				}
+				s.listening = c.deafUntil == 0 || now.Before(at(c.deafFrom)) || !now.Before(at(c.deafUntil))
+				if s.check(now, func() bool { return now.Before(at(c.unreadUntil)) }) {
+					is.New(t).Equal(now.Sub(start).Milliseconds(), int64(c.want))
+					return
+				}
+			}
+			t.Fatal("never counts as silent")
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -36,7 +36,7 @@
 			}
 			return false, f
 		}
-		s := &streamBody{l: l, events: newEventReader(l.exchange), done: done, lastID: parseLastEventID(l.r.LastEventID)}
+		s := &streamBody{l: l, events: newEventReader(watchedBody{l}), done: done, lastID: parseLastEventID(l.r.LastEventID)}
 		first, err := s.readEvent()
 		if err != nil && err != io.EOF {
 			f := l.endBrokenAnswer(err)
@@ -126,7 +126,7 @@
 	s.buffered = append(s.buffered, e.raw...)
 }
 
-// recordEvent records when an event arrived and restarts the watchdog's timer.
+// recordEvent records when an event arrived and restarts the watchdog's wait.
 func (l *lifecycle) recordEvent(now time.Time) {
 	if l.lastEventAt.IsZero() {
 		l.firstEventDelay = now.Sub(l.r.arrived)
@@ -134,7 +134,7 @@
 		l.longestPause = max(l.longestPause, now.Sub(l.lastEventAt))
 	}
 	l.lastEventAt = now
-	l.resetWatchdog()
+	l.watchdog.update(func(s *silence, _ time.Time) { s.onEvent(now) })
 }
 
 // Read returns buffered data. If nothing is buffered, it waits for the next event first. It also buffers the complete
@@ -211,7 +211,7 @@
 			return false
 		}
 		l.grant.RecordFirstEvent()
-		s.events = newEventReader(l.exchange)
+		s.events = newEventReader(watchedBody{l})
 		return true
 	}
 }
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
@@ -22,16 +21,18 @@
 // until it gives up, and the request is lost although other upstreams would serve it. It runs only for requests that
 // may be repeated.
 type watchdog struct {
-	cancel     context.CancelCauseFunc
-	timer      *time.Timer
-	maxSilence time.Duration // between two events
-	expired    atomic.Bool   // set when the watchdog ends the send
-	unread     upstream.Unread
-
-	mu          sync.Mutex
-	due         time.Time     // guarded by mu: when the answer, or the next event, is overdue
-	lateBy      time.Duration // guarded by mu: how much later than due the send was ended
-	unreadBytes int           // guarded by mu: bytes of the upstream that nobody had read by then
+	cancel context.CancelCauseFunc
+	allows func() bool     // reports whether another send would be allowed
+	unread upstream.Unread // on the connection of the send
+
+	mu      sync.Mutex
+	timer   *time.Timer // guarded by mu: of the next check
+	silence *silence    // guarded by mu
+	stopped bool        // guarded by mu: the send has ended
+	expired bool        // guarded by mu: the watchdog has ended the send
+	// lateBy and unreadBytes are how late the watchdog ended the send, and what lay unread then.
+	lateBy      time.Duration // guarded by mu
+	unreadBytes int           // guarded by mu
 }
 
 // startWatchdog starts the watchdog of the next send and returns the context of that send. Without a watchdog that is
@@ -44,66 +45,110 @@
 		return l.ctx
 	}
 	ctx, cancel := context.WithCancelCause(l.ctx)
-	w := &watchdog{cancel: cancel, maxSilence: time.Duration(float64(l.r.silenceTolerance()) * silenceShare)}
-	w.due = time.Now().Add(timeout)
-	w.timer = time.AfterFunc(timeout, func() { l.expireWatchdog(w) })
+	now := time.Now()
+	w := &watchdog{
+		cancel:  cancel,
+		allows:  func() bool { return l.g.deps.RetryBudget.Allows(l.r.service) },
+		silence: newSilence(now, timeout, time.Duration(float64(l.r.silenceTolerance())*silenceShare)),
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(w.silence.nextCheck.Sub(now), w.check)
 	l.watchdog = w
 	return ctx
 }
 
-// unread returns what shows the watchdog what has arrived, or nil without a watchdog.
-func (l *lifecycle) unread() *upstream.Unread {
-	if l.watchdog == nil {
-		return nil
+// check ends the send if its upstream is silent and the retry budget allows another send. Otherwise the answer may still
+// arrive.
+func (w *watchdog) check() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
+	now := time.Now()
+	if w.silence.check(now, w.hasUnread) {
+		if w.allows() {
+			w.expire(now)
+			return
+		}
+		w.silence.wait(now)
 	}
-	return &l.watchdog.unread
+	w.timer.Reset(w.silence.nextCheck.Sub(now))
 }
 
-// expireWatchdog ends the send if the retry budget allows another one. Otherwise the answer may still arrive.
-func (l *lifecycle) expireWatchdog(w *watchdog) {
-	if l.g.deps.RetryBudget.Allows(l.r.service) {
-		w.observeExpiry(time.Now())
-		w.expired.Store(true)
-		w.cancel(errOverdue)
-	}
+// hasUnread reports whether something has arrived that nobody has read. mu is held.
+func (w *watchdog) hasUnread() bool {
+	_, waiting := w.unread.Look()
+	return waiting
+}
+
+// expire ends the send. mu is held.
+func (w *watchdog) expire(now time.Time) {
+	w.expired = true
+	w.lateBy = now.Sub(w.silence.due)
+	w.unreadBytes, _ = w.unread.Look()
+	w.cancel(errOverdue)
 }
 
-// observeExpiry records what shows later whether the upstream was silent, or this instance late.
-func (w *watchdog) observeExpiry(now time.Time) {
+// update changes what is known of the upstream's silence.
+func (w *watchdog) update(change func(s *silence, now time.Time)) {
+	if w == nil {
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lateBy = now.Sub(w.due)
-	w.unreadBytes, _ = w.unread.Look()
+	change(w.silence, time.Now())
 }
 
-// watchdogFields returns what is logged of a send that the watchdog ended.
-func (l *lifecycle) watchdogFields() []any {
-	if !l.watchdogExpired() {
+// fields returns what is logged of a send that the watchdog ended.
+func (w *watchdog) fields() []any {
+	if !w.hasExpired() {
 		return nil
 	}
-	w := l.watchdog
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return []any{"late_ms", w.lateBy.Milliseconds(), "unread_bytes", w.unreadBytes}
+	return []any{"late_ms", w.lateBy.Milliseconds(), "unread_bytes", w.unreadBytes, "absent_ms", w.silence.absent.Milliseconds()}
+}
+
+// stop stops the watchdog of a send that has ended.
+func (w *watchdog) stop() {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+	w.cancel(nil)
 }
 
-// resetWatchdog restarts the watchdog's timer after an event.
-func (l *lifecycle) resetWatchdog() {
-	if w := l.watchdog; w != nil {
-		w.mu.Lock()
-		w.due = time.Now().Add(w.maxSilence)
-		w.mu.Unlock()
-		w.timer.Reset(w.maxSilence)
+// hasExpired reports whether the send was ended because its upstream was silent.
+func (w *watchdog) hasExpired() bool {
+	if w == nil {
+		return false
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.expired
 }
 
-// stopWatchdog stops the watchdog of a send that has ended.
-func (l *lifecycle) stopWatchdog() {
-	if l.watchdog != nil {
-		l.watchdog.timer.Stop()
-		l.watchdog.cancel(nil)
+// unreadOf returns what shows a watchdog what has arrived, or nil without a watchdog.
+func unreadOf(w *watchdog) *upstream.Unread {
+	if w == nil {
+		return nil
 	}
+	return &w.unread
 }
 
-// watchdogExpired reports whether the send was ended because its upstream was silent.
-func (l *lifecycle) watchdogExpired() bool { return l.watchdog != nil && l.watchdog.expired.Load() }
+// watchedBody reads the body of the open answer and tells the watchdog, if there is one, while it listens.
+type watchedBody struct{ l *lifecycle }
+
+// Read implements io.Reader.
+func (b watchedBody) Read(p []byte) (int, error) {
+	w := b.l.watchdog
+	w.update(func(s *silence, _ time.Time) { s.listening = true })
+	n, err := b.l.exchange.Read(p)
+	w.update(func(s *silence, _ time.Time) { s.listening = false })
+	return n, err
+}
