A plain answer that arrives in parts is not overdue

What callers saw: nothing, unless the second send was refused: then an error for an answer that was on its way. The fleet saw work done twice and retry budget spent.

Cause: only events moved the time at which an answer is overdue. A plain answer has none, so its time ran from the grant to its last byte, and an answer that its worker writes over more than what the answers before it took was ended while it arrived.

Fix: whatever is read of an answer's body proves that its upstream isn't silent, and gives it a whole wait more. It never makes the wait shorter.

--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -38,6 +38,9 @@
 	s.due, s.interval = now.Add(s.maxSilence), s.maxSilence/checksPerWait
 }
 
+// onBytes records that a part of the answer arrived.
+func (s *silence) onBytes(now time.Time) { s.due = later(s.due, now.Add(s.maxSilence)) }
+
 // check reports whether the upstream is silent. waiting reports whether something has arrived that nobody has read. If the
 // upstream is not silent, the next check follows at s.nextCheck.
 func (s *silence) check(now time.Time, waiting func() bool) bool {
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -149,6 +149,11 @@
 	w := b.l.watchdog
 	w.update(func(s *silence, _ time.Time) { s.listening = true })
 	n, err := b.l.exchange.Read(p)
-	w.update(func(s *silence, _ time.Time) { s.listening = false })
+	w.update(func(s *silence, now time.Time) {
+		s.listening = false
+		if n > 0 {
+			s.onBytes(now)
+		}
+	})
 	return n, err
 }
