The wait for a silent upstream goes on after a short delay of the instance

A check that comes late began the wait anew, however late it was. On a machine that is short of processor time many checks come some tens of ms late, and eight in a row that don't are rare: a lost answer would be noticed late or never.

Now time in which the instance did not run is left out of the wait, and the upstream has as long again after it, up to a whole wait. A delay of 40 ms costs 40 ms; after a long pause nothing changes. An instance that is late at every check by more than the interval still doesn't judge: it runs less than half of the time.

--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -43,17 +43,20 @@
 
 // check reports whether the upstream is silent. waiting reports whether something has arrived that nobody has read. If the
 // upstream is not silent, the next check follows at s.nextCheck.
+//
+// Time in which the instance did not run doesn't count. After it the upstream has as long again, up to a whole wait: what was
+// sent to a machine that was frozen is sent again, at intervals that grow with the time for which it was.
 func (s *silence) check(now time.Time, waiting func() bool) bool {
 	late := now.Sub(s.nextCheck)
 	switch {
 	case late > s.interval:
 		s.absent += late
-		s.restart(now, s.due.Add(late))
+		s.due = later(s.due.Add(late), now.Add(min(late, s.wholeWait())))
 	case !s.listening:
-		s.restart(now, s.due)
+		s.extend(now)
 	case now.Before(s.due):
 	case waiting():
-		s.restart(now, s.due)
+		s.extend(now)
 	default:
 		return true
 	}
@@ -61,14 +64,15 @@
 	return false
 }
 
-// restart makes the upstream silent after a whole wait from now at the earliest, and not before least.
-func (s *silence) restart(now, least time.Time) {
-	s.due = later(least, now.Add(checksPerWait*s.interval))
-}
+// wholeWait returns the present length of a wait.
+func (s *silence) wholeWait() time.Duration { return checksPerWait * s.interval }
+
+// extend makes the upstream silent after a whole wait from now at the earliest.
+func (s *silence) extend(now time.Time) { s.due = later(s.due, now.Add(s.wholeWait())) }
 
 // wait lets a silent upstream go on for another whole wait.
 func (s *silence) wait(now time.Time) {
-	s.restart(now, s.due)
+	s.extend(now)
 	s.scheduleCheck(now)
 }
 
