A silent send is ended only once the next one is paid for

What callers saw: streams cut with "upstream is silent: its answer is overdue", then "retry budget is spent", whose workers would have gone on.

Cause: the watchdog asked whether the retry budget allows another send, ended the one that was open, and the retry was taken only when the next one was to be made. When many streams fall silent at one moment, all of them find the budget sufficient, few get a retry, and the others have lost the send that they had.

Fix: the watchdog takes the retry first, and hands it to the next send. A retry taken for a send that doesn't follow is given back when the request ends.

Not mended: the dispatcher may refuse the place for the next send (no upstream, limits), after the first one is ended. It knows one use of a request's id at a time, so that a second place can't be asked for before the first is given back.

--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -145,7 +145,7 @@
 		return false, "attempt limit reached"
 	case l.sends >= l.r.route.MaxAttempts+1:
 		return false, "send limit reached"
-	case !l.g.deps.RetryBudget.Allows(l.r.service):
+	case l.prepaid == nil && !l.g.deps.RetryBudget.Allows(l.r.service):
 		return false, "retry budget is spent"
 	default:
 		return true, "repeatable"
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -62,6 +62,7 @@
 	longestPause    time.Duration // between two events
 	answer          Answer        // of the current send
 	watchdog        *watchdog     // of the current send; nil: none was started
+	prepaid         func()        // gives back the retry that the watchdog took for the next send; nil: it took none
 	ran             fault.Run     // whether any send may have run
 }
 
@@ -144,7 +145,7 @@
 	giveBack := func() {}
 	if l.sends > 0 {
 		var ok bool
-		if giveBack, ok = l.g.deps.RetryBudget.Take(l.r.service); !ok {
+		if giveBack, ok = l.takeRetry(); !ok {
 			l.grant.Release(NotSent, "")
 			return &failure{outcome: NotSent, ran: fault.RunNo, cause: errBudgetSpent}
 		}
@@ -186,6 +187,23 @@
 	return l.checkHead()
 }
 
+// takeRetry consumes the retry for the next send, unless the watchdog already has.
+func (l *lifecycle) takeRetry() (giveBack func(), ok bool) {
+	if l.prepaid == nil {
+		return l.g.deps.RetryBudget.Take(l.r.service)
+	}
+	giveBack, l.prepaid = l.prepaid, nil
+	return giveBack, true
+}
+
+// returnPrepaid gives back a retry that was taken for a send that does not follow.
+func (l *lifecycle) returnPrepaid() {
+	if l.prepaid != nil {
+		l.prepaid()
+		l.prepaid = nil
+	}
+}
+
 // observeAnswer processes what an answer states about its upstream. sent is zero if it isn't known which request the
 // answer belongs to.
 func (l *lifecycle) observeAnswer(a Answer, sent time.Time) {
@@ -214,7 +232,9 @@
 
 // releaseGrant releases the grant and the memory reserved for it, and stops the watchdog.
 func (l *lifecycle) releaseGrant(o Outcome, atFault fleet.UpstreamID) {
-	l.watchdog.stop()
+	if giveBack := l.watchdog.stop(); giveBack != nil {
+		l.prepaid = giveBack
+	}
 	if l.reservations != nil {
 		l.reservations.release()
 		l.reservations = nil
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -222,7 +222,9 @@
 	if c, ok := ctx.Conn().(*callerconn.Conn); ok {
 		unwatch = c.Watch(func() { cancel(errCallerGone) })
 	}
-	return &lifecycle{g: g, r: r, ctx: requestCtx}, func() {
+	l := &lifecycle{g: g, r: r, ctx: requestCtx}
+	return l, func() {
+		l.returnPrepaid()
 		unwatch()
 		cancel(nil)
 		stop()
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -22,14 +22,16 @@
 // may be repeated.
 type watchdog struct {
 	cancel context.CancelCauseFunc
-	allows func() bool     // reports whether another send would be allowed
-	unread upstream.Unread // on the connection of the send
+	take   func() (giveBack func(), ok bool) // consumes the retry with which the request goes on elsewhere
+	unread upstream.Unread                   // on the connection of the send
 
 	mu      sync.Mutex
 	timer   *time.Timer // guarded by mu: of the next check
 	silence *silence    // guarded by mu
 	stopped bool        // guarded by mu: the send has ended
 	expired bool        // guarded by mu: the watchdog has ended the send
+	// giveBack returns the retry that was taken when the watchdog ended the send.
+	giveBack func() // guarded by mu; nil: none was taken, or another one has it
 	// lateBy and unreadBytes are how late the watchdog ended the send, and what lay unread then.
 	lateBy      time.Duration // guarded by mu
 	unreadBytes int           // guarded by mu
@@ -48,7 +50,7 @@
 	now := time.Now()
 	w := &watchdog{
 		cancel:  cancel,
-		allows:  func() bool { return l.g.deps.RetryBudget.Allows(l.r.service) },
+		take:    func() (func(), bool) { return l.g.deps.RetryBudget.Take(l.r.service) },
 		silence: newSilence(now, timeout, time.Duration(float64(l.r.silenceTolerance())*silenceShare)),
 	}
 	w.mu.Lock()
@@ -58,8 +60,8 @@
 	return ctx
 }
 
-// check ends the send if its upstream is silent and the retry budget allows another send. Otherwise the answer may still
-// arrive.
+// check ends the send if its upstream is silent and another send is paid for. Otherwise the answer may still arrive. Many
+// sends are often found silent at one moment, and the budget that each of them sees doesn't suffice for all.
 func (w *watchdog) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -68,7 +70,8 @@
 	}
 	now := time.Now()
 	if w.silence.check(now, w.hasUnread) {
-		if w.allows() {
+		if giveBack, ok := w.take(); ok {
+			w.giveBack = giveBack
 			w.expire(now)
 			return
 		}
@@ -111,16 +114,18 @@
 	return []any{"late_ms", w.lateBy.Milliseconds(), "unread_bytes", w.unreadBytes, "absent_ms", w.silence.absent.Milliseconds()}
 }
 
-// stop stops the watchdog of a send that has ended.
-func (w *watchdog) stop() {
+// stop stops the watchdog of a send that has ended. If it has taken a retry, it returns what gives that back, once.
+func (w *watchdog) stop() (giveBack func()) {
 	if w == nil {
-		return
+		return nil
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
 	w.timer.Stop()
 	w.cancel(nil)
+	giveBack, w.giveBack = w.giveBack, nil
+	return giveBack
 }
 
 // hasExpired reports whether the send was ended because its upstream was silent.
--- /dev/null
+++ b/internal/gateway/watchdog_test.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against retry budget that is lost for the whole window: the watchdog takes a retry before it ends a send, and the
+// send that it was taken for may not follow, as when the caller goes away.
+func TestRetryTakenForNoSendIsGivenBack(t *testing.T) {
+	is := is.New(t)
+	taken := 0
+	ctx, cancel := context.WithCancelCause(context.Background())
+	w := &watchdog{
+		cancel: cancel, silence: newSilence(time.Now(), time.Hour, time.Hour),
+		take: func() (func(), bool) { taken++; return func() { taken-- }, taken <= 1 },
+	}
+	w.timer = time.AfterFunc(time.Hour, func() {})
+	w.silence.due = time.Now()
+	w.check()
+	is.True(errors.Is(context.Cause(ctx), errOverdue))
+	is.Equal(taken, 1)
+	l := &lifecycle{watchdog: w}
+	l.prepaid = l.watchdog.stop()
+	is.True(l.watchdog.stop() == nil) // only once
+	giveBack, ok := l.takeRetry()     // as for a send that could not be made
+	is.True(ok)
+	giveBack()
+	is.Equal(taken, 0)
+	l.prepaid = func() { taken-- }
+	taken++
+	l.returnPrepaid()
+	l.returnPrepaid()
+	is.Equal(taken, 0)
+}
