The last send of a request is not ended as silent

What callers saw: a stream cut whose worker went on, after other workers had refused the request.

Cause: a request may have as many attempts as its route allows, and one send more, with those that are rejected. The watchdog left only the last attempt alone. With two rejections on a route of two attempts, the third send is the last one: it was ended as silent, and then "send limit reached".

Fix: no watchdog runs for a send after which none may follow, by either limit.

Test: platform.TestSilentStreamOfLastSendGoesOn, fails on the code before (unexpected EOF).

--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -143,7 +143,7 @@
 		return false, "may have run and must not run twice"
 	case l.attempts >= l.r.route.MaxAttempts:
 		return false, "attempt limit reached"
-	case l.sends >= l.r.route.MaxAttempts+1:
+	case l.sends >= l.maxSends():
 		return false, "send limit reached"
 	case l.prepaid == nil && !l.g.deps.RetryBudget.Allows(l.r.service):
 		return false, "retry budget is spent"
@@ -152,6 +152,14 @@
 	}
 }
 
+// maxSends returns how many sends the request may have, with those that an upstream rejects.
+func (l *lifecycle) maxSends() int { return l.r.route.MaxAttempts + 1 }
+
+// isLastSend reports whether no other send may follow the next one if that may run.
+func (l *lifecycle) isLastSend() bool {
+	return l.attempts+1 >= l.r.route.MaxAttempts || l.sends+1 >= l.maxSends()
+}
+
 // finalFault returns the caller's answer after the last failure. It returns nil if an error answer is still open,
 // which is then passed on as the upstream's own.
 func (l *lifecycle) finalFault(f *failure) *fault.Error {
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -39,11 +39,11 @@
 
 // startWatchdog starts the watchdog of the next send and returns the context of that send. Without a watchdog that is
 // the request's own context. No watchdog is started if it is unknown when the answer is overdue, if the request must
-// not be repeated, or if this is its last attempt.
+// not be repeated, or if this is its last send.
 func (l *lifecycle) startWatchdog() context.Context {
 	l.watchdog = nil
 	timeout := l.grant.AnswerTimeout()
-	if timeout == 0 || !l.r.route.Repeatable() || l.attempts+1 >= l.r.route.MaxAttempts {
+	if timeout == 0 || !l.r.route.Repeatable() || l.isLastSend() {
 		return l.ctx
 	}
 	ctx, cancel := context.WithCancelCause(l.ctx)
