A stream that none can go on with is not ended as silent

What callers saw: a stream without ids cut in its middle after a pause of its worker, which went on.

Cause: the watchdog ended the silent send to have it resumed. A resume names the last event by its id; without ids it was refused after the send was ended, "events have no ids".

Fix: the watchdog knows of each event whether another upstream could go on after it, and leaves a stream alone of which none can. Before the first event, or with ids again, it is sent elsewhere as before. Such a stream of a worker that is silent for good now ends with the request's deadline, or with the connection, as those at their last attempt do.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -122,19 +122,20 @@
 		s.eventCount++
 		s.unnumbered = !e.hasID
 	}
-	s.l.recordEvent(time.Now())
+	s.l.recordEvent(time.Now(), !s.unnumbered)
 	s.buffered = append(s.buffered, e.raw...)
 }
 
-// recordEvent records when an event arrived and restarts the watchdog's wait.
-func (l *lifecycle) recordEvent(now time.Time) {
+// recordEvent records when an event arrived and restarts the watchdog's wait. resumable reports whether another upstream could
+// go on after the event.
+func (l *lifecycle) recordEvent(now time.Time, resumable bool) {
 	if l.lastEventAt.IsZero() {
 		l.firstEventDelay = now.Sub(l.r.arrived)
 	} else {
 		l.longestPause = max(l.longestPause, now.Sub(l.lastEventAt))
 	}
 	l.lastEventAt = now
-	l.watchdog.update(func(s *silence, _ time.Time) { s.onEvent(now) })
+	l.watchdog.onEvent(now, resumable)
 }
 
 // Read returns buffered data. If nothing is buffered, it waits for the next event first. It also buffers the complete
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -28,6 +28,7 @@
 	mu      sync.Mutex
 	timer   *time.Timer // guarded by mu: of the next check
 	silence *silence    // guarded by mu
+	pinned  bool        // guarded by mu: no other upstream can go on with what this one has sent
 	stopped bool        // guarded by mu: the send has ended
 	expired bool        // guarded by mu: the watchdog has ended the send
 	// giveBack returns the retry that was taken when the watchdog ended the send.
@@ -60,7 +61,7 @@
 	return ctx
 }
 
-// check ends the send if its upstream is silent and another send is paid for. Otherwise the answer may still arrive. Many
+// check ends the send if its upstream is silent and another send can follow and is paid for. Otherwise the answer may still arrive. Many
 // sends are often found silent at one moment, and the budget that each of them sees doesn't suffice for all.
 func (w *watchdog) check() {
 	w.mu.Lock()
@@ -70,8 +71,7 @@
 	}
 	now := time.Now()
 	if w.silence.check(now, w.hasUnread) {
-		if giveBack, ok := w.take(); ok {
-			w.giveBack = giveBack
+		if w.takeNext() {
 			w.expire(now)
 			return
 		}
@@ -80,6 +80,18 @@
 	w.timer.Reset(w.silence.nextCheck.Sub(now))
 }
 
+// takeNext takes the retry with which the request goes on elsewhere, and reports whether it can go on. mu is held.
+func (w *watchdog) takeNext() (ok bool) {
+	if w.pinned {
+		return false
+	}
+	giveBack, ok := w.take()
+	if ok {
+		w.giveBack = giveBack
+	}
+	return ok
+}
+
 // hasUnread reports whether something has arrived that nobody has read. mu is held.
 func (w *watchdog) hasUnread() bool {
 	_, waiting := w.unread.Look()
@@ -94,6 +106,17 @@
 	w.cancel(errOverdue)
 }
 
+// onEvent records that an event arrived, and whether another upstream could go on after it.
+func (w *watchdog) onEvent(now time.Time, resumable bool) {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silence.onEvent(now)
+	w.pinned = !resumable
+}
+
 // update changes what is known of the upstream's silence.
 func (w *watchdog) update(change func(s *silence, now time.Time)) {
 	if w == nil {
