What may have run waits for the instance's own trust, for as long as its caller does

What callers saw: a stream cut, or an error for a request that may have run, with "this instance was paused and is catching up". It happens when a send ends about when its instance was paused, and the fleet's state isn't proven within 250 ms afterwards.

Cause: the wait for trust was 250 ms for every request, then it is refused. A new request is refused as not run and goes to another instance; nothing is lost. A stream that is to go on elsewhere has no other instance: the refusal is its end.

Fix: a request that may have run waits until its deadline or its caller's end.

Test: gateway.TestRequestThatMayHaveRunWaitsForTrust, fails with the code before (the guard switched off).

--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -101,9 +101,14 @@
 
 // awaitTrust waits until the instance is trusted again after a pause of the process. It returns false if that takes
 // too long. Requests that arrive during a pause are all read when it ends, and confirming the instance's state takes
-// one or two round trips.
+// one or two round trips. A request that may have run can't go to another instance, so that it waits for as long as its
+// caller does.
 func (l *lifecycle) awaitTrust() bool {
-	return wait.Until(l.ctx, time.Now().Add(trustTimeout), trustPollInterval, func() bool { return !l.g.deps.Untrusted() })
+	end := time.Now().Add(trustTimeout)
+	if l.ran != fault.RunNo {
+		end = l.r.deadline
+	}
+	return wait.Until(l.ctx, end, trustPollInterval, func() bool { return !l.g.deps.Untrusted() })
 }
 
 // unusableReason returns why the upstream must not be used now according to the newest snapshot, or "". The grant
--- a/internal/gateway/lifecycle_test.go
+++ b/internal/gateway/lifecycle_test.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 )
 
@@ -48,3 +52,20 @@
 		}
 	}
 }
+
+// Guards against a stream that is cut because the instance itself was paused: its worker is gone when the instance runs again,
+// and its state isn't proven within the time for which a new request would wait. A new request may go to another instance.
+func TestRequestThatMayHaveRunWaitsForTrust(t *testing.T) {
+	is := is.New(t)
+	awaitTrust := func(ran fault.Run) bool {
+		trustedAt := time.Now().Add(2 * trustTimeout)
+		l := &lifecycle{
+			g: &Gateway{deps: Deps{Untrusted: func() bool { return time.Now().Before(trustedAt) }}}, ctx: context.Background(),
+			r: &request{deadline: time.Now().Add(time.Minute)}, ran: ran,
+		}
+		return l.awaitTrust()
+	}
+	is.True(!awaitTrust(fault.RunNo))
+	is.True(awaitTrust(fault.RunYes))
+	is.True(awaitTrust(fault.RunUnknown))
+}
