silence: a package of its own for who may judge another one's silence

The watchdog's wait moves from the gateway to internal/silence, with exported names, and the number of checks of a wait as a parameter. No behaviour changes.

--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -14,6 +14,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/silence"
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
 	"github.com/damaskshelf/damaskshelf/internal/wait"
 )
@@ -183,7 +184,7 @@
 		}
 		return f
 	}
-	l.watchdog.update(func(s *silence, _ time.Time) { s.listening = false }) // until the body is read
+	l.watchdog.update(func(wait *silence.Wait, _ time.Time) { wait.Listen(false) }) // until the body is read
 	l.attempts++
 	l.sends++
 	l.recordWay(x.Via)
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/damaskshelf/damaskshelf/internal/silence"
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
 )
 
@@ -16,6 +17,9 @@
 // remaining time must suffice to resume the stream on another upstream.
 const silenceShare = 0.5
 
+// checksPerWait is how often a wait for an upstream is checked.
+const checksPerWait = 8
+
 // watchdog ends a send when its upstream falls silent, so that the request goes to another one. It guards against a
 // lost answer, or a connection that stays silent while the upstream serves others. Without it, the caller waits
 // until it gives up, and the request is lost although other upstreams would serve it. It runs only for requests that
@@ -26,11 +30,11 @@
 	unread upstream.Unread                   // on the connection of the send
 
 	mu      sync.Mutex
-	timer   *time.Timer // guarded by mu: of the next check
-	silence *silence    // guarded by mu
-	pinned  bool        // guarded by mu: no other upstream can go on with what this one has sent
-	stopped bool        // guarded by mu: the send has ended
-	expired bool        // guarded by mu: the watchdog has ended the send
+	timer   *time.Timer   // guarded by mu: of the next check
+	wait    *silence.Wait // guarded by mu: for the upstream
+	pinned  bool          // guarded by mu: no other upstream can go on with what this one has sent
+	stopped bool          // guarded by mu: the send has ended
+	expired bool          // guarded by mu: the watchdog has ended the send
 	// giveBack returns the retry that was taken when the watchdog ended the send.
 	giveBack func() // guarded by mu; nil: none was taken, or another one has it
 	// lateBy and unreadBytes are how late the watchdog ended the send, and what lay unread then.
@@ -50,13 +54,13 @@
 	ctx, cancel := context.WithCancelCause(l.ctx)
 	now := time.Now()
 	w := &watchdog{
-		cancel:  cancel,
-		take:    func() (func(), bool) { return l.g.deps.RetryBudget.Take(l.r.service) },
-		silence: newSilence(now, timeout, time.Duration(float64(l.r.silenceTolerance())*silenceShare)),
+		cancel: cancel,
+		take:   func() (func(), bool) { return l.g.deps.RetryBudget.Take(l.r.service) },
+		wait:   silence.NewWait(now, timeout, time.Duration(float64(l.r.silenceTolerance())*silenceShare), checksPerWait),
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(w.silence.nextCheck.Sub(now), w.check)
+	w.timer = time.AfterFunc(w.wait.NextCheck().Sub(now), w.check)
 	l.watchdog = w
 	return ctx
 }
@@ -70,14 +74,14 @@
 		return
 	}
 	now := time.Now()
-	if w.silence.check(now, w.hasUnread) {
+	if w.wait.Check(now, w.hasUnread) {
 		if w.takeNext() {
 			w.expire(now)
 			return
 		}
-		w.silence.wait(now)
+		w.wait.Extend(now)
 	}
-	w.timer.Reset(w.silence.nextCheck.Sub(now))
+	w.timer.Reset(w.wait.NextCheck().Sub(now))
 }
 
 // takeNext takes the retry with which the request goes on elsewhere, and reports whether it can go on. mu is held.
@@ -101,7 +105,7 @@
 // expire ends the send. mu is held.
 func (w *watchdog) expire(now time.Time) {
 	w.expired = true
-	w.lateBy = now.Sub(w.silence.due)
+	w.lateBy = now.Sub(w.wait.Due())
 	w.unreadBytes, _ = w.unread.Look()
 	w.cancel(errOverdue)
 }
@@ -113,18 +117,18 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.silence.onEvent(now)
+	w.wait.Event(now)
 	w.pinned = !resumable
 }
 
 // update changes what is known of the upstream's silence.
-func (w *watchdog) update(change func(s *silence, now time.Time)) {
+func (w *watchdog) update(change func(wait *silence.Wait, now time.Time)) {
 	if w == nil {
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	change(w.silence, time.Now())
+	change(w.wait, time.Now())
 }
 
 // fields returns what is logged of a send that the watchdog ended.
@@ -134,7 +138,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return []any{"late_ms", w.lateBy.Milliseconds(), "unread_bytes", w.unreadBytes, "absent_ms", w.silence.absent.Milliseconds()}
+	return []any{"late_ms", w.lateBy.Milliseconds(), "unread_bytes", w.unreadBytes, "absent_ms", w.wait.Absent().Milliseconds()}
 }
 
 // stop stops the watchdog of a send that has ended. If it has taken a retry, it returns what gives that back, once.
@@ -175,12 +179,12 @@
 // Read implements io.Reader.
 func (b watchedBody) Read(p []byte) (int, error) {
 	w := b.l.watchdog
-	w.update(func(s *silence, _ time.Time) { s.listening = true })
+	w.update(func(wait *silence.Wait, _ time.Time) { wait.Listen(true) })
 	n, err := b.l.exchange.Read(p)
-	w.update(func(s *silence, now time.Time) {
-		s.listening = false
+	w.update(func(wait *silence.Wait, now time.Time) {
+		wait.Listen(false)
 		if n > 0 {
-			s.onBytes(now)
+			wait.Part(now)
 		}
 	})
 	return n, err
--- a/internal/gateway/watchdog_test.go
+++ b/internal/gateway/watchdog_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/damaskshelf/damaskshelf/internal/silence"
 )
 
 // Guards against retry budget that is lost for the whole window: the watchdog takes a retry before it ends a send, and the
@@ -16,11 +18,10 @@
 	taken := 0
 	ctx, cancel := context.WithCancelCause(context.Background())
 	w := &watchdog{
-		cancel: cancel, silence: newSilence(time.Now(), time.Hour, time.Hour),
+		cancel: cancel, wait: silence.NewWait(time.Now().Add(-time.Hour), time.Hour, time.Hour, 1),
 		take: func() (func(), bool) { taken++; return func() { taken-- }, taken <= 1 },
 	}
 	w.timer = time.AfterFunc(time.Hour, func() {})
-	w.silence.due = time.Now()
 	w.check()
 	is.True(errors.Is(context.Cause(ctx), errOverdue))
 	is.Equal(taken, 1)
--- a/internal/gateway/silence_test.go
+++ b/internal/silence/silence_test.go
@@ -1,4 +1,4 @@
-package gateway
+package silence
 
 import (
 	"testing"
@@ -32,14 +32,14 @@
 		t.Run(name, func(t *testing.T) {
 			start := time.Now()
 			at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
-			s := newSilence(start, timeout, maxSilence)
+			s := NewWait(start, timeout, maxSilence, 8)
 			for range 1000 {
 				now := s.nextCheck
 				if paused := c.pauseFor > 0 && !now.Before(at(c.pauseAt)) && now.Before(at(c.pauseAt+c.pauseFor)); paused {
 					now = at(c.pauseAt + c.pauseFor)
 				}
-				s.listening = c.deafUntil == 0 || now.Before(at(c.deafFrom)) || !now.Before(at(c.deafUntil))
-				if s.check(now, func() bool { return now.Before(at(c.unreadUntil)) }) {
+				s.Listen(c.deafUntil == 0 || now.Before(at(c.deafFrom)) || !now.Before(at(c.deafUntil)))
+				if s.Check(now, func() bool { return now.Before(at(c.unreadUntil)) }) {
 					is.New(t).Equal(now.Sub(start).Milliseconds(), int64(c.want))
 					return
 				}
