A pause of the instance itself ends no session with the dispatcher

What was seen: after a pause of all instances every session with the dispatcher ends, from both sides, and each instance is its own dispatcher for half a second, without the work of the others. Requests that arrive then are placed by a view of one instance.

Cause: either side ends a session by a timer of 300 ms that the process runs out itself while it isn't running. The bytes that came meanwhile lie unread.

Fix: both timers count time in which the process runs, by silence.Timer: a check comes every heartbeat's interval, and one that comes late shows that the process did not run. Someone who lost power is still noticed within 300 ms of running time (placement.TestSilentInstanceIsDetached, TestSilentDispatcherTimesOut).

Test: silence.TestTimerDoesNotCountOwnPause; with the guard switched off the session ends at the first check after the pause.

--- a/internal/placement/session.go
+++ b/internal/placement/session.go
@@ -12,6 +12,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/peer"
 	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
+	"github.com/damaskshelf/damaskshelf/internal/silence"
 )
 
 const (
@@ -24,7 +25,9 @@
 	attachTimeout = 250 * time.Millisecond
 	// sessionTimeout is how long either side of a session may send nothing before the other ends it: three
 	// heartbeats.
-	sessionTimeout = 3 * heartbeatInterval
+	sessionTimeout = checksPerSilence * heartbeatInterval
+	// checksPerSilence is how often either side checks in that time whether it is running itself.
+	checksPerSilence = 3
 	// maxOutbox bounds the messages that wait to be sent to one instance; an instance that doesn't receive them is
 	// disconnected.
 	maxOutbox = 4096
@@ -103,13 +106,13 @@
 // short prompts for as long as the dispatcher runs.
 type timeoutStream struct {
 	pb.DRPCPlacement_AttachStream
-	timer *time.Timer // ends the session
+	timer *silence.Timer // ends the session
 }
 
 // Recv implements placementpb.DRPCPlacement_AttachStream.
 func (s timeoutStream) Recv() (*pb.FromEntry, error) {
 	m, err := s.DRPCPlacement_AttachStream.Recv()
-	s.timer.Reset(sessionTimeout)
+	s.timer.Arrived()
 	return m, err
 }
 
@@ -131,7 +134,7 @@
 	instance := fleet.InstanceID(first.Entry)
 	ctx, cancel := context.WithCancel(raw.Context())
 	defer cancel()
-	stream := timeoutStream{raw, time.AfterFunc(sessionTimeout, cancel)}
+	stream := timeoutStream{raw, silence.AfterFunc(sessionTimeout, sessionTimeout, checksPerSilence, cancel)}
 	defer stream.timer.Stop()
 	to := &remoteSink{out: newOutbox[*pb.ToEntry](), disconnect: cancel}
 	go func() {
@@ -209,10 +212,11 @@
 	done         <-chan struct{}     // closed when the session has ended
 
 	openedAt     time.Time
-	handedOver   atomic.Bool  // the other side closed the session in order: it has another dispatcher now
-	timedOut     atomic.Bool  // the session ended because nothing arrived in time
-	lastReceived atomic.Int64 // when bytes last arrived, in ns since openedAt; 0: none yet
-	duty         atomic.Int32 // the last pb.ToEntry_Duty that arrived
+	handedOver   atomic.Bool                   // the other side closed the session in order: it has another dispatcher now
+	timedOut     atomic.Bool                   // the session ended because nothing arrived in time
+	lastReceived atomic.Int64                  // when bytes last arrived, in ns since openedAt; 0: none yet
+	duty         atomic.Int32                  // the last pb.ToEntry_Duty that arrived
+	timeout      atomic.Pointer[silence.Timer] // nil: not started
 }
 
 // isLive reports whether bytes arrived recently enough that the dispatcher counts as alive.
@@ -220,7 +224,12 @@
 
 // recordReceived records that bytes arrived. Those of an incomplete message count as well: a long copy for hundreds
 // of instances fills the dispatcher's link for longer than sessionTimeout, and heartbeats wait behind it.
-func (s *session) recordReceived() { s.lastReceived.Store(int64(time.Since(s.openedAt))) }
+func (s *session) recordReceived() {
+	s.lastReceived.Store(int64(time.Since(s.openedAt)))
+	if t := s.timeout.Load(); t != nil {
+		t.Arrived()
+	}
+}
 
 // idleTime returns how long ago bytes last arrived.
 func (s *session) idleTime() time.Duration {
@@ -228,19 +237,16 @@
 }
 
 // endOnTimeout calls stop to end the session if nothing arrives within limit, and later if nothing arrives for
-// sessionTimeout. Only a timeout reveals a connection whose state was lost between the two ends.
+// sessionTimeout. Only a timeout reveals a connection whose state was lost between the two ends. It counts time in which this
+// instance runs: if the whole fleet were paused, all sessions would end when it goes on, and every instance would place by
+// its own view.
 func (s *session) endOnTimeout(limit time.Duration, stop func()) {
-	time.AfterFunc(limit, func() {
-		remaining := sessionTimeout - s.idleTime()
-		switch {
-		case s.isDone():
-		case s.lastReceived.Load() > 0 && remaining > 0:
-			s.endOnTimeout(remaining, stop)
-		default:
+	s.timeout.Store(silence.AfterFunc(limit, sessionTimeout, checksPerSilence, func() {
+		if !s.isDone() {
 			s.timedOut.Store(true)
 			stop()
 		}
-	})
+	}))
 }
 
 // isDone reports whether the session has ended.
