Through another instance, a slow caller keeps its answer

What callers saw: a stream whose caller reads nothing for more than 5 s broke off, or was begun elsewhere, if its instance reaches the upstream through another one: "instance that connected to the upstream was lost". Directly, a caller has 10 s.

Cause: the instance that asked stops reading the tunnel while its caller reads nothing. The other one's write to the tunnel waits, and after its own limit for writes between instances it takes the first instance for gone.

Fix: only the instance that has the caller judges the caller. The other one's writes to a tunnel have the caller's time in addition to their own, so that it always judges later. The limit of other writes between instances is unchanged.

Test: tunnel.TestSlowReaderLosesNoTunnel (a reader that stands still for 6 s); with the extension switched off it fails with that error.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -1,10 +1,13 @@
 package peer
 
 import (
+	"context"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"storj.io/drpc/drpcctx"
 )
 
 // limitListener immediately closes each connection above maxConns. If it were left in the backlog, it would look like a
@@ -42,6 +45,18 @@
 	once    sync.Once
 	onClose func() // called once, at the first Close; may be nil
 	onRead  func() // called when bytes arrive; may be nil
+	// moreTime is the time in ns that a write has beyond writeTimeout.
+	moreTime atomic.Int64
+}
+
+// ExtendWriteTimeout gives the writes of a call so much more time, on its whole connection. ctx is the context of the call's
+// stream.
+func ExtendWriteTimeout(ctx context.Context, more time.Duration) {
+	if transport, ok := drpcctx.Transport(ctx); ok {
+		if c, ok := transport.(*deadlineConn); ok {
+			c.moreTime.Store(int64(more))
+		}
+	}
 }
 
 // Read implements net.Conn.
@@ -55,7 +70,7 @@
 
 // Write implements net.Conn.
 func (c *deadlineConn) Write(b []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout + time.Duration(c.moreTime.Load()))); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(b)
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -140,6 +140,7 @@
 func newTunnelServer(s api.Settings, f *watch.Follower, p *placement.Client, c *upstream.Client, g *gate.Gate, m *metrics.Registry) *tunnel.Server {
 	return tunnel.NewServer(tunnel.ServerDeps{
 		Snapshot: f.Snapshot, Untrusted: f.Untrusted, HeldOff: p.HeldOff, Client: c, Gate: g, Max: maxTunnels(s.Routed.Limits), Metrics: m,
+		CallerStall: writeStallTimeout,
 	})
 }
 
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -7,12 +7,14 @@
 	"net"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"storj.io/drpc"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
+	"github.com/damaskshelf/damaskshelf/internal/peer"
 	pb "github.com/damaskshelf/damaskshelf/internal/tunnel/tunnelpb"
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
 )
@@ -25,7 +27,9 @@
 	Client    *upstream.Client
 	Gate      *gate.Gate // counts tunnels as requests in flight, so that a planned stop waits for them
 	Max       int64      // tunnels at one time
-	Metrics   *metrics.Registry
+	// CallerStall is how long the other instance's caller may accept nothing before that instance ends its request.
+	CallerStall time.Duration
+	Metrics     *metrics.Registry
 }
 
 // Server connects to upstreams for other instances.
@@ -60,6 +64,8 @@
 	if err := stream.Send(&pb.FromUpstream{Result: pb.FromUpstream_CONNECTED}); err != nil {
 		return err
 	}
+	// The other instance stops reading while its caller does, and alone decides on that. This one judges later.
+	peer.ExtendWriteTimeout(stream.Context(), s.deps.CallerStall)
 	// A read of the upstream must not outlast the other instance's interest: the upstream goes on to work meanwhile.
 	defer context.AfterFunc(stream.Context(), func() { _ = c.Close() })()
 	go copyToUpstream(c, stream)
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -59,6 +59,7 @@
 	server := tunnel.NewServer(tunnel.ServerDeps{
 		Snapshot: w.snapshot.Load, Untrusted: w.untrusted.Load, HeldOff: func(*catalog.Upstream) bool { return w.heldOff.Load() },
 		Client: upstream.New(), Gate: &w.gate, Max: w.max, Metrics: metrics.New(),
+		CallerStall: time.Minute,
 	})
 	mux := drpcmux.New()
 	if err := server.Register(mux); err != nil {
@@ -178,6 +179,26 @@
 	}
 }
 
+// Guards against an answer that is cut because its caller reads nothing for a while: the instance that asked stops reading too,
+// and the other one takes that for its loss after its own, shorter time.
+func TestSlowReaderLosesNoTunnel(t *testing.T) {
+	is := is.New(t)
+	const size = 48 << 20 // more than all buffers on the way hold
+	const stall = 6 * time.Second
+	w := newWorld(t, func(c net.Conn) {
+		_, _ = c.Write(make([]byte, size))
+		_ = c.Close()
+	})
+	tunneled := w.mustDial()
+	_ = tunneled.SetDeadline(time.Now().Add(stall + 30*time.Second))
+	_, err := io.ReadFull(tunneled, make([]byte, 1000))
+	is.NoErr(err)
+	time.Sleep(stall)
+	n, err := io.Copy(io.Discard, tunneled)
+	is.NoErr(err)
+	is.Equal(n, int64(size-1000))
+}
+
 // An instance opens no tunnel to an upstream that it would send nothing to itself, and none while it is stopping or
 // serves as many as it may.
 func TestTunnelIsRefused(t *testing.T) {
