A late connection is no failed path

What was seen, by a test only: an instance that did not run for a while while it connected to an upstream takes the path to it for failed, and after two of them itself for cut off: idle connections are closed, and new sends go through other instances.

Cause: a path has failed if the direct connection failed while another instance connected.

Fix: a connection that ends by its timeout, but half of it too late, shows nothing of the path. It still fails for its own request, which uses the other instance's connection as before.

Test: upstream.TestOwnPauseIsNoFailedPath, fails with the guard switched off (both paths failed, the instance cut off).

--- a/internal/upstream/attempts.go
+++ b/internal/upstream/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 )
 
 // attempt is the result of one way to connect.
@@ -10,8 +11,12 @@
 	conn     net.Conn
 	err      error
 	bypassed bool
+	late     bool // it ended by its timeout, and so late that this process can't have run all the while
 }
 
+// maxTimeoutDelay is how much later than its timeout an attempt ends in a process that runs.
+const maxTimeoutDelay = connectTimeout / 2
+
 // attempts are the attempts of one dial, at most one for each way. Only the goroutine that dials uses its fields, and
 // finish after it.
 type attempts struct {
@@ -21,6 +26,7 @@
 	pending                      int
 	directStarted, bypassStarted bool
 	directErr                    error // of a failed direct attempt
+	directLate                   bool  // directErr shows nothing of the path
 	bypassed                     bool  // another instance connected
 }
 
@@ -47,12 +53,15 @@
 	go func() {
 		dialCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), connectTimeout)
 		defer cancel()
+		began := time.Now()
 		c, err := dial(dialCtx, a.addr)
-		a.results <- attempt{c, err, bypassed}
+		late := err != nil && isTimeout(err) && time.Since(began) > connectTimeout+maxTimeoutDelay
+		a.results <- attempt{c, err, bypassed, late}
 	}()
 }
 
-// record records what the result of an attempt shows.
+// record records what the result of an attempt shows. A process that did not run finds an attempt's time over, whether the
+// path works or not.
 func (a *attempts) record(r attempt) {
 	a.pending--
 	switch {
@@ -60,11 +69,11 @@
 		a.bypassed = true
 	case r.bypassed:
 	case r.err != nil:
-		a.directErr = r.err
+		a.directErr, a.directLate = r.err, r.late
 	default:
 		a.p.connected(a.addr)
 	}
-	if a.directErr != nil && a.bypassed {
+	if a.directErr != nil && !a.directLate && a.bypassed {
 		a.p.pathFailed(a.addr, a.directErr)
 	}
 }
--- a/internal/upstream/paths_test.go
+++ b/internal/upstream/paths_test.go
@@ -22,6 +22,7 @@
 	fails    atomic.Pointer[error] // of direct connections; nil: they open. errHang: they hang
 	bypasses atomic.Int64          // connections through the other instance
 	slow     bool                  // the other instance takes longer than callers wait
+	pause    time.Duration         // for which the process doesn't run after a direct connection that hangs has timed out
 }
 
 // errHang makes direct connections hang.
@@ -35,6 +36,7 @@
 		return near, nil
 	case *fails == errHang:
 		<-ctx.Done()
+		time.Sleep(n.pause)
 		return nil, ctx.Err()
 	default:
 		return nil, *fails
@@ -151,6 +153,22 @@
 	})
 }
 
+// Guards against an instance that counts as cut off because it did not run for a while itself: the time of its own connections
+// was over when it went on, and another instance, which ran, had connected.
+func TestOwnPauseIsNoFailedPath(t *testing.T) {
+	is := is.New(t)
+	n, c := newTestPaths()
+	n.pause = 2 * connectTimeout
+	n.cut(errHang)
+	for _, addr := range []string{"a", "b"} {
+		is.Equal(dialVia(t, c, addr), fleet.InstanceID("other"))
+	}
+	time.Sleep(n.pause + 2*connectTimeout) // the direct connections have ended
+	for _, addr := range []string{"a", "b", "c"} {
+		is.Equal(c.pool.paths.order(addr), reach.DirectFirst)
+	}
+}
+
 // An upstream that neither this instance nor another one reaches is no sign of a failed path.
 func TestDeadUpstreamIsNoFailedPath(t *testing.T) {
 	is := is.New(t)
