--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -69,7 +69,7 @@
 	switch {
 	case l.ended():
 		f.outcome = Abandoned
-	case l.watchdogExpired():
+	case l.watchdog.hasExpired():
 		f.cause = errOverdue
 	}
 }
@@ -125,8 +125,8 @@
 			l.closeExchange(f)
 		}
 	}
-	l.g.deps.Explain.Record("after_failure", l.r.ID, reason, "upstream", u.ID, "at_fault", f.atFault, "outcome", f.outcome, "ran", f.ran,
-		"why", why, "attempts", l.attempts, "cause", f.cause, "framing", f.framing, "took_ms", time.Since(l.sentAt).Milliseconds())
+	l.g.deps.Explain.Record("after_failure", l.r.ID, reason, append([]any{"upstream", u.ID, "at_fault", f.atFault, "outcome", f.outcome, "ran", f.ran,
+		"why", why, "attempts", l.attempts, "cause", f.cause, "framing", f.framing, "took_ms", time.Since(l.sentAt).Milliseconds()}, l.watchdog.fields()...)...)
 	return retry
 }
 
@@ -143,15 +143,23 @@
 		return false, "may have run and must not run twice"
 	case l.attempts >= l.r.route.MaxAttempts:
 		return false, "attempt limit reached"
-	case l.sends >= l.r.route.MaxAttempts+1:
+	case l.sends >= l.maxSends():
 		return false, "send limit reached"
-	case !l.g.deps.RetryBudget.Allows(l.r.service):
+	case l.prepaid == nil && !l.g.deps.RetryBudget.Allows(l.r.service):
 		return false, "retry budget is spent"
 	default:
 		return true, "repeatable"
 	}
 }
 
+// maxSends returns how many sends the request may have, with those that an upstream rejects.
+func (l *lifecycle) maxSends() int { return l.r.route.MaxAttempts + 1 }
+
+// isLastSend reports whether no other send may follow the next one if that may run.
+func (l *lifecycle) isLastSend() bool {
+	return l.attempts+1 >= l.r.route.MaxAttempts || l.sends+1 >= l.maxSends()
+}
+
 // finalFault returns the caller's answer after the last failure. It returns nil if an error answer is still open,
 // which is then passed on as the upstream's own.
 func (l *lifecycle) finalFault(f *failure) *fault.Error {
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -14,6 +14,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/objects"
+	"github.com/damaskshelf/damaskshelf/internal/silence"
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
 	"github.com/damaskshelf/damaskshelf/internal/wait"
 )
@@ -62,6 +63,7 @@
 	longestPause    time.Duration // between two events
 	answer          Answer        // of the current send
 	watchdog        *watchdog     // of the current send; nil: none was started
+	prepaid         func()        // gives back the retry that the watchdog took for the next send; nil: it took none
 	ran             fault.Run     // whether any send may have run
 }
 
@@ -100,9 +102,14 @@
 
 // awaitTrust waits until the instance is trusted again after a pause of the process. It returns false if that takes
 // too long. Requests that arrive during a pause are all read when it ends, and confirming the instance's state takes
-// one or two round trips.
+// one or two round trips. A request that may have run can't go to another instance, so that it waits for as long as its
+// caller does.
 func (l *lifecycle) awaitTrust() bool {
-	return wait.Until(l.ctx, time.Now().Add(trustTimeout), trustPollInterval, func() bool { return !l.g.deps.Untrusted() })
+	end := time.Now().Add(trustTimeout)
+	if l.ran != fault.RunNo {
+		end = l.r.deadline
+	}
+	return wait.Until(l.ctx, end, trustPollInterval, func() bool { return !l.g.deps.Untrusted() })
 }
 
 // unusableReason returns why the upstream must not be used now according to the newest snapshot, or "". The grant
@@ -144,7 +151,7 @@
 	giveBack := func() {}
 	if l.sends > 0 {
 		var ok bool
-		if giveBack, ok = l.g.deps.RetryBudget.Take(l.r.service); !ok {
+		if giveBack, ok = l.takeRetry(); !ok {
 			l.grant.Release(NotSent, "")
 			return &failure{outcome: NotSent, ran: fault.RunNo, cause: errBudgetSpent}
 		}
@@ -165,9 +172,10 @@
 	l.g.deps.Explain.Record("dispatch", l.r.ID, decide.Reason(l.grant.Reason()), "upstream", u.ID, "attempt", l.attempts+1, "class", l.r.class(), "prompt", l.r.PromptTokens,
 		"helpers", len(helpers), "holders", len(l.grant.Reservations()), "waited_ms", l.sentAt.Sub(l.r.arrived).Milliseconds(), "config", l.r.configVersion,
 		"entry_revision", objects.FormatVersion(u.Revision))
-	x, err := l.g.deps.Client.Forward(l.startWatchdog(), upstream.ForwardRequest{
+	sendCtx := l.startWatchdog()
+	x, err := l.g.deps.Client.Forward(sendCtx, upstream.ForwardRequest{
 		Addr: u.Addr, Head: head, Body: l.r.body, NewConnection: l.r.route.Kind == catalog.NonIdempotent,
-		MatchesRequest: l.matchesRequest,
+		MatchesRequest: l.matchesRequest, Unread: unreadOf(l.watchdog),
 	})
 	if err != nil {
 		f := l.handleSendError(err)
@@ -176,6 +184,7 @@
 		}
 		return f
 	}
+	l.watchdog.update(func(wait *silence.Wait, _ time.Time) { wait.Listen(false) }) // until the body is read
 	l.attempts++
 	l.sends++
 	l.recordWay(x.Via)
@@ -184,6 +193,23 @@
 	return l.checkHead()
 }
 
+// takeRetry consumes the retry for the next send, unless the watchdog already has.
+func (l *lifecycle) takeRetry() (giveBack func(), ok bool) {
+	if l.prepaid == nil {
+		return l.g.deps.RetryBudget.Take(l.r.service)
+	}
+	giveBack, l.prepaid = l.prepaid, nil
+	return giveBack, true
+}
+
+// returnPrepaid gives back a retry that was taken for a send that does not follow.
+func (l *lifecycle) returnPrepaid() {
+	if l.prepaid != nil {
+		l.prepaid()
+		l.prepaid = nil
+	}
+}
+
 // observeAnswer processes what an answer states about its upstream. sent is zero if it isn't known which request the
 // answer belongs to.
 func (l *lifecycle) observeAnswer(a Answer, sent time.Time) {
@@ -212,7 +238,9 @@
 
 // releaseGrant releases the grant and the memory reserved for it, and stops the watchdog.
 func (l *lifecycle) releaseGrant(o Outcome, atFault fleet.UpstreamID) {
-	l.stopWatchdog()
+	if giveBack := l.watchdog.stop(); giveBack != nil {
+		l.prepaid = giveBack
+	}
 	if l.reservations != nil {
 		l.reservations.release()
 		l.reservations = nil
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -39,7 +39,7 @@
 			}
 			return false, f
 		}
-		s := &streamBody{l: l, events: newEventReader(l.exchange), done: done, lastID: parseLastEventID(l.r.LastEventID)}
+		s := &streamBody{l: l, events: newEventReader(watchedBody{l}), done: done, lastID: parseLastEventID(l.r.LastEventID)}
 		first, err := s.readEvent()
 		if err != nil && err != io.EOF {
 			f := l.endBrokenAnswer(err)
@@ -125,19 +125,20 @@
 		s.eventCount++
 		s.unnumbered = !e.hasID
 	}
-	s.l.recordEvent(time.Now())
+	s.l.recordEvent(time.Now(), !s.unnumbered)
 	s.buffered = append(s.buffered, e.raw...)
 }
 
-// recordEvent records when an event arrived and restarts the watchdog's timer.
-func (l *lifecycle) recordEvent(now time.Time) {
+// recordEvent records when an event arrived and restarts the watchdog's wait. resumable reports whether another upstream could
+// go on after the event.
+func (l *lifecycle) recordEvent(now time.Time, resumable bool) {
 	if l.lastEventAt.IsZero() {
 		l.firstEventDelay = now.Sub(l.r.arrived)
 	} else {
 		l.longestPause = max(l.longestPause, now.Sub(l.lastEventAt))
 	}
 	l.lastEventAt = now
-	l.resetWatchdog()
+	l.watchdog.onEvent(now, resumable)
 }
 
 // Read returns buffered data. If nothing is buffered, it waits for the next event first. It also buffers the complete
@@ -226,7 +227,7 @@
 			return false
 		}
 		l.grant.RecordFirstEvent()
-		s.events = newEventReader(l.exchange)
+		s.events = newEventReader(watchedBody{l})
 		return true
 	}
 }
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/crash"
+	"github.com/damaskshelf/damaskshelf/internal/silence"
+	"github.com/damaskshelf/damaskshelf/internal/upstream"
 )
 
 // errOverdue ends a send whose upstream has been silent for too long.
@@ -16,56 +18,176 @@
 // remaining time must suffice to resume the stream on another upstream.
 const silenceShare = 0.5
 
+// checksPerWait is how often a wait for an upstream is checked.
+const checksPerWait = 8
+
 // watchdog ends a send when its upstream falls silent, so that the request goes to another one. It guards against a
 // lost answer, or a connection that stays silent while the upstream serves others. Without it, the caller waits
 // until it gives up, and the request is lost although other upstreams would serve it. It runs only for requests that
 // may be repeated.
 type watchdog struct {
-	cancel     context.CancelCauseFunc
-	timer      *time.Timer
-	maxSilence time.Duration // between two events
-	expired    atomic.Bool   // set when the watchdog ends the send
+	cancel context.CancelCauseFunc
+	take   func() (giveBack func(), ok bool) // consumes the retry with which the request goes on elsewhere
+	unread upstream.Unread                   // on the connection of the send
+
+	mu      sync.Mutex
+	timer   *time.Timer   // guarded by mu: of the next check
+	wait    *silence.Wait // guarded by mu: for the upstream
+	pinned  bool          // guarded by mu: no other upstream can go on with what this one has sent
+	stopped bool          // guarded by mu: the send has ended
+	expired bool          // guarded by mu: the watchdog has ended the send
+	// giveBack returns the retry that was taken when the watchdog ended the send.
+	giveBack func() // guarded by mu; nil: none was taken, or another one has it
+	// lateBy and unreadBytes are how late the watchdog ended the send, and what lay unread then.
+	lateBy      time.Duration // guarded by mu
+	unreadBytes int           // guarded by mu
 }
 
 // startWatchdog starts the watchdog of the next send and returns the context of that send. Without a watchdog that is
 // the request's own context. No watchdog is started if it is unknown when the answer is overdue, if the request must
-// not be repeated, or if this is its last attempt.
+// not be repeated, or if this is its last send.
 func (l *lifecycle) startWatchdog() context.Context {
 	l.watchdog = nil
 	timeout := l.grant.AnswerTimeout()
-	if timeout == 0 || !l.r.route.Repeatable() || l.attempts+1 >= l.r.route.MaxAttempts {
+	if timeout == 0 || !l.r.route.Repeatable() || l.isLastSend() {
 		return l.ctx
 	}
 	ctx, cancel := context.WithCancelCause(l.ctx)
-	w := &watchdog{cancel: cancel, maxSilence: time.Duration(float64(l.r.silenceTolerance()) * silenceShare)}
-	w.timer = time.AfterFunc(timeout, func() { l.expireWatchdog(w) })
+	now := time.Now()
+	w := &watchdog{
+		cancel: cancel,
+		take:   func() (func(), bool) { return l.g.deps.RetryBudget.Take(l.r.service) },
+		wait:   silence.NewWait(now, timeout, time.Duration(float64(l.r.silenceTolerance())*silenceShare), checksPerWait),
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(w.wait.NextCheck().Sub(now), w.check)
 	l.watchdog = w
 	return ctx
 }
 
-// expireWatchdog ends the send if the retry budget allows another one. Otherwise the answer may still arrive.
-func (l *lifecycle) expireWatchdog(w *watchdog) {
+// check ends the send if its upstream is silent and another send can follow and is paid for. Otherwise the answer may still arrive. Many
+// sends are often found silent at one moment, and the budget that each of them sees doesn't suffice for all.
+func (w *watchdog) check() {
 	defer crash.Report("watchdog of answer")
-	if l.g.deps.RetryBudget.Allows(l.r.service) {
-		w.expired.Store(true)
-		w.cancel(errOverdue)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
+	now := time.Now()
+	if w.wait.Check(now, w.hasUnread) {
+		if w.takeNext() {
+			w.expire(now)
+			return
+		}
+		w.wait.Extend(now)
+	}
+	w.timer.Reset(w.wait.NextCheck().Sub(now))
+}
+
+// takeNext takes the retry with which the request goes on elsewhere, and reports whether it can go on. mu is held.
+func (w *watchdog) takeNext() (ok bool) {
+	if w.pinned {
+		return false
+	}
+	giveBack, ok := w.take()
+	if ok {
+		w.giveBack = giveBack
+	}
+	return ok
+}
+
+// hasUnread reports whether something has arrived that nobody has read. mu is held.
+func (w *watchdog) hasUnread() bool {
+	_, waiting := w.unread.Look()
+	return waiting
+}
+
+// expire ends the send. mu is held.
+func (w *watchdog) expire(now time.Time) {
+	w.expired = true
+	w.lateBy = now.Sub(w.wait.Due())
+	w.unreadBytes, _ = w.unread.Look()
+	w.cancel(errOverdue)
+}
+
+// onEvent records that an event arrived, and whether another upstream could go on after it.
+func (w *watchdog) onEvent(now time.Time, resumable bool) {
+	if w == nil {
+		return
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.wait.Event(now)
+	w.pinned = !resumable
 }
 
-// resetWatchdog restarts the watchdog's timer after an event.
-func (l *lifecycle) resetWatchdog() {
-	if l.watchdog != nil {
-		l.watchdog.timer.Reset(l.watchdog.maxSilence)
+// update changes what is known of the upstream's silence.
+func (w *watchdog) update(change func(wait *silence.Wait, now time.Time)) {
+	if w == nil {
+		return
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change(w.wait, time.Now())
 }
 
-// stopWatchdog stops the watchdog of a send that has ended.
-func (l *lifecycle) stopWatchdog() {
-	if l.watchdog != nil {
-		l.watchdog.timer.Stop()
-		l.watchdog.cancel(nil)
+// fields returns what is logged of a send that the watchdog ended.
+func (w *watchdog) fields() []any {
+	if !w.hasExpired() {
+		return nil
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return []any{"late_ms", w.lateBy.Milliseconds(), "unread_bytes", w.unreadBytes, "absent_ms", w.wait.Absent().Milliseconds()}
 }
 
-// watchdogExpired reports whether the send was ended because its upstream was silent.
-func (l *lifecycle) watchdogExpired() bool { return l.watchdog != nil && l.watchdog.expired.Load() }
+// stop stops the watchdog of a send that has ended. If it has taken a retry, it returns what gives that back, once.
+func (w *watchdog) stop() (giveBack func()) {
+	if w == nil {
+		return nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+	w.cancel(nil)
+	giveBack, w.giveBack = w.giveBack, nil
+	return giveBack
+}
+
+// hasExpired reports whether the send was ended because its upstream was silent.
+func (w *watchdog) hasExpired() bool {
+	if w == nil {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.expired
+}
+
+// unreadOf returns what shows a watchdog what has arrived, or nil without a watchdog.
+func unreadOf(w *watchdog) *upstream.Unread {
+	if w == nil {
+		return nil
+	}
+	return &w.unread
+}
+
+// watchedBody reads the body of the open answer and tells the watchdog, if there is one, while it listens.
+type watchedBody struct{ l *lifecycle }
+
+// Read implements io.Reader.
+func (b watchedBody) Read(p []byte) (int, error) {
+	w := b.l.watchdog
+	w.update(func(wait *silence.Wait, _ time.Time) { wait.Listen(true) })
+	n, err := b.l.exchange.Read(p)
+	w.update(func(wait *silence.Wait, now time.Time) {
+		wait.Listen(false)
+		if n > 0 {
+			wait.Part(now)
+		}
+	})
+	return n, err
+}
