Soak: streams beside changes and pauses, one test red

The soak ran three daemons and checked order and whole answers. A stream that ends while nothing is disturbed, a process that ends by itself and work that is done twice went unseen. Workers never fail and send on whatever the daemons do. So every request that reached one must come back whole, and none may reach a second. Each daemon's exit status and the end of its output are watched. A worker that the test's process itself held up for more than 0.3 s is counted apart.

TestStreamsOutlastChanges: configurations each 0.3 s (0 and 1,000 routes more, time-outs, keys, weights), workers' entries drained, removed and put back, evacuations, SIGHUP, in overlapping series.

TestStreamsOutlastPauses: all daemons stand still at once for 0.3 to 1.2 s, with and without the changes, or one after the other, or run 10 ms of every 100 ms. Cause, as far as the logs tell: the watchdog's timer runs out while the events lie unread in the socket.

By hand: -daemons, -callers, -disturbed, -pause, -quota, -busy, -race-daemons.

--- a/test/soak/daemon_test.go
+++ b/test/soak/daemon_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -24,11 +25,20 @@
 		}
 		return
 	}
+	if os.Getenv(busyEnv) != "" {
+		runBusy()
+		return
+	}
+	flag.Parse()
 	dir, err := os.MkdirTemp("", "soak")
 	if err == nil {
 		daemonPath = filepath.Join(dir, "damaskshelfd")
+		args := []string{"build", "-o", daemonPath}
+		if *raceDaemons {
+			args = append(args, "-race")
+		}
 		var out []byte
-		if out, err = exec.Command("go", "build", "-o", daemonPath, "../../cmd/damaskshelfd").CombinedOutput(); err != nil {
+		if out, err = exec.Command("go", append(args, "../../cmd/damaskshelfd")...).CombinedOutput(); err != nil {
 			err = fmt.Errorf("build: %w\n%s", err, out)
 		}
 	}
@@ -48,6 +58,7 @@
 	readyAddr    string
 	settingsPath string
 	logFile      *os.File
+	output       *os.File // the process's output: logFile, unless a test sets a pipe
 	cmd          *exec.Cmd
 	exited       chan struct{} // closed when the process has ended
 }
@@ -78,20 +89,32 @@
 	return ""
 }
 
+// daemonOptions are settings of a daemon that tests choose. The zero value is not valid.
+type daemonOptions struct {
+	domain     string // failure domain
+	retrySlack int    // of the retry budget, for all instances together
+}
+
 // newDaemon writes the settings of an instance that connects to the store at storeAddr. Its peers connect to it at the
 // address that advertise returns for its own peer address. start starts its process.
 func newDaemon(t *testing.T, dir, name, storeAddr string, advertise func(peers string) string) *daemon {
+	t.Helper()
+	return newDaemonWith(t, dir, name, storeAddr, advertise, daemonOptions{domain: "a", retrySlack: 1000})
+}
+
+// newDaemonWith is newDaemon with options.
+func newDaemonWith(t *testing.T, dir, name, storeAddr string, advertise func(peers string) string, o daemonOptions) *daemon {
 	t.Helper()
 	d := &daemon{name: name, callerAddr: freeAddr(t), readyAddr: freeAddr(t), settingsPath: filepath.Join(dir, name+".json")}
 	peers := freeAddr(t)
 	settings := map[string]any{
-		"instance": name, "region": "r", "failure_domain": "a",
+		"instance": name, "region": "r", "failure_domain": o.domain,
 		"routed": map[string]any{
 			"listen": map[string]any{
 				"callers": d.callerAddr, "ready": d.readyAddr, "peers": peers, "metrics": freeAddr(t), "advertised": advertise(peers),
 			},
 			"ready_path": "/-/ready", "store": map[string]any{"address": storeAddr},
-			"retries": map[string]any{"ratio": 0.2, "slack": 1000},
+			"retries": map[string]any{"ratio": 0.2, "slack": o.retrySlack},
 			"stop":    map[string]any{"lag": "300ms", "grace": "6s"},
 			"limits":  map[string]any{"memory_mb": smallMemory >> 20, "max_header_bytes": 20 << 10},
 		},
@@ -106,6 +129,7 @@
 	if d.logFile, err = os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600); err != nil {
 		t.Fatal(err)
 	}
+	d.output = d.logFile
 	return d
 }
 
@@ -113,7 +137,7 @@
 func (d *daemon) start(t *testing.T) {
 	t.Helper()
 	d.cmd = exec.Command(daemonPath, "-settings", d.settingsPath)
-	d.cmd.Stdout, d.cmd.Stderr = d.logFile, d.logFile
+	d.cmd.Stdout, d.cmd.Stderr = d.output, d.output
 	if err := d.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -125,6 +149,26 @@
 	}()
 }
 
+// ended reports whether the process has ended, and how.
+func (d *daemon) ended() (how string, ok bool) {
+	select {
+	case <-d.exited:
+		return d.cmd.ProcessState.String(), true
+	default:
+		return "", false
+	}
+}
+
+// logTail returns the end of what the process wrote.
+func (d *daemon) logTail() string {
+	const tailBytes = 1500
+	raw, err := os.ReadFile(d.logFile.Name())
+	if err != nil {
+		return err.Error()
+	}
+	return string(raw[max(0, len(raw)-tailBytes):])
+}
+
 // signal sends a signal to the process.
 func (d *daemon) signal(s syscall.Signal) { _ = d.cmd.Process.Signal(s) }
 
