Dispatcher: a model that returns counts a prefill once

Callers: after a configuration without an engine's figures and one that has them again, requests of the service wait although its engines are idle, until these restart or another instance dispatches. Cause: SetModel adds the prefill of every run that isn't decoding when there was no model before. A run that was placed under an earlier model is counted already; its end subtracts one part, and the rest stays pending for good. Evidence: the new test failed before ("0 decisions for one job": one engine, one prompt in prefill, 40 such changes). Ruled out: runs adopted without a model, for which the code was written; they aren't counted yet and still are once. The fix: a run that is among those in prefill isn't added again.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -78,7 +78,7 @@
 		return
 	}
 	for _, r := range s.runs { // adopted while their prefill time was unknown
-		if !r.decoding {
+		if !r.decoding && !s.prefilling[r] {
 			s.addPrefill(r)
 		}
 	}
--- a/internal/decide/dispatch/dispatch_test.go
+++ b/internal/decide/dispatch/dispatch_test.go
@@ -525,3 +525,18 @@
 		is.True(!refused[h])
 	}
 }
+
+// Guards against an engine that counts as busy until it restarts because configurations without and with its model came
+// while it prefilled a prompt: each counted the same prefill once more, and its end was subtracted once.
+func TestModelThatReturnsCountsPrefillOnce(t *testing.T) {
+	is := is.New(t)
+	m := coteau
+	s := newEngineState(1)
+	is.Equal(decideOne(t, s, 0, newJob("r", 4960)).Upstream, fleet.UpstreamID("a00"))
+	for range 40 {
+		s.SetModel(nil, dispatch.DefaultParams())
+		s.SetModel(&m, dispatch.DefaultParams())
+	}
+	s.Done(at(100), "r", dispatch.Completed, "")
+	is.Equal(decideOne(t, s, 100, newJob("next", 4960)).Upstream, fleet.UpstreamID("a00"))
+}
