Dispatcher: a running request without its ask ends no process

Callers: every request of the instance that dispatches ends when its process does, and the sender tells the next dispatcher the same in its first message, so that one message can end one instance after the other within moments. Nothing is logged: a panic goes to standard error. Cause: hub.apply reads Running.ask without checking that the message has one. The goroutine is drpc's, which doesn't recover. Present builds always set the field; another build may not. Ruled out: the other submessages of FromEntry and ToEntry may be missing without harm (Passed.message and Back.message mean the end of a session, Invitation is checked). The fix: such a request is logged with the missing field and left out; the rest of the message takes effect.

--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -219,6 +219,10 @@
 func (h *hub) apply(now decide.Instant, instance fleet.InstanceID, m *pb.FromEntry) {
 	h.applyDepartures(now, m.Departures)
 	for _, r := range m.Running {
+		if r.Ask == nil {
+			h.log.Error("running request can't be taken over: its message lacks the field ask", "entry", instance, "upstream", r.Upstream)
+			continue
+		}
 		h.serviceState(r.Ask.Service).Adopt(now, h.newJob(r.Ask, instance, now), fleet.UpstreamID(r.Upstream), upstreamIDs(r.Helpers), decodeHoldings(r.Holders), r.Writing)
 	}
 	for _, id := range m.Indirect {
--- a/internal/placement/timeout_test.go
+++ b/internal/placement/timeout_test.go
@@ -201,3 +201,25 @@
 	}
 	is.Equal(placed, []string{"sound", "sound", "sound", "sound"})
 }
+
+// Guards against a dispatcher whose process ends at a message of an instance that reports a running request without saying
+// what it asked for, as another build may.
+func TestRunningRequestWithoutAskLeavesDispatcherServing(t *testing.T) {
+	p := newTestClient(t, "i1", "d")
+	p.setMembers(t, 1, map[fleet.InstanceID]string{"i1": p.addr})
+	waitUntil(t, "the instance dispatches for itself", func() bool { return p.Dispatcher() == "i1" })
+	conn, err := peer.Dial(t.Context(), p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	stream, err := pb.NewDRPCPlacementClient(conn).Attach(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	running := []*pb.Running{{Upstream: "u"}, {Ask: &pb.Ask{Id: "r", Service: "s"}, Upstream: "u"}}
+	if err := stream.Send(&pb.FromEntry{Entry: "i2", Running: running}); err != nil {
+		t.Fatal(err)
+	}
+	waitUntil(t, "the other request is known", func() bool { return p.attached("i2") && p.runningRequests("s") == 1 })
+}
