Placement: figures too large for a message keep their meaning

Callers: on a route with, say, target_gap_ms = 3,000,000,000 no request is ever placed, and all are refused. Cause: askMessage converts gap, priority and tokens to int32, which turns larger figures into others, also negative ones. Times in ms overflow in the same way on arrival. A request that arrived in the future stops the decay of the load that fairness counts. A limit of NaN or infinity requests a second, told by another instance, keeps an upstream from all work until it names another. The fix: figures are limited to the range of their fields, durations to ten years, the wait to 0 and more; a rate that is no number is logged with its value and changes nothing. Ruled out: headers of callers, whose token counts platform/dialect.go limits, and of upstreams, whose limits it checks.

--- a/internal/placement/convert.go
+++ b/internal/placement/convert.go
@@ -18,9 +18,9 @@
 	since := now.Sub(asked)
 	m := &pb.Ask{
 		Id: string(a.ID), Service: string(a.Service), Workspace: string(a.Workspace),
-		Priority: int32(a.Priority), Prompt: int32(a.PromptTokens), Output: int32(a.MaxOutputTokens),
+		Priority: toInt32(int64(a.Priority)), Prompt: toInt32(int64(a.PromptTokens)), Output: toInt32(int64(a.MaxOutputTokens)),
 		WaitedMs: (a.Waited + since).Milliseconds(), PatienceMs: (a.FirstEventTimeout - since).Milliseconds(),
-		DeadlineMs: (a.TimeLeft - since).Milliseconds(), MaxGapMs: int32(a.MaxGap.Milliseconds()), Attempt: int32(a.Attempt), Resumed: a.Resumed,
+		DeadlineMs: (a.TimeLeft - since).Milliseconds(), MaxGapMs: toInt32(a.MaxGap.Milliseconds()), Attempt: toInt32(int64(a.Attempt)), Resumed: a.Resumed,
 	}
 	if a.HasTarget {
 		m.Aimed, m.AimMs = true, (a.TargetLeft - since).Milliseconds()
@@ -31,14 +31,26 @@
 	return m
 }
 
-// ms returns a duration of n milliseconds.
-func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+// toInt32 returns n, limited to the range of an int32. A larger figure of a configuration would otherwise become any other,
+// for example a negative one.
+func toInt32(n int64) int32 { return int32(min(max(n, math.MinInt32), math.MaxInt32)) }
 
-// newJob converts a placement request that arrived from an instance at now. The caller sets the job's Domain.
+// maxDuration is the longest duration that is taken from a message; longer ones are reduced to it. Instants that are so far
+// from each other do not overflow.
+const maxDuration = 10 * 365 * 24 * time.Hour
+
+// ms returns a duration of n milliseconds, limited to the range from -maxDuration to maxDuration.
+func ms(n int64) time.Duration {
+	const limit = int64(maxDuration / time.Millisecond)
+	return time.Duration(min(max(n, -limit), limit)) * time.Millisecond
+}
+
+// newJob converts a placement request that arrived from an instance at now. The caller sets the job's Domain. No request
+// arrives later than now: load that counted from then would never decay.
 func newJob(m *pb.Ask, instance fleet.InstanceID, now decide.Instant) *dispatch.Job {
 	j := &dispatch.Job{
 		ID: fleet.RequestID(m.Id), Instance: instance, Workspace: fleet.WorkspaceID(m.Workspace),
-		Priority: int(m.Priority), PromptTokens: int(m.Prompt), MaxOutputTokens: int(m.Output), Arrived: now.Add(-ms(m.WaitedMs)),
+		Priority: int(m.Priority), PromptTokens: int(m.Prompt), MaxOutputTokens: int(m.Output), Arrived: now.Add(-max(0, ms(m.WaitedMs))),
 		FirstEventDeadline: now.Add(ms(m.PatienceMs)), Deadline: now.Add(ms(m.DeadlineMs)),
 		MaxGap: ms(int64(m.MaxGapMs)), Attempt: int(m.Attempt), Resumed: m.Resumed, Avoid: upstreamIDs(m.Avoid),
 	}
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,8 +48,13 @@
 // toInstant converts a time to the table's clock.
 func (t *limitTable) toInstant(at time.Time) decide.Instant { return decide.Instant(at.Sub(t.start)) }
 
-// record records an observation, logs a limit that begins, changes or ends, and returns what changed.
+// record records an observation, logs a limit that begins, changes or ends, and returns what changed. A rate that is not a
+// number of requests a second changes nothing: an upstream whose rate can't be compared would get no work any more.
 func (t *limitTable) record(s advertised.Observation) decide.Reason {
+	if s.Limited && !(s.Rate >= 0 && s.Rate <= math.MaxFloat64) {
+		t.log.Error("upstream's limit can't be used", "upstream", s.ID, "born", s.StartTime, "requests_per_s", s.Rate, "heard_by", s.ReceivedBy)
+		return advertised.Unchanged
+	}
 	t.mu.Lock()
 	change := t.limits.Apply(s)
 	t.count.Store(int32(t.limits.InForce()))
