Dispatcher: figures of a configuration never add up to no number

Callers: after a configuration with absurd figures of an engine (step_ms 1e308, say) and a usual one again, long prompts wait although engines are idle, until these restart, and requests that may be repeated are given up the moment they are sent: their first event counts as overdue after -2,562,047 h. Cause: times of prefill and passes become infinite. An engine's pending time is a sum from which the same is subtracted later: infinite less infinite is no number, and no maximum or comparison gets rid of it. Converted to a duration it is a negative one. Why it holds: each time is between 0 and 1e10 ms, so that sums of a fleet's work stay finite and are subtracted as they were added. Usual figures are some thousand times smaller and stay as they are.

--- a/internal/decide/dispatch/model.go
+++ b/internal/decide/dispatch/model.go
@@ -32,27 +32,43 @@
 const (
 	million  = 1e6
 	thousand = 1e3
+	// maxMs is the longest time, in ms, that is represented: some months. Sums of such times stay finite, so that work that
+	// was added to an engine with the figures of one configuration can be subtracted after the next.
+	maxMs = 1e10
 )
 
-// prefillMs returns the time that one otherwise idle engine needs to prefill a prompt, its steps included.
+// prefillMs returns the time that one otherwise idle engine needs to prefill a prompt, its steps included. It is between 0
+// and maxMs for any figures.
 func (m *Model) prefillMs(tokens int) float64 {
 	n := float64(tokens)
 	steps := 1.0
 	if m.ChunkTokens > 0 {
 		steps = n/float64(m.ChunkTokens) + 1
 	}
-	return n/m.PrefillTokensPerMs + n*n/2/million*m.MsPerMillionPairs + steps*m.StepMs
+	return boundedMs(n/m.PrefillTokensPerMs + n*n/2/million*m.MsPerMillionPairs + steps*m.StepMs)
 }
 
 // passMs returns the time of a pass with the given number of decoding requests and tokens of their contexts, without
-// any prefill. A pass without decoding requests is a single step.
+// any prefill. A pass without decoding requests is a single step. It is between 0 and maxMs for any figures.
 func (m *Model) passMs(decoding, contextTokens int) float64 {
 	if decoding == 0 {
-		return m.StepMs
+		return boundedMs(m.StepMs)
 	}
 	step := m.StepMs + m.PerDecodeMs*float64(decoding) + m.Per1000ContextMs*float64(contextTokens)/thousand
-	return float64(m.StepsPerPass) * step
+	return boundedMs(float64(m.StepsPerPass) * step)
 }
 
-func toMs(d time.Duration) float64    { return float64(d) / float64(time.Millisecond) }
-func fromMs(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+// boundedMs limits a time in ms to the range from 0 to maxMs. One that is not a number becomes maxMs.
+func boundedMs(ms float64) float64 {
+	if !(ms < maxMs) {
+		return maxMs
+	}
+	return max(0, ms)
+}
+
+func toMs(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// fromMs returns the duration of ms, at most maxMs.
+func fromMs(ms float64) time.Duration {
+	return time.Duration(boundedMs(ms) * float64(time.Millisecond))
+}
