Placement: a negative time for an answer is none

Callers: a request that may be repeated is given up the moment it is sent, once for each place, at the cost of its attempts and the retry budget. Cause: the dispatcher's overdue_ms is taken as it comes; a negative one starts the watchdog's timer with no time left. Evidence: the new test failed before.

--- a/internal/placement/figures_test.go
+++ b/internal/placement/figures_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"context"
 	"math"
 	"testing"
 	"time"
@@ -44,3 +45,15 @@
 	}
 	is.Equal(table.count.Load(), int32(0))
 }
+
+// Guards against a request that is given up the moment it is sent because the dispatcher's time for its answer is negative.
+func TestNegativeAnswerTimeIsUnknown(t *testing.T) {
+	is := is.New(t)
+	c := newPeerClient()
+	w := &waitingRequest{ask: gateway.PlacementRequest{ID: "r", Service: "svc"}}
+	for sent, want := range map[int64]time.Duration{math.MinInt64: 0, -1: 0, 0: 0, 250: 250 * time.Millisecond} {
+		g, err := c.grantFromReply(context.Background(), w, reply{place: &pb.Place{Id: "r", Upstream: "u1", OverdueMs: sent}})
+		is.NoErr(err)
+		is.Equal(g.AnswerTimeout(), want)
+	}
+}
