--- a/internal/placement/peerbytes_test.go
+++ b/internal/placement/peerbytes_test.go
@@ -117,16 +117,20 @@
 	}
 }
 
-// newPeerClient returns a client that knows a fleet, without goroutines of its own.
-func newPeerClient() *Client {
+// newPeerFollower returns a Follower without a store that holds knownState.
+func newPeerFollower() *watch.Follower {
 	f := watch.New(watch.Deps{
 		Kinds: watch.Kinds{Config: "c", ConfigName: "main", Upstreams: "u", DomainsOut: "o"}, Decoder: peerDecoder{}, Log: hclog.NewNullLogger(),
 	})
-	c := NewClient("entry-1", "a", f, hclog.NewNullLogger())
 	for _, change := range knownState() {
 		f.ApplyChange(change)
 	}
-	return c
+	return f
+}
+
+// newPeerClient returns a client that knows a fleet, without goroutines of its own.
+func newPeerClient() *Client {
+	return NewClient("entry-1", "a", newPeerFollower(), hclog.NewNullLogger())
 }
 
 // Guards against an instance that ends because of a message of another one: of another build, out of order, twice, of
--- a/internal/placement/relay_test.go
+++ b/internal/placement/relay_test.go
@@ -69,13 +69,18 @@
 
 // newTestClient starts a client without members, which runs until the test ends.
 func newTestClient(t *testing.T, id fleet.InstanceID, domain fleet.DomainID) *testClient {
+	t.Helper()
+	return newTestClientOf(t, id, domain, newTestFollower())
+}
+
+// newTestClientOf is newTestClient for a client with the given copies of the store.
+func newTestClientOf(t *testing.T, id fleet.InstanceID, domain fleet.DomainID, f *watch.Follower) *testClient {
 	t.Helper()
 	bound, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	l := &resettableListener{Listener: bound}
-	f := newTestFollower()
 	p := &testClient{Client: NewClient(id, domain, f, hclog.NewNullLogger()), addr: l.Addr().String(), listener: l}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 2)
