--- a/internal/placement/relay_test.go
+++ b/internal/placement/relay_test.go
@@ -70,18 +70,29 @@
 // newTestClient starts a client without members, which runs until the test ends.
 func newTestClient(t *testing.T, id fleet.InstanceID, domain fleet.DomainID) *testClient {
 	t.Helper()
-	return newLoggingClient(t, id, domain, hclog.NewNullLogger())
+	return startTestClient(t, id, domain, newTestFollower(), hclog.NewNullLogger())
 }
 
 // newLoggingClient is newTestClient for a client that logs to log.
 func newLoggingClient(t *testing.T, id fleet.InstanceID, domain fleet.DomainID, log hclog.Logger) *testClient {
+	t.Helper()
+	return startTestClient(t, id, domain, newTestFollower(), log)
+}
+
+// newTestClientOf is newTestClient for a client with the given copies of the store.
+func newTestClientOf(t *testing.T, id fleet.InstanceID, domain fleet.DomainID, f *watch.Follower) *testClient {
+	t.Helper()
+	return startTestClient(t, id, domain, f, hclog.NewNullLogger())
+}
+
+// startTestClient starts a client that runs until the test ends.
+func startTestClient(t *testing.T, id fleet.InstanceID, domain fleet.DomainID, f *watch.Follower, log hclog.Logger) *testClient {
 	t.Helper()
 	bound, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	l := &resettableListener{Listener: bound}
-	f := newTestFollower()
 	p := &testClient{Client: NewClient(id, domain, f, log), addr: l.Addr().String(), listener: l}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 2)
