A form reaches its upstream with its bytes

Callers that sent a body of known length as multipart/form-data got a sealed 200 for a request that its worker had run without the body ("Content-Length: 0"); a form that didn't parse got a 400 of the instance. The HTTP library takes such a body apart before the handler runs, unless it is told not to; no body stream is left then, and readBody took that for a request without a body. The bytes weren't counted as held either.

The library is told not to. Beside it, readBody goes by what the head says: where it states a length or chunks and there is no stream, the request is refused with an internal error and nothing is forwarded.

TestBodyWithoutStreamIsNoEmptyBody fails without the check in readBody.

--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -43,6 +43,9 @@
 // errNoRoom reports that a body doesn't fit under the limit of bytes held.
 var errNoRoom = errors.New("the instance holds as many bytes as it may")
 
+// noBody is the length that the HTTP library gives a request whose head states neither a length nor chunks.
+const noBody = -2
+
 // readBody reads the request's body. r.held bytes are counted for it until the request ends. A body that doesn't fit is
 // refused before it is read: another instance may have room.
 func (g *Gateway) readBody(ctx *fasthttp.RequestCtx, r *request) *fault.Error {
@@ -51,9 +54,12 @@
 		return g.bodyTooLarge()
 	}
 	stream := ctx.RequestBodyStream()
-	if stream == nil || length == 0 {
+	if length == 0 || length == noBody {
 		return nil
 	}
+	if stream == nil {
+		return fault.New(fault.Internal, "body: the HTTP library has read it")
+	}
 	var err error
 	if length > 0 {
 		r.body, err = g.readSizedBody(stream, r, length)
--- a/internal/gateway/held_test.go
+++ b/internal/gateway/held_test.go
@@ -8,6 +8,8 @@
 	"github.com/matryer/is"
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
+
+	"github.com/damaskshelf/damaskshelf/internal/fault"
 )
 
 // newHoldingGateway returns a gateway that may hold limit bytes and accepts bodies of up to maxBody bytes.
@@ -65,3 +67,15 @@
 		is.Equal(g.held.held.Load(), int64(0))
 	}
 }
+
+// Guards against a request that is forwarded without its body, because the HTTP library has read the body itself.
+func TestBodyWithoutStreamIsNoEmptyBody(t *testing.T) {
+	is := is.New(t)
+	g := newHoldingGateway(0, 100)
+	for _, length := range []int{7, -1} {
+		ctx := &fasthttp.RequestCtx{}
+		ctx.Request.Header.SetContentLength(length)
+		f := g.readBody(ctx, &request{})
+		is.True(f != nil && f.Kind == fault.Internal)
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -103,6 +103,8 @@
 		CloseOnShutdown:       true,
 		ConnState:             g.idle.OnStateChange,
 		Logger:                httplog.Logger{Log: g.log},
+		// The library would read a form of known length by itself, so that its bytes are neither forwarded nor counted.
+		DisablePreParseMultipartForm: true,
 	}
 	return g
 }
