--- a/internal/standin/rawhttp/rawhttp.go
+++ b/internal/standin/rawhttp/rawhttp.go
@@ -199,13 +199,13 @@
 	}
 	req.SetRequestURI("http://" + host + c.Path)
 	req.URI().DisablePathNormalizing = true // otherwise an escaped slash would be sent as a slash
-	for k, v := range c.Headers {
-		req.Header.Set(k, v)
-	}
 	if len(c.Body) > 0 {
 		req.Header.SetContentType("application/json")
 		req.SetBodyRaw(c.Body)
 	}
+	for k, v := range c.Headers {
+		req.Header.Set(k, v)
+	}
 	return req
 }
 
--- a/internal/standin/serve/serve.go
+++ b/internal/standin/serve/serve.go
@@ -61,7 +61,7 @@
 	s.listener = ln
 	server := &fasthttp.Server{
 		Handler: s.handler, MaxRequestBodySize: maxBodyBytes, NoDefaultServerHeader: true,
-		Logger: discardLogger{}, CloseOnShutdown: true, MaxIdleWorkerDuration: idleWorkerTimeout,
+		Logger: discardLogger{}, CloseOnShutdown: true, MaxIdleWorkerDuration: idleWorkerTimeout, DisablePreParseMultipartForm: true,
 	}
 	s.serving.Add(1)
 	go func() {
