What bears no id is no answer, and an unsealed success is none

Callers got a 200 without seal and id, with foreign bytes as its body, as the answer to their request: bytes that a worker had sent after a complete answer, which arrived where the next answer on the connection was due. They were also believed when they said "not run", another instance, or leaving. The look at a kept connection before a send closes one on which bytes are waiting; bytes that arrive after it were read as the answer, because an answer without an id counted as the request's own. A 2xx whose id or seal was spoilt was passed on for the same reason.

Now an answer must bear the request's id, which upstreams echo in each answer, and a 2xx the seal. An answer without the id is skipped on a connection that was idle and fails the send at once on a new one; nothing that it says is believed. A connection that carried anything but its request's answer is closed after it. 101, after which no answer follows, fails the send at once (before: 504 at the deadline).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 // Meta is what the head of a caller's request states.
 type Meta struct {
 	ID              string
+	IDError         error         // why the request can't be told from others by its id; nil: it can
 	APIKey          string        // empty: none given
 	Timeout         time.Duration // how long the caller waits; valid if HasTimeout is set
 	HasTimeout      bool
@@ -37,6 +38,7 @@
 
 // Answer is what the head of an upstream's answer states, apart from its status.
 type Answer struct {
+	Identified         bool          // bears the id of a request
 	Sealed             bool          // marked as an upstream's own answer
 	NotRun             bool          // the upstream did not run the request and will not
 	OtherUpstream      bool          // another upstream than the one asked answered, or one without the required version
@@ -59,7 +61,7 @@
 	ReadRequest(h *fasthttp.RequestHeader) (Meta, error)
 	// WriteRequest replaces the headers that only the gateway sets in a copy of the caller's head.
 	WriteRequest(h *fasthttp.RequestHeader, s DispatchMeta)
-	// MatchesRequest reports whether an answer belongs to the request with that id.
+	// MatchesRequest reports whether an answer belongs to the request with that id. One without an id belongs to none.
 	MatchesRequest(h *fasthttp.ResponseHeader, id string) bool
 	// ReadAnswer parses the head of an upstream's answer.
 	ReadAnswer(h *fasthttp.ResponseHeader) Answer
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -167,7 +167,7 @@
 		"entry_revision", objects.FormatVersion(u.Revision))
 	x, err := l.g.deps.Client.Forward(l.startWatchdog(), upstream.ForwardRequest{
 		Addr: u.Addr, Head: head, Body: l.r.body, NewConnection: l.r.route.Kind == catalog.NonIdempotent,
-		MatchesRequest: l.matchesRequest,
+		Match: l.matchAnswer,
 	})
 	if err != nil {
 		f := l.handleSendError(err)
@@ -200,14 +200,21 @@
 	l.g.deps.ObserveAnswer(u, a, sent)
 }
 
-// matchesRequest reports whether an answer belongs to the request. An answer that doesn't is discarded, after its
-// statements about the upstream are processed.
-func (l *lifecycle) matchesRequest(h *fasthttp.ResponseHeader) bool {
+// matchAnswer returns which request an answer belongs to. An answer to another one is discarded, after its statements about
+// the upstream are processed. Of one that belongs to none, nothing is believed.
+func (l *lifecycle) matchAnswer(h *fasthttp.ResponseHeader) upstream.Match {
 	if l.g.deps.Dialect.MatchesRequest(h, l.r.ID) {
-		return true
+		return upstream.ThisRequest
 	}
-	l.observeAnswer(l.g.deps.Dialect.ReadAnswer(h), time.Time{})
-	return false
+	l.g.deps.Metrics.Counter("answers_unrelated").Inc(1)
+	a := l.g.deps.Dialect.ReadAnswer(h)
+	l.g.log.Warn("upstream sent what isn't the request's answer", "upstream", l.grant.Upstream().ID, "request", l.r.ID,
+		"status", h.StatusCode(), "identified", a.Identified)
+	if !a.Identified {
+		return upstream.NoRequest
+	}
+	l.observeAnswer(a, time.Time{})
+	return upstream.OtherRequest
 }
 
 // releaseGrant releases the grant and the memory reserved for it, and stops the watchdog.
@@ -277,6 +284,10 @@
 		f := &failure{outcome: Failed, ran: fault.RunUnknown, cause: errors.New("answer has an encoding that nobody asked for")}
 		l.closeExchange(f)
 		return f
+	case status >= 200 && status < 300 && !l.answer.Sealed:
+		f := &failure{outcome: Failed, ran: fault.RunUnknown, cause: fmt.Errorf("answer with status %d isn't sealed", status)}
+		l.closeExchange(f)
+		return f
 	case status >= 500 && l.r.route.Repeatable():
 		f := &failure{outcome: Failed, ran: fault.RunYes, cause: fmt.Errorf("upstream answered %d", status)}
 		return f
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -75,6 +75,9 @@
 			r.priority = w.Priority
 		}
 	}
+	if r.IDError != nil {
+		return r, fault.New(fault.BadRequest, "%v", r.IDError)
+	}
 	r.service = r.route.Pick(rand.Float64())
 	r.deadline = r.computeDeadline()
 	r.copyHead(&ctx.Request.Header)
--- a/internal/upstream/forward.go
+++ b/internal/upstream/forward.go
@@ -30,8 +30,8 @@
 var (
 	// ErrTruncated reports that the answer's body ended before its length, or that its connection was reset.
 	ErrTruncated = errors.New("answer was cut short")
-	// ErrUnrelatedAnswer reports that the answers that arrived belong to other requests.
-	ErrUnrelatedAnswer = errors.New("answers of other requests came")
+	// ErrUnrelatedAnswer reports that what arrived isn't the answer to the request.
+	ErrUnrelatedAnswer = errors.New("what came isn't the answer to the request")
 )
 
 // ForwardRequest is a request that is forwarded byte for byte.
@@ -40,10 +40,20 @@
 	Head          *fasthttp.RequestHeader // complete except for the body's length
 	Body          []byte
 	NewConnection bool // use a new connection instead of an idle one
-	// MatchesRequest reports whether an answer belongs to this request. If it is nil, every answer does.
-	MatchesRequest func(*fasthttp.ResponseHeader) bool
+	// Match reports which request a final answer belongs to. If it is nil, every one belongs to this request.
+	Match func(*fasthttp.ResponseHeader) Match
 }
 
+// Match is which request an answer belongs to.
+type Match uint8
+
+// The matches.
+const (
+	ThisRequest  Match = iota
+	OtherRequest       // the answer says so
+	NoRequest          // nothing shows which one
+)
+
 // Exchange is one request in flight to an upstream, with the head of its answer read. Read reads the body. Close
 // ends the exchange and must be called once.
 type Exchange struct {
@@ -52,6 +62,7 @@
 	Framing  Framing          // of the body
 	client   *Client
 	conn     *conn
+	reused   bool        // the connection was idle before, so that bytes of earlier requests may arrive
 	detach   func() bool // stops the end of the context from interrupting the exchange; false: it already has
 	body     io.Reader
 	complete bool  // the body was read to its end
@@ -62,11 +73,11 @@
 // Forward sends q and reads the head of its answer. The deadline of ctx bounds each read and write of the exchange,
 // and the end of ctx interrupts them. A *CallError describes what is known of the effect.
 func (c *Client) Forward(ctx context.Context, q ForwardRequest) (*Exchange, error) {
-	cn, err := c.connect(ctx, q)
+	cn, reused, err := c.connect(ctx, q)
 	if err != nil {
 		return nil, &CallError{Cause: err}
 	}
-	x := &Exchange{Via: cn.via, client: c, conn: cn}
+	x := &Exchange{Via: cn.via, client: c, conn: cn, reused: reused}
 	deadline, _ := ctx.Deadline()
 	_ = cn.SetDeadline(deadline)
 	x.detach = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(expiredDeadline) })
@@ -80,28 +91,27 @@
 }
 
 // connect returns an idle connection that is open and has no unread data, or a new connection.
-func (c *Client) connect(ctx context.Context, q ForwardRequest) (*conn, error) {
+func (c *Client) connect(ctx context.Context, q ForwardRequest) (cn *conn, reused bool, err error) {
 	if !q.NewConnection {
 		for cn := c.pool.takeIdle(q.Addr); cn != nil; cn = c.pool.takeIdle(q.Addr) {
 			if cn.openAndEmpty() {
 				cn.bytesSent.Store(0)
-				return cn, nil
+				return cn, true, nil
 			}
 			_ = cn.Close()
 		}
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	return c.pool.dial(dialCtx, q.Addr)
+	cn, err = c.pool.dial(dialCtx, q.Addr)
+	return cn, false, err
 }
 
 // roundTrip writes the request and reads the head of the answer. An upstream may answer and close before it has read
 // the body. The write then fails, but the answer can still be read.
 func (x *Exchange) roundTrip(q ForwardRequest) error {
 	writeErr := x.writeRequest(q)
-	if writeErr != nil {
-		x.reusable = false
-	}
+	sound := writeErr == nil // so far, only the request was sent and nothing but its answer came
 	for range maxUnrelatedAnswers + 1 {
 		if err := x.Head.Read(x.conn.reader); err != nil {
 			if writeErr != nil {
@@ -109,15 +119,25 @@
 			}
 			return fmt.Errorf("read answer: %w", err)
 		}
-		if status := x.Head.StatusCode(); status >= 100 && status < 200 {
+		switch status := x.Head.StatusCode(); {
+		case status == fasthttp.StatusSwitchingProtocols: // nothing asked for it, and no answer follows
+			return ErrUnrelatedAnswer
+		case status < fasthttp.StatusOK:
 			continue
 		}
 		x.initBody(string(q.Head.Method()))
-		if q.MatchesRequest == nil || q.MatchesRequest(&x.Head) {
-			x.reusable = x.reusable && writeErr == nil
+		match := ThisRequest
+		if q.Match != nil {
+			match = q.Match(&x.Head)
+		}
+		if match == ThisRequest {
+			x.reusable = x.reusable && sound
 			return nil
 		}
-		// A second answer to the previous request can arrive late, where this request's answer is due.
+		sound = false
+		if !x.canSkipAnswer(match, string(q.Head.Method())) {
+			return ErrUnrelatedAnswer
+		}
 		if _, err := io.Copy(io.Discard, x); err != nil {
 			return fmt.Errorf("%w: %w", ErrUnrelatedAnswer, err)
 		}
@@ -127,6 +147,14 @@
 	return ErrUnrelatedAnswer
 }
 
+// canSkipAnswer reports whether the request's own answer may follow an unrelated one. A second answer to an earlier request
+// can arrive late, where this request's answer is due, and so can bytes that belong to none on a connection that was idle.
+// On a new connection, such bytes are what the upstream made of this request. An unrelated answer whose end isn't known
+// can't be skipped: it ends with its connection, or the request is a HEAD.
+func (x *Exchange) canSkipAnswer(match Match, method string) bool {
+	return (match == OtherRequest || x.reused) && x.Framing != FramingConnection && method != fasthttp.MethodHead
+}
+
 // writeRequest writes the head with the body's length, and the body.
 func (x *Exchange) writeRequest(q ForwardRequest) error {
 	h := q.Head
