Each order has a connection of its own

Answers to orders bear no id, and orders shared their connections with requests. An engine's late second answer to an order was taken for the answer to the next order on that connection: memory counted as reserved that wasn't, or was counted as refused. A request's late answer could be taken for an order's likewise.

CallJSON now opens a connection for each call and closes it.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -137,7 +137,8 @@
 // send writes req to addr and reads the head of the answer within the limits. The body is left as a stream. The end
 // of ctx interrupts every read and write of the exchange until finish.
 func (c *Client) send(ctx context.Context, addr string, req *fasthttp.Request, limits timeLimits) (*httpExchange, error) {
-	cn, reused, err := c.pool.get(ctx, addr)
+	deadline := time.Now().Add(limits.timeout)
+	cn, reused, err := c.connectWithin(ctx, addr, deadline, limits.silence != nil)
 	if err != nil {
 		return nil, &CallError{Cause: err}
 	}
@@ -145,7 +146,7 @@
 	if limits.silence != nil {
 		x.guard = newGuard(ctx, c, cn, reused, len(req.Body()), *limits.silence)
 	} else {
-		_ = cn.SetDeadline(time.Now().Add(limits.timeout))
+		_ = cn.SetDeadline(deadline)
 	}
 	x.detach = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(expiredDeadline) })
 	if err := x.sendRequest(req); err != nil {
@@ -154,6 +155,17 @@
 	return x, nil
 }
 
+// connectWithin returns an idle connection or a new one. The deadline bounds the connecting unless the exchange has other
+// limits.
+func (c *Client) connectWithin(ctx context.Context, addr string, deadline time.Time, unbounded bool) (*conn, bool, error) {
+	if unbounded {
+		return c.pool.get(ctx, addr)
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	return c.pool.get(ctx, addr)
+}
+
 // sendRequest writes the request and reads the head of the answer.
 func (x *httpExchange) sendRequest(req *fasthttp.Request) error {
 	if err := req.Write(x.conn.writer); err != nil {
--- a/internal/upstream/jsoncall.go
+++ b/internal/upstream/jsoncall.go
@@ -16,13 +16,22 @@
 	Method  string
 	Path    string
 	In, Out any                            // nil: no body is sent, or the answer's body is discarded
-	Timeout time.Duration                  // of the whole call
+	Timeout time.Duration                  // of the whole call, with the connecting
 	Headers [][2]string                    // name and value of each
 	OnHead  func(*fasthttp.ResponseHeader) // called with the answer's head; may be nil
 }
 
-// CallJSON makes a JSONCall. An answer with a status other than 2xx is returned as a *CallError with that status.
+// CallJSON makes a JSONCall on a connection of its own. Nothing in its answer shows which call it belongs to, so on a shared
+// connection a late answer would be taken for the next one. An answer with a status other than 2xx is returned as a
+// *CallError with that status.
 func (c *Client) CallJSON(ctx context.Context, q JSONCall) error {
+	fresh := c.withoutIdle()
+	defer fresh.Close()
+	return fresh.callJSON(ctx, q)
+}
+
+// callJSON makes a JSONCall on a connection of the pool, or on a new one.
+func (c *Client) callJSON(ctx context.Context, q JSONCall) error {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.SetRequestURI("http://" + q.Addr + q.Path)
@@ -71,5 +80,5 @@
 
 // smallCall makes a JSONCall without processing the head of its answer.
 func (c *Client) smallCall(ctx context.Context, addr, method, path string, in, out any, timeout time.Duration, headers ...[2]string) error {
-	return c.CallJSON(ctx, JSONCall{Addr: addr, Method: method, Path: path, In: in, Out: out, Timeout: timeout, Headers: headers})
+	return c.callJSON(ctx, JSONCall{Addr: addr, Method: method, Path: path, In: in, Out: out, Timeout: timeout, Headers: headers})
 }
--- /dev/null
+++ b/internal/upstream/jsoncall_test.go
@@ -0,0 +1,41 @@
+package upstream_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/damaskshelf/damaskshelf/internal/upstream"
+)
+
+// Guards against an order that gets the answer to an earlier one, and against a request that gets an order's: answers to calls
+// bear nothing that shows which call they belong to. The engine answers each call twice, the second time late.
+func TestLateAnswerToCallIsNotTakenForAnother(t *testing.T) {
+	is := is.New(t)
+	calls := make(chan int, 1)
+	calls <- 0
+	e := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		late := ""
+		for path := readRequest(r); path != ""; path = readRequest(r) {
+			n := <-calls + 1
+			calls <- n
+			_, _ = io.WriteString(c, late) // where the next answer is due
+			body := fmt.Sprintf(`{"n":%d}`, n)
+			late = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			_, _ = io.WriteString(c, late)
+		}
+	})
+	c := upstream.New()
+	defer c.Close()
+	for n := 1; n <= 4; n++ {
+		var out struct{ N int }
+		is.NoErr(c.CallJSON(t.Context(), upstream.JSONCall{Addr: e.addr(), Method: fasthttp.MethodPost, Path: "/x", In: out, Out: &out, Timeout: time.Second}))
+		is.Equal(out.N, n)
+	}
+}
