A head that leaves open where its body ends is refused

A caller's request with "Transfer-Encoding: identity" and no length was run with an empty body, and the bytes of its body were read as its next request, which ran too. One with a length beside chunks, or beside that coding, was run by what the HTTP library made of it. The library accepts both; other faults of framing it refuses by itself.

The raw lines of a head are checked before anything else of it is used: a coding other than chunked, or a length beside chunks, gets a 400 that names the field, nothing is forwarded, and the connection is closed. It wasn't at first, nor is it on the code before after a body that can't be read: refuse resets the answer, and with it the word that the connection closes.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"bytes"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -52,6 +54,10 @@
 func (g *Gateway) readRequest(ctx *fasthttp.RequestCtx, snap *catalog.Snapshot, arrived time.Time) (*request, *fault.Error) {
 	r := &request{arrived: arrived, method: string(ctx.Method())}
 	var err error
+	if err = checkFraming(ctx.Request.Header.RawHeaders()); err != nil {
+		ctx.SetConnectionClose() // where the body ends isn't known
+		return r, fault.New(fault.BadRequest, "%v", err)
+	}
 	if r.Meta, err = g.deps.Dialect.ReadRequest(&ctx.Request.Header); err != nil {
 		return r, fault.New(fault.BadRequest, "%v", err)
 	}
@@ -121,6 +127,31 @@
 	})
 }
 
+// checkFraming returns an error if the raw header lines leave open where the body ends. The HTTP library decides that by
+// itself for a length beside chunks, and takes a body in another coding for the caller's next request.
+func checkFraming(raw []byte) error {
+	hasLength, hasCoding := false, false
+	for line := range bytes.SplitSeq(raw, []byte("\n")) {
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		switch {
+		case equalsFold(name, fasthttp.HeaderContentLength):
+			hasLength = true
+		case equalsFold(name, fasthttp.HeaderTransferEncoding):
+			if value = bytes.TrimSpace(value); !equalsFold(value, "chunked") {
+				return fmt.Errorf("%s: %q: allowed: chunked", fasthttp.HeaderTransferEncoding, value)
+			}
+			hasCoding = true
+		}
+	}
+	if hasLength && hasCoding {
+		return fmt.Errorf("%s: not allowed beside %s", fasthttp.HeaderContentLength, fasthttp.HeaderTransferEncoding)
+	}
+	return nil
+}
+
+// equalsFold reports whether b is s but for the case of its letters.
+func equalsFold(b []byte, s string) bool { return len(b) == len(s) && strings.EqualFold(string(b), s) }
+
 // placementRequest returns the request for a grant now. lastEventAt is when the last event arrived of a stream that
 // resumes on another upstream; zero means that the answer has not begun.
 func (r *request) placementRequest(now, lastEventAt time.Time, attempt int, avoid []fleet.UpstreamID) PlacementRequest {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -286,6 +286,7 @@
 		ctx.SetConnectionClose()
 		return
 	}
+	closing := ctx.Response.ConnectionClose()
 	ctx.Response.Reset()
 	status := f.Kind.Rule().Status
 	ctx.SetStatusCode(status)
@@ -299,7 +300,7 @@
 	}
 	ctx.SetContentType("application/json")
 	ctx.Response.SetBodyRaw(body)
-	if !g.deps.Gate.Ready() {
+	if closing || !g.deps.Gate.Ready() {
 		ctx.SetConnectionClose()
 	}
 }
