Heads pass on in the order of their lines, without the other connection's headers

A worker got repeated headers in another order than their caller sent them: "X-List: 1, 2, 3, 4" in four lines arrived as 1, 2, 4, 3. The library removes a header by moving the last one to its place, and the caller's key, among others, is removed from each request.

The head that is forwarded is built from the raw lines, in their order, without those that aren't forwarded, instead of by removals from a copy. All Connection lines count, whatever their case. The library's treatment of special headers is off for it: it would put some first and write cookies anew.

TestRepeatedRequestHeadersKeepTheirOrder and TestHeadersOfOneConnectionAreNotPassedOn fail on the code before. Not looked into: which of this users saw; no rule speaks of the order of headers.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,8 @@
 type Dialect interface {
 	// ReadRequest parses the head of a caller's request. An error names the header and value that caused it.
 	ReadRequest(h *fasthttp.RequestHeader) (Meta, error)
+	// IsSystemHeader reports whether no caller's value of a request header is forwarded.
+	IsSystemHeader(name []byte) bool
 	// WriteRequest replaces the headers that only the gateway sets in a copy of the caller's head.
 	WriteRequest(h *fasthttp.RequestHeader, s DispatchMeta)
 	// MatchesRequest reports whether an answer belongs to the request with that id. One without an id belongs to none.
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -157,6 +157,7 @@
 	head := &fasthttp.RequestHeader{}
 	l.r.head.CopyTo(head)
 	head.SetNoDefaultContentType(true)
+	head.DisableSpecialHeader()
 	l.sentAt = time.Now()
 	if l.sends == 0 {
 		l.g.observeWait(l.r, l.sentAt.Sub(l.r.arrived))
@@ -166,7 +167,7 @@
 		"helpers", len(helpers), "holders", len(l.grant.Reservations()), "waited_ms", l.sentAt.Sub(l.r.arrived).Milliseconds(), "config", l.r.configVersion,
 		"entry_revision", objects.FormatVersion(u.Revision))
 	x, err := l.g.deps.Client.Forward(l.startWatchdog(), upstream.ForwardRequest{
-		Addr: u.Addr, Head: head, Body: l.r.body, NewConnection: l.r.route.Kind == catalog.NonIdempotent,
+		Addr: u.Addr, Head: head, Body: l.r.body, HasLength: l.r.hasLength, NewConnection: l.r.route.Kind == catalog.NonIdempotent,
 		Match: l.matchAnswer,
 	})
 	if err != nil {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"slices"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -19,10 +18,9 @@
 		to.SetStatusMessage(m)
 	}
 	to.SetNoDefaultContentType(true)
-	connectionHeaders := headerTokens(from.Peek(fasthttp.HeaderConnection))
+	connectionHeaders := headerTokens(from.PeekAll(fasthttp.HeaderConnection))
 	for k, v := range from.All() {
-		name := string(k)
-		if name != fasthttp.HeaderContentLength && !slices.Contains(hopByHop, name) && !slices.Contains(connectionHeaders, name) {
+		if !equalsFold(k, fasthttp.HeaderContentLength) && !concernsConnection(k, connectionHeaders) {
 			to.AddBytesKV(k, v)
 		}
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -37,7 +37,8 @@
 	arrived       time.Time // when the request was read
 	deadline      time.Time // the caller's or the route's, whichever is earlier
 	method        string
-	head          fasthttp.RequestHeader // copy without the headers that concern one connection only
+	head          fasthttp.RequestHeader // as copyHead leaves it
+	hasLength     bool                   // the head states the length of the body, or that there is none
 	body          []byte
 	held          int64 // bytes that are counted for the request
 }
@@ -86,7 +87,7 @@
 	}
 	r.service = r.route.Pick(rand.Float64())
 	r.deadline = r.computeDeadline()
-	r.copyHead(&ctx.Request.Header)
+	r.copyHead(&ctx.Request.Header, g.deps.Dialect)
 	return r, g.readBody(ctx, r)
 }
 
@@ -102,29 +103,43 @@
 	return r.arrived.Add(timeout)
 }
 
-// copyHead copies the caller's head without the headers that concern its connection only.
-func (r *request) copyHead(from *fasthttp.RequestHeader) {
-	from.CopyTo(&r.head)
-	for _, token := range headerTokens(from.Peek(fasthttp.HeaderConnection)) {
-		r.head.Del(token)
-	}
-	for _, name := range hopByHop {
-		r.head.Del(name)
-	}
+// copyHead copies the caller's head in the order of its lines, without the headers that concern its connection only and those
+// of which no caller's value is forwarded. Headers aren't deleted from a copy, because that changes the order of others.
+func (r *request) copyHead(from *fasthttp.RequestHeader, d Dialect) {
+	connectionHeaders := headerTokens(from.PeekAll(fasthttp.HeaderConnection))
+	r.head.Reset()
 	r.head.SetNoDefaultContentType(true)
-	r.head.SetProtocol("HTTP/1.1")
+	r.head.DisableSpecialHeader() // the library would put some headers first and write others anew
+	r.head.SetMethodBytes(from.Method())
+	r.head.SetRequestURIBytes(from.RequestURI())
+	for name, value := range from.AllInOrder() {
+		if !concernsConnection(name, connectionHeaders) && !equalsFold(name, fasthttp.HeaderContentLength) && !d.IsSystemHeader(name) {
+			r.head.AddBytesKV(name, value)
+		}
+	}
+	r.hasLength = from.ContentLength() >= 0
 }
 
-// headerTokens splits a comma-separated list of header names. It omits the tokens that only state whether the
-// connection stays open.
-func headerTokens(v []byte) []string {
-	all := strings.Split(string(v), ",")
-	for i := range all {
-		all[i] = strings.Trim(all[i], " \t")
+// concernsConnection reports whether a header concerns one connection only. connectionHeaders are those that the head itself
+// names as such.
+func concernsConnection(name []byte, connectionHeaders []string) bool {
+	isName := func(other string) bool { return equalsFold(name, other) }
+	return slices.ContainsFunc(hopByHop, isName) || slices.ContainsFunc(connectionHeaders, isName)
+}
+
+// headerTokens splits comma-separated lists of header names. It omits the tokens that only state whether the connection
+// stays open.
+func headerTokens(lists [][]byte) []string {
+	var out []string
+	for _, list := range lists {
+		for token := range strings.SplitSeq(string(list), ",") {
+			token = strings.Trim(token, " \t")
+			if token != "" && !strings.EqualFold(token, "close") && !strings.EqualFold(token, "keep-alive") {
+				out = append(out, token)
+			}
+		}
 	}
-	return slices.DeleteFunc(all, func(token string) bool {
-		return token == "" || token == "close" || token == "keep-alive"
-	})
+	return out
 }
 
 // checkFraming returns an error if the raw header lines leave open where the body ends. The HTTP library decides that by
--- a/internal/upstream/forward.go
+++ b/internal/upstream/forward.go
@@ -39,6 +39,7 @@
 	Addr          string
 	Head          *fasthttp.RequestHeader // complete except for the body's length
 	Body          []byte
+	HasLength     bool // the head states a length also for an empty body
 	NewConnection bool // use a new connection instead of an idle one
 	// Match reports which request a final answer belongs to. If it is nil, every one belongs to this request.
 	Match func(*fasthttp.ResponseHeader) Match
@@ -158,8 +159,8 @@
 // writeRequest writes the head with the body's length, and the body.
 func (x *Exchange) writeRequest(q ForwardRequest) error {
 	h := q.Head
-	if len(q.Body) > 0 || h.ContentLength() >= 0 {
-		h.SetContentLength(len(q.Body))
+	if len(q.Body) > 0 || q.HasLength {
+		h.Set(fasthttp.HeaderContentLength, strconv.Itoa(len(q.Body)))
 	}
 	w := x.conn.writer
 	if _, err := w.Write(h.Header()); err != nil {
