Answers get no content type of ours; what the HTTP library does by itself

An answer without a Content-Type reached its caller as "text/plain; charset=utf-8": the library gives that default to whoever goes through an answer's headers. It is told not to.

--- a/internal/upstream/forward.go
+++ b/internal/upstream/forward.go
@@ -114,6 +114,7 @@
 	writeErr := x.writeRequest(q)
 	sound := writeErr == nil // so far, only the request was sent and nothing but its answer came
 	for range maxUnrelatedAnswers + 1 {
+		x.Head.SetNoDefaultContentType(true)
 		if err := x.Head.Read(x.conn.reader); err != nil {
 			if writeErr != nil {
 				return fmt.Errorf("write request: %w", writeErr)
