Own interface: a connection with bytes unread is not used again

The look at a kept connection before a send, and at its buffer after an answer, was made for requests on the users' machines only. On our own interface a report, a call or a stream could get an engine's second answer to an earlier call as its own. Both looks are made there too. A closed connection still counts as usable there: its failure tells of the engine's restart, on which the others are barred.

TestConnectionWithUnreadBytesIsNotUsedAgain: an engine sends each answer twice, at once or while the connection is idle; before, the second call got the first one's answer in both.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -233,7 +233,7 @@
 		verdict = x.guard.stop()
 	}
 	detached := x.detach()
-	reusable := complete && detached && !x.resp.ConnectionClose()
+	reusable := complete && detached && !x.resp.ConnectionClose() && x.conn.reader.Buffered() == 0
 	if !reusable {
 		_ = x.conn.SetDeadline(expiredDeadline) // closing the body may read further
 	}
--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -10,22 +10,28 @@
 // and it holds no late answer. This guards against sending a request on a dead connection, and against reading the
 // answer to another request. It can't detect a peer that dropped the connection without closing it.
 func (c *conn) openAndEmpty() bool {
+	open, unread := c.peek()
+	return open && !unread
+}
+
+// peek reports whether the idle connection is open as far as is known, and whether it has data to read.
+func (c *conn) peek() (open, unread bool) {
 	if c.reader.Buffered() > 0 {
-		return false
+		return true, true
 	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return true, false
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	open := false
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = err == unix.EAGAIN
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread = err == nil && n > 0
+		open = unread || err == unix.EAGAIN
 	})
-	return err == nil && open
+	return err == nil && open, unread
 }
--- a/internal/upstream/jsoncall_test.go
+++ b/internal/upstream/jsoncall_test.go
@@ -39,3 +39,38 @@
 		is.Equal(out.N, n)
 	}
 }
+
+// Guards against a report that is the second answer to an earlier call, because it came with the first, or while the connection
+// was idle.
+func TestConnectionWithUnreadBytesIsNotUsedAgain(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"with the answer": 0, "while idle": 5 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			calls := make(chan int, 1)
+			calls <- 0
+			e := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				for path := readRequest(r); path != ""; path = readRequest(r) {
+					n := <-calls + 1
+					calls <- n
+					body := fmt.Sprintf(`{"running":%d}`, n)
+					answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+					if delay == 0 {
+						_, _ = io.WriteString(c, answer+answer)
+						continue
+					}
+					_, _ = io.WriteString(c, answer)
+					time.Sleep(delay)
+					_, _ = io.WriteString(c, answer)
+				}
+			})
+			c := upstream.New()
+			defer c.Close()
+			for n := 1; n <= 3; n++ {
+				l, err := c.Load(t.Context(), e.addr())
+				is.NoErr(err)
+				is.Equal(l.Running, n)
+				time.Sleep(4 * delay)
+			}
+		})
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -117,11 +117,14 @@
 	return &pool{now: time.Now, idle: map[string][]*conn{}, invalidBefore: map[string]time.Time{}}
 }
 
-// get returns an idle connection or dials a new one. reused reports that the connection was idle.
+// get returns an idle connection without unread data, or dials a new one. reused reports that the connection was idle.
 func (p *pool) get(ctx context.Context, addr string) (c *conn, reused bool, err error) {
-	if c := p.takeIdle(addr); c != nil {
-		c.bytesSent.Store(0)
-		return c, true, nil
+	for c := p.takeIdle(addr); c != nil; c = p.takeIdle(addr) {
+		if _, unread := c.peek(); !unread {
+			c.bytesSent.Store(0)
+			return c, true, nil
+		}
+		_ = c.Close()
 	}
 	c, err = p.dial(ctx, addr)
 	return c, false, err
