--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"bytes"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -35,7 +37,8 @@
 	arrived       time.Time // when the request was read
 	deadline      time.Time // the caller's or the route's, whichever is earlier
 	method        string
-	head          fasthttp.RequestHeader // copy without the headers that concern one connection only
+	head          fasthttp.RequestHeader // as copyHead leaves it
+	hasLength     bool                   // the head states the length of the body, or that there is none
 	body          []byte
 	held          int64 // bytes that are counted for the request
 }
@@ -52,6 +55,10 @@
 func (g *Gateway) readRequest(ctx *fasthttp.RequestCtx, snap *catalog.Snapshot, arrived time.Time) (*request, *fault.Error) {
 	r := &request{arrived: arrived, method: string(ctx.Method())}
 	var err error
+	if err = checkFraming(ctx.Request.Header.RawHeaders()); err != nil {
+		ctx.SetConnectionClose() // where the body ends isn't known
+		return r, fault.New(fault.BadRequest, "%v", err)
+	}
 	if r.Meta, err = g.deps.Dialect.ReadRequest(&ctx.Request.Header); err != nil {
 		return r, fault.New(fault.BadRequest, "%v", err)
 	}
@@ -75,9 +82,12 @@
 			r.priority = w.Priority
 		}
 	}
+	if r.IDError != nil {
+		return r, fault.New(fault.BadRequest, "%v", r.IDError)
+	}
 	r.service = r.route.Pick(rand.Float64())
 	r.deadline = r.computeDeadline()
-	r.copyHead(&ctx.Request.Header)
+	r.copyHead(&ctx.Request.Header, g.deps.Dialect)
 	return r, g.readBody(ctx, r)
 }
 
@@ -93,31 +103,70 @@
 	return r.arrived.Add(timeout)
 }
 
-// copyHead copies the caller's head without the headers that concern its connection only.
-func (r *request) copyHead(from *fasthttp.RequestHeader) {
-	from.CopyTo(&r.head)
-	for _, token := range headerTokens(from.Peek(fasthttp.HeaderConnection)) {
-		r.head.Del(token)
+// copyHead copies the caller's head in the order of its lines, without the headers that concern its connection only and those
+// of which no caller's value is forwarded. Headers aren't deleted from a copy, because that changes the order of others.
+func (r *request) copyHead(from *fasthttp.RequestHeader, d Dialect) {
+	connectionHeaders := headerTokens(from.PeekAll(fasthttp.HeaderConnection))
+	r.head.Reset()
+	r.head.SetNoDefaultContentType(true)
+	r.head.DisableSpecialHeader() // the library would put some headers first and write others anew
+	r.head.SetMethodBytes(from.Method())
+	r.head.SetRequestURIBytes(from.RequestURI())
+	for name, value := range from.AllInOrder() {
+		if !concernsConnection(name, connectionHeaders) && !equalsFold(name, fasthttp.HeaderContentLength) && !d.IsSystemHeader(name) {
+			r.head.AddBytesKV(name, value)
+		}
 	}
-	for _, name := range hopByHop {
-		r.head.Del(name)
+	r.hasLength = from.ContentLength() >= 0
+}
+
+// concernsConnection reports whether a header concerns one connection only. connectionHeaders are those that the head itself
+// names as such.
+func concernsConnection(name []byte, connectionHeaders []string) bool {
+	isName := func(other string) bool { return equalsFold(name, other) }
+	return slices.ContainsFunc(hopByHop, isName) || slices.ContainsFunc(connectionHeaders, isName)
+}
+
+// headerTokens splits comma-separated lists of header names. It omits the tokens that only state whether the connection
+// stays open.
+func headerTokens(lists [][]byte) []string {
+	var out []string
+	for _, list := range lists {
+		for token := range strings.SplitSeq(string(list), ",") {
+			token = strings.Trim(token, " \t")
+			if token != "" && !strings.EqualFold(token, "close") && !strings.EqualFold(token, "keep-alive") {
+				out = append(out, token)
+			}
+		}
 	}
-	r.head.SetNoDefaultContentType(true)
-	r.head.SetProtocol("HTTP/1.1")
+	return out
 }
 
-// headerTokens splits a comma-separated list of header names. It omits the tokens that only state whether the
-// connection stays open.
-func headerTokens(v []byte) []string {
-	all := strings.Split(string(v), ",")
-	for i := range all {
-		all[i] = strings.Trim(all[i], " \t")
+// checkFraming returns an error if the raw header lines leave open where the body ends. The HTTP library decides that by
+// itself for a length beside chunks, and takes a body in another coding for the caller's next request.
+func checkFraming(raw []byte) error {
+	hasLength, hasCoding := false, false
+	for line := range bytes.SplitSeq(raw, []byte("\n")) {
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		switch {
+		case equalsFold(name, fasthttp.HeaderContentLength):
+			hasLength = true
+		case equalsFold(name, fasthttp.HeaderTransferEncoding):
+			if value = bytes.TrimSpace(value); !equalsFold(value, "chunked") {
+				return fmt.Errorf("%s: %q: allowed: chunked", fasthttp.HeaderTransferEncoding, value)
+			}
+			hasCoding = true
+		}
+	}
+	if hasLength && hasCoding {
+		return fmt.Errorf("%s: not allowed beside %s", fasthttp.HeaderContentLength, fasthttp.HeaderTransferEncoding)
 	}
-	return slices.DeleteFunc(all, func(token string) bool {
-		return token == "" || token == "close" || token == "keep-alive"
-	})
+	return nil
 }
 
+// equalsFold reports whether b is s but for the case of its letters.
+func equalsFold(b []byte, s string) bool { return len(b) == len(s) && strings.EqualFold(string(b), s) }
+
 // placementRequest returns the request for a grant now. lastEventAt is when the last event arrived of a stream that
 // resumes on another upstream; zero means that the answer has not begun.
 func (r *request) placementRequest(now, lastEventAt time.Time, attempt int, avoid []fleet.UpstreamID) PlacementRequest {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -105,6 +105,8 @@
 		CloseOnShutdown:       true,
 		ConnState:             g.idle.OnStateChange,
 		Logger:                httplog.Logger{Log: g.log},
+		// The library would read a form of known length by itself, so that its bytes are neither forwarded nor counted.
+		DisablePreParseMultipartForm: true,
 	}
 	return g
 }
@@ -303,6 +305,7 @@
 		ctx.SetConnectionClose()
 		return
 	}
+	closing := ctx.Response.ConnectionClose()
 	ctx.Response.Reset()
 	status := f.Kind.Rule().Status
 	ctx.SetStatusCode(status)
@@ -316,7 +319,7 @@
 	}
 	ctx.SetContentType("application/json")
 	ctx.Response.SetBodyRaw(body)
-	if !g.deps.Gate.Ready() {
+	if closing || !g.deps.Gate.Ready() {
 		ctx.SetConnectionClose()
 	}
 }
