--- a/internal/silence/silence_test.go
+++ b/internal/silence/silence_test.go
@@ -48,3 +48,35 @@
 		})
 	}
 }
+
+// Guards against a wait that never ends because each of its checks is late: a process that gets a little of each period runs in
+// every one of them, and would wait until its caller gives up for somebody who is silent.
+func TestSilenceIsNoticedThoughEveryCheckIsLate(t *testing.T) {
+	const longest, limit = time.Second, 10 * time.Second
+	for name, c := range map[string]struct {
+		timeout    time.Duration
+		checks     int
+		on, period time.Duration // the process runs at the start of each period
+	}{
+		"plain answer, 10 of 100 ms":   {timeout: 250 * time.Millisecond, checks: 8, on: 10 * time.Millisecond, period: 100 * time.Millisecond},
+		"first event, 10 of 100 ms":    {timeout: 300 * time.Millisecond, checks: 8, on: 10 * time.Millisecond, period: 100 * time.Millisecond},
+		"between events, 20 of 300 ms": {timeout: longest, checks: 8, on: 20 * time.Millisecond, period: 300 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			start := time.Now()
+			s := NewWait(start, c.timeout, longest, c.checks)
+			for {
+				elapsed := s.NextCheck().Sub(start)
+				if phase := elapsed % c.period; phase >= c.on {
+					elapsed += c.period - phase
+				}
+				if s.Check(start.Add(elapsed), nil) {
+					return
+				}
+				if elapsed > limit {
+					t.Fatalf("not silent after %s", elapsed)
+				}
+			}
+		})
+	}
+}
