A silent upstream is noticed on a machine that is always late

Cause: each late check made the wait longer by its lateness and was never counted itself, so that a wait whose checks are all late had no end.

Fix: between two arrivals the wait grows by one whole wait at most; after that a late check judges like any other, still after a look at what has arrived. TestSilenceIsNoticedThoughEveryCheckIsLate (3 cases) failed before; TestSilenceIsJudgedOnlyWhileRunningAndListening and the tests with real pauses stay green.

--- a/internal/silence/silence.go
+++ b/internal/silence/silence.go
@@ -13,6 +13,7 @@
 	nextCheck time.Time
 	deaf      bool          // nothing reads what arrives
 	absent    time.Duration // for which this process was found not to have run
+	granted   time.Duration // of absent, by how much the present wait has been made longer
 }
 
 // NewWait returns a wait that starts now. Until the first event the other side may be silent for timeout, and for longest
@@ -43,11 +44,15 @@
 
 // Event records that something whole arrived. The next wait begins.
 func (w *Wait) Event(now time.Time) {
+	w.granted = 0
 	w.due, w.interval = now.Add(w.longest), w.longest/time.Duration(w.checks)
 }
 
 // Part records that a part of something arrived. It never makes the wait shorter.
-func (w *Wait) Part(now time.Time) { w.due = later(w.due, now.Add(w.longest)) }
+func (w *Wait) Part(now time.Time) {
+	w.granted = 0
+	w.due = later(w.due, now.Add(w.longest))
+}
 
 // Listen records whether something reads what arrives. A new wait is listened to.
 func (w *Wait) Listen(listening bool) { w.deaf = !listening }
@@ -55,14 +60,20 @@
 // Check reports whether the other side is silent. waiting reports whether something has arrived that nobody has read; nil if
 // that can't be told. If the other side is not silent, the next check follows at NextCheck.
 //
-// Time in which the process did not run doesn't count. After it the other side has as long again, up to a whole wait: what was
-// sent to a machine that was frozen is sent again, at intervals that grow with the time for which it was.
+// Time in which the process did not run doesn't count. After it the other side has as long again: what was sent to a machine
+// that was frozen is sent again, at intervals that grow with the time for which it was. Between two arrivals that makes the wait
+// longer by a whole one at most, because a process that is late at each check would otherwise wait for ever.
 func (w *Wait) Check(now time.Time, waiting func() bool) bool {
 	late := now.Sub(w.nextCheck)
-	switch {
-	case late > w.interval:
+	absent := late > w.interval
+	if absent {
 		w.absent += late
-		w.due = later(w.due.Add(late), now.Add(min(late, w.whole())))
+	}
+	switch {
+	case absent && w.granted < w.whole():
+		grant := min(late, w.whole()-w.granted)
+		w.granted += grant
+		w.due = later(w.due.Add(grant), now.Add(grant))
 	case w.deaf:
 		w.Extend(now)
 	case now.Before(w.due):
