The rest of a rejection is waited for 50 ms, not until the deadline

Found in review. What callers saw: a worker that answers 503, not run, and stops in the body cost the request its whole time (503 after 2.5 s, nothing sent elsewhere), where other workers would have served it.

Cause: the body is read only to keep the connection, without a bound of its own; the watchdog, which ended such a read before, doesn't judge while nothing of an answer is listened to. For requests that may not be repeated there never was a watchdog.

Fix: that read ends after 50 ms; the connection is then closed. platform.TestRejectionThatStopsMidwayIsRetried failed before.

--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"io"
 	"os"
 	"strconv"
 	"syscall"
@@ -15,6 +14,12 @@
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
 )
 
+// Bounds on the rest of a rejection, which is read only to keep its connection.
+const (
+	maxRejectionBytes = 64 << 10
+	rejectionTimeout  = 50 * time.Millisecond
+)
+
 // failure describes a send that failed.
 type failure struct {
 	outcome Outcome   // for the grant
@@ -96,7 +101,7 @@
 	if l.exchange != nil {
 		if l.answer.NotRun {
 			// The body of a rejection is short. Reading it allows the connection to be used again.
-			_, _ = io.Copy(io.Discard, io.LimitReader(l.exchange, 64<<10))
+			l.exchange.Discard(maxRejectionBytes, rejectionTimeout)
 		}
 		l.exchange.Close()
 		l.exchange = nil
--- a/internal/upstream/forward.go
+++ b/internal/upstream/forward.go
@@ -210,6 +210,13 @@
 	return n, err
 }
 
+// Discard reads the rest of a body that nobody needs, as far as it comes within the timeout and has at most maxBytes, so that
+// its connection can be used again.
+func (x *Exchange) Discard(maxBytes int64, timeout time.Duration) {
+	_ = x.conn.SetDeadline(time.Now().Add(timeout))
+	_, _ = io.Copy(io.Discard, io.LimitReader(x, maxBytes+1))
+}
+
 // Close ends the exchange. It keeps the connection if the answer was read completely and no data follows it.
 // Otherwise it closes the connection, which tells the upstream to stop the work.
 func (x *Exchange) Close() {
