A request's watchdog ends with it, and its retries are given back

Found in review.

Fix: the end of a request stops its watchdog, and a retry that is still held is given back before another takes its place. TestRetriesOfRequestThatEndsAreGivenBack: with the hand-back left out, 2 where 1 is due.

--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -203,6 +203,14 @@
 	return giveBack, true
 }
 
+// stopWatchdog stops the watchdog of the current send and keeps the retry that it took.
+func (l *lifecycle) stopWatchdog() {
+	if giveBack := l.watchdog.stop(); giveBack != nil {
+		l.returnPrepaid() // taken for a send that did not reach its upstream
+		l.prepaid = giveBack
+	}
+}
+
 // returnPrepaid gives back a retry that was taken for a send that does not follow.
 func (l *lifecycle) returnPrepaid() {
 	if l.prepaid != nil {
@@ -246,9 +254,7 @@
 
 // releaseGrant releases the grant and the memory reserved for it, and stops the watchdog.
 func (l *lifecycle) releaseGrant(o Outcome, atFault fleet.UpstreamID) {
-	if giveBack := l.watchdog.stop(); giveBack != nil {
-		l.prepaid = giveBack
-	}
+	l.stopWatchdog()
 	if l.reservations != nil {
 		l.reservations.release()
 		l.reservations = nil
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -244,6 +244,7 @@
 	}
 	l := &lifecycle{g: g, r: r, ctx: requestCtx}
 	return l, func() {
+		l.stopWatchdog() // still running after a panic
 		l.returnPrepaid()
 		unwatch()
 		cancel(nil)
--- a/internal/gateway/watchdog_test.go
+++ b/internal/gateway/watchdog_test.go
@@ -38,3 +38,27 @@
 	l.returnPrepaid()
 	is.Equal(taken, 0)
 }
+
+// Guards against retry budget that is lost when a request ends without its watchdog having been stopped, as after a panic, and
+// when a second send that never reached its upstream is found silent.
+func TestRetriesOfRequestThatEndsAreGivenBack(t *testing.T) {
+	is := is.New(t)
+	taken := 0
+	silent := func() *watchdog {
+		w := &watchdog{
+			cancel: func(error) {}, wait: silence.NewWait(time.Now().Add(-time.Hour), time.Hour, time.Hour, 1),
+			take: func() (func(), bool) { taken++; return func() { taken-- }, true },
+		}
+		w.timer = time.AfterFunc(time.Hour, func() {})
+		w.check()
+		return w
+	}
+	l := &lifecycle{watchdog: silent()}
+	l.stopWatchdog()
+	l.watchdog = silent()
+	is.Equal(taken, 2)
+	l.stopWatchdog()
+	is.Equal(taken, 1) // one send can follow
+	l.returnPrepaid()
+	is.Equal(taken, 0)
+}
