A connection that was just opened isn't closed for the next one, nor one with a request

At the bound, a connection that had no request yet was closed for the next one, so that in a burst each new caller evicted the one before: connection closed, nothing counted. And between taking an idle connection out of the list and closing it, a request could be read from it and passed on, whose answer then reached nobody (by reading; the same at a planned stop).

Fix: connections that were used before go first; one without any request only after a second. Closing happens under the lock of the list, and a handler that finds its connection closed doesn't pass the request on. damaskshelf_connections_closed_for_others counts. TestRequestOnClosedConnectionIsNotBegun: the connection just opened was closed before.

--- a/internal/entry/callerconn/answer.go
+++ b/internal/entry/callerconn/answer.go
@@ -25,12 +25,15 @@
 
 // Begin records that a request of a connection is to be answered. onWritten is called once: when the operating system has
 // accepted the whole answer, or the connection is closed. If a handler's connection isn't a *Conn, nobody can tell when
-// that is, and onWritten is called at once.
-func Begin(nc net.Conn, request string, onWritten func()) {
+// that is, and onWritten is called at once. Begin returns false if this instance has closed the connection: nobody receives
+// the answer, and the request must not be passed on.
+func Begin(nc net.Conn, request string, onWritten func()) (open bool) {
 	c, ok := nc.(*Conn)
-	if !ok || !c.begin(request, onWritten) {
+	open = !ok || c.begin(request, onWritten)
+	if !ok || !open {
 		onWritten()
 	}
+	return open
 }
 
 // SetBodyLength records the length in bytes of the body of the answer that Begin has begun on a connection.
--- a/internal/entry/callerconn/answer_test.go
+++ b/internal/entry/callerconn/answer_test.go
@@ -204,3 +204,23 @@
 		is.True(answered(c)) // none was closed for another
 	}
 }
+
+// Guards against a request that is passed on although its connection was closed to make room: its answer reaches nobody.
+func TestRequestOnClosedConnectionIsNotBegun(t *testing.T) {
+	is := is.New(t)
+	near, far := net.Pipe()
+	defer func() { _ = near.Close() }()
+	pipes := &pipeListener{conns: make(chan net.Conn, 1)}
+	pipes.conns <- far
+	conn, err := (&callerconn.Listener{Listener: pipes}).Accept()
+	is.NoErr(err)
+	var idle callerconn.IdleConns
+	idle.OnStateChange(conn, fasthttp.StateNew)
+	is.True(!idle.CloseOldest()) // its caller has only just connected
+	idle.OnStateChange(conn, fasthttp.StateIdle)
+	is.True(idle.CloseOldest())
+	idle.OnStateChange(conn, fasthttp.StateActive) // a request was read in the same moment
+	calls := 0
+	is.True(!callerconn.Begin(conn, "r1", func() { calls++ }))
+	is.Equal(calls, 1)
+}
--- a/internal/entry/callerconn/idle.go
+++ b/internal/entry/callerconn/idle.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -13,13 +14,16 @@
 type IdleConns struct {
 	mu    sync.Mutex
 	conns map[net.Conn]idleConn // guarded by mu
-	added uint64                // guarded by mu: connections that have been added so far
 }
 
+// unusedTime is how long a connection may be open before its first request without being closed to make room. A caller sends
+// its request as soon as it is connected.
+const unusedTime = time.Second
+
 // idleConn is a connection without a request.
 type idleConn struct {
-	order  uint64 // in which the connections have been added
-	unused bool   // there was no request on it yet
+	since  time.Time
+	unused bool // there was no request on it yet
 }
 
 // OnStateChange adds a connection that is new or becomes idle, whose pending answer has ended, and removes any other. It
@@ -37,55 +41,55 @@
 	if i.conns == nil {
 		i.conns = map[net.Conn]idleConn{}
 	}
-	i.added++
-	i.conns[c] = idleConn{order: i.added, unused: s == fasthttp.StateNew}
+	i.conns[c] = idleConn{since: time.Now(), unused: s == fasthttp.StateNew}
 }
 
 // CloseAll closes all idle connections that have had a request and returns their number.
+//
+// A connection is closed before its change of state can be seen: if a request has come on it meanwhile, Begin finds it closed.
 func (i *IdleConns) CloseAll() int {
-	closed := 0
-	for _, c := range i.takeUsed() {
-		_ = c.Close()
-		closed++
-	}
-	return closed
-}
-
-// takeUsed removes and returns the connections that have had a request.
-func (i *IdleConns) takeUsed() []net.Conn {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	var used []net.Conn
+	closed := 0
 	for c, idle := range i.conns {
 		if !idle.unused {
-			used = append(used, c)
-			delete(i.conns, c)
+			i.close(c)
+			closed++
 		}
 	}
-	return used
+	return closed
 }
 
-// CloseOldest closes the connection that has had no request for the longest time. It returns false if there is none.
+// CloseOldest closes the connection that has been idle for the longest time, or else the one that has waited for its first
+// request for the longest time, if that is over unusedTime. It returns false if there is none.
 func (i *IdleConns) CloseOldest() bool {
-	c := i.takeOldest()
-	if c == nil {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	oldest := i.oldest(false)
+	if oldest == nil {
+		oldest = i.oldest(true)
+	}
+	if oldest == nil || i.conns[oldest].unused && time.Since(i.conns[oldest].since) < unusedTime {
 		return false
 	}
-	_ = c.Close()
+	i.close(oldest)
 	return true
 }
 
-// takeOldest removes and returns the connection that was added first, or nil if there is none.
-func (i *IdleConns) takeOldest() net.Conn {
-	i.mu.Lock()
-	defer i.mu.Unlock()
+// oldest returns the connection that was added first of those that had no request yet, or of the others; nil if there is
+// none. mu is held.
+func (i *IdleConns) oldest(unused bool) net.Conn {
 	var oldest net.Conn
-	first := i.added + 1
 	for c, idle := range i.conns {
-		if idle.order < first {
-			oldest, first = c, idle.order
+		if idle.unused == unused && (oldest == nil || idle.since.Before(i.conns[oldest].since)) {
+			oldest = c
 		}
 	}
-	delete(i.conns, oldest)
 	return oldest
 }
+
+// close removes and closes a connection. mu is held.
+func (i *IdleConns) close(c net.Conn) {
+	delete(i.conns, c)
+	_ = c.Close()
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -113,15 +113,17 @@
 // countRequests wraps next so that each request is in flight until its answer has left the instance.
 func countRequests(g *gate.Gate, next fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
-		countRequest(g, ctx)
-		next(ctx)
+		if countRequest(g, ctx) {
+			next(ctx)
+		}
 	}
 }
 
-// countRequest counts a request as in flight until its answer has left the instance.
-func countRequest(g *gate.Gate, ctx *fasthttp.RequestCtx) {
+// countRequest counts a request as in flight until its answer has left the instance. It returns false if the connection is
+// closed already.
+func countRequest(g *gate.Gate, ctx *fasthttp.RequestCtx) (open bool) {
 	g.Count()
-	callerconn.Begin(ctx.Conn(), "", g.Leave)
+	return callerconn.Begin(ctx.Conn(), "", g.Leave)
 }
 
 // closeWhenStopping wraps next so that answers close their connection while the instance is stopping. Callers and the
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -120,7 +120,7 @@
 	g.accepting = accept.Retrying(l, "callers", g.log)
 	g.listener = &callerconn.Listener{
 		Listener: g.accepting, WriteTimeout: g.deps.Limits.WriteStall, MaxOpen: int64(g.deps.Limits.MaxConnections),
-		CloseIdle: g.idle.CloseOldest,
+		CloseIdle: g.closeIdleConn,
 		OnRefused: func() { g.deps.Metrics.Counter("connections_refused").Inc(1) },
 	}
 	g.listeningSince = time.Now()
@@ -143,6 +143,15 @@
 // Unwritten returns the answers that haven't left this instance yet.
 func (g *Gateway) Unwritten() []callerconn.Answer { return g.listener.Unwritten() }
 
+// closeIdleConn closes a connection without a request to make room for another one, and returns false if there is none.
+func (g *Gateway) closeIdleConn() bool {
+	closed := g.idle.CloseOldest()
+	if closed {
+		g.deps.Metrics.Counter("connections_closed_for_others").Inc(1)
+	}
+	return closed
+}
+
 // CloseIdle closes the connections without a request and returns their number.
 func (g *Gateway) CloseIdle() int { return g.idle.CloseAll() }
 
@@ -166,7 +175,10 @@
 		ctx.SetConnectionClose()
 	}
 	r, f := g.readRequest(ctx, g.awaitSnapshot(), arrived)
-	g.beginAnswer(ctx, r)
+	if !g.beginAnswer(ctx, r) {
+		g.releaseHeld(r)
+		return
+	}
 	if f == nil {
 		if err := g.deps.Gate.Admit(); err != nil {
 			f = fault.From(err)
@@ -181,10 +193,11 @@
 	g.handle(ctx, r)
 }
 
-// beginAnswer counts a request as in flight until its answer has left the instance.
-func (g *Gateway) beginAnswer(ctx *fasthttp.RequestCtx, r *request) {
+// beginAnswer counts a request as in flight until its answer has left the instance. It returns false if the connection is
+// closed already.
+func (g *Gateway) beginAnswer(ctx *fasthttp.RequestCtx, r *request) (open bool) {
 	g.deps.Gate.Count()
-	callerconn.Begin(ctx.Conn(), r.ID, g.deps.Gate.Leave)
+	return callerconn.Begin(ctx.Conn(), r.ID, g.deps.Gate.Leave)
 }
 
 // startupWait is how long after its start an instance lets requests wait for a configuration and upstreams instead
