accept: every error of the operating system that can pass is retried

Found in review: accept(2) also returns errors of the network (ENETDOWN, EHOSTUNREACH, EPERM of a filter, ...) that concern one connection. They ended the listener, and since its end stops the instance, one such error on all machines would have stopped the fleet. Only a listener that is closed, or is none, ends now. TestAcceptGoesOnAfterShortage has two of them and failed before.

--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -50,7 +50,7 @@
 			}
 			return c, nil
 		}
-		if !isShortage(err) {
+		if isFinal(err) {
 			return nil, err
 		}
 		l.failedAt.Store(int64(time.Since(l.created)))
@@ -61,13 +61,17 @@
 	}
 }
 
-// isShortage reports whether an error of accept(2) may pass: a shortage of resources, or a connection that ended before it
-// was accepted.
-func isShortage(err error) bool {
-	for _, passing := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EPROTO} {
-		if errors.Is(err, passing) {
-			return true
-		}
+// isFinal reports whether no call of accept(2) can succeed after this error: the listener is closed, or isn't one. All other
+// errors of the operating system may pass: shortages, and what went wrong with the one connection that was to be accepted.
+func isFinal(err error) bool {
+	var errno syscall.Errno
+	if !errors.As(err, &errno) {
+		return true
+	}
+	switch errno {
+	case syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK, syscall.EFAULT:
+		return true
+	default:
+		return false
 	}
-	return false
 }
--- a/internal/accept/accept_test.go
+++ b/internal/accept/accept_test.go
@@ -45,7 +45,7 @@
 // Guards against an instance that stops accepting for good once it was out of descriptors.
 func TestAcceptGoesOnAfterShortage(t *testing.T) {
 	is := is.New(t)
-	shortages := []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED}
+	shortages := []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.ENETDOWN, syscall.EPERM}
 	inner := &scriptedListener{errs: make(chan error, len(shortages)), conns: make(chan net.Conn), waiting: make(chan struct{}, len(shortages))}
 	for _, errno := range shortages {
 		inner.errs <- &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", errno)}
