--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -211,7 +211,7 @@
 func freeAddr(t *testing.T) string {
 	t.Helper()
 	for range 1000 {
-		addr := fmt.Sprintf("127.0.0.1:%d", 20_000+nextPort.Add(1)%10_000)
+		addr := fmt.Sprintf("127.0.0.1:%d", 20_000+nextPort.Add(1)%5_000)
 		if l, err := net.Listen("tcp", addr); err == nil {
 			_ = l.Close()
 			return addr
--- a/test/soak/daemon_test.go
+++ b/test/soak/daemon_test.go
@@ -80,7 +80,7 @@
 // so that none of them takes the port before the daemon binds it.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	const minPort, portCount = 20_000, 10_000
+	const minPort, portCount = 25_000, 5_000
 	for range 100 {
 		port := minPort + rand.IntN(portCount)
 		if assignedPorts[port] {
