--- a/cmd/damaskshelfd/life_test.go
+++ b/cmd/damaskshelfd/life_test.go
@@ -164,30 +164,30 @@
 	})
 	t.Run("planned stop", func(t *testing.T) {
 		is := is.New(t)
-		cmd, _, _ := child("daemon", "-settings", routedSettings(t, "127.0.0.1:0", 256))
-		file, err := os.Create(filepath.Join(t.TempDir(), "log"))
-		is.NoErr(err)
-		cmd.Stdout = file
-		is.NoErr(cmd.Start())
-		awaitLine(t, file.Name(), "started:")
-		is.NoErr(cmd.Process.Signal(os.Interrupt))
-		is.NoErr(cmd.Wait())
-		is.True(strings.HasSuffix(lastLine(awaitLine(t, file.Name(), "")), "damaskshelfd.entry-1: process ends: reason=stopped exit_status=0"))
+		log := runUntilLine(t, 256, "started:")
+		is.True(strings.HasSuffix(lastLine(log), "damaskshelfd.entry-1: process ends: reason=stopped exit_status=0"))
 	})
 }
 
 // Guards against a process that is killed for its memory, and whose log doesn't show that it had nearly used it up.
 func TestHighMemoryIsLogged(t *testing.T) {
-	is := is.New(t)
 	const memoryMB = 16 // less than any process of ours needs
+	runUntilLine(t, memoryMB, "[WARN]  damaskshelfd.entry-1: use of memory is high: resident_mb=")
+}
+
+// runUntilLine runs a daemon until its log contains text, stops it, and returns the log.
+func runUntilLine(t *testing.T, memoryMB int, text string) string {
+	t.Helper()
+	is := is.New(t)
 	cmd, _, _ := child("daemon", "-settings", routedSettings(t, "127.0.0.1:0", memoryMB))
 	file, err := os.Create(filepath.Join(t.TempDir(), "log"))
 	is.NoErr(err)
 	cmd.Stdout = file
 	is.NoErr(cmd.Start())
-	awaitLine(t, file.Name(), "[WARN]  damaskshelfd.entry-1: use of memory is high: resident_mb=")
+	awaitLine(t, file.Name(), text)
 	is.NoErr(cmd.Process.Signal(os.Interrupt))
 	is.NoErr(cmd.Wait())
+	return awaitLine(t, file.Name(), "")
 }
 
 // awaitLine waits until a log contains text, and returns the log.
--- a/internal/gateway/lifecycle_test.go
+++ b/internal/gateway/lifecycle_test.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// Guards against a stream that is cut because the instance itself was paused: its worker is gone when the instance runs again,
+// Guards against a stream that is cut because the instance itself was paused: its upstream is gone when the instance runs again,
 // and its state isn't proven within the time for which a new request would wait. A new request may go to another instance.
 func TestRequestThatMayHaveRunWaitsForTrust(t *testing.T) {
 	is := is.New(t)
--- a/internal/silence/silence_test.go
+++ b/internal/silence/silence_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 )
 
-// Guards against an instance that takes its own pause for its upstream's silence, and ends a stream that its worker goes on
+// Guards against an instance that takes its own pause for its upstream's silence, and ends a stream that its upstream goes on
 // with. Each case tells at which time after the start, in ms, an upstream that sends nothing counts as silent: after a wait
 // of 800 ms in which the instance ran and listened.
 func TestSilenceIsJudgedOnlyWhileRunningAndListening(t *testing.T) {
