An upstream's refusal promises only what the upstream said

What callers would see: a booking that a worker answers 503, 429 or 408 without the word that it has not run it is answered so by us; these statuses promise that it has not run and never will, so that the caller books again.

Cause: a worker's answer is passed on as it is, and only those with the word count as not run within the instance.

Fix: for requests that may run once only it is a failed send, answered 502 by us, without the worker's seal (another status under its seal would be its answer changed). Requests that may be repeated get the answer as before.

--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -323,6 +323,11 @@
 		f := &failure{outcome: Failed, ran: fault.RunUnknown, cause: fmt.Errorf("answer with status %d isn't sealed", status)}
 		l.closeExchange(f)
 		return f
+	case promisesNotRun(status) && !l.r.route.Repeatable():
+		// Callers take the status for the statement that the request did not run, which the upstream did not make.
+		f := &failure{outcome: Failed, ran: fault.RunUnknown, cause: fmt.Errorf("upstream answered %d and did not say that it had not run the request", status)}
+		l.closeExchange(f)
+		return f
 	case status >= 500 && l.r.route.Repeatable():
 		f := &failure{outcome: Failed, ran: fault.RunYes, cause: fmt.Errorf("upstream answered %d", status)}
 		return f
@@ -331,6 +336,17 @@
 	}
 }
 
+// promisesNotRun reports whether callers take an answer with this status for the statement that the request did not run and
+// never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // helperByAddr returns the engine of the service at an address that an answer names as at fault. It returns "" if
 // the address is empty, belongs to the granted upstream itself, or is unknown.
 func (l *lifecycle) helperByAddr(addr string) fleet.UpstreamID {
