Reading the change once more: one count of a caller's request in place of two

The gateway and our own interface each counted a request and began its answer; gate.CountUntilAnswered does both, and nobody can count without an end.

Looked at and left: the two looks at a socket in upstream (idle, unread) differ in what an unknown answer means, and one would cost the reuse of a connection a system call more.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -113,19 +113,12 @@
 // countRequests wraps next so that each request is in flight until its answer has left the instance.
 func countRequests(g *gate.Gate, next fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
-		if countRequest(g, ctx) {
+		if g.CountUntilAnswered(ctx.Conn(), "") {
 			next(ctx)
 		}
 	}
 }
 
-// countRequest counts a request as in flight until its answer has left the instance. It returns false if the connection is
-// closed already.
-func countRequest(g *gate.Gate, ctx *fasthttp.RequestCtx) (open bool) {
-	g.Count()
-	return callerconn.Begin(ctx.Conn(), "", g.Leave)
-}
-
 // closeWhenStopping wraps next so that answers close their connection while the instance is stopping. Callers and the
 // balancer then use another connection. Without that, a request that arrives on a kept-alive connection at the moment
 // of the shutdown would be cut off without an answer.
@@ -211,7 +204,7 @@
 			f = fault.New(fault.SlowCaller, "request: not whole after %s", time.Duration(s.limits.HeaderTimeout))
 		}
 		s.metrics.Counter("refused", "kind", f.Kind.String()).Inc(1)
-		countRequest(g, ctx)
+		g.CountUntilAnswered(ctx.Conn(), "")
 		intake.Refuse(ctx, requestID(ctx, newID), f)
 	}
 }
--- a/internal/entry/gate/gate.go
+++ b/internal/entry/gate/gate.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 
+	"github.com/damaskshelf/damaskshelf/internal/entry/callerconn"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 )
 
@@ -25,8 +27,12 @@
 	idle     atomic.Pointer[chan struct{}] // set by AwaitIdle; closed when no request is in flight
 }
 
-// Count counts a request as in flight. The caller must call Leave once its answer, a refusal too, has left the instance.
-func (g *Gate) Count() { g.inFlight.Add(1) }
+// CountUntilAnswered counts a request of a caller's connection as in flight until its answer, a refusal too, has left the
+// instance. It returns false if this instance has closed the connection, so that the request must not be passed on.
+func (g *Gate) CountUntilAnswered(c net.Conn, request string) (open bool) {
+	g.inFlight.Add(1)
+	return callerconn.Begin(c, request, g.Leave)
+}
 
 // Admit returns an error if new requests are refused. The request must be counted before: otherwise a stop could see a
 // count of zero while a request that was admitted earlier is about to be counted, and would cut it off.
@@ -39,7 +45,7 @@
 
 // Enter counts and admits a request. After a nil error the caller must call Leave.
 func (g *Gate) Enter() error {
-	g.Count()
+	g.inFlight.Add(1)
 	if err := g.Admit(); err != nil {
 		g.Leave()
 		return err
@@ -47,7 +53,7 @@
 	return nil
 }
 
-// Leave ends a request that Count or Enter counted as in flight.
+// Leave ends a request that is counted as in flight.
 func (g *Gate) Leave() {
 	if g.inFlight.Add(-1) > 0 {
 		return
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -130,8 +130,9 @@
 			l.closeExchange(f)
 		}
 	}
-	l.g.deps.Explain.Record("after_failure", l.r.ID, reason, append([]any{"upstream", u.ID, "at_fault", f.atFault, "outcome", f.outcome, "ran", f.ran,
-		"why", why, "attempts", l.attempts, "cause", f.cause, "framing", f.framing, "took_ms", time.Since(l.sentAt).Milliseconds()}, l.watchdog.fields()...)...)
+	fields := []any{"upstream", u.ID, "at_fault", f.atFault, "outcome", f.outcome, "ran", f.ran,
+		"why", why, "attempts", l.attempts, "cause", f.cause, "framing", f.framing, "took_ms", time.Since(l.sentAt).Milliseconds()}
+	l.g.deps.Explain.Record("after_failure", l.r.ID, reason, append(fields, l.watchdog.fields()...)...)
 	return retry
 }
 
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -325,7 +325,8 @@
 		return f
 	case promisesNotRun(status) && !l.r.route.Repeatable():
 		// Callers take the status for the statement that the request did not run, which the upstream did not make.
-		f := &failure{outcome: Failed, ran: fault.RunUnknown, cause: fmt.Errorf("upstream answered %d and did not say that it had not run the request", status)}
+		f := &failure{outcome: Failed, ran: fault.RunUnknown,
+			cause: fmt.Errorf("upstream answered %d and did not say that it had not run the request", status)}
 		l.closeExchange(f)
 		return f
 	case status >= 500 && l.r.route.Repeatable():
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -175,7 +175,7 @@
 		ctx.SetConnectionClose()
 	}
 	r, f := g.readRequest(ctx, g.awaitSnapshot(), arrived)
-	if !g.beginAnswer(ctx, r) {
+	if !g.deps.Gate.CountUntilAnswered(ctx.Conn(), r.ID) {
 		g.releaseHeld(r)
 		return
 	}
@@ -193,13 +193,6 @@
 	g.handle(ctx, r)
 }
 
-// beginAnswer counts a request as in flight until its answer has left the instance. It returns false if the connection is
-// closed already.
-func (g *Gateway) beginAnswer(ctx *fasthttp.RequestCtx, r *request) (open bool) {
-	g.deps.Gate.Count()
-	return callerconn.Begin(ctx.Conn(), r.ID, g.deps.Gate.Leave)
-}
-
 // startupWait is how long after its start an instance lets requests wait for a configuration and upstreams instead
 // of refusing them, because callers retry only once. Both are known within less time, even if the instance tries a
 // dead instance first.
@@ -365,6 +358,6 @@
 		f = g.slowCaller()
 	}
 	r := &request{arrived: time.Now()}
-	g.beginAnswer(ctx, r)
+	g.deps.Gate.CountUntilAnswered(ctx.Conn(), r.ID)
 	g.refuse(ctx, r, f)
 }
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -66,8 +66,8 @@
 	return ctx
 }
 
-// check ends the send if its upstream is silent and another send can follow and is paid for. Otherwise the answer may still arrive. Many
-// sends are often found silent at one moment, and the budget that each of them sees doesn't suffice for all.
+// check ends the send if its upstream is silent and another send can follow and is paid for. Otherwise the answer may still
+// arrive. Many sends are often found silent at one moment, and the budget that each of them sees doesn't suffice for all.
 func (w *watchdog) check() {
 	defer crash.Report("watchdog of answer")
 	w.mu.Lock()
--- a/internal/upstream/forward.go
+++ b/internal/upstream/forward.go
@@ -214,7 +214,7 @@
 // its connection can be used again.
 func (x *Exchange) Discard(maxBytes int64, timeout time.Duration) {
 	_ = x.conn.SetDeadline(time.Now().Add(timeout))
-	_, _ = io.Copy(io.Discard, io.LimitReader(x, maxBytes+1))
+	_, _ = io.Copy(io.Discard, io.LimitReader(x, maxBytes))
 }
 
 // Close ends the exchange. It keeps the connection if the answer was read completely and no data follows it.
