No answer but one that its handler chose: a half-closed caller gets no empty 200

Callers that sent a whole request and closed only their sending half while a worker was at it got "200 OK, Content-Length: 0" without id and seal, on non_idempotent and idempotent routes; so did callers whose chunked body ended early.

Cause: Gateway.refuse returned without a status for a caller that is gone, and serve did where the instance had closed the connection. The HTTP library sends an empty 200 for a handler that returns without one. A half close can't be told from a whole one before something is written, so that somebody may read it.

Now every listener's handler is wrapped (internal/httpanswer): an answer without a status of its own isn't sent, its connection is closed, and the defect is logged. A caller that counts as gone gets 502, caller_gone and a true run (the status was 499, which would call a proper request wrong); a body that ends before its length or last chunk is a bad request. OPTIONS on the balancer's listener was a default 200 as well, whether the instance was ready or not; it is 405.

Ruled out: the watch on the caller, the worker's answer, tunnels.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/entry/query"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/httpanswer"
 	"github.com/damaskshelf/damaskshelf/internal/httplog"
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
 	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
@@ -68,7 +69,7 @@
 	s := &Server{limits: d.Limits, metrics: d.Metrics, log: d.Log.Named("entry"), serveErr: make(chan error, 1)}
 	s.http = &fasthttp.Server{
 		Name:                  "damaskshelf",
-		Handler:               countRequests(d.Gate, closeWhenStopping(d.Gate, routes(d).Handler)),
+		Handler:               httpanswer.Explicit(countRequests(d.Gate, closeWhenStopping(d.Gate, routes(d).Handler)), s.onUnanswered),
 		ErrorHandler:          s.errorHandler(d.Gate, d.NewID),
 		ReadTimeout:           time.Duration(d.Limits.HeaderTimeout),
 		IdleTimeout:           idleTimeout,
@@ -93,9 +94,10 @@
 	for _, method := range []string{fasthttp.MethodPost, fasthttp.MethodPut, fasthttp.MethodPatch, fasthttp.MethodDelete} {
 		r.Handle(method, pathService, d.Commands.Call)
 	}
-	r.GET(pathHealth, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
+	r.GET(pathHealth, func(ctx *fasthttp.RequestCtx) { httpanswer.OK(ctx, []byte("ok\n")) })
 	r.GET(pathReady, readiness(d))
-	r.GET(pathMetrics, func(ctx *fasthttp.RequestCtx) { ctx.SetBody(d.Metrics.Text()) })
+	r.GET(pathMetrics, func(ctx *fasthttp.RequestCtx) { httpanswer.OK(ctx, d.Metrics.Text()) })
+	r.GlobalOPTIONS = httpanswer.NoContent
 	r.NotFound = func(ctx *fasthttp.RequestCtx) {
 		intake.Refuse(ctx, requestID(ctx, d.NewID), fault.New(fault.NotFound, "no path %s", ctx.Path()))
 	}
@@ -113,12 +115,20 @@
 // countRequests wraps next so that each request is in flight until its answer has left the instance.
 func countRequests(g *gate.Gate, next fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
-		if g.CountUntilAnswered(ctx.Conn(), "") {
-			next(ctx)
+		if !g.CountUntilAnswered(ctx.Conn(), "") {
+			httpanswer.Cut(ctx) // nobody receives an answer
+			return
 		}
+		next(ctx)
 	}
 }
 
+// onUnanswered reports a request that its handler has left without an answer, which is a defect.
+func (s *Server) onUnanswered(ctx *fasthttp.RequestCtx) {
+	s.metrics.Counter("requests_unanswered").Inc(1)
+	s.log.Error("request has no answer: its connection is closed", "method", string(ctx.Method()), "path", string(ctx.Path()))
+}
+
 // closeWhenStopping wraps next so that answers close their connection while the instance is stopping. Callers and the
 // balancer then use another connection. Without that, a request that arrives on a kept-alive connection at the moment
 // of the shutdown would be cut off without an answer.
@@ -143,7 +153,7 @@
 			intake.Refuse(ctx, "", err)
 			return
 		}
-		ctx.SetBodyString("ready\n")
+		httpanswer.OK(ctx, []byte("ready\n"))
 	}
 }
 
--- a/internal/entry/query/answer.go
+++ b/internal/entry/query/answer.go
@@ -18,7 +18,7 @@
 )
 
 // errCallerGone is the cause of contexts that are canceled because the caller closed its connection.
-var errCallerGone = errors.New("caller closed its connection")
+var errCallerGone = errors.New("caller closed its connection, or its sending half")
 
 // answer reads the answer to one prompt, part by part and in order, over one or more dispatches. It executes the decisions
 // of decide/stream and, through again.Retrier, of decide/retry.
@@ -195,7 +195,7 @@
 		return nil
 	}
 	if errors.Is(context.Cause(a.ctx), errCallerGone) {
-		return fault.NewWithRun(fault.CallerGone, a.run, "the caller closed its connection")
+		return fault.NewWithRun(fault.CallerGone, a.run, "%v", errCallerGone)
 	}
 	if errors.Is(context.Cause(a.ctx), errStopped) {
 		return fault.NewWithRun(fault.Cancelled, a.run, "the instance's planned stop reached its limit")
--- a/internal/entry/query/handler.go
+++ b/internal/entry/query/handler.go
@@ -160,6 +160,7 @@
 		return
 	}
 	h.metrics.Histogram("first_token_ms", "length", lengthClass(p.promptTokens)).Update(time.Since(receivedAt).Milliseconds())
+	ctx.SetStatusCode(fasthttp.StatusOK)
 	intake.SetOutcomeHeaders(ctx, meta.ID, fault.RunYes)
 	if p.stream {
 		ctx.SetContentType("text/event-stream")
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -50,7 +50,7 @@
 	BodyTooLarge                 // body over the listener's limit
 	InstanceFull                 // this instance holds as many bytes as it may
 	SlowCaller                   // the caller sent its request too slowly
-	CallerGone                   // the caller closed its connection
+	CallerGone                   // the caller closed its connection, or its sending half
 	Infeasible                   // can't finish within its time, as known at admission
 	QueueFull                    // the bounded queue is full
 	WorkspaceLimit               // the workspace exceeds its own limit
@@ -113,7 +113,7 @@
 	BodyTooLarge:     {"body_too_large", 413, notRun, NoRetry},
 	InstanceFull:     {"instance_full", 503, notRun, otherInstanceDelay},
 	SlowCaller:       {"slow_caller", 408, notRun, NoRetry},
-	CallerGone:       {"caller_gone", 499, anyRun, NoRetry},
+	CallerGone:       {"caller_gone", 502, anyRun, NoRetry},
 	Infeasible:       {"infeasible", 503, notRun, 2 * time.Second},
 	QueueFull:        {"queue_full", 429, notRun, time.Second},
 	WorkspaceLimit:   {"workspace_limit", 429, notRun, time.Second},
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -46,7 +46,7 @@
 // timeoutFault returns the answer for a request whose caller went away or whose time ran out.
 func (l *lifecycle) timeoutFault() *fault.Error {
 	if errors.Is(context.Cause(l.ctx), errCallerGone) {
-		return fault.NewWithRun(fault.CallerGone, l.ran, "caller closed its connection")
+		return fault.NewWithRun(fault.CallerGone, l.ran, "%v", errCallerGone)
 	}
 	if l.ran == fault.RunNo {
 		return fault.New(fault.Infeasible, "time ran out before an upstream ran the request")
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -170,6 +170,14 @@
 	return fault.New(fault.SlowCaller, "request: not whole after %s", g.deps.Limits.ReadTimeout)
 }
 
+// bodyEnd returns what shows the end of a request's body.
+func bodyEnd(ctx *fasthttp.RequestCtx) string {
+	if n := ctx.Request.Header.ContentLength(); n >= 0 {
+		return fmt.Sprintf("%d bytes", n)
+	}
+	return "last chunk"
+}
+
 // bodyFault returns the fault of a body that could not be read, or nil. After a fault the connection is closed, because
 // the rest of the body may never come.
 func (g *Gateway) bodyFault(ctx *fasthttp.RequestCtx, err error) *fault.Error {
@@ -186,8 +194,8 @@
 		return g.bodyTooLarge()
 	case errors.As(err, &ne) && ne.Timeout():
 		return g.slowCaller()
-	case errors.Is(err, io.ErrUnexpectedEOF):
-		return fault.New(fault.CallerGone, "%v", err)
+	case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+		return fault.New(fault.BadRequest, "body: ended before its %s", bodyEnd(ctx))
 	default:
 		return fault.New(fault.BadRequest, "body: %v", err)
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -18,6 +18,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
 	"github.com/damaskshelf/damaskshelf/internal/explain"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
+	"github.com/damaskshelf/damaskshelf/internal/httpanswer"
 	"github.com/damaskshelf/damaskshelf/internal/httplog"
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
@@ -25,7 +26,7 @@
 )
 
 var (
-	errCallerGone  = errors.New("caller closed its connection")
+	errCallerGone  = errors.New("caller closed its connection, or its sending half")
 	errBudgetSpent = errors.New("retry budget is spent")
 )
 
@@ -92,7 +93,7 @@
 	}
 	g.requestsCtx, g.cancelRequests = context.WithCancel(context.Background())
 	g.http = &fasthttp.Server{
-		Handler:               g.serve,
+		Handler:               httpanswer.Explicit(g.serve, g.onUnanswered),
 		ErrorHandler:          g.refuseUnread,
 		ReadTimeout:           d.Limits.ReadTimeout,
 		IdleTimeout:           d.Limits.IdleTimeout,
@@ -177,6 +178,7 @@
 	r, f := g.readRequest(ctx, g.awaitSnapshot(), arrived)
 	if !g.deps.Gate.CountUntilAnswered(ctx.Conn(), r.ID) {
 		g.releaseHeld(r)
+		httpanswer.Cut(ctx) // nobody receives an answer
 		return
 	}
 	if f == nil {
@@ -302,17 +304,20 @@
 	Detail string `json:"detail,omitempty"`
 }
 
-// refuse answers with a fault. A caller that is gone gets no answer.
+// onUnanswered reports a request that its handler has left without an answer, which is a defect.
+func (g *Gateway) onUnanswered(ctx *fasthttp.RequestCtx) {
+	g.deps.Metrics.Counter("requests_unanswered").Inc(1)
+	g.log.Error("request has no answer: its connection is closed", "method", string(ctx.Method()), "path", string(ctx.Path()))
+}
+
+// refuse answers with a fault. A caller that closed its connection doesn't receive it, and one that closed only its sending
+// half does: the two look the same here.
 func (g *Gateway) refuse(ctx *fasthttp.RequestCtx, r *request, f *fault.Error) {
 	g.deps.Metrics.Counter("refused", "kind", f.Kind.String()).Inc(1)
 	g.deps.Explain.Record("answer", r.ID, reasonRefused, append([]any{
 		"fault", f.Kind, "run", f.Run, "detail", f.Detail, "config", r.configVersion,
 		"took_ms", time.Since(r.arrived).Milliseconds(), "retry_after_ms", f.RetryDelay().Milliseconds()}, r.logFields()...)...)
-	if f.Kind == fault.CallerGone {
-		ctx.SetConnectionClose()
-		return
-	}
-	closing := ctx.Response.ConnectionClose()
+	closing := ctx.Response.ConnectionClose() || f.Kind == fault.CallerGone
 	ctx.Response.Reset()
 	status := f.Kind.Rule().Status
 	ctx.SetStatusCode(status)
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -14,6 +14,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/explain"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/follow"
+	"github.com/damaskshelf/damaskshelf/internal/httpanswer"
 	"github.com/damaskshelf/damaskshelf/internal/httplog"
 	"github.com/damaskshelf/damaskshelf/internal/keeper"
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
@@ -53,11 +54,15 @@
 		Explain:      decisionLines(rec),
 		CountInForce: f.CountInForce,
 	})
-	r.GET("/metrics", func(ctx *fasthttp.RequestCtx) { ctx.SetBody(m.Text()) })
+	r.GET("/metrics", func(ctx *fasthttp.RequestCtx) { httpanswer.OK(ctx, m.Text()) })
+	r.GlobalOPTIONS = httpanswer.NoContent
+	onUnanswered := func(ctx *fasthttp.RequestCtx) {
+		log.Error("operators' call has no answer: its connection is closed", "path", string(ctx.Path()))
+	}
 	return &operators{
 		serveErr: make(chan error, 1),
 		http: &fasthttp.Server{
-			Handler:               r.Handler,
+			Handler:               httpanswer.Explicit(r.Handler, onUnanswered),
 			ReadTimeout:           operatorsReadTimeout,
 			WriteTimeout:          operatorsWriteTimeout,
 			ReadBufferSize:        operatorsMaxHeaderBytes,
--- a/internal/routed/status.go
+++ b/internal/routed/status.go
@@ -16,6 +16,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/crash"
 	"github.com/damaskshelf/damaskshelf/internal/entry/gate"
 	"github.com/damaskshelf/damaskshelf/internal/gateway"
+	"github.com/damaskshelf/damaskshelf/internal/httpanswer"
 	"github.com/damaskshelf/damaskshelf/internal/httplog"
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
 	"github.com/damaskshelf/damaskshelf/internal/placement"
@@ -45,7 +46,7 @@
 			ctx.Error(reason, fasthttp.StatusServiceUnavailable)
 			return
 		}
-		ctx.SetBodyString("ready\n")
+		httpanswer.OK(ctx, []byte("ready\n"))
 	})
 	metricsRouter := router.New()
 	metricsRouter.GET(metricsPath, func(ctx *fasthttp.RequestCtx) {
@@ -54,7 +55,7 @@
 		}
 		m.Gauge("upstreams_held_off").Update(int64(p.HoldOffCount()))
 		m.Gauge("upstreams_limited").Update(int64(p.LimitsInForce()))
-		ctx.SetBody(m.Text())
+		httpanswer.OK(ctx, m.Text())
 	})
 	return &statusServer{
 		readyServer: newHTTPServer(readyRouter, log), metricsServer: newHTTPServer(metricsRouter, log),
@@ -83,8 +84,12 @@
 		log.Error("panic", "path", string(ctx.Path()), "cause", cause, "stack", crash.Stack())
 		ctx.Error("defect; see the log", fasthttp.StatusInternalServerError)
 	}
+	r.HandleOPTIONS = false // the router would answer with success, also while the instance isn't ready
+	onUnanswered := func(ctx *fasthttp.RequestCtx) {
+		log.Error("request has no answer: its connection is closed", "path", string(ctx.Path()))
+	}
 	return &fasthttp.Server{
-		Handler: r.Handler, ReadTimeout: statusReadTimeout, ReadBufferSize: statusHeaderBytes,
+		Handler: httpanswer.Explicit(r.Handler, onUnanswered), ReadTimeout: statusReadTimeout, ReadBufferSize: statusHeaderBytes,
 		NoDefaultServerHeader: true, Logger: httplog.Logger{Log: log},
 	}
 }
--- a/internal/routed/status_test.go
+++ b/internal/routed/status_test.go
@@ -63,3 +63,23 @@
 	is.Equal(ctx.Response.StatusCode(), fasthttp.StatusInternalServerError)
 	is.True(strings.Contains(out.String(), `panic: path=/ready cause="no state" stack="`))
 }
+
+// Guards against a balancer that takes the HTTP library's own success for readiness: a method that nothing answers, or a handler
+// that returns without a word.
+func TestReadinessIsNeverADefault(t *testing.T) {
+	is := is.New(t)
+	r := router.New()
+	r.GET("/ready", func(*fasthttp.RequestCtx) {})
+	s := newHTTPServer(r, hclog.NewNullLogger())
+	for _, method := range []string{fasthttp.MethodOptions, fasthttp.MethodHead, fasthttp.MethodPost} {
+		ctx := &fasthttp.RequestCtx{}
+		ctx.Request.Header.SetMethod(method)
+		ctx.Request.SetRequestURI("/ready")
+		s.Handler(ctx)
+		is.Equal(ctx.Response.StatusCode(), fasthttp.StatusMethodNotAllowed)
+	}
+	ctx := &fasthttp.RequestCtx{}
+	ctx.Request.SetRequestURI("/ready")
+	s.Handler(ctx)
+	is.True(ctx.Hijacked()) // the connection is closed without an answer
+}
