A Connection header removes nothing that is meant for every receiver

Callers whose Connection header lists Attempt-Id had their request run without an id: once on a non_idempotent route, up to three times on an idempotent one, and got 502, since the answer without an id is thrown away. An answer that lists Server-Seal or Attempt-Id reached its caller as a 200 without seal or id. Host, Token-Count, Model, Prompt-Prefix and Last-Event-Id went the same way.

Cause: concernsConnection believed the list of any name, also of headers that HTTP means for every receiver (RFC 9110, 7.6.1, forbids to list them) and of those that the platform's protocol defines and the system reads. Now such entries of a list are ignored, in both directions; other headers that a list names are removed as before. Kept rather than refused: the message is clear without the list.

Ruled out: the HTTP library, tunnels, the worker.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,9 @@
 	ReadRequest(h *fasthttp.RequestHeader) (Meta, error)
 	// IsSystemHeader reports whether no caller's value of a request header is forwarded.
 	IsSystemHeader(name []byte) bool
+	// IsProtocolHeader reports whether the wire protocol defines a header of requests or answers. Such a header is never one
+	// that concerns a single connection.
+	IsProtocolHeader(name string) bool
 	// WriteRequest replaces the headers that only the gateway sets in a copy of the caller's head.
 	WriteRequest(h *fasthttp.RequestHeader, s DispatchMeta)
 	// MatchesRequest reports whether an answer belongs to the request with that id. One without an id belongs to none.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -13,15 +13,15 @@
 
 // copyAnswerHead copies status and headers of an upstream's answer, except for headers that concern its connection
 // and the body's length.
-func copyAnswerHead(to, from *fasthttp.ResponseHeader) {
+func copyAnswerHead(to, from *fasthttp.ResponseHeader, d Dialect) {
 	to.SetStatusCode(from.StatusCode())
 	if m := from.StatusMessage(); len(m) > 0 {
 		to.SetStatusMessage(m)
 	}
 	to.SetNoDefaultContentType(true)
-	connectionHeaders := headerTokens(from.PeekAll(fasthttp.HeaderConnection))
+	listed := connectionHeaders(from.PeekAll(fasthttp.HeaderConnection), d)
 	for k, v := range from.All() {
-		if !equalsFold(k, fasthttp.HeaderContentLength) && !concernsConnection(k, connectionHeaders) {
+		if !equalsFold(k, fasthttp.HeaderContentLength) && !concernsConnection(k, listed) {
 			to.AddBytesKV(k, v)
 		}
 	}
@@ -49,7 +49,7 @@
 
 // passOn passes a complete answer on to the caller and releases the grant.
 func (l *lifecycle) passOn(ctx *fasthttp.RequestCtx, body []byte) {
-	copyAnswerHead(&ctx.Response.Header, &l.exchange.Head)
+	copyAnswerHead(&ctx.Response.Header, &l.exchange.Head, l.g.deps.Dialect)
 	l.setPlainBody(ctx, body)
 	callerconn.SetBodyLength(ctx.Conn(), len(body))
 	if l.r.method == fasthttp.MethodHead {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -43,13 +41,6 @@
 	held          int64 // bytes that are counted for the request
 }
 
-// hopByHop lists the headers that concern one connection only.
-var hopByHop = []string{
-	fasthttp.HeaderConnection, "Keep-Alive", fasthttp.HeaderTE, fasthttp.HeaderTrailer, fasthttp.HeaderTransferEncoding,
-	fasthttp.HeaderUpgrade, "Proxy-Connection", fasthttp.HeaderProxyAuthenticate, fasthttp.HeaderProxyAuthorization,
-	fasthttp.HeaderExpect,
-}
-
 // readRequest parses a request and matches it with the snapshot's configuration. A request that it rejects has not
 // run.
 func (g *Gateway) readRequest(ctx *fasthttp.RequestCtx, snap *catalog.Snapshot, arrived time.Time) (*request, *fault.Error) {
@@ -106,42 +97,20 @@
 // copyHead copies the caller's head in the order of its lines, without the headers that concern its connection only and those
 // of which no caller's value is forwarded. Headers aren't deleted from a copy, because that changes the order of others.
 func (r *request) copyHead(from *fasthttp.RequestHeader, d Dialect) {
-	connectionHeaders := headerTokens(from.PeekAll(fasthttp.HeaderConnection))
+	listed := connectionHeaders(from.PeekAll(fasthttp.HeaderConnection), d)
 	r.head.Reset()
 	r.head.SetNoDefaultContentType(true)
 	r.head.DisableSpecialHeader() // the library would put some headers first and write others anew
 	r.head.SetMethodBytes(from.Method())
 	r.head.SetRequestURIBytes(from.RequestURI())
 	for name, value := range from.AllInOrder() {
-		if !concernsConnection(name, connectionHeaders) && !equalsFold(name, fasthttp.HeaderContentLength) && !d.IsSystemHeader(name) {
+		if !concernsConnection(name, listed) && !equalsFold(name, fasthttp.HeaderContentLength) && !d.IsSystemHeader(name) {
 			r.head.AddBytesKV(name, value)
 		}
 	}
 	r.hasLength = from.ContentLength() >= 0
 }
 
-// concernsConnection reports whether a header concerns one connection only. connectionHeaders are those that the head itself
-// names as such.
-func concernsConnection(name []byte, connectionHeaders []string) bool {
-	isName := func(other string) bool { return equalsFold(name, other) }
-	return slices.ContainsFunc(hopByHop, isName) || slices.ContainsFunc(connectionHeaders, isName)
-}
-
-// headerTokens splits comma-separated lists of header names. It omits the tokens that only state whether the connection
-// stays open.
-func headerTokens(lists [][]byte) []string {
-	var out []string
-	for _, list := range lists {
-		for token := range strings.SplitSeq(string(list), ",") {
-			token = strings.Trim(token, " \t")
-			if token != "" && !strings.EqualFold(token, "close") && !strings.EqualFold(token, "keep-alive") {
-				out = append(out, token)
-			}
-		}
-	}
-	return out
-}
-
 // checkFraming returns an error if the raw header lines leave open where the body ends. The HTTP library decides that by
 // itself for a length beside chunks, and takes a body in another coding for the caller's next request.
 func checkFraming(raw []byte) error {
@@ -164,9 +133,6 @@
 	return nil
 }
 
-// equalsFold reports whether b is s but for the case of its letters.
-func equalsFold(b []byte, s string) bool { return len(b) == len(s) && strings.EqualFold(string(b), s) }
-
 // placementRequest returns the request for a grant now. lastEventAt is when the last event arrived of a stream that
 // resumes on another upstream; zero means that the answer has not begun.
 func (r *request) placementRequest(now, lastEventAt time.Time, attempt int, avoid []fleet.UpstreamID) PlacementRequest {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -51,7 +51,7 @@
 		l.grant.RecordFirstEvent()
 		l.g.observeFirstEvent(l.r)
 		s.accept(first, err)
-		copyAnswerHead(&ctx.Response.Header, &l.exchange.Head)
+		copyAnswerHead(&ctx.Response.Header, &l.exchange.Head, l.g.deps.Dialect)
 		if ctx.Request.Header.IsHTTP11() {
 			ctx.Response.SetBodyStream(s, -1)
 		} else {
--- a/internal/httpanswer/httpanswer_test.go
+++ b/internal/httpanswer/httpanswer_test.go
@@ -62,9 +62,12 @@
 // Guards against an answer that is withheld although its handler gave it.
 func TestChosenAnswersAreSent(t *testing.T) {
 	for name, handler := range map[string]fasthttp.RequestHandler{
-		"200 OK":     func(ctx *fasthttp.RequestCtx) { httpanswer.OK(ctx, []byte("body")) },
-		"404 Not":    func(ctx *fasthttp.RequestCtx) { ctx.Error("body", fasthttp.StatusNotFound) },
-		"200 Stream": func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(200); ctx.SetBodyStream(strings.NewReader("body"), 4) },
+		"200 OK":  func(ctx *fasthttp.RequestCtx) { httpanswer.OK(ctx, []byte("body")) },
+		"404 Not": func(ctx *fasthttp.RequestCtx) { ctx.Error("body", fasthttp.StatusNotFound) },
+		"200 Stream": func(ctx *fasthttp.RequestCtx) {
+			ctx.SetStatusCode(200)
+			ctx.SetBodyStream(strings.NewReader("body"), 4)
+		},
 		"207 Hijack": func(ctx *fasthttp.RequestCtx) {
 			ctx.HijackSetNoResponse(true)
 			ctx.Hijack(func(c net.Conn) {
