An answer without a status is no success

Callers whose worker's status line is spoilt to "HTTP/1.1 000 OK", with id and seal, got a sealed 200; with 099 they waited until their deadline.

Cause: the library keeps "no status" as 0 and reads 0 as 200, so that it can't be asked after the parse. The first bytes of each upstream's answer are now looked at before: a status of three digits from 100 on, or the send has failed (502, or another upstream where the request may be repeated). A booking's recorded outcome without a status is no replayed 200 any more either.

Ruled out: statuses of other lengths, with signs or exponents (refused by the library).

--- a/internal/entry/command/claims.go
+++ b/internal/entry/command/claims.go
@@ -76,6 +76,9 @@
 	if o.Fault != "" {
 		return upstream.Answer{}, true, fault.NewWithRun(faultKind(o.Fault), o.Run, "%s", o.Body)
 	}
+	if o.Status == 0 { // the HTTP library would answer with success
+		return upstream.Answer{}, true, fault.NewWithRun(fault.UpstreamFailed, o.Run, "the recorded outcome has no status")
+	}
 	return upstream.Answer{Status: o.Status, ContentType: o.ContentType, Body: o.Body}, true, nil
 }
 
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -174,6 +174,9 @@
 	if err := x.conn.writer.Flush(); err != nil {
 		return fmt.Errorf("write request: %w", err)
 	}
+	if err := checkStatusLine(x.conn.reader); err != nil {
+		return fmt.Errorf("read response: %w", err)
+	}
 	x.resp.StreamBody = true
 	if err := x.resp.ReadLimitBody(x.conn.reader, 0); err != nil {
 		return fmt.Errorf("read response: %w", err)
--- a/internal/upstream/forward.go
+++ b/internal/upstream/forward.go
@@ -118,8 +118,7 @@
 	writeErr := x.writeRequest(q)
 	sound := writeErr == nil // so far, only the request was sent and nothing but its answer came
 	for range maxUnrelatedAnswers + 1 {
-		x.Head.SetNoDefaultContentType(true)
-		if err := x.Head.Read(x.conn.reader); err != nil {
+		if err := x.readHead(); err != nil {
 			if writeErr != nil {
 				return fmt.Errorf("write request: %w", writeErr)
 			}
@@ -153,6 +152,15 @@
 	return ErrUnrelatedAnswer
 }
 
+// readHead reads the head of an answer.
+func (x *Exchange) readHead() error {
+	if err := checkStatusLine(x.conn.reader); err != nil {
+		return err
+	}
+	x.Head.SetNoDefaultContentType(true)
+	return x.Head.Read(x.conn.reader)
+}
+
 // canSkipAnswer reports whether the request's own answer may follow an unrelated one. A second answer to an earlier request
 // can arrive late, where this request's answer is due, and so can bytes that belong to none on a connection that was idle.
 // On a new connection, such bytes are what the upstream made of this request. An unrelated answer whose end isn't known
