--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -46,7 +47,7 @@
 func (g *Gateway) readRequest(ctx *fasthttp.RequestCtx, snap *catalog.Snapshot, arrived time.Time) (*request, *fault.Error) {
 	r := &request{arrived: arrived, method: string(ctx.Method())}
 	var err error
-	if err = checkFraming(ctx.Request.Header.RawHeaders()); err != nil {
+	if err = errors.Join(checkVersion(ctx.Request.Header.Protocol()), checkFraming(ctx.Request.Header.RawHeaders())); err != nil {
 		ctx.SetConnectionClose() // where the body ends isn't known
 		return r, fault.New(fault.BadRequest, "%v", err)
 	}
@@ -111,6 +112,14 @@
 	r.hasLength = from.ContentLength() >= 0
 }
 
+// checkVersion returns an error unless the request speaks HTTP/1. Another version may frame its body in another way.
+func checkVersion(protocol []byte) error {
+	if !bytes.HasPrefix(protocol, []byte("HTTP/1.")) {
+		return fmt.Errorf("version: %q: allowed: HTTP/1.0 and HTTP/1.1", protocol)
+	}
+	return nil
+}
+
 // checkFraming returns an error if the raw header lines leave open where the body ends. The HTTP library decides that by
 // itself for a length beside chunks, and takes a body in another coding for the caller's next request.
 func checkFraming(raw []byte) error {
@@ -119,6 +128,9 @@
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		switch {
 		case equalsFold(name, fasthttp.HeaderContentLength):
+			if len(bytes.TrimSpace(value)) == 0 { // also of one that goes on in the next line
+				return fmt.Errorf("%s: %q: allowed: a number, in one line", fasthttp.HeaderContentLength, value)
+			}
 			hasLength = true
 		case equalsFold(name, fasthttp.HeaderTransferEncoding):
 			if value = bytes.TrimSpace(value); !equalsFold(value, "chunked") {
