Requests that bear one id at the same time are served each

Any caller could delay another one by using its ids.

Cause: instances and the dispatcher kept what waits and runs by the caller's id alone, and the second request took the entry of the first. The dispatcher's key is now the instance and its id, and an instance numbers a second use of an id. The wire doesn't change.

Ruled out: workers and answers (ids match on the connection of each send); tickets of reservations bear the send and the time.

--- a/internal/decide/dispatch/job.go
+++ b/internal/decide/dispatch/job.go
@@ -9,7 +9,8 @@
 
 // Job is a request that is to be placed on an upstream.
 type Job struct {
-	ID                 fleet.RequestID
+	ID                 fleet.RequestID  // unique among the jobs of all instances
+	Request            fleet.RequestID  // the id by which Instance knows it
 	Instance           fleet.InstanceID // serves the caller
 	Domain             fleet.DomainID   // failure domain of Instance
 	Workspace          fleet.WorkspaceID
--- a/internal/placement/convert.go
+++ b/internal/placement/convert.go
@@ -49,7 +49,7 @@
 // arrives later than now: load that counted from then would never decay.
 func newJob(m *pb.Ask, instance fleet.InstanceID, now decide.Instant) *dispatch.Job {
 	j := &dispatch.Job{
-		ID: fleet.RequestID(m.Id), Instance: instance, Workspace: fleet.WorkspaceID(m.Workspace),
+		ID: jobID(instance, m.Id), Request: fleet.RequestID(m.Id), Instance: instance, Workspace: fleet.WorkspaceID(m.Workspace),
 		Priority: int(m.Priority), PromptTokens: int(m.Prompt), MaxOutputTokens: int(m.Output), Arrived: now.Add(-max(0, ms(m.WaitedMs))),
 		FirstEventDeadline: now.Add(ms(m.PatienceMs)), Deadline: now.Add(ms(m.DeadlineMs)),
 		MaxGap: ms(int64(m.MaxGapMs)), Attempt: int(m.Attempt), Resumed: m.Resumed, Avoid: upstreamIDs(m.Avoid),
@@ -60,6 +60,12 @@
 	return j
 }
 
+// jobID returns the dispatcher's id of an instance's request. Callers choose the ids of requests, so that instances may use the
+// same one at the same time.
+func jobID(instance fleet.InstanceID, request string) fleet.RequestID {
+	return fleet.RequestID(string(instance) + "/" + request)
+}
+
 // upstreamIDs converts strings of a message to upstream IDs.
 func upstreamIDs(all []string) []fleet.UpstreamID {
 	out := make([]fleet.UpstreamID, len(all))
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -226,19 +226,19 @@
 		h.serviceState(r.Ask.Service).Adopt(now, h.newJob(r.Ask, instance, now), fleet.UpstreamID(r.Upstream), upstreamIDs(r.Helpers), decodeHoldings(r.Holders), r.Writing)
 	}
 	for _, id := range m.Indirect {
-		h.forEachState(func(st *dispatch.State) { st.WentIndirect(now, fleet.RequestID(id)) })
+		h.forEachState(func(st *dispatch.State) { st.WentIndirect(now, jobID(instance, id)) })
 	}
 	for _, id := range m.Began {
-		h.forEachState(func(st *dispatch.State) { st.Began(now, fleet.RequestID(id)) })
+		h.forEachState(func(st *dispatch.State) { st.Began(now, jobID(instance, id)) })
 	}
 	for _, e := range m.Ended {
 		h.logPathFailure(instance, e)
 		h.forEachState(func(st *dispatch.State) {
-			st.Done(now, fleet.RequestID(e.Id), dispatchOutcomes[e.How], fleet.UpstreamID(e.AtFault))
+			st.Done(now, jobID(instance, e.Id), dispatchOutcomes[e.How], fleet.UpstreamID(e.AtFault))
 		})
 	}
 	for _, id := range m.Withdrawn {
-		h.forEachState(func(st *dispatch.State) { st.Cancel(fleet.RequestID(id)) })
+		h.forEachState(func(st *dispatch.State) { st.Cancel(jobID(instance, id)) })
 	}
 	for _, a := range m.Asks {
 		h.serviceState(a.Service).Ask(h.newJob(a, instance, now))
--- a/internal/placement/requests.go
+++ b/internal/placement/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/decide"
@@ -89,8 +90,9 @@
 // dispatcher is reachable.
 func (c *Client) Place(ctx context.Context, q gateway.PlacementRequest) (gateway.Grant, error) {
 	q.Avoid = c.holdoffs.addTo(q.Avoid)
-	w := &waitingRequest{ask: q, askedAt: time.Now(), reply: make(chan reply, 1)}
 	c.mu.Lock()
+	q.ID = c.unusedID(q.ID)
+	w := &waitingRequest{ask: q, askedAt: time.Now(), reply: make(chan reply, 1)}
 	s := c.session
 	c.waiting[q.ID] = w
 	c.mu.Unlock()
@@ -114,6 +116,16 @@
 	}
 }
 
+// unusedID returns id, or id with a number if another request of this instance has it now; mu is held. Callers choose the ids,
+// and two may choose the same one.
+func (c *Client) unusedID(id fleet.RequestID) fleet.RequestID {
+	unused := id
+	for n := 2; c.waiting[unused] != nil || c.running[unused] != nil; n++ {
+		unused = fleet.RequestID(fmt.Sprintf("%s#%d", id, n))
+	}
+	return unused
+}
+
 // withdrawIfNoSession removes a waiting request if there is no session, and reports whether it did.
 func (c *Client) withdrawIfNoSession(w *waitingRequest) bool {
 	c.mu.Lock()
--- a/internal/placement/step.go
+++ b/internal/placement/step.go
@@ -55,7 +55,7 @@
 	}
 	j := d.Job
 	limited, rate := st.RateLimitTotals()
-	h.log.Info("refused", "request", j.ID, "reason", d.Reason, "entry", j.Instance, "prompt", j.PromptTokens,
+	h.log.Info("refused", "request", j.Request, "reason", d.Reason, "entry", j.Instance, "prompt", j.PromptTokens,
 		"waited_ms", now.Sub(j.Arrived).Milliseconds(), "patience_left_ms", j.FirstEventDeadline.Sub(now).Milliseconds(),
 		"waiting", st.Waiting(), "running", st.Running(), "limited", limited, "limited_per_s", rate,
 		"fleet_revision", objects.FormatVersion(h.fleetVersion()), "retry_after_ms", d.RetryAfter.Milliseconds())
@@ -91,12 +91,12 @@
 func addDecision(m *pb.ToEntry, d dispatch.Decision) {
 	if d.Upstream == "" {
 		m.Refusals = append(m.Refusals, &pb.Refusal{
-			Id: string(d.Job.ID), Reason: string(d.Reason), RetryAfterMs: d.RetryAfter.Milliseconds(),
+			Id: string(d.Job.Request), Reason: string(d.Reason), RetryAfterMs: d.RetryAfter.Milliseconds(),
 		})
 		return
 	}
 	p := &pb.Place{
-		Id: string(d.Job.ID), Upstream: string(d.Upstream), Helpers: idStrings(d.Helpers), Reason: string(d.Reason),
+		Id: string(d.Job.Request), Upstream: string(d.Upstream), Helpers: idStrings(d.Helpers), Reason: string(d.Reason),
 		OverdueMs: d.OverdueAfter.Milliseconds(),
 	}
 	for _, h := range d.Reservations {
