A silent send is ended only once another place is granted

Callers whose stream fell silent for longer than half their patience got a cut stream when no other upstream had a place for it, although its worker went on: the watchdog took the retry, ended the send, and only then asked the dispatcher, which refused.

Now the place is asked for while the open send goes on. It is ended when the place is granted and nothing has been heard meanwhile; an event, a part of the answer or bytes that lie unread end the question, and a refusal gives the retry back and waits on. The granted place is used by the next send, or released. What is believed: the silence, by this instance alone, of one send, since its last sign, until another place is granted.

--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -63,7 +63,7 @@
 	longestPause    time.Duration // between two events
 	answer          Answer        // of the current send
 	watchdog        *watchdog     // of the current send; nil: none was started
-	prepaid         func()        // gives back the retry that the watchdog took for the next send; nil: it took none
+	prepaid         *nextSend     // what the watchdog has obtained for the next send; nil: nothing
 	ran             fault.Run     // whether any send may have run
 }
 
@@ -74,7 +74,7 @@
 		if !l.awaitTrust() {
 			return l.refusal(fault.StaleInstance, "this instance was paused and is catching up")
 		}
-		grant, err := l.g.deps.Placer.Place(l.ctx, l.r.placementRequest(time.Now(), l.lastEventAt, l.attempts+1, l.avoid))
+		grant, err := l.place(l.r.placementRequest(time.Now(), l.lastEventAt, l.attempts+1, l.avoid))
 		if err != nil {
 			return l.placementFault(err)
 		}
@@ -194,31 +194,6 @@
 	return l.checkHead()
 }
 
-// takeRetry consumes the retry for the next send, unless the watchdog already has.
-func (l *lifecycle) takeRetry() (giveBack func(), ok bool) {
-	if l.prepaid == nil {
-		return l.g.deps.RetryBudget.Take(l.r.service)
-	}
-	giveBack, l.prepaid = l.prepaid, nil
-	return giveBack, true
-}
-
-// stopWatchdog stops the watchdog of the current send and keeps the retry that it took.
-func (l *lifecycle) stopWatchdog() {
-	if giveBack := l.watchdog.stop(); giveBack != nil {
-		l.returnPrepaid() // taken for a send that did not reach its upstream
-		l.prepaid = giveBack
-	}
-}
-
-// returnPrepaid gives back a retry that was taken for a send that does not follow.
-func (l *lifecycle) returnPrepaid() {
-	if l.prepaid != nil {
-		l.prepaid()
-		l.prepaid = nil
-	}
-}
-
 // observeAnswer processes what an answer states about its upstream. sent is zero if it isn't known which request the
 // answer belongs to.
 func (l *lifecycle) observeAnswer(a Answer, sent time.Time) {
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,9 +27,11 @@
 // until it gives up, and the request is lost although other upstreams would serve it. It runs only for requests that
 // may be repeated.
 type watchdog struct {
-	cancel context.CancelCauseFunc
-	take   func() (giveBack func(), ok bool) // consumes the retry with which the request goes on elsewhere
-	unread upstream.Unread                   // on the connection of the send
+	requestCtx context.Context
+	cancel     context.CancelCauseFunc                                       // ends the send
+	take       func() (giveBack func(), ok bool)                             // consumes the retry with which the request goes on elsewhere
+	place      func(ctx context.Context, lastEvent time.Time) (Grant, error) // asks for the place where it goes on
+	unread     upstream.Unread                                               // on the connection of the send
 
 	mu      sync.Mutex
 	timer   *time.Timer   // guarded by mu: of the next check
@@ -36,8 +39,10 @@
 	pinned  bool          // guarded by mu: no other upstream can go on with what this one has sent
 	stopped bool          // guarded by mu: the send has ended
 	expired bool          // guarded by mu: the watchdog has ended the send
-	// giveBack returns the retry that was taken when the watchdog ended the send.
-	giveBack func() // guarded by mu; nil: none was taken, or another one has it
+	// lastEvent is when the last event of a stream arrived; zero: none has.
+	lastEvent time.Time          // guarded by mu
+	stopAsk   context.CancelFunc // guarded by mu: ends the question for a place; nil: none is open
+	next      *nextSend          // guarded by mu; nil: the watchdog has not ended the send, or another one has it
 	// lateBy and unreadBytes are how late the watchdog ended the send, and what lay unread then.
 	lateBy      time.Duration // guarded by mu
 	unreadBytes int           // guarded by mu
@@ -54,10 +59,15 @@
 	}
 	ctx, cancel := context.WithCancelCause(l.ctx)
 	now := time.Now()
+	attempt, avoid := l.attempts+2, append(slices.Clone(l.avoid), l.grant.Upstream().ID) // of the send after this one
 	w := &watchdog{
-		cancel: cancel,
-		take:   func() (func(), bool) { return l.g.deps.RetryBudget.Take(l.r.service) },
-		wait:   silence.NewWait(now, timeout, time.Duration(float64(l.r.silenceTolerance())*silenceShare), checksPerWait),
+		requestCtx: l.ctx,
+		cancel:     cancel,
+		take:       func() (func(), bool) { return l.g.deps.RetryBudget.Take(l.r.service) },
+		place: func(ctx context.Context, lastEvent time.Time) (Grant, error) {
+			return l.g.deps.Placer.Place(ctx, l.r.placementRequest(time.Now(), lastEvent, attempt, avoid))
+		},
+		wait: silence.NewWait(now, timeout, time.Duration(float64(l.r.silenceTolerance())*silenceShare), checksPerWait),
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -66,8 +76,9 @@
 	return ctx
 }
 
-// check ends the send if its upstream is silent and another send can follow and is paid for. Otherwise the answer may still
-// arrive. Many sends are often found silent at one moment, and the budget that each of them sees doesn't suffice for all.
+// check asks for another place if the upstream is silent and another send can follow and is paid for. The send is ended only
+// once that place is granted, because its answer may still arrive. Many sends are often found silent at one moment, and neither
+// the budget nor the places suffice for all.
 func (w *watchdog) check() {
 	defer crash.Report("watchdog of answer")
 	w.mu.Lock()
@@ -77,25 +88,59 @@
 	}
 	now := time.Now()
 	if w.wait.Check(now, w.hasUnread) {
-		if w.takeNext() {
-			w.expire(now)
-			return
+		if w.ask() {
+			return // goOn schedules the next check
 		}
 		w.wait.Extend(now)
 	}
 	w.timer.Reset(w.wait.NextCheck().Sub(now))
 }
 
-// takeNext takes the retry with which the request goes on elsewhere, and reports whether it can go on. mu is held.
-func (w *watchdog) takeNext() (ok bool) {
+// ask takes the retry with which the request goes on elsewhere, and asks for its place. It reports whether it did. mu is held.
+func (w *watchdog) ask() bool {
 	if w.pinned {
 		return false
 	}
 	giveBack, ok := w.take()
-	if ok {
-		w.giveBack = giveBack
+	if !ok {
+		return false
+	}
+	ctx, stop := context.WithCancel(w.requestCtx)
+	w.stopAsk = stop
+	lastEvent := w.lastEvent
+	go func() {
+		defer crash.Report("question for another place")
+		grant, err := w.place(ctx, lastEvent)
+		w.goOn(ctx, &nextSend{giveBack: giveBack, grant: grant}, err)
+	}()
+	return true
+}
+
+// goOn ends the send if its question for another place was answered with a grant, and its upstream is still silent.
+func (w *watchdog) goOn(ctx context.Context, next *nextSend, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	stillSilent := ctx.Err() == nil && !w.hasUnread()
+	w.stopAsk()
+	w.stopAsk = nil
+	now := time.Now()
+	if err == nil && stillSilent && !w.stopped {
+		w.next = next
+		w.expire(now)
+		return
+	}
+	next.drop()
+	if !w.stopped {
+		w.wait.Extend(now)
+		w.timer.Reset(w.wait.NextCheck().Sub(now))
+	}
+}
+
+// endQuestion ends the question for another place, if one is open. mu is held.
+func (w *watchdog) endQuestion() {
+	if w.stopAsk != nil {
+		w.stopAsk()
 	}
-	return ok
 }
 
 // hasUnread reports whether something has arrived that nobody has read. mu is held.
@@ -120,7 +165,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.wait.Event(now)
-	w.pinned = !resumable
+	w.lastEvent, w.pinned = now, !resumable
+	w.endQuestion()
 }
 
 // update changes what is known of the upstream's silence.
@@ -143,8 +189,9 @@
 	return []any{"late_ms", w.lateBy.Milliseconds(), "unread_bytes", w.unreadBytes, "absent_ms", w.wait.Absent().Milliseconds()}
 }
 
-// stop stops the watchdog of a send that has ended. If it has taken a retry, it returns what gives that back, once.
-func (w *watchdog) stop() (giveBack func()) {
+// stop stops the watchdog of a send that has ended. If the watchdog has ended it, stop returns, once, what was obtained for the
+// next send.
+func (w *watchdog) stop() *nextSend {
 	if w == nil {
 		return nil
 	}
@@ -153,8 +200,10 @@
 	w.stopped = true
 	w.timer.Stop()
 	w.cancel(nil)
-	giveBack, w.giveBack = w.giveBack, nil
-	return giveBack
+	w.endQuestion()
+	next := w.next
+	w.next = nil
+	return next
 }
 
 // hasExpired reports whether the send was ended because its upstream was silent.
@@ -187,6 +236,7 @@
 		wait.Listen(false)
 		if n > 0 {
 			wait.Part(now)
+			w.endQuestion()
 		}
 	})
 	return n, err
