An instance's own lack of descriptors is no failure of an upstream

Callers of an instance that can't open a connection for lack of a descriptor got 503 "upstream busy" after every upstream had been tried; the instance reported each as not reached, so that the dispatcher kept it from others, took its own paths for cut, and blamed the instances it asked for tunnels.

Cause: every failure before the first byte counted as the upstream's (Unreachable). EMFILE, ENFILE, ENOBUFS, ENOMEM and EADDRNOTAVAIL come from this process or its machine: they show nothing of the upstream, the path or the other instance now, and the request is refused at once as instance_full, run no, with the Retry-After of a refusal that concerns one instance only.

--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -175,6 +175,8 @@
 	switch {
 	case l.ended():
 		return l.timeoutFault()
+	case l.ran == fault.RunNo && upstream.IsShortage(f.cause):
+		return fault.New(fault.InstanceFull, "%v", f.cause)
 	case l.ran == fault.RunNo:
 		return fault.New(fault.UpstreamBusy, "%v", f.cause)
 	default:
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -244,6 +244,9 @@
 	f := &failure{outcome: Failed, ran: fault.RunUnknown, cause: err}
 	if errors.As(err, &ce) && !ce.Sent {
 		f.ran, f.outcome = fault.RunNo, Unreachable
+		if upstream.IsShortage(err) {
+			f.outcome, f.noRetry = NotSent, "this instance can't open connections now"
+		}
 		if l.sends > 0 {
 			l.g.deps.Metrics.Counter("retries_unsent").Inc(1)
 		}
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -115,7 +115,7 @@
 	defer crash.Report("tunnel, opening")
 	tunnel, err := c.tryOpen(ctx, m, addr)
 	if err != nil {
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !upstream.IsShortage(err) {
 			c.chooser.failed(time.Now(), m.ID)
 		}
 		return opening{via: m.ID, err: fmt.Errorf("through %s: %w", m.ID, err)}
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -103,6 +103,8 @@
 	switch {
 	case errors.Is(err, upstream.ErrPathFailed):
 		return pb.FromUpstream_CUT_OFF
+	case upstream.IsShortage(err):
+		return pb.FromUpstream_BUSY
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return pb.FromUpstream_REFUSED
 	default:
--- a/internal/upstream/attempts.go
+++ b/internal/upstream/attempts.go
@@ -13,7 +13,7 @@
 	conn     net.Conn
 	err      error
 	bypassed bool
-	late     bool // it ended by its timeout, and so late that this process can't have run all the while
+	own      bool // this process is the cause of err: it lacked a descriptor, or ended the attempt so late that it can't have run all the while
 }
 
 // maxTimeoutDelay is how much later than its timeout an attempt ends in a process that runs.
@@ -28,7 +28,7 @@
 	pending                      int
 	directStarted, bypassStarted bool
 	directErr                    error // of a failed direct attempt
-	directLate                   bool  // directErr shows nothing of the path
+	directOwn                    bool  // directErr shows nothing of the path
 	bypassed                     bool  // another instance connected
 }
 
@@ -59,7 +59,7 @@
 		began := time.Now()
 		c, err := dial(dialCtx, a.addr)
 		late := err != nil && isTimeout(err) && time.Since(began) > connectTimeout+maxTimeoutDelay
-		a.results <- attempt{c, err, bypassed, late}
+		a.results <- attempt{c, err, bypassed, late || IsShortage(err)}
 	}()
 }
 
@@ -72,11 +72,11 @@
 		a.bypassed = true
 	case r.bypassed:
 	case r.err != nil:
-		a.directErr, a.directLate = r.err, r.late
+		a.directErr, a.directOwn = r.err, r.own
 	default:
 		a.p.connected(a.addr)
 	}
-	if a.directErr != nil && !a.directLate && a.bypassed {
+	if a.directErr != nil && !a.directOwn && a.bypassed {
 		a.p.pathFailed(a.addr, a.directErr)
 	}
 }
