An entry is missing only from a copy that is later than the entry

After all 76 daemons were killed and started again, up to 16 of them wrote their entries to the store a second time ("entry of this instance is missing from the store; joining again"): a read and two writes more each, at the moment when the store has most to do.

Timeline of one (entry-36, with the log of 76 daemons): 23:27.928 its copy of the members is told by the reader, 46 entries; .953 it has joined; 28.175 more members are told, of before .953; 28.238 the check finds no entry of its own in a copy that is older than its entry, and joins again.

Cause: EntryMissing asked whether the copy has the entry, not as of when. The copy is read by two instances for all, which are behind by as much as they are late. The version of the entry is kept now, and a copy of before it proves nothing.

The line "joined" names the revision.

--- a/internal/routed/membership.go
+++ b/internal/routed/membership.go
@@ -29,14 +29,15 @@
 // a share of the limits that the instances divide among them. It returns when the instance is leaving or ctx ends.
 func (n *Node) keepMembership(ctx context.Context) {
 	p := n.parts
-	watch.LogFormerLife(watch.Join(ctx, p.Adapter.Store, n.self, p.Log), p.Log)
+	joined := watch.Join(ctx, p.Adapter.Store, n.self, p.Log)
+	watch.LogFormerLife(joined.Replaced, p.Log)
 	for wait.For(ctx, membershipCheckInterval/2+rand.N(membershipCheckInterval)) {
 		if !p.Gate.Ready() {
 			return // leaving
 		}
-		if p.Follower.EntryMissing(n.self) {
+		if p.Follower.EntryMissing(n.self, joined.Version) {
 			p.Log.Warn("entry of this instance is missing from the store; joining again")
-			watch.Join(ctx, p.Adapter.Store, n.self, p.Log)
+			joined = watch.Join(ctx, p.Adapter.Store, n.self, p.Log)
 		}
 		for _, m := range p.Placer.AbsentMembers(minAbsence) {
 			n.removeMember(ctx, m)
--- a/internal/watch/join.go
+++ b/internal/watch/join.go
@@ -20,22 +20,29 @@
 // joinRetryDelay is the delay after a failed attempt to join.
 const joinRetryDelay = 250 * time.Millisecond
 
+// Joined is the result of Join.
+type Joined struct {
+	Version  uint64 // of the entry; 0: ctx ended first
+	Replaced uint64 // earlier incarnation whose entry was replaced; 0: there was none, as after a planned stop
+}
+
 // Join writes the entry of this instance to the store and retries until that succeeds or ctx ends. It replaces the
-// entry of an earlier incarnation under the same id, and returns that incarnation, or 0 if there was no such entry. An
-// incarnation that made a planned stop has removed its entry.
-func Join(ctx context.Context, s objects.Store, self catalog.Member, log hclog.Logger) (replaced uint64) {
+// entry of an earlier incarnation under the same id.
+func Join(ctx context.Context, s objects.Store, self catalog.Member, log hclog.Logger) Joined {
+	var j Joined
 	for {
-		found, err := putMember(ctx, s, self)
+		version, found, err := putMember(ctx, s, self)
 		if found != 0 {
-			replaced = found // a write whose answer is lost may have replaced it
+			j.Replaced = found // a write whose answer is lost may have replaced it
 		}
 		if err == nil {
-			log.Info("joined", "instance", self.ID, "incarnation", self.Incarnation)
-			return replaced
+			log.Info("joined", "instance", self.ID, "incarnation", self.Incarnation, "revision", objects.FormatVersion(version))
+			j.Version = version
+			return j
 		}
 		log.Debug("joining failed; retrying", "error", err)
 		if !wait.For(ctx, joinRetryDelay) {
-			return replaced
+			return j
 		}
 	}
 }
@@ -54,22 +61,22 @@
 	return objects.Key{Kind: KindMembers, Name: string(m.ID)}
 }
 
-// putMember writes the entry of this instance once. If another entry exists under the id, it is replaced, and its
-// incarnation is returned.
-func putMember(ctx context.Context, s objects.Store, self catalog.Member) (replaced uint64, err error) {
+// putMember writes the entry of this instance once, and returns its version. If another entry exists under the id, it is
+// replaced, and its incarnation is returned.
+func putMember(ctx context.Context, s objects.Store, self catalog.Member) (version, replaced uint64, err error) {
 	value, err := encodeMember(&self)
 	if err != nil {
-		return 0, fmt.Errorf("encode instance: %w", err)
+		return 0, 0, fmt.Errorf("encode instance: %w", err)
 	}
 	w := objects.Write{Key: memberKey(&self), WriteID: memberWriteID(self.ID, self.Incarnation), Value: value}
-	_, err = settle.Put(ctx, s, w)
+	version, err = settle.Put(ctx, s, w)
 	var conflict *objects.ConflictError
 	if !errors.As(err, &conflict) {
-		return 0, err
+		return version, 0, err
 	}
 	w.IfVersion = conflict.Current
-	_, err = settle.Put(ctx, s, w)
-	return incarnationOf(conflict.WriteID, self.ID), err
+	version, err = settle.Put(ctx, s, w)
+	return version, incarnationOf(conflict.WriteID, self.ID), err
 }
 
 // memberWriteID returns the id of the write of an instance's entry.
--- a/internal/watch/join_test.go
+++ b/internal/watch/join_test.go
@@ -48,7 +48,7 @@
 			is := is.New(t)
 			store := &lossyStore{Store: memory.New()}
 			first := catalog.Member{ID: "entry/1", Addr: "127.0.0.1:1", Incarnation: 1796354567615468704}
-			is.Equal(watch.Join(t.Context(), store, first, hclog.NewNullLogger()), uint64(0))
+			is.Equal(watch.Join(t.Context(), store, first, hclog.NewNullLogger()).Replaced, uint64(0))
 			if c.leaves {
 				is.NoErr(watch.Leave(t.Context(), store, first))
 			}
@@ -57,7 +57,7 @@
 			next.Incarnation++
 			var out bytes.Buffer
 			log := hclog.New(&hclog.LoggerOptions{Output: &out})
-			watch.LogFormerLife(watch.Join(t.Context(), store, next, log), log)
+			watch.LogFormerLife(watch.Join(t.Context(), store, next, log).Replaced, log)
 			is.Equal(strings.Contains(out.String(), "[WARN]  the process before this one ended without a planned stop: "+
 				"former_incarnation=1796354567615468704 started=2026-12-04T03:22:47.615468704Z"), c.said)
 		})
--- a/internal/watch/restore.go
+++ b/internal/watch/restore.go
@@ -83,13 +83,14 @@
 	return f.decodeEntry(o, f.started)
 }
 
-// EntryMissing reports whether the store, as last read, has no entry of this incarnation of the instance. It returns false
-// while no instance's entry is known.
-func (f *Follower) EntryMissing(self catalog.Member) bool {
+// EntryMissing reports whether the store, as last read, has no entry of this incarnation of the instance, which wrote it at the
+// given version. It returns false while no instance's entry is known, and while the store was last read before that: the
+// instances that read it for all may be behind by as much as they are late, and so may what they tell.
+func (f *Follower) EntryMissing(self catalog.Member, written uint64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := f.replicas[KindMembers]
-	if len(r.objects) == 0 {
+	if len(r.objects) == 0 || r.revision < written {
 		return false
 	}
 	if _, lapsing := r.lapsing[string(self.ID)]; lapsing {
