A dispatcher's own work is no silence of its instances

A dispatcher that was busy with one message of an instance for over 0.3 s ended the instance's session as timed out, though the next heartbeats lay unread: the instance's work was dropped from its records and reported anew, just when the dispatcher had most to do.

Cause: the wait began when a message had been received and went on while it was processed. It counts only within Recv now, as elsewhere an instance judges silence only while it listens.

Ruled out: the instances' side, which counts bytes as they arrive.

--- a/internal/placement/session.go
+++ b/internal/placement/session.go
@@ -122,13 +122,15 @@
 	causeRelayLost = "session with the relay ended" // of a relayed instance
 )
 
-// newTimeoutStream returns the stream of a session that end ends.
+// newTimeoutStream returns the stream of a session that end ends. It waits for the other side only within Recv: while a message is
+// processed, which may take longer than sessionTimeout, the next ones lie unread.
 func newTimeoutStream(raw pb.DRPCPlacement_AttachStream, end func()) timeoutStream {
 	s := timeoutStream{DRPCPlacement_AttachStream: raw, timedOut: &atomic.Bool{}}
 	s.timer = silence.AfterFunc(sessionTimeout, sessionTimeout, checksPerSilence, func() {
 		s.timedOut.Store(true)
 		end()
 	})
+	s.timer.Listen(false)
 	return s
 }
 
@@ -155,9 +157,10 @@
 
 // Recv implements placementpb.DRPCPlacement_AttachStream.
 func (s timeoutStream) Recv() (*pb.FromEntry, error) {
-	m, err := s.DRPCPlacement_AttachStream.Recv()
 	s.timer.Arrived()
-	return m, err
+	s.timer.Listen(true)
+	defer s.timer.Listen(false)
+	return s.DRPCPlacement_AttachStream.Recv()
 }
 
 // Attach implements placementpb.DRPCPlacementServer. It accepts an invitation, or serves a session until it ends.
--- a/internal/silence/timer.go
+++ b/internal/silence/timer.go
@@ -53,6 +53,13 @@
 	t.wait.Event(time.Now())
 }
 
+// Listen records whether somebody reads what arrives. While nobody does, nobody counts as silent. A new timer listens.
+func (t *Timer) Listen(listening bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.wait.Listen(listening)
+}
+
 // Stop stops the timer.
 func (t *Timer) Stop() {
 	t.mu.Lock()
