Soak: some callers close their sending half

One request of sixteen is followed by the end of its caller's sending half within 30 ms, drawn from the request's id so that what the seeds draw beside it stays as it was. The checks are those of every request: a success bears a seal, what was answered with 503 or 429 has not run, what must not run twice didn't.

--- a/test/soak/promises_test.go
+++ b/test/soak/promises_test.go
@@ -168,13 +168,30 @@
 	if err != nil {
 		return false
 	}
+	halfClosed := s.closeHalf(conn, id)
 	resp, err := http.ReadResponse(in, &http.Request{Method: http.MethodPost})
 	if err != nil {
 		return false // no promise covers a connection that closes without a response
 	}
 	body, err := io.ReadAll(resp.Body)
 	s.checkResponse(kind, id, resp, string(body), err, time.Since(start))
-	return err == nil && !resp.Close
+	return err == nil && !resp.Close && !halfClosed
+}
+
+// halfCloseShare is the share of requests whose caller closes its sending half, one of so many.
+const halfCloseShare = 16
+
+// closeHalf closes the sending half of a caller's connection after a pause, for some requests. It draws from the request's id, so
+// that what else a seed draws stays the same.
+func (s *soakRun) closeHalf(conn net.Conn, id string) bool {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, id, s.recorder.seed)
+	draw := rand.New(rand.NewPCG(s.recorder.seed, h.Sum64()))
+	if draw.IntN(halfCloseShare) > 0 {
+		return false
+	}
+	time.AfterFunc(time.Duration(draw.IntN(30))*time.Millisecond, func() { _ = conn.(*net.TCPConn).CloseWrite() })
+	return true
 }
 
 // checkResponse checks one response against the promises and records its status.
