--- a/internal/placement/busy_test.go
+++ b/internal/placement/busy_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,23 +28,23 @@
 func TestOwnWorkIsNoSilenceOfInstance(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		ended := false
+		var ended atomic.Bool
 		raw := &scriptedStream{delay: time.Millisecond}
-		s := newTimeoutStream(raw, func() { ended = true })
+		s := newTimeoutStream(raw, func() { ended.Store(true) })
 		defer s.timer.Stop()
 		for range 3 {
 			time.Sleep(5 * sessionTimeout) // attaches, or processes the message before
-			is.True(!ended)
+			is.True(!ended.Load())
 			_, err := s.Recv()
 			is.NoErr(err)
 		}
 		raw.delay = sessionTimeout / 2
 		for range 10 {
 			_, _ = s.Recv()
-			is.True(!ended)
+			is.True(!ended.Load())
 		}
 		raw.delay = 2 * sessionTimeout
 		_, _ = s.Recv()
-		is.True(ended) // silent
+		is.True(ended.Load()) // silent
 	})
 }
