Heads that can't be parsed are not quoted in answers and logs

Callers whose head can't be parsed, or who break off while they send it, had the whole head in the instance's log at level info, with "Authorization: Bearer KEY", and in their own refusal.

Cause: the HTTP library quotes what it can't parse in its errors unless it is told not to; refusals pass its error on as their detail. Told so on all four listeners now. What is wrong, and the field where the library names one, is still said.

Ruled out: our own details, which name fields and values that aren't secret.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -79,6 +79,7 @@
 		CloseOnShutdown:       true,
 		ConnState:             s.idleConns.OnStateChange,
 		Logger:                httplog.Logger{Log: s.log},
+		SecureErrorLogMessage: true, // else its errors quote heads
 		// The library would read a form of known length by itself and pass on one that it wrote anew, or none.
 		DisablePreParseMultipartForm: true,
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -106,6 +106,7 @@
 		CloseOnShutdown:       true,
 		ConnState:             g.idle.OnStateChange,
 		Logger:                httplog.Logger{Log: g.log},
+		SecureErrorLogMessage: true, // else its errors quote heads, with callers' keys
 		// The library would read a form of known length by itself, so that its bytes are neither forwarded nor counted.
 		DisablePreParseMultipartForm: true,
 	}
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -71,6 +71,7 @@
 			NoDefaultServerHeader: true,
 			CloseOnShutdown:       true,
 			Logger:                httplog.Logger{Log: log.Named("operate")},
+			SecureErrorLogMessage: true, // else its errors quote heads, with operators' tokens
 		},
 	}
 }
--- a/internal/routed/status.go
+++ b/internal/routed/status.go
@@ -90,7 +90,7 @@
 	}
 	return &fasthttp.Server{
 		Handler: httpanswer.Explicit(r.Handler, onUnanswered), ReadTimeout: statusReadTimeout, ReadBufferSize: statusHeaderBytes,
-		NoDefaultServerHeader: true, Logger: httplog.Logger{Log: log},
+		NoDefaultServerHeader: true, Logger: httplog.Logger{Log: log}, SecureErrorLogMessage: true,
 	}
 }
 
