Soak: the reset of a link is a reset at both ends

Cause, of the soak: the proxy reset the ends of a link one after the other. The relay of the end that was closed first closed the other one in order, before its turn came, so that the daemon rightly saw an end in order. Both ends are marked to be reset now before either is closed.

--- a/test/soak/proxy_test.go
+++ b/test/soak/proxy_test.go
@@ -53,12 +53,16 @@
 	p.state, p.delay = s, delay
 }
 
-// reset closes every open connection with a TCP reset.
+// reset closes every open connection with a TCP reset. Each is marked before any is closed: the close of one end makes the
+// relay close the other one.
 func (p *proxy) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		standin.ResetConn(c)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	}
+	for c := range p.conns {
+		_ = c.Close()
 	}
 }
 
