A look at a connection leaves its reset to the read

Callers could get a part of an answer as a whole one: a worker's answer without a length is cut by a reset, the watchdog looks at the socket by a receive that only peeks, and takes the error; the read then finds an end in order, which completes such an answer.

Now poll tells whether something has arrived, and takes nothing away.

--- a/internal/upstream/unread.go
+++ b/internal/upstream/unread.go
@@ -31,9 +31,10 @@
 		return 0, false
 	}
 	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		waiting = err != unix.EAGAIN
+		// A receive, also one that only peeks, would take a reset away from the read, which would then find an end in order.
+		events := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(events, 0)
+		waiting = err == nil && n > 0
 		bytes, _ = unix.IoctlGetInt(int(fd), unix.SIOCINQ) // 0 if the system doesn't tell
 	})
 	return bytes, waiting && err == nil
--- a/internal/upstream/unread_test.go
+++ b/internal/upstream/unread_test.go
@@ -58,3 +58,39 @@
 	is.True(waiting)
 	is.Equal(bytes, 0)
 }
+
+// Guards against an answer that was cut and counts as complete: a look at its connection takes the reset that the read should
+// find, which then finds an end in order.
+func TestLookLeavesResetToReader(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	cut := make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf")
+		<-cut
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}()
+	var unread Unread
+	head := &fasthttp.RequestHeader{}
+	head.SetHost("h")
+	x, err := New().Forward(context.Background(), ForwardRequest{Addr: l.Addr().String(), Head: head, Unread: &unread})
+	is.NoErr(err)
+	defer x.Close()
+	_, err = io.ReadFull(x, make([]byte, 4))
+	is.NoErr(err)
+	close(cut)
+	waiting := false
+	for end := time.Now().Add(5 * time.Second); !waiting && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		_, waiting = unread.Look()
+	}
+	is.True(waiting)
+	_, err = x.Read(make([]byte, 1))
+	is.True(err != nil && err != io.EOF)
+}
