Calls to the store in virtual time: pauses are counted by the same clock

Cause: the model's time is virtual, but its instances ask the machine's boot-time clock whether they were paused. On a busy machine 600 ms of the real clock pass between two ticks of the virtual one, every instance takes itself for paused, and reads the store itself, as it should after a pause. The clock is a dependency now, and the model's is the virtual one. Bounds and cases are unchanged.

--- a/internal/watch/calls_test.go
+++ b/internal/watch/calls_test.go
@@ -168,6 +168,7 @@
 		follower := New(Deps{
 			Store: instanceStore{f.store, i}, Kinds: Kinds{Config: "c", Upstreams: "u", DomainsOut: "o", ConfigName: "main"},
 			Decoder: emptyDecoder{}, Log: hclog.NewNullLogger(),
+			BootClock: func() decide.Instant { return decide.Instant(time.Since(f.start)) },
 		})
 		follower.ShareReads(func(c Change, own bool) {
 			if own {
--- a/internal/watch/pause.go
+++ b/internal/watch/pause.go
@@ -25,13 +25,17 @@
 //
 // It uses the boot-time clock, because the monotonic clock stops while the machine is suspended.
 type pauseDetector struct {
+	clock     func() decide.Instant // the boot-time clock
 	guard     *pause.Guard
 	resumedAt atomic.Int64 // boot time at which the end of the last pause was detected; 0: no pause yet
 }
 
-// newPauseDetector returns a detector that counts from now.
-func newPauseDetector() *pauseDetector {
-	return &pauseDetector{guard: pause.New(bootTime(), pauseThreshold)}
+// newPauseDetector returns a detector that counts from now by the given clock; nil: the machine's boot-time clock.
+func newPauseDetector(clock func() decide.Instant) *pauseDetector {
+	if clock == nil {
+		clock = bootTime
+	}
+	return &pauseDetector{clock: clock, guard: pause.New(clock(), pauseThreshold)}
 }
 
 // bootTime returns the time since the machine booted, including suspensions.
@@ -49,7 +53,7 @@
 
 // tick records a tick. If the process was paused before it, tick records the end of the pause and returns its duration.
 func (d *pauseDetector) tick() (paused time.Duration) {
-	now := bootTime()
+	now := d.clock()
 	gap, reason := d.guard.Check(now)
 	if reason == pause.Paused {
 		d.resumedAt.Store(int64(now))
@@ -62,7 +66,7 @@
 // sinceResume returns the time since the process resumed from its last pause. A pause that no tick has recorded yet
 // counts as ending now. ok is false if there was no pause or if it ended more than proofTimeout ago.
 func (d *pauseDetector) sinceResume() (ago time.Duration, ok bool) {
-	now := bootTime()
+	now := d.clock()
 	if _, reason := d.guard.Check(now); reason == pause.Paused {
 		return 0, true
 	}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -17,6 +17,7 @@
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
 	"github.com/damaskshelf/damaskshelf/internal/crash"
+	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/objects"
 	"github.com/damaskshelf/damaskshelf/internal/objects/wire"
@@ -56,6 +57,9 @@
 	Log     hclog.Logger
 	// ConfigWithin is the time within which a new configuration must be in force; 0: not set.
 	ConfigWithin time.Duration
+	// BootClock returns the time since the machine booted, suspensions included; nil: the machine's. It is set where time is
+	// virtual.
+	BootClock func() decide.Instant
 }
 
 // Follower keeps this instance's copies of the store current, by reading the store or from the changes that other
@@ -95,7 +99,7 @@
 	k := d.Kinds
 	now := time.Now()
 	f := &Follower{
-		deps: d, log: d.Log.Named("watch"), started: now, unattachedSince: now, pauses: newPauseDetector(), joinDelay: rand.N(maxJoinDelay),
+		deps: d, log: d.Log.Named("watch"), started: now, unattachedSince: now, pauses: newPauseDetector(d.BootClock), joinDelay: rand.N(maxJoinDelay),
 		upstreams:   map[fleet.UpstreamID]*catalog.Upstream{},
 		values:      map[fleet.UpstreamID][]byte{},
 		members:     map[fleet.InstanceID]*catalog.Member{},
