Two tests that depended on a machine that isn't busy

TestDroppedLinesAreCounted writes 6,000 lines "over the limit of one second"; on a machine on which that takes longer, none is dropped. It plays in virtual time now, where all come at one moment; what it asks is unchanged.

TestStreamCarriesCompleteAnswer, of the stand-in engine, found the 40 tokens of a stream in one part. Supposed, not shown: its reader ran late by as long as the engine computes. The stream has 400 tokens now, each of which is checked, in several parts as before.

--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -59,26 +60,29 @@
 	return w.buf.String()
 }
 
-// Lines are written whole and in order, and the number of dropped lines is reported in a line.
+// Lines are written whole and in order, and the number of dropped lines is reported in a line. In virtual time all lines come
+// within one second, however busy the machine is.
 func TestDroppedLinesAreCounted(t *testing.T) {
-	is := is.New(t)
-	buffer := &lockedBuffer{}
-	sink := logsink.New(buffer)
-	for i := range 6000 { // over the limit of one second
-		_, _ = fmt.Fprintf(sink, "line %d\n", i)
-	}
-	deadline := time.Now().Add(10 * time.Second)
-	for !strings.Contains(buffer.String(), "lines dropped: count=") {
-		if time.Now().After(deadline) {
-			t.Fatal("no line reports the dropped lines")
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		buffer := &lockedBuffer{}
+		sink := logsink.New(buffer)
+		for i := range 6000 { // over the limit of one second
+			_, _ = fmt.Fprintf(sink, "line %d\n", i)
 		}
-		time.Sleep(20 * time.Millisecond)
-		_, _ = fmt.Fprintf(sink, "another\n")
-	}
-	lines := strings.Split(buffer.String(), "\n")
-	is.Equal(lines[0], "line 0")
-	is.Equal(lines[1000], "line 1000")
-	sink.Close(time.Second)
+		deadline := time.Now().Add(10 * time.Second)
+		for !strings.Contains(buffer.String(), "lines dropped: count=") {
+			if time.Now().After(deadline) {
+				t.Fatal("no line reports the dropped lines")
+			}
+			time.Sleep(20 * time.Millisecond)
+			_, _ = fmt.Fprintf(sink, "another\n")
+		}
+		lines := strings.Split(buffer.String(), "\n")
+		is.Equal(lines[0], "line 0")
+		is.Equal(lines[1000], "line 1000")
+		sink.Close(time.Second)
+	})
 }
 
 // brokenWriter passes on writes to w. While broken is set, it writes a part of each line and then fails.
--- a/internal/standin/engine/completions_test.go
+++ b/internal/standin/engine/completions_test.go
@@ -20,8 +20,9 @@
 func TestStreamCarriesCompleteAnswer(t *testing.T) {
 	is := is.New(t)
 	e := startEngine(t, engine.Config{})
-	r := streamCall("r1", 3000, 40).Do(e.Addr())
-	is.NoErr(r.CheckStream("r1", 40))
+	const tokens = 400 // for so long that a busy machine doesn't find them all computed at once
+	r := streamCall("r1", 3000, tokens).Do(e.Addr())
+	is.NoErr(r.CheckStream("r1", tokens))
 	is.True(len(r.Parts) > 1) // in several parts
 	is.True(r.Header[wire.HeaderBootID] != "")
 	c := e.Counters()
