Logs tell an upstream that ended from an answer that broke off, and repeats of a request from new ones

After an answer that broke off, the instance connects to the upstream: a refused connection means that its process has ended (upstream_ended), an accepted one is kept for later use. content is a hash of service, workspace, method, host, path, what the head says of the prompt, and body. No decision depends on either yet.

gateway, upstream and platform tests pass (160 s).

--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"os"
 	"strconv"
 	"syscall"
@@ -28,6 +29,7 @@
 	framing upstream.Framing // of the answer that broke off
 	noRetry string           // why no other send may follow; empty: nothing known
 	atFault fleet.UpstreamID // empty: the upstream that the request was sent to
+	ended   bool             // the process of the upstream that the request was sent to has ended
 }
 
 // placementFault returns the caller's answer to a refusal by the placer. If an earlier send may have run, the answer
@@ -90,6 +92,12 @@
 	}
 }
 
+// checkEnded records whether the send failed because the upstream's process has ended.
+func (l *lifecycle) checkEnded(f *failure) {
+	brokeOff := f.outcome == Failed && (upstream.BrokeOff(f.cause) || errors.Is(f.cause, errNoEvent))
+	f.ended = brokeOff && l.g.deps.Client.Refuses(l.ctx, l.grant.Upstream().Addr)
+}
+
 // endsPath reports whether a send can have ended with this error because the network path failed.
 func endsPath(err error) bool {
 	return errors.Is(err, errOverdue) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.ETIMEDOUT) ||
@@ -131,11 +139,15 @@
 		}
 	}
 	fields := []any{"upstream", u.ID, "at_fault", f.atFault, "outcome", f.outcome, "ran", f.ran,
-		"why", why, "attempts", l.attempts, "cause", f.cause, "framing", f.framing, "took_ms", time.Since(l.sentAt).Milliseconds()}
+		"why", why, "attempts", l.attempts, "cause", f.cause, "framing", f.framing, "upstream_ended", f.ended,
+		"content", formatFingerprint(l.r.fingerprint), "took_ms", time.Since(l.sentAt).Milliseconds()}
 	l.g.deps.Explain.Record("after_failure", l.r.ID, reason, append(fields, l.watchdog.fields()...)...)
 	return retry
 }
 
+// formatFingerprint returns a request's fingerprint as it appears in log lines.
+func formatFingerprint(f uint64) string { return fmt.Sprintf("%016x", f) }
+
 // canRetry reports whether a retry is allowed, and the reason.
 func (l *lifecycle) canRetry(f *failure) (bool, string) {
 	switch {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	MaxOutputTokens int    // maximum length of the answer in tokens
 	LastEventID     string // id of the event after which the stream resumes; empty: it begins at its start
 	VersionRequired bool   // only upstreams with the version that the caller names answer; others report OtherUpstream
+	Prompt          string // what the head says of the prompt's content; the same in each repeat of a request
 }
 
 // DispatchMeta is what the gateway states to an upstream along with a request.
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -257,6 +257,9 @@
 	l.classify(f)
 	if ce != nil {
 		l.checkPath(f, ce.Via)
+		if ce.Sent {
+			l.checkEnded(f)
+		}
 	}
 	l.releaseFailed(f)
 	return f
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
@@ -40,6 +41,7 @@
 	hasLength     bool                   // the head states the length of the body, or that there is none
 	body          []byte
 	held          int64 // bytes that are counted for the request
+	fingerprint   uint64
 }
 
 // readRequest parses a request and matches it with the snapshot's configuration. A request that it rejects has not
@@ -80,9 +82,30 @@
 	r.service = r.route.Pick(rand.Float64())
 	r.deadline = r.computeDeadline()
 	r.copyHead(&ctx.Request.Header, g.deps.Dialect)
-	return r, g.readBody(ctx, r)
+	if f := g.readBody(ctx, r); f != nil {
+		return r, f
+	}
+	r.fingerprint = r.computeFingerprint()
+	return r, nil
+}
+
+// computeFingerprint returns a hash of the request's content. It is the same for each attempt of the same request, whatever its
+// id, its time left and the event after which its stream resumes.
+func (r *request) computeFingerprint() uint64 {
+	h := xxhash.New()
+	for _, part := range []string{
+		string(r.service), string(r.workspace), r.method, string(r.head.Host()), string(r.head.RequestURI()), r.Prompt,
+	} {
+		_, _ = h.WriteString(part) // never fails
+		_, _ = h.Write(fingerprintSeparator)
+	}
+	_, _ = h.Write(r.body)
+	return h.Sum64()
 }
 
+// fingerprintSeparator ends each part of a fingerprint but the body. Heads don't contain it.
+var fingerprintSeparator = []byte{0}
+
 // computeDeadline returns when the request must have ended.
 func (r *request) computeDeadline() time.Time {
 	timeout := defaultTimeout
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -81,6 +81,7 @@
 	f := &failure{outcome: Failed, ran: fault.RunYes, cause: err, framing: l.exchange.Framing}
 	l.classify(f)
 	l.checkPath(f, l.exchange.Via)
+	l.checkEnded(f)
 	l.closeExchange(f)
 	return f
 }
--- a/internal/upstream/paths.go
+++ b/internal/upstream/paths.go
@@ -66,6 +66,8 @@
 	failed chan struct{} // holds a token when a path has failed, for probe
 	hedges atomic.Int64  // attempts through other instances because a direct one takes long
 
+	refusals refusalChecks
+
 	mu     sync.Mutex
 	state  *reach.Paths          // guarded by mu
 	cutOff bool                  // guarded by mu: as last logged
