A request under which upstreams end one after the other is held back

What callers saw: one request that comes again and again, under any id and at any instance, ended a worker each time, and with it up to 16 streams of others.

Cause: what ended an upstream was charged to the upstream alone. A retry, ours or the caller's, took the next one; nothing outlived the attempt.

The dispatcher keeps, by a hash of the content, how many upstreams ended one after the other (decide/quarantine): one suspect at a time is sent, an answer clears it, three ends hold it back for 30 s, then one try at doubling times. Instances keep the verdicts, so that the next dispatcher knows them.

The generator of TestAnyMessagesLeaveInstanceServing knows the new field's kind.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/decide/quarantine"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/rendezvous"
 )
@@ -27,6 +28,7 @@
 	lastAnswer    map[link]decide.Instant // time of the last answer, or first event of one, over the link
 	lastIndirect  map[link]decide.Instant // the same of answers that came through another instance
 	instances     map[fleet.InstanceID]*instancePaths
+	quarantine    *quarantine.Table
 
 	now decide.Instant // time of the current step
 
@@ -60,10 +62,14 @@
 func New(model *Model, p Params) *State {
 	return &State{
 		model: model, params: p, engines: map[fleet.UpstreamID]*engine{}, runs: map[fleet.RequestID]*run{},
-		prefilling: map[*run]bool{}, lastAnswer: map[link]decide.Instant{}, lastIndirect: map[link]decide.Instant{}, instances: map[fleet.InstanceID]*instancePaths{}, probeLinks: map[link]bool{},
+		prefilling: map[*run]bool{}, quarantine: quarantine.New(), lastAnswer: map[link]decide.Instant{}, lastIndirect: map[link]decide.Instant{}, instances: map[fleet.InstanceID]*instancePaths{}, probeLinks: map[link]bool{},
 	}
 }
 
+// SetQuarantine replaces the table of the requests that are held back, which several States may share. It must be called
+// before any job is placed.
+func (s *State) SetQuarantine(t *quarantine.Table) { s.quarantine = t }
+
 // SetOrderKey sets the key that determines which of equal engines is used first; it must be called before SetUpstreams.
 // Two dispatchers at one time, as while failure domains are partitioned, don't know each other's runs. With the same
 // order both would fill the same engines first, however many are idle.
@@ -166,6 +172,7 @@
 	}
 	s.removePrefill(r)
 	r.decoding = true
+	s.quarantine.Began(now, id)
 	r.engine.failures = 0
 	s.recordAnswer(now, r)
 	for _, h := range r.helpers {
@@ -178,11 +185,13 @@
 
 // The outcomes of a run.
 const (
-	Completed   Outcome = iota // answered, or the caller disconnected
-	Failed                     // the upstream failed the request
-	Unreachable                // the instance could not connect to the upstream
-	Full                       // the upstream reported that it has no capacity left
-	PathLost                   // the instance's own path to the upstream failed, while other instances reach it
+	Completed     Outcome = iota // answered, or the caller disconnected; which of the two isn't known
+	Failed                       // the upstream failed the request
+	Unreachable                  // the instance could not connect to the upstream
+	Full                         // the upstream reported that it has no capacity left
+	PathLost                     // the instance's own path to the upstream failed, while other instances reach it
+	Served                       // answered completely
+	UpstreamEnded                // the upstream's process ended before the answer had gone on for quarantine.ProvenAfter
 )
 
 // Done ends a run. atFault is the upstream that caused the outcome if it is not the one that answers the run.
@@ -196,6 +205,11 @@
 		faulty = e
 	}
 	switch outcome {
+	case Served:
+		s.quarantine.Served(now, id)
+	case UpstreamEnded:
+		s.quarantine.Ended(now, id)
+		faulty.recordFailure(now)
 	case Failed:
 		faulty.recordFailure(now)
 		if faulty != r.engine && !r.hasReservationOn(faulty) { // an engine with a reservation may only lack its ticket
--- a/internal/decide/dispatch/job.go
+++ b/internal/decide/dispatch/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/decide/quarantine"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 )
 
@@ -25,8 +26,10 @@
 	Attempt            int
 	Resumed            bool               // continues a stream; Arrived and FirstEventTarget count from its last event
 	Avoid              []fleet.UpstreamID // upstreams that must not answer or prefill it
+	Keys               []quarantine.Key   // by which jobs are held back that end their upstreams
 
-	excess bool // exceeds its workspace's share
+	excess   bool // exceeds its workspace's share
+	awaiting bool // waits for the outcome of another job with a suspect key
 }
 
 // Upstream is an upstream that may receive jobs.
@@ -69,10 +72,11 @@
 	QueueFull    decide.Reason = "queue_full"
 	// RateLimited: every upstream advertises a rate limit, and the job's turn would come after its FirstEventDeadline.
 	RateLimited decide.Reason = "rate_limited"
+	HeldBack    decide.Reason = "held_back" // upstreams end when they answer such jobs
 )
 
 // Reasons lists every reason of this package.
-var Reasons = []decide.Reason{Packed, Spread, SingleEngine, LeastWork, TooLate, TooLarge, NoSlack, NoUpstream, QueueFull, RateLimited}
+var Reasons = []decide.Reason{Packed, Spread, SingleEngine, LeastWork, TooLate, TooLarge, NoSlack, NoUpstream, QueueFull, RateLimited, HeldBack}
 
 // Params are the parameters of the placement policy.
 type Params struct {
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/decide/quarantine"
 )
 
 const (
@@ -48,6 +49,7 @@
 // Step returns the decisions that can be made now: placements, in the order of the sorted queue, and refusals of jobs
 // that can no longer be served in time. All other jobs stay queued.
 func (s *State) Step(now decide.Instant) []Decision {
+	s.quarantine.Advance(now)
 	if len(s.queue) == 0 {
 		s.lastProgress = now
 		return nil
@@ -113,12 +115,19 @@
 
 // decide places or refuses the job. It returns false if the job has to wait.
 func (s *State) decide(now decide.Instant, j *Job) (Decision, bool) {
+	status, heldFor := s.quarantine.Check(now, j.Keys)
+	if status == quarantine.Held {
+		return Decision{Job: j, Reason: HeldBack, RetryAfter: max(minRetryAfter, heldFor)}, true
+	}
 	if now.Add(s.minPrefill(j)+s.params.Margin) > j.FirstEventDeadline {
 		return s.refuse(j, TooLate), true
 	}
 	if !s.hasCandidate(j) {
 		return s.refuse(j, NoUpstream), true
 	}
+	if j.awaiting = status == quarantine.Wait; j.awaiting {
+		return Decision{}, false
+	}
 	if s.model != nil && float64(j.PromptTokens+j.MaxOutputTokens) > float64(s.model.KVCacheTokens)*s.params.MemoryShare*float64(min(s.params.MaxHelpers+1, len(s.orderedEngines))) {
 		return s.refuse(j, TooLarge), true
 	}
--- a/internal/decide/dispatch/runs.go
+++ b/internal/decide/dispatch/runs.go
@@ -94,6 +94,7 @@
 	}
 	s.runs[j.ID] = r
 	e.runs[j.ID] = r
+	s.quarantine.Start(now, j.ID, j.Keys)
 	s.clearProbes(j.Domain, e)
 	e.contextTokens += r.contextTokens
 	if s.model != nil {
@@ -147,6 +148,7 @@
 // release ends a run and removes it from its engines. A closed engine is removed together with its last run.
 func (s *State) release(r *run) {
 	s.removePrefill(r)
+	s.quarantine.Done(r.job.ID)
 	delete(s.runs, r.job.ID)
 	delete(r.engine.runs, r.job.ID)
 	r.engine.contextTokens -= r.contextTokens
--- a/internal/decide/dispatch/stall.go
+++ b/internal/decide/dispatch/stall.go
@@ -58,10 +58,11 @@
 }
 
 // firstWaiting returns the most urgent queued job that a single upstream could take, nil if there is none. Long
-// prompts are left out, as they may rightly wait until several upstreams are free.
+// prompts are left out, as they may rightly wait until several upstreams are free, and so are jobs that wait for the outcome
+// of another one.
 func (s *State) firstWaiting() *Job {
 	for _, j := range s.queue {
-		if s.model == nil || !s.isLong(j) {
+		if !j.awaiting && (s.model == nil || !s.isLong(j)) {
 			return j
 		}
 	}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -56,6 +56,7 @@
 	WorkspaceLimit               // the workspace exceeds its own limit
 	NoUpstream                   // no upstream accepts the request now
 	UpstreamLimit                // every upstream is under a rate limit of its own, and the request would wait too long
+	HeldBack                     // upstreams end when they answer the request
 	NoMemory                     // no group of engines has enough free memory
 	Stopping                     // this instance is stopping
 	NotReady                     // this instance has no configuration yet
@@ -119,6 +120,7 @@
 	WorkspaceLimit:   {"workspace_limit", 429, notRun, time.Second},
 	NoUpstream:       {"no_upstream", 503, notRun, 2 * time.Second},
 	UpstreamLimit:    {"upstream_limit", 503, notRun, 2 * time.Second},
+	HeldBack:         {"held_back", 503, notRun, 30 * time.Second},
 	NoMemory:         {"no_memory", 503, notRun, 2 * time.Second},
 	Stopping:         {"stopping", 503, notRun, otherInstanceDelay},
 	NotReady:         {"not_ready", 503, notRun, startupDelay},
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -4,12 +4,12 @@
 	"cmp"
 	"context"
 	"errors"
-	"fmt"
 	"os"
 	"strconv"
 	"syscall"
 	"time"
 
+	"github.com/damaskshelf/damaskshelf/internal/decide/quarantine"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/upstream"
@@ -92,10 +92,16 @@
 	}
 }
 
-// checkEnded records whether the send failed because the upstream's process has ended.
+// checkEnded records whether the send failed because the upstream's process has ended, and sets the outcome if the request
+// may be the cause.
 func (l *lifecycle) checkEnded(f *failure) {
+	unproven := l.firstEventAt.IsZero() || time.Since(l.firstEventAt) < quarantine.ProvenAfter
 	brokeOff := f.outcome == Failed && (upstream.BrokeOff(f.cause) || errors.Is(f.cause, errNoEvent))
 	f.ended = brokeOff && l.g.deps.Client.Refuses(l.ctx, l.grant.Upstream().Addr)
+	if f.ended && unproven {
+		f.outcome = UpstreamEnded
+		l.endedUpstreams++
+	}
 }
 
 // endsPath reports whether a send can have ended with this error because the network path failed.
@@ -140,14 +146,11 @@
 	}
 	fields := []any{"upstream", u.ID, "at_fault", f.atFault, "outcome", f.outcome, "ran", f.ran,
 		"why", why, "attempts", l.attempts, "cause", f.cause, "framing", f.framing, "upstream_ended", f.ended,
-		"content", formatFingerprint(l.r.fingerprint), "took_ms", time.Since(l.sentAt).Milliseconds()}
+		"content", l.r.keys[0], "took_ms", time.Since(l.sentAt).Milliseconds()}
 	l.g.deps.Explain.Record("after_failure", l.r.ID, reason, append(fields, l.watchdog.fields()...)...)
 	return retry
 }
 
-// formatFingerprint returns a request's fingerprint as it appears in log lines.
-func formatFingerprint(f uint64) string { return fmt.Sprintf("%016x", f) }
-
 // canRetry reports whether a retry is allowed, and the reason.
 func (l *lifecycle) canRetry(f *failure) (bool, string) {
 	switch {
@@ -159,6 +162,8 @@
 		return false, "retry budget is spent"
 	case f.ran != fault.RunNo && !l.r.route.Repeatable():
 		return false, "may have run and must not run twice"
+	case l.endedUpstreams >= quarantine.MaxEnds:
+		return false, "upstreams ended under it"
 	case l.attempts >= l.r.route.MaxAttempts:
 		return false, "attempt limit reached"
 	case l.sends >= l.maxSends():
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/decide/quarantine"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 )
 
@@ -93,6 +94,7 @@
 	FirstEventTimeout time.Duration      // until the caller gives up without a first event
 	Attempt           int                // 1 for the first attempt
 	Avoid             []fleet.UpstreamID // upstreams that are excluded
+	Keys              []quarantine.Key   // by which requests are held back that end their upstreams
 }
 
 // Grant is the permission to send one request to one upstream. Each grant ends with exactly one call of Release.
@@ -123,19 +125,20 @@
 
 // The outcomes.
 const (
-	Served      Outcome = iota // answered completely
-	NotSent                    // nothing was sent, and the upstream is not at fault
-	Unreachable                // no connection to the upstream
-	Rejected                   // the upstream reported that it did not run the request
-	Failed                     // an error answer, a broken connection or silence
-	Abandoned                  // the caller went away or the time ran out
-	Replaced                   // another upstream has the address, or the version is not the required one
-	PathLost                   // this instance's path to the upstream failed, while other instances reach the upstream
+	Served        Outcome = iota // answered completely
+	NotSent                      // nothing was sent, and the upstream is not at fault
+	Unreachable                  // no connection to the upstream
+	Rejected                     // the upstream reported that it did not run the request
+	Failed                       // an error answer, a broken connection or silence
+	Abandoned                    // the caller went away or the time ran out
+	Replaced                     // another upstream has the address, or the version is not the required one
+	PathLost                     // this instance's path to the upstream failed, while other instances reach the upstream
+	UpstreamEnded                // the upstream's process ended before the answer had gone on for quarantine.ProvenAfter
 )
 
 // String returns the outcome as it appears in log lines.
 func (o Outcome) String() string {
-	return [...]string{"served", "unsent", "unreachable", "rejected", "failed", "left", "replaced", "path_lost"}[o]
+	return [...]string{"served", "unsent", "unreachable", "rejected", "failed", "left", "replaced", "path_lost", "upstream_ended"}[o]
 }
 
 // Placer grants upstreams to requests. Place blocks while the request waits for an upstream. It returns a *fault.Error
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -59,6 +59,8 @@
 	exchange        *upstream.Exchange // of the current send; nil: none is open
 	sentAt          time.Time
 	lastEventAt     time.Time     // when the last event of a stream arrived; zero: none yet
+	firstEventAt    time.Time     // when the current send's answer, or its first event, arrived; zero: it has not
+	endedUpstreams  int           // whose process ended before the request was proven
 	firstEventDelay time.Duration // from the request's arrival to the first event; 0: none yet
 	longestPause    time.Duration // between two events
 	answer          Answer        // of the current send
@@ -165,7 +167,7 @@
 	l.r.head.CopyTo(head)
 	head.SetNoDefaultContentType(true)
 	head.DisableSpecialHeader()
-	l.sentAt = time.Now()
+	l.sentAt, l.firstEventAt = time.Now(), time.Time{}
 	if l.sends == 0 {
 		l.g.observeWait(l.r, l.sentAt.Sub(l.r.arrived))
 	}
@@ -265,6 +267,12 @@
 	return f
 }
 
+// recordFirstEvent records that the current send's answer, or its first event, arrived.
+func (l *lifecycle) recordFirstEvent() {
+	l.firstEventAt = time.Now()
+	l.grant.RecordFirstEvent()
+}
+
 // recordWay records that the request went through another instance; via is empty if it did not.
 func (l *lifecycle) recordWay(via fleet.InstanceID) {
 	if via == "" {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -34,7 +34,7 @@
 		if f := l.dispatch(""); f != nil {
 			return f
 		}
-		l.grant.RecordFirstEvent()
+		l.recordFirstEvent()
 		body, err := l.readPlainAnswer()
 		if err == nil {
 			l.passOn(ctx, body)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
+	"github.com/damaskshelf/damaskshelf/internal/decide/quarantine"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 )
@@ -40,8 +41,8 @@
 	head          fasthttp.RequestHeader // as copyHead leaves it
 	hasLength     bool                   // the head states the length of the body, or that there is none
 	body          []byte
-	held          int64 // bytes that are counted for the request
-	fingerprint   uint64
+	held          int64            // bytes that are counted for the request
+	keys          []quarantine.Key // the first one stands for the whole content
 }
 
 // readRequest parses a request and matches it with the snapshot's configuration. A request that it rejects has not
@@ -85,26 +86,26 @@
 	if f := g.readBody(ctx, r); f != nil {
 		return r, f
 	}
-	r.fingerprint = r.computeFingerprint()
+	r.keys = []quarantine.Key{r.contentKey()}
 	return r, nil
 }
 
-// computeFingerprint returns a hash of the request's content. It is the same for each attempt of the same request, whatever its
+// contentKey returns the key of the request's content. It is the same for each attempt of the same request, whatever its
 // id, its time left and the event after which its stream resumes.
-func (r *request) computeFingerprint() uint64 {
+func (r *request) contentKey() quarantine.Key {
 	h := xxhash.New()
 	for _, part := range []string{
 		string(r.service), string(r.workspace), r.method, string(r.head.Host()), string(r.head.RequestURI()), r.Prompt,
 	} {
 		_, _ = h.WriteString(part) // never fails
-		_, _ = h.Write(fingerprintSeparator)
+		_, _ = h.Write(keySeparator)
 	}
 	_, _ = h.Write(r.body)
-	return h.Sum64()
+	return quarantine.Key(h.Sum64())
 }
 
-// fingerprintSeparator ends each part of a fingerprint but the body. Heads don't contain it.
-var fingerprintSeparator = []byte{0}
+// keySeparator ends each part of a content but the body. Heads don't contain it.
+var keySeparator = []byte{0}
 
 // computeDeadline returns when the request must have ended.
 func (r *request) computeDeadline() time.Time {
@@ -181,7 +182,7 @@
 		ID: fleet.RequestID(r.ID), Service: r.service, Kind: r.route.Kind, Workspace: r.workspace,
 		Priority: r.priority, PromptTokens: r.PromptTokens, MaxOutputTokens: r.MaxOutputTokens, MaxGap: r.route.MaxGap,
 		Resumed:  !lastEventAt.IsZero() || r.LastEventID != "", // by this instance, or by the caller on another connection
-		TimeLeft: r.deadline.Sub(now), Waited: now.Sub(start), Attempt: attempt, Avoid: avoid,
+		TimeLeft: r.deadline.Sub(now), Waited: now.Sub(start), Attempt: attempt, Avoid: avoid, Keys: r.keys,
 	}
 	if target > 0 {
 		q.HasTarget = true
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -48,7 +48,7 @@
 			}
 			continue
 		}
-		l.grant.RecordFirstEvent()
+		l.recordFirstEvent()
 		l.g.observeFirstEvent(l.r)
 		s.accept(first, err)
 		copyAnswerHead(&ctx.Response.Header, &l.exchange.Head, l.g.deps.Dialect)
@@ -227,7 +227,7 @@
 			}
 			return false
 		}
-		l.grant.RecordFirstEvent()
+		l.recordFirstEvent()
 		s.events = newEventReader(watchedBody{l})
 		return true
 	}
--- a/internal/losses/cause.go
+++ b/internal/losses/cause.go
@@ -23,6 +23,7 @@
 	RefusedTooLarge     Cause = "refused_too_large"     // needs more memory than the largest group of engines has
 	RefusedQueueFull    Cause = "refused_queue_full"    // the queue was full
 	RefusedLimit        Cause = "refused_limit"         // every upstream had reached a rate limit of its own
+	RefusedHeldBack     Cause = "refused_held_back"     // upstreams end when they answer such requests
 	RefusedNoUpstream   Cause = "refused_no_upstream"   // no upstream of the service could take work
 	RefusedStopping     Cause = "refused_stopping"      // the instance was stopping
 	RefusedInstanceFull Cause = "refused_instance_full" // the instance held as many bytes as it may
@@ -38,7 +39,7 @@
 // Causes lists all causes in the order of a report.
 var Causes = []Cause{
 	LateQueued, LateFirstEvent, LateNextEvent, LateResume, RefusedTooLate, RefusedNoSlack, RefusedTooLarge, RefusedQueueFull,
-	RefusedLimit, RefusedNoUpstream, RefusedStopping, RefusedInstanceFull, RefusedStarting, UpstreamFailed, StreamCut, DeadlineExceeded, CallerGone, InstanceEnded, Other,
+	RefusedLimit, RefusedHeldBack, RefusedNoUpstream, RefusedStopping, RefusedInstanceFull, RefusedStarting, UpstreamFailed, StreamCut, DeadlineExceeded, CallerGone, InstanceEnded, Other,
 }
 
 // Outcome is the result of a request for its caller, which is coarser than its cause.
@@ -72,12 +73,12 @@
 // refusalCauses maps the reason of a refusal, the log field "detail", to its cause.
 var refusalCauses = map[string]Cause{
 	"too_late": RefusedTooLate, "no_slack": RefusedNoSlack, "too_large": RefusedTooLarge, "queue_full": RefusedQueueFull,
-	"rate_limited": RefusedLimit,
+	"rate_limited": RefusedLimit, "held_back": RefusedHeldBack,
 }
 
 // faultCauses maps the kind of a fault to its cause, for the kinds that determine the cause by themselves.
 var faultCauses = map[string]Cause{
-	"no_upstream": RefusedNoUpstream, "stopping": RefusedStopping, "not_ready": RefusedStarting, "stale_instance": RefusedStarting, "instance_full": RefusedInstanceFull,
+	"held_back": RefusedHeldBack, "no_upstream": RefusedNoUpstream, "stopping": RefusedStopping, "not_ready": RefusedStarting, "stale_instance": RefusedStarting, "instance_full": RefusedInstanceFull,
 	"upstream_failed": UpstreamFailed, "upstream_busy": UpstreamFailed, "incomplete_answer": StreamCut,
 	"deadline_exceeded": DeadlineExceeded, "caller_gone": CallerGone,
 }
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -65,6 +65,7 @@
 	local    *LocalPlacer
 	limits   *limitTable
 	holdoffs *holdoffs
+	heldBack *heldBackTable
 	updates  *outbox[update]
 
 	mu                    sync.Mutex
@@ -89,7 +90,7 @@
 func NewClient(self fleet.InstanceID, domain fleet.DomainID, f *watch.Follower, log hclog.Logger) *Client {
 	c := &Client{
 		self: self, domain: domain, follower: f, snapshot: f.Snapshot, log: log.Named("placement"), hub: newHub(self, f, log),
-		limits: newLimitTable(log.Named("placement")), holdoffs: newHoldoffs(log.Named("placement")),
+		limits: newLimitTable(log.Named("placement")), holdoffs: newHoldoffs(log.Named("placement")), heldBack: newHeldBackTable(),
 		waiting: map[fleet.RequestID]*waitingRequest{}, running: map[fleet.RequestID]*dispatchedGrant{},
 		backoffs: map[fleet.InstanceID]backoff{}, relayed: map[fleet.InstanceID]*remoteSink{}, requestedAt: map[string]time.Time{}, updates: newOutbox[update](),
 		orderCheck: make(chan struct{}, 1), demoted: make(chan struct{}),
@@ -249,7 +250,7 @@
 	c.sessionCount++
 	m := &pb.FromEntry{
 		Entry: string(c.self), Domain: string(c.domain), Process: c.process, Session: c.sessionCount, Proofs: proofMessages(proofs), Limits: c.limits.messages(c.snapshot()),
-		Departures: departureMessages(c.follower.Departures()),
+		Departures: departureMessages(c.follower.Departures()), HeldBack: c.heldBack.messages(),
 	}
 	for _, r := range c.running {
 		m.Running = append(m.Running, r.message(now))
--- a/internal/placement/convert.go
+++ b/internal/placement/convert.go
@@ -7,6 +7,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/decide/dispatch"
+	"github.com/damaskshelf/damaskshelf/internal/decide/quarantine"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/gateway"
 	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
@@ -28,6 +29,9 @@
 	for _, id := range a.Avoid {
 		m.Avoid = append(m.Avoid, string(id))
 	}
+	for _, k := range a.Keys {
+		m.Keys = append(m.Keys, uint64(k))
+	}
 	return m
 }
 
@@ -54,6 +58,9 @@
 		FirstEventDeadline: now.Add(ms(m.PatienceMs)), Deadline: now.Add(ms(m.DeadlineMs)),
 		MaxGap: ms(int64(m.MaxGapMs)), Attempt: int(m.Attempt), Resumed: m.Resumed, Avoid: upstreamIDs(m.Avoid),
 	}
+	for _, k := range m.Keys {
+		j.Keys = append(j.Keys, quarantine.Key(k))
+	}
 	if m.Aimed {
 		j.FirstEventTarget = now.Add(ms(m.AimMs))
 	}
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -9,6 +9,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/decide/dispatch"
+	"github.com/damaskshelf/damaskshelf/internal/decide/quarantine"
 	"github.com/damaskshelf/damaskshelf/internal/decide/readers"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
@@ -57,6 +58,7 @@
 	duties              map[fleet.InstanceID]pb.ToEntry_Duty // guarded by mu: as last sent
 	announcedDepartures map[fleet.Process]bool               // guarded by mu: departures already broadcast
 	limits              *limitTable                          // limits that upstreams advertise, which the services' states apply
+	quarantine          *quarantine.Table                    // guarded by mu: shared by the services' states
 	orderCache          orderCache
 	// stallLogged is when a stall was last logged.
 	stallLogged decide.Instant // guarded by mu
@@ -69,7 +71,8 @@
 		services: map[catalog.ServiceName]*dispatch.State{}, sinks: map[fleet.InstanceID]sink{}, absentSince: map[fleet.InstanceID]decide.Instant{},
 		announcedDepartures: map[fleet.Process]bool{}, stepRequests: make(chan struct{}, 1),
 		fullCopies: newFullCopyCache(), limits: newLimitTable(log.Named("dispatcher")),
-		sessions: map[fleet.InstanceID]sessionNumber{}, domains: map[fleet.InstanceID]fleet.DomainID{}, duties: map[fleet.InstanceID]pb.ToEntry_Duty{},
+		quarantine: quarantine.New(),
+		sessions:   map[fleet.InstanceID]sessionNumber{}, domains: map[fleet.InstanceID]fleet.DomainID{}, duties: map[fleet.InstanceID]pb.ToEntry_Duty{},
 	}
 }
 
@@ -111,7 +114,7 @@
 	h.catchUp(s, first.Proofs)
 	s.send(&pb.ToEntry{
 		Proofs: proofMessages(h.follower.Proofs()), Limits: h.limits.messages(h.snapshot()),
-		Departures: departureMessages(h.follower.Departures()),
+		Departures: departureMessages(h.follower.Departures()), HeldBack: heldBackMessages(h.quarantine, now),
 	})
 	delete(h.duties, instance)
 	h.chooseReaders()
@@ -218,6 +221,7 @@
 // apply applies the parts of a message, then runs a step or schedules one; mu is held.
 func (h *hub) apply(now decide.Instant, instance fleet.InstanceID, m *pb.FromEntry) {
 	h.applyDepartures(now, m.Departures)
+	h.applyHeldBack(now, m.HeldBack)
 	for _, r := range m.Running {
 		if r.Ask == nil {
 			h.log.Error("running request can't be taken over: its message lacks the field ask", "entry", instance, "upstream", r.Upstream)
@@ -234,7 +238,7 @@
 	for _, e := range m.Ended {
 		h.logPathFailure(instance, e)
 		h.forEachState(func(st *dispatch.State) {
-			st.Done(now, jobID(instance, e.Id), dispatchOutcomes[e.How], fleet.UpstreamID(e.AtFault))
+			st.Done(now, jobID(instance, e.Id), dispatchOutcome(e), fleet.UpstreamID(e.AtFault))
 		})
 	}
 	for _, id := range m.Withdrawn {
@@ -244,6 +248,7 @@
 		h.serviceState(a.Service).Ask(h.newJob(a, instance, now))
 	}
 	h.applyLimits(now, m.Limits)
+	h.announceHeldBack(now)
 	if !changesStates(m) {
 		return
 	}
@@ -300,6 +305,18 @@
 	return j
 }
 
+// dispatchOutcome converts how a request's use of its place ended.
+func dispatchOutcome(e *pb.Ended) dispatch.Outcome {
+	switch {
+	case e.UpstreamEnded:
+		return dispatch.UpstreamEnded
+	case e.Served:
+		return dispatch.Served
+	default:
+		return dispatchOutcomes[e.How]
+	}
+}
+
 // dispatchOutcomes maps wire values to outcomes.
 var dispatchOutcomes = map[pb.Ended_How]dispatch.Outcome{
 	pb.Ended_WHOLE: dispatch.Completed, pb.Ended_FAILED: dispatch.Failed,
--- a/internal/placement/peerbytes_test.go
+++ b/internal/placement/peerbytes_test.go
@@ -74,6 +74,8 @@
 		return protoreflect.ValueOfInt64(rapid.SampledFrom(peerInts).Draw(t, name))
 	case protoreflect.Uint64Kind:
 		return protoreflect.ValueOfUint64(rapid.SampledFrom(peerUints).Draw(t, name))
+	case protoreflect.Fixed64Kind:
+		return protoreflect.ValueOfUint64(rapid.SampledFrom(peerUints).Draw(t, name))
 	case protoreflect.DoubleKind:
 		return protoreflect.ValueOfFloat64(rapid.SampledFrom(peerFloats).Draw(t, name))
 	default:
--- a/internal/placement/relay.go
+++ b/internal/placement/relay.go
@@ -179,14 +179,14 @@
 	}
 }
 
-// relayAnnouncements sends the limits and departures of a dispatcher's message to the instances that this one relays
+// relayAnnouncements sends the limits, departures and requests held back of a dispatcher's message to the instances that this one relays
 // for.
 func (c *Client) relayAnnouncements(m *pb.ToEntry) {
-	if len(m.Limits)+len(m.Departures) == 0 {
+	if len(m.Limits)+len(m.Departures)+len(m.HeldBack) == 0 {
 		return
 	}
 	for _, to := range c.relayedSinks() {
-		to.send(&pb.ToEntry{Limits: m.Limits, Departures: m.Departures})
+		to.send(&pb.ToEntry{Limits: m.Limits, Departures: m.Departures, HeldBack: m.HeldBack})
 	}
 }
 
--- a/internal/placement/requests.go
+++ b/internal/placement/requests.go
@@ -47,6 +47,7 @@
 	for _, l := range m.Limits {
 		c.limits.record(c.limits.decode(l))
 	}
+	c.heldBack.apply(m.HeldBack)
 	c.relayAnnouncements(m)
 	if len(m.Changes)+len(m.Proofs) > 0 {
 		c.applyDispatcherState(m)
@@ -89,6 +90,9 @@
 // Place implements gateway.Placer. It waits for the dispatcher's reply, and places the request locally while no
 // dispatcher is reachable.
 func (c *Client) Place(ctx context.Context, q gateway.PlacementRequest) (gateway.Grant, error) {
+	if left, _ := c.heldBack.check(q.Keys); left > 0 {
+		return nil, heldBackFault(left)
+	}
 	q.Avoid = c.holdoffs.addTo(q.Avoid)
 	c.mu.Lock()
 	q.ID = c.unusedID(q.ID)
@@ -107,7 +111,7 @@
 			return c.grantFromReply(ctx, w, r)
 		case <-sessionTimer.C:
 			if c.withdrawIfNoSession(w) {
-				return c.local.Place(ctx, q)
+				return c.placeLocally(ctx, q)
 			}
 		case <-ctx.Done():
 			c.withdrawRequest(q.ID)
@@ -116,6 +120,14 @@
 	}
 }
 
+// placeLocally places a request by this instance's view alone. A request that only one of all instances may try is not sent.
+func (c *Client) placeLocally(ctx context.Context, q gateway.PlacementRequest) (gateway.Grant, error) {
+	if left, listed := c.heldBack.check(q.Keys); listed {
+		return nil, heldBackFault(max(left, tryDelay))
+	}
+	return c.local.Place(ctx, q)
+}
+
 // unusedID returns id, or id with a number if another request of this instance has it now; mu is held. Callers choose the ids,
 // and two may choose the same one.
 func (c *Client) unusedID(id fleet.RequestID) fleet.RequestID {
@@ -147,7 +159,7 @@
 
 // faultKinds maps the reasons of refusals that don't come from the request itself to kinds of faults.
 var faultKinds = map[decide.Reason]fault.Kind{
-	dispatch.NoUpstream: fault.NoUpstream, dispatch.RateLimited: fault.UpstreamLimit,
+	dispatch.NoUpstream: fault.NoUpstream, dispatch.RateLimited: fault.UpstreamLimit, dispatch.HeldBack: fault.HeldBack,
 }
 
 // grantFromReply returns the grant or error that the dispatcher's reply stands for. It places the request locally if
@@ -162,14 +174,14 @@
 		return nil, f
 	}
 	if r.place == nil {
-		return c.local.Place(ctx, w.ask)
+		return c.placeLocally(ctx, w.ask)
 	}
 	snap := c.snapshot()
 	u := snap.Upstream(fleet.UpstreamID(r.place.Upstream))
 	if u == nil || ctx.Err() != nil {
 		// The dispatcher knows an upstream that this instance doesn't know yet, or no longer knows.
 		c.sendToDispatcher(&pb.FromEntry{Withdrawn: []string{string(w.ask.ID)}})
-		return c.local.Place(ctx, w.ask)
+		return c.placeLocally(ctx, w.ask)
 	}
 	g := &dispatchedGrant{c: c, ask: w.ask, askedAt: w.askedAt, upstream: u, reason: r.place.Reason, answerTimeout: max(0, ms(r.place.OverdueMs))}
 	for _, id := range r.place.Helpers {
--- a/internal/placement/services.go
+++ b/internal/placement/services.go
@@ -23,6 +23,7 @@
 	if st == nil {
 		st = dispatch.New(nil, dispatch.DefaultParams())
 		st.SetOrderKey(string(h.self))
+		st.SetQuarantine(h.quarantine)
 		h.services[name] = st
 		h.loadService(h.now(), name, st)
 	}
--- a/internal/placement/session.go
+++ b/internal/placement/session.go
@@ -248,6 +248,7 @@
 		all.Proofs = append(all.Proofs, m.Proofs...)
 		all.Limits = append(all.Limits, m.Limits...)
 		all.Departures = append(all.Departures, m.Departures...)
+		all.HeldBack = append(all.HeldBack, m.HeldBack...)
 		if m.Duty != pb.ToEntry_AS_BEFORE {
 			all.Duty = m.Duty
 		}
@@ -396,6 +397,7 @@
 		all.Passed = append(all.Passed, m.Passed...)
 		all.Limits = append(all.Limits, m.Limits...)
 		all.Departures = append(all.Departures, m.Departures...)
+		all.HeldBack = append(all.HeldBack, m.HeldBack...)
 		if len(m.Reads) > 0 {
 			all.Reads = m.Reads
 		}
--- a/internal/placement/step.go
+++ b/internal/placement/step.go
@@ -40,6 +40,7 @@
 		}
 		h.logStall(now, name, st)
 	}
+	h.announceHeldBack(now)
 	for instance, m := range out {
 		if s := h.sinks[instance]; s != nil {
 			s.send(m)
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -340,6 +340,12 @@
 // LimitsInForce returns the number of upstreams' rate limits that this instance treats as in force.
 func (n *Node) LimitsInForce() int { return n.parts.Placer.LimitsInForce() }
 
+// KeysHeldBack returns the number of keys whose requests this instance holds back.
+func (n *Node) KeysHeldBack() int { return n.parts.Placer.KeysHeldBack() }
+
+// Name returns the instance's id.
+func (n *Node) Name() string { return string(n.self.ID) }
+
 // Snapshot returns the instance's current snapshot of the fleet.
 func (n *Node) Snapshot() *catalog.Snapshot { return n.parts.Follower.Snapshot() }
 
