--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,11 +21,12 @@
 	APIKey          string        // empty: none given
 	Timeout         time.Duration // how long the caller waits; valid if HasTimeout is set
 	HasTimeout      bool
-	PromptTokens    int    // length of the prompt in tokens; 0: no prompt, or length not stated
-	MaxOutputTokens int    // maximum length of the answer in tokens
-	LastEventID     string // id of the event after which the stream resumes; empty: it begins at its start
-	VersionRequired bool   // only upstreams with the version that the caller names answer; others report OtherUpstream
-	Prompt          string // what the head says of the prompt's content; the same in each repeat of a request
+	PromptTokens    int      // length of the prompt in tokens; 0: no prompt, or length not stated
+	MaxOutputTokens int      // maximum length of the answer in tokens
+	LastEventID     string   // id of the event after which the stream resumes; empty: it begins at its start
+	VersionRequired bool     // only upstreams with the version that the caller names answer; others report OtherUpstream
+	Prompt          string   // what the head says of the prompt's content; the same in each repeat of a request
+	SharedParts     []string // ids of the parts of the prompt that other requests may share, in no order; empty: none, or not stated
 }
 
 // DispatchMeta is what the gateway states to an upstream along with a request.
