Requests with a part of prompts under which upstreams end are held back

What ended an upstream was charged to the upstream alone; a request's content doesn't come again here, its part does.

A request bears a key for each part of its prompt but the last, beside that of its content. Of requests with a suspect key one at a time is sent, to an upstream without unproven requests that gets no others meanwhile, so that an end has one candidate. Held back is the set of keys that no end tells apart and that no answered request bears; an answer narrows the set. A part that others with fewer ends explain, or that was on the same upstreams beside a bad one, waits for more ends. Ends without any such part raise the number that is asked for.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -171,7 +171,7 @@
 		s.answerLatency.add(now.Sub(r.startedAt))
 	}
 	s.removePrefill(r)
-	r.decoding = true
+	r.decoding, r.decodingSince = true, now
 	s.quarantine.Began(now, id)
 	r.engine.failures = 0
 	s.recordAnswer(now, r)
@@ -208,7 +208,7 @@
 	case Served:
 		s.quarantine.Served(now, id)
 	case UpstreamEnded:
-		s.quarantine.Ended(now, id)
+		s.quarantine.Ended(now, id, fleet.Process{ID: r.engine.ID, StartTime: r.engine.StartTime})
 		faulty.recordFailure(now)
 	case Failed:
 		faulty.recordFailure(now)
--- a/internal/decide/dispatch/job.go
+++ b/internal/decide/dispatch/job.go
@@ -30,6 +30,9 @@
 
 	excess   bool // exceeds its workspace's share
 	awaiting bool // waits for the outcome of another job with a suspect key
+	alone    bool // gets an upstream of its own until the upstream is known to survive it
+	// aloneSince is when the job first needed an upstream of its own; 0: it did not.
+	aloneSince decide.Instant
 }
 
 // Upstream is an upstream that may receive jobs.
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -128,6 +128,7 @@
 	if j.awaiting = status == quarantine.Wait; j.awaiting {
 		return Decision{}, false
 	}
+	j.setAlone(now, status == quarantine.Alone)
 	if s.model != nil && float64(j.PromptTokens+j.MaxOutputTokens) > float64(s.model.KVCacheTokens)*s.params.MemoryShare*float64(min(s.params.MaxHelpers+1, len(s.orderedEngines))) {
 		return s.refuse(j, TooLarge), true
 	}
@@ -218,7 +219,7 @@
 // accepts reports whether the upstream may receive the job now, apart from memory and pending prefill.
 func (s *State) accepts(now decide.Instant, e *engine, j *Job) bool {
 	return !e.closed && len(e.runs) < e.slotsFor(s.model, j) && !slices.Contains(j.Avoid, e.ID) &&
-		!e.inHoldoff(now) && now >= e.fullUntil && s.underColdLimit(now, e) && s.reaches(now, j, e) && e.underLimit()
+		!e.inHoldoff(now) && now >= e.fullUntil && e.bearsSuspect(now, j) && s.underColdLimit(now, e) && s.reaches(now, j, e) && e.underLimit()
 }
 
 // slotsFor returns the number of slots that the job may use. A job in excess of its workspace's share leaves some
@@ -315,12 +316,12 @@
 		if s.prefillRoomMs(e, j.MaxGap) < prefillMs || (passMs+e.pendingMs+prefillMs)*e.slowdown(now) > toMs(j.MaxGap)*s.params.GapShare {
 			continue
 		}
-		if best == nil || s.fuller(e, best) {
+		if best == nil || s.fuller(e, best) != j.alone {
 			best = e
 		}
 	}
 	if best == nil {
-		if len(j.Avoid) == 0 {
+		if len(j.Avoid) == 0 && !j.alone {
 			s.unplacedShort[s.originOf(now, j)] = requirement{j.PromptTokens, j.MaxGap}
 		}
 		return Decision{}, false
--- a/internal/decide/dispatch/runs.go
+++ b/internal/decide/dispatch/runs.go
@@ -20,6 +20,7 @@
 	plannedMs     float64 // planned time from startedAt to the first event
 	slowdown      float64 // of the slowest of its engines at startedAt
 	decoding      bool
+	decodingSince decide.Instant
 	indirect      bool // goes through another instance, because its own instance's path to the engine failed
 }
 
@@ -45,6 +46,7 @@
 	closed        bool                     // receives no new jobs
 	listed        bool                     // SetUpstreams listed it
 	coldStarts    []decide.Instant         // starts of runs in the last second while cold
+	suspect       *run                     // a run that has the engine for itself until it is proven; nil: none
 	lastFailure   decide.Instant           // time of the last failure
 	failures      int                      // consecutive
 	noHelpUntil   decide.Instant           // it is not asked to prefill for other engines until then
@@ -95,6 +97,9 @@
 	s.runs[j.ID] = r
 	e.runs[j.ID] = r
 	s.quarantine.Start(now, j.ID, j.Keys)
+	if j.alone {
+		e.suspect = r
+	}
 	s.clearProbes(j.Domain, e)
 	e.contextTokens += r.contextTokens
 	if s.model != nil {
@@ -151,6 +156,9 @@
 	s.quarantine.Done(r.job.ID)
 	delete(s.runs, r.job.ID)
 	delete(r.engine.runs, r.job.ID)
+	if r.engine.suspect == r {
+		r.engine.suspect = nil
+	}
 	r.engine.contextTokens -= r.contextTokens
 	for _, h := range r.reservations {
 		h.engine.contextTokens -= h.tokens
--- /dev/null
+++ b/internal/decide/dispatch/suspect.go
@@ -0,0 +1,42 @@
+package dispatch
+
+import (
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/decide/quarantine"
+)
+
+// A job that may end its upstream gets one of its own for as long as that isn't known. Other jobs would end with it, and
+// which of them was the cause would stay open.
+
+// maxAloneWait is how long a job waits for an upstream of its own. Under load there may be none.
+const maxAloneWait = quarantine.ProvenAfter
+
+// setAlone records whether the job needs an upstream of its own now.
+func (j *Job) setAlone(now decide.Instant, needed bool) {
+	if needed && j.aloneSince == 0 {
+		j.aloneSince = now
+	}
+	j.alone = needed && now.Sub(j.aloneSince) <= maxAloneWait
+}
+
+// proven reports whether it is known that the engine survives the run.
+func (r *run) proven(now decide.Instant) bool {
+	return r.decoding && now.Sub(r.decodingSince) >= quarantine.ProvenAfter
+}
+
+// bearsSuspect reports whether the engine may receive the job beside its runs: neither the job nor one of the runs needs it for
+// itself.
+func (e *engine) bearsSuspect(now decide.Instant, j *Job) bool {
+	if e.suspect != nil && !e.suspect.proven(now) {
+		return false
+	}
+	if !j.alone {
+		return true
+	}
+	for _, r := range e.runs {
+		if !r.proven(now) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/decide/quarantine/cause.go
@@ -0,0 +1,131 @@
+package quarantine
+
+import (
+	"slices"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+)
+
+const (
+	// maxUnexplained is how many ends under a key may be left that no key with fewer ends explains, for the key to count as
+	// explained by those.
+	maxUnexplained = 1
+	// maxEndsExplained is the number of ends, one after the other, from which a key is a cause although others explain it.
+	maxEndsExplained = 4 * MaxEnds
+)
+
+// settle decides whether the end of an upstream shows the cause of this one and of earlier ones.
+func (t *Table) settle(now decide.Instant, e *end) {
+	e.settled, e.byItself = true, !t.hasUnknownPart(e)
+	var causes [][]Key
+	for _, r := range e.requests {
+		causes = append(causes, t.causes(r, e)...)
+	}
+	for _, cause := range causes {
+		t.hold(now, cause)
+	}
+}
+
+// hasUnknownPart reports whether a request on an upstream that ended bore a part that no answered request bears.
+func (t *Table) hasUnknownPart(e *end) bool {
+	for _, r := range e.requests {
+		for _, k := range r.keys[1:] {
+			if !t.answered.has(k) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// causes returns the sets of keys of a request that explain its upstream's end and earlier ones. Keys that no answered request
+// bears explain more than others.
+func (t *Table) causes(r *run, e *end) [][]Key {
+	var unknown, answered [][]Key
+	for _, k := range r.keys {
+		s := t.suspects[k]
+		switch {
+		case s == nil || s.rounds < t.endsNeeded(k, s):
+		case t.answered.has(k):
+			answered = append(answered, []Key{k})
+		case s.rounds >= maxEndsExplained || !t.explainedByOthers(k, s) && !t.explainedBeside(k, s, e):
+			unknown = append(unknown, t.withSameEnds(r, s))
+		}
+	}
+	if len(unknown) > 0 {
+		return unknown
+	}
+	return answered
+}
+
+// explainedBeside reports whether a part of other requests on the upstream that ended explains all ends under a key. An innocent
+// request may be on the same upstreams as bad ones several times.
+func (t *Table) explainedBeside(k Key, s *suspect, e *end) bool {
+	for _, r := range e.requests {
+		if slices.Contains(r.keys, k) {
+			continue
+		}
+		for _, beside := range r.keys {
+			o := t.suspects[beside]
+			if o != nil && !o.wholeContent && !t.answered.has(beside) && containsAll(o.ends, s.ends) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// withSameEnds returns the keys of a request that no end tells apart from a suspect, and that no answered request bears. They are
+// one cause together: requests that bear only some of them may be sound.
+func (t *Table) withSameEnds(r *run, s *suspect) (same []Key) {
+	for _, k := range r.keys {
+		if o := t.suspects[k]; o != nil && !t.answered.has(k) && slices.Equal(o.ends, s.ends) {
+			same = append(same, k)
+		}
+	}
+	return same
+}
+
+// explainedByOthers reports whether parts that stood beside a key in fewer of its ends, several times each, explain nearly all of
+// them. A part that two others share has ends under both; which of the three is the cause shows later.
+func (t *Table) explainedByOthers(k Key, s *suspect) bool {
+	unexplained := 0
+	for _, e := range s.ends {
+		if !slices.ContainsFunc(e.requests, func(r *run) bool { return slices.Contains(r.keys, k) && t.hasNarrowerPart(r, s) }) {
+			unexplained++
+		}
+	}
+	return unexplained <= maxUnexplained
+}
+
+// hasNarrowerPart reports whether a request bears a part that several ends speak against, but fewer than against a suspect.
+func (t *Table) hasNarrowerPart(r *run, s *suspect) bool {
+	return slices.ContainsFunc(r.keys[1:], func(k Key) bool {
+		o := t.suspects[k]
+		return o != nil && len(o.ends) > 1 && len(o.ends) < len(s.ends) && !t.answered.has(k)
+	})
+}
+
+// hold holds back the requests that bear all keys of a cause, unless another cause of the same request has explained its ends.
+// The ends that it explains no longer count against other keys.
+func (t *Table) hold(now decide.Instant, cause []Key) {
+	s := t.suspects[cause[0]]
+	if s == nil {
+		return
+	}
+	v := &verdict{Verdict: Verdict{Keys: sortedKeys(cause), Ends: len(s.ends), Since: now}}
+	v.holdFrom(now)
+	t.verdicts.put(v)
+	t.changed = append(t.changed, v.Verdict)
+	for _, e := range s.ends {
+		e.explained = true
+	}
+	for k, s := range t.suspects {
+		before := len(s.ends)
+		s.ends = slices.DeleteFunc(s.ends, func(e *end) bool { return e.explained })
+		s.rounds = min(s.rounds, len(s.ends))
+		if len(s.ends) == 0 || before > len(s.ends) && s.wholeContent {
+			delete(t.suspects, k)
+		}
+	}
+}
--- /dev/null
+++ b/internal/decide/quarantine/ends.go
@@ -0,0 +1,50 @@
+package quarantine
+
+import (
+	"slices"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+)
+
+// maxRecentEnds bounds the ends that are remembered.
+const maxRecentEnds = 256
+
+// end is the end of an upstream's process.
+type end struct {
+	process   fleet.Process
+	at        decide.Instant // when it was first reported
+	explained bool           // a verdict explains it
+	settled   bool           // the reports on it are in
+	byItself  bool           // no request of the upstream bore a part that could be the cause; valid if it is settled
+	requests  []*run         // those that the upstream held and that may be the cause
+}
+
+// recentEnds are the latest ends, in the order of their first reports. Each of an upstream's requests reports its end.
+type recentEnds []*end
+
+// record returns the end of a process, and adds it if it is reported for the first time.
+func (es *recentEnds) record(now decide.Instant, p fleet.Process) *end {
+	for _, e := range *es {
+		if e.process == p {
+			return e
+		}
+	}
+	if len(*es) >= maxRecentEnds {
+		*es = slices.Delete(*es, 0, 1)
+	}
+	e := &end{process: p, at: now}
+	*es = append(*es, e)
+	return e
+}
+
+// byThemselves returns how many other upstreams have ended by themselves since the first of some ends.
+func (es recentEnds) byThemselves(some []*end) int {
+	n := 0
+	for _, e := range es {
+		if e.byItself && e.at >= some[0].at && !slices.Contains(some, e) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -1,10 +1,11 @@
 // Package quarantine decides which requests are held back because the upstreams that answer them end (poison requests).
 //
-// A request bears keys: hashes of what may be the cause. An upstream that ends takes all its requests with it, and most of them
-// are innocent. A request under which an upstream ended is therefore suspect at first, and so is every other one that bears a
-// suspect key: of these, one at a time is sent, or one each tryInterval while its outcome isn't known. If it is answered, the key is cleared. If upstreams end under several of them,
-// one after the other, requests with the key are held back. Ends at the same moment, as when a failure domain loses power,
-// count once.
+// A request bears keys, which are hashes of what may be the cause: its whole content, and each part of its prompt that other
+// requests share. An upstream that ends takes all its requests with it, and most of them are innocent. A request under which
+// an upstream ended makes its keys suspect at first. Of the requests that bear a suspect key, one at a time is sent, to an
+// upstream of its own. If it is answered, its keys are cleared. If upstreams end under several of them, one after the other,
+// those are held back that bear the keys which all of them had and no answered request has. Ends at the same moment, as when a
+// failure domain loses power, count once.
 package quarantine
 
 import (
@@ -17,29 +18,29 @@
 )
 
 const (
-	// MaxEnds is the number of upstreams that may end, one after the other, under requests with one key.
+	// MaxEnds is the number of upstreams that may end, one after the other, under requests with one key while no others end.
 	MaxEnds = 3
+	// maxEndsAnswered is the same for a key that requests bore which were answered a while ago. Others that are sent beside
+	// them may be the cause, and of those every key is usually new.
+	maxEndsAnswered = 2 * MaxEnds
 	// ProvenAfter is how long after the first event of its answer a request counts as one that its upstream survives. A
 	// process that ends while it begins to write needs some ms for it, and its connections close after that.
 	ProvenAfter = 300 * time.Millisecond
 	// tryInterval is how long the outcome of a request with a suspect key is awaited before the next one is sent. An upstream
 	// that is silent must not keep requests with the key from all others.
 	tryInterval = time.Second
-	// firstHold is how long requests with a key are held back at first. One request is sent then, and the time doubles, up to
-	// maxHold, if its upstream ends: the fault may have been mended meanwhile, and each try costs an upstream if not.
+	// settleTime is how long the reports on the end of one upstream are awaited, from all instances whose requests it held. Only
+	// then is it known which of them may be the cause.
+	settleTime = 100 * time.Millisecond
+	// firstHold is how long requests are held back at first. One request is sent then, and the time doubles, up to maxHold, if
+	// its upstream ends: the fault may have been mended meanwhile, and each try costs an upstream if not.
 	firstHold = 30 * time.Second
-	maxHold   = time.Hour
-	// suspectRetention is how long a key stays suspect without a further end.
-	suspectRetention = 10 * time.Minute
-	// freedRetention is how long the end of a verdict is remembered, so that an older copy of it isn't believed.
-	freedRetention = 10 * time.Minute
-	// maxSuspects and maxVerdicts bound what is kept. The suspect whose last end, or the verdict whose last change, is longest
-	// ago is evicted first.
-	maxSuspects = 4096
-	maxVerdicts = 1024
+	maxHold   = 10 * time.Minute
+	// maxKeys bounds the keys of a request that are looked at.
+	maxKeys = 17
 )
 
-// Key is a hash of something that requests have in common, such as their whole content.
+// Key is a hash of something that requests have in common.
 type Key uint64
 
 // String returns the key as it appears in log lines.
@@ -50,95 +51,81 @@
 
 // The statuses.
 const (
-	Free Status = iota // it may be sent
-	Wait               // a request with the same suspect key is on its way, and its outcome is awaited
-	Held               // it must not be sent
+	Free  Status = iota // it may be sent
+	Alone               // it may be sent to an upstream that has no unproven request, and gets none until this one is proven
+	Wait                // a request with the same suspect key is on its way, and its outcome is awaited
+	Held                // it must not be sent
 )
 
-// Verdict is the decision to hold back requests with a key.
-type Verdict struct {
-	Key       Key
-	Ends      int // upstreams that ended one after the other
-	Tries     int // requests that were sent after a hold, and whose upstreams ended
-	Since     decide.Instant
-	Until     decide.Instant // one request may be sent then
-	ChangedAt decide.Instant // of two versions of a verdict, the later one counts
-	Freed     bool           // requests with the key are no longer held back
-}
-
 // Table holds suspects and verdicts. It is not safe for concurrent use.
 type Table struct {
 	runs     map[fleet.RequestID]*run
 	writing  []*run // runs whose first event has arrived, in the order of their first events
 	suspects map[Key]*suspect
-	verdicts map[Key]*Verdict
+	answered answeredKeys
+	ended    recentEnds
+	verdicts verdicts
 	changed  []Verdict
 }
 
 // run is a request on its way.
 type run struct {
 	id        fleet.RequestID
-	keys      []Key
+	keys      []Key // the first one stands for the whole content
 	startedAt decide.Instant
-	firstAt   decide.Instant // of the first event; valid if it is in Table.writing
-	ended     bool
-}
-
-// suspect is a key whose requests may end their upstreams.
-type suspect struct {
-	ends     int // upstreams that ended one after the other
-	lastEnd  decide.Instant
-	lastSent decide.Instant           // of the requests in unproven
-	unproven map[fleet.RequestID]bool // requests on their way whose outcome isn't known
-}
-
-// awaitsOutcome reports whether the next request with the key must wait.
-func (s *suspect) awaitsOutcome(now decide.Instant) bool {
-	return len(s.unproven) > 0 && now.Sub(s.lastSent) < tryInterval
+	firstAt   decide.Instant // of the first event; valid if the run is in Table.writing
+	done      bool
 }
 
 // New returns an empty Table.
 func New() *Table {
-	return &Table{runs: map[fleet.RequestID]*run{}, suspects: map[Key]*suspect{}, verdicts: map[Key]*Verdict{}}
+	return &Table{runs: map[fleet.RequestID]*run{}, suspects: map[Key]*suspect{}, verdicts: verdicts{}, answered: newAnsweredKeys()}
 }
 
-// Check returns what may be done with a request that bears keys. If it is held back, it also returns for how long.
+// Check returns what may be done with a request that bears keys, of which the first one stands for its whole content. If it is
+// held back, Check also returns for how long.
 func (t *Table) Check(now decide.Instant, keys []Key) (Status, time.Duration) {
 	if len(t.suspects)+len(t.verdicts) == 0 {
 		return Free, 0
 	}
-	if left, listed := t.HeldBack(now, keys); left > 0 {
-		return Held, left
-	} else if listed {
-		t.tryAgain(now, keys)
+	keys = bounded(keys)
+	for _, v := range t.verdicts.on(keys) {
+		switch left := v.Until.Sub(now); {
+		case left > 0:
+			return Held, left
+		case v.tryPending(now):
+			return Wait, 0
+		default:
+			return Alone, 0
+		}
 	}
+	status := Free
 	for _, k := range keys {
-		if s := t.suspects[k]; s != nil && s.awaitsOutcome(now) {
+		s := t.suspects[k]
+		if s == nil || s.rounds <= t.answered.tolerance(k) {
+			continue
+		}
+		if s.awaitsOutcome(now) {
 			return Wait, 0
 		}
+		if !s.wholeContent || s.rounds > 1 { // many requests are on an upstream that ends, and most contents are innocent
+			status = Alone
+		}
 	}
-	return Free, 0
+	return status, 0
 }
 
 // HeldBack reports whether a verdict applies to a request that bears keys, and for how much longer nothing is to be sent; 0:
 // one request may be sent.
 func (t *Table) HeldBack(now decide.Instant, keys []Key) (left time.Duration, listed bool) {
-	for _, k := range keys {
-		if v := t.verdicts[k]; v != nil && !v.Freed {
-			left, listed = max(left, v.Until.Sub(now)), true
-		}
+	for _, v := range t.verdicts.on(bounded(keys)) {
+		left, listed = max(left, v.Until.Sub(now)), true
 	}
 	return max(0, left), listed
 }
 
-// tryAgain makes keys whose hold is over suspect, so that one request is sent and a single end holds them back again.
-func (t *Table) tryAgain(now decide.Instant, keys []Key) {
-	for _, k := range keys {
-		if v := t.verdicts[k]; v != nil && !v.Freed && t.suspects[k] == nil {
-			t.addSuspect(now, k).ends = MaxEnds - 1 // a single end holds the key back again
-		}
-	}
-}
+// bounded returns the keys that are looked at.
+func bounded(keys []Key) []Key { return keys[:min(len(keys), maxKeys)] }
 
 // Start records that a request is sent.
 func (t *Table) Start(now decide.Instant, id fleet.RequestID, keys []Key) {
@@ -146,8 +133,12 @@
 	if len(keys) == 0 {
 		return
 	}
-	t.runs[id] = &run{id: id, keys: keys, startedAt: now}
-	for _, k := range keys {
+	r := &run{id: id, keys: bounded(keys), startedAt: now}
+	t.runs[id] = r
+	for _, v := range t.verdicts.on(r.keys) {
+		v.tryID, v.triedAt = id, now
+	}
+	for _, k := range r.keys {
 		if s := t.suspects[k]; s != nil {
 			s.unproven[id], s.lastSent = true, now
 		}
@@ -162,16 +153,21 @@
 	}
 }
 
-// Advance clears the keys of requests that have been answered for ProvenAfter.
+// Advance clears the keys of requests that have been answered for ProvenAfter, and decides on the ends whose reports are in.
 func (t *Table) Advance(now decide.Instant) {
 	n := 0
-	for n < len(t.writing) && (t.writing[n].ended || now.Sub(t.writing[n].firstAt) >= ProvenAfter) {
-		if r := t.writing[n]; !r.ended {
+	for n < len(t.writing) && (t.writing[n].done || now.Sub(t.writing[n].firstAt) >= ProvenAfter) {
+		if r := t.writing[n]; !r.done {
 			t.clear(now, r)
 		}
 		n++
 	}
 	t.writing = slices.Delete(t.writing, 0, n)
+	for _, e := range t.ended {
+		if !e.settled && now.Sub(e.at) >= settleTime {
+			t.settle(now, e)
+		}
+	}
 }
 
 // Served records that a request was answered completely. The upstream survived it.
@@ -188,142 +184,100 @@
 	if r == nil {
 		return
 	}
-	r.ended = true
+	r.done = true
 	delete(t.runs, id)
 	for _, k := range r.keys {
 		if s := t.suspects[k]; s != nil {
 			delete(s.unproven, id)
 		}
 	}
+	for _, v := range t.verdicts.on(r.keys) {
+		if v.tryID == id {
+			v.tryID = ""
+		}
+	}
 }
 
 // Ended records that the upstream of a request ended before the request was proven.
-func (t *Table) Ended(now decide.Instant, id fleet.RequestID) {
+func (t *Table) Ended(now decide.Instant, id fleet.RequestID, upstream fleet.Process) {
 	r := t.runs[id]
 	if r == nil {
 		return
 	}
 	t.Done(id)
+	e := t.ended.record(now, upstream)
+	e.explained = e.explained || t.prolong(now, r)
+	if e.explained {
+		return
+	}
+	e.requests = append(e.requests, r)
 	for _, k := range r.keys {
-		s := t.suspects[k]
-		switch v := t.verdicts[k]; {
-		case s != nil && r.startedAt < s.lastEnd, v != nil && r.startedAt < v.ChangedAt:
-			continue // sent before what was known last
-		case s == nil:
-			s = t.addSuspect(now, k)
-		}
-		s.ends, s.lastEnd = s.ends+1, now
-		if s.ends >= MaxEnds {
-			t.hold(now, k, s)
-		}
+		t.charge(now, k, r, e)
 	}
 }
 
-// hold holds back requests with a suspect key.
-func (t *Table) hold(now decide.Instant, k Key, s *suspect) {
-	v := &Verdict{Key: k, Ends: s.ends, Since: now}
-	if old := t.verdicts[k]; old != nil && !old.Freed {
-		v.Ends, v.Tries, v.Since = old.Ends+1, old.Tries+1, old.Since
+// prolong prolongs the verdicts that apply to a request whose upstream ended, if it was sent to try again. It reports whether a
+// verdict explains the end.
+func (t *Table) prolong(now decide.Instant, r *run) bool {
+	applying := t.verdicts.on(r.keys)
+	for _, v := range applying {
+		if r.startedAt >= v.Until {
+			v.Ends++
+			v.Tries++
+			v.holdFrom(now)
+			t.changed = append(t.changed, v.Verdict)
+		}
 	}
-	v.Until, v.ChangedAt = now.Add(min(firstHold<<min(v.Tries, 8), maxHold)), now
-	delete(t.suspects, k)
-	t.put(v)
-	t.changed = append(t.changed, *v)
+	return len(applying) > 0
 }
 
-// clear records that a request's upstream survived it.
+// clear records that a request's upstream survived it. A verdict on some of its keys, and on others, goes on without them.
 func (t *Table) clear(now decide.Instant, r *run) {
 	for _, k := range r.keys {
 		delete(t.suspects, k)
-		if v := t.verdicts[k]; v != nil && !v.Freed {
-			freed := *v
-			freed.Freed, freed.ChangedAt = true, now
-			t.put(&freed)
-			t.changed = append(t.changed, freed)
-		}
 	}
-}
-
-// addSuspect makes a key suspect. Requests with the key that are on their way are unproven.
-func (t *Table) addSuspect(now decide.Instant, k Key) *suspect {
-	if len(t.suspects) >= maxSuspects {
-		t.evictSuspects(now)
+	for _, k := range r.keys[1:] { // other requests don't share the whole content
+		t.answered.add(now, k)
 	}
-	s := &suspect{lastEnd: now, unproven: map[fleet.RequestID]bool{}}
-	for id, r := range t.runs {
-		if slices.Contains(r.keys, k) {
-			s.unproven[id], s.lastSent = true, max(s.lastSent, r.startedAt)
+	for _, v := range t.verdicts.withAny(r.keys) {
+		freed := &verdict{Verdict: v.Verdict}
+		freed.Freed, freed.ChangedAt = true, now
+		t.verdicts.put(freed)
+		t.changed = append(t.changed, freed.Verdict)
+		rest := slices.DeleteFunc(slices.Clone(v.Keys), func(k Key) bool { return slices.Contains(r.keys, k) })
+		if len(rest) > 0 {
+			narrower := &verdict{Verdict: v.Verdict}
+			narrower.Keys, narrower.ChangedAt = rest, now
+			t.verdicts.put(narrower)
+			t.changed = append(t.changed, narrower.Verdict)
 		}
 	}
-	t.suspects[k] = s
-	return s
 }
 
-// evictSuspects removes the suspects that are out of date, or else the one whose last end is longest ago.
-func (t *Table) evictSuspects(now decide.Instant) {
-	var oldest Key
-	for k, s := range t.suspects {
-		if now.Sub(s.lastEnd) > suspectRetention {
-			delete(t.suspects, k)
-		} else if o := t.suspects[oldest]; o == nil || s.lastEnd < o.lastEnd {
-			oldest = k
-		}
-	}
-	if len(t.suspects) >= maxSuspects {
-		delete(t.suspects, oldest)
-	}
-}
-
-// put stores a verdict.
-func (t *Table) put(v *Verdict) {
-	if t.verdicts[v.Key] == nil && len(t.verdicts) >= maxVerdicts {
-		t.evictVerdicts(v.ChangedAt)
-	}
-	t.verdicts[v.Key] = v
-}
-
-// evictVerdicts removes the freed verdicts that are out of date, or else the one whose last change is longest ago.
-func (t *Table) evictVerdicts(now decide.Instant) {
-	var oldest *Verdict
-	for k, v := range t.verdicts {
-		if v.Freed && now.Sub(v.ChangedAt) > freedRetention {
-			delete(t.verdicts, k)
-		} else if oldest == nil || v.ChangedAt < oldest.ChangedAt {
-			oldest = v
-		}
-	}
-	if len(t.verdicts) >= maxVerdicts {
-		delete(t.verdicts, oldest.Key)
-	}
-}
-
-// Merge records a verdict that was reached elsewhere, unless a later one on the same key is known. It reports whether it
+// Merge records a verdict that was reached elsewhere, unless a later one on the same keys is known. It reports whether it
 // changed anything.
 func (t *Table) Merge(v Verdict) bool {
-	known := t.verdicts[v.Key]
-	if known != nil && (known.ChangedAt > v.ChangedAt.Add(mergeSlack) || known.Freed == v.Freed && known.Tries == v.Tries) {
+	v.Keys = sortedKeys(bounded(v.Keys))
+	if known := t.verdicts.get(v.Keys); len(v.Keys) == 0 || known != nil && !known.precedes(v) {
 		return false
 	}
-	t.put(&v)
-	delete(t.suspects, v.Key)
+	t.verdicts.put(&verdict{Verdict: v})
 	return true
 }
 
-// mergeSlack is by how much the times differ that two instances state of one change: messages take a while.
-const mergeSlack = 500 * time.Millisecond
-
 // Verdicts returns all verdicts, freed ones included.
 func (t *Table) Verdicts() []Verdict {
-	all := make([]Verdict, 0, len(t.verdicts))
-	for _, v := range t.verdicts {
-		all = append(all, *v)
+	all := t.verdicts.all()
+	out := make([]Verdict, len(all))
+	for i, v := range all {
+		out[i] = v.Verdict
 	}
-	return all
+	return out
 }
 
-// Size returns the number of suspect keys, and of keys whose requests are held back.
+// Size returns the number of suspect keys, and of verdicts in force.
 func (t *Table) Size() (suspects, heldBack int) {
-	for _, v := range t.verdicts {
+	for _, v := range t.verdicts.all() {
 		if !v.Freed {
 			heldBack++
 		}
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -32,11 +32,17 @@
 	return id
 }
 
-// end sends a request that bears keys, and ends its upstream after 10 ms.
+// end sends a request that bears keys, ends its upstream after 10 ms, and lets all reports arrive.
 func (p *play) end(keys ...Key) {
 	id := p.send(keys...)
 	p.pass(10 * time.Millisecond)
-	p.Ended(p.now, id)
+	p.fail(id)
+	p.pass(settleTime)
+}
+
+// fail ends the upstream of a request, which served no other one.
+func (p *play) fail(id fleet.RequestID) {
+	p.Ended(p.now, id, fleet.Process{ID: fleet.UpstreamID("u" + string(id))})
 }
 
 // pass lets time pass.
@@ -45,9 +51,12 @@
 	p.Advance(p.now)
 }
 
-// status returns what may be done with a request that bears keys.
+// status returns what may be done with a request that bears keys. Free stands for Alone, too.
 func (p *play) status(keys ...Key) Status {
 	s, _ := p.Check(p.now, keys)
+	if s == Alone {
+		return Free
+	}
 	return s
 }
 
@@ -63,7 +72,9 @@
 			is.Equal(p.status(1), Wait)
 		}
 		p.pass(10 * time.Millisecond)
-		p.Ended(p.now, id)
+		p.fail(id)
+		is.Equal(p.status(1), Wait)
+		p.pass(settleTime)
 	}
 	is.Equal(p.status(1), Held)
 	is.Equal(p.status(2), Free)
@@ -82,8 +93,9 @@
 	}
 	for _, id := range ids {
 		p.pass(time.Millisecond)
-		p.Ended(p.now, id)
+		p.fail(id)
 	}
+	p.pass(settleTime)
 	is.Equal(p.status(1), Free)
 }
 
@@ -113,7 +125,8 @@
 		id := p.send(1)
 		p.Began(p.now, id)
 		p.pass(ProvenAfter / 2)
-		p.Ended(p.now, id)
+		p.fail(id)
+		p.pass(settleTime)
 	}
 	is.Equal(p.status(1), Held)
 }
@@ -127,9 +140,9 @@
 	}
 	hold := firstHold
 	for range 3 {
-		p.pass(hold - 100*time.Millisecond)
+		p.pass(hold - 2*settleTime)
 		is.Equal(p.status(1), Held)
-		p.pass(100 * time.Millisecond)
+		p.pass(2 * settleTime)
 		is.Equal(p.status(1), Free)
 		p.end(1)
 		is.Equal(p.status(1), Held)
@@ -173,6 +186,109 @@
 	is.Equal(other.status(1), Free)
 }
 
+// Keys of the tests of several keys. Contents are those of requests that are sent once.
+const (
+	partA Key = iota + 1
+	partB
+	badPart
+	otherBadPart
+	firstContent Key = 1000
+)
+
+// content returns the key of a content that no other request has.
+func (p *play) content() Key { return firstContent + Key(p.sent) }
+
+// endOnce ends the upstream of a request with a content of its own, if it may be sent.
+func (p *play) endOnce(parts ...Key) {
+	keys := append([]Key{p.content()}, parts...)
+	if p.status(keys...) == Free {
+		p.end(keys...)
+	}
+}
+
+// serve answers a request with a content of its own.
+func (p *play) serve(parts ...Key) { p.Served(p.now, p.send(append([]Key{p.content()}, parts...)...)) }
+
+// free reports whether a request that bears parts may be sent.
+func (p *play) free(parts ...Key) bool {
+	return p.status(append([]Key{p.content()}, parts...)...) == Free
+}
+
+// Guards against sound requests that are held back because they share parts with those that end their upstreams.
+func TestPartsOfAnsweredRequestsAreNotTheCause(t *testing.T) {
+	is := is.New(t)
+	p := newPlay()
+	p.serve(partA, partB)
+	for range 2 * MaxEnds {
+		p.endOnce(partA, badPart, partB)
+	}
+	is.Equal(len(p.TakeChanges()), 1)
+	is.True(!p.free(badPart))
+	is.True(!p.free(partB, badPart))
+	is.True(p.free(partA, partB))
+}
+
+// Guards against the same if no request with the shared part was answered yet: only requests with both parts are held back, and
+// once one with the shared part was answered, all with the other.
+func TestPartsThatNoEndTellsApartAreOneCause(t *testing.T) {
+	is := is.New(t)
+	p := newPlay()
+	for range MaxEnds {
+		p.endOnce(partA, badPart)
+	}
+	is.True(!p.free(partA, badPart))
+	is.True(p.free(partA))
+	p.serve(partA)
+	is.True(!p.free(badPart, partB))
+	is.True(p.free(partA))
+}
+
+// Guards against a new and rare part that is taken for the cause because two others that are end their upstreams beside it.
+func TestPartThatTwoCausesShareIsNotTheCause(t *testing.T) {
+	is := is.New(t)
+	p := newPlay()
+	for range 2 * MaxEnds {
+		p.endOnce(partA, badPart)
+		p.endOnce(partA, otherBadPart)
+	}
+	is.True(!p.free(partA, badPart))
+	is.True(!p.free(partA, otherBadPart))
+	is.True(p.free(partA))
+}
+
+// Guards against a part that is never found because it was answered before: a deployment of the model can make it bad.
+func TestPartThatWasAnsweredBeforeIsHeldBackLater(t *testing.T) {
+	is := is.New(t)
+	p := newPlay()
+	p.serve(partA)
+	for range maxEndsAnswered {
+		is.True(p.free(partA))
+		p.endOnce(partA)
+	}
+	is.True(!p.free(partA))
+}
+
+// Guards against innocent requests that count as the cause because their upstream ended under another one.
+func TestEndsThatAreExplainedCountForNobodyElse(t *testing.T) {
+	is := is.New(t)
+	p := newPlay()
+	for range MaxEnds - 1 {
+		bad, innocent := p.send(p.content(), badPart), p.send(p.content(), partA)
+		p.pass(10 * time.Millisecond)
+		for _, id := range []fleet.RequestID{innocent, bad} {
+			p.Ended(p.now, id, fleet.Process{ID: "u", StartTime: int64(p.sent)})
+		}
+		p.pass(settleTime)
+	}
+	p.endOnce(badPart)
+	is.True(!p.free(badPart))
+	is.True(p.free(partA))
+	late := p.send(p.content(), partB)
+	p.Ended(p.now, late, fleet.Process{ID: "u", StartTime: int64(MaxEnds)*2 - 2}) // one of those that ended
+	suspects, _ := p.Size()
+	is.Equal(suspects, 0)
+}
+
 // Guards against memory that grows with what callers draw.
 func TestTableIsBounded(t *testing.T) {
 	is := is.New(t)
@@ -183,7 +299,7 @@
 	suspects, _ := p.Size()
 	is.Equal(suspects, maxSuspects)
 	for k := range Key(maxVerdicts + 100) {
-		p.Merge(Verdict{Key: k, Until: p.now.Add(time.Hour), ChangedAt: p.now})
+		p.Merge(Verdict{Keys: []Key{k}, Until: p.now.Add(time.Hour), ChangedAt: p.now})
 	}
 	is.Equal(len(p.Verdicts()), maxVerdicts)
 	is.Equal(len(p.runs)+len(p.writing), 0)
@@ -221,7 +337,7 @@
 				open = append(open[:i], open[i+1:]...)
 				switch {
 				case r.key == bad:
-					p.Ended(p.now, r.id)
+					p.fail(r.id)
 				case rapid.Bool().Draw(t, "leaves"):
 					p.Done(r.id)
 				default:
--- /dev/null
+++ b/internal/decide/quarantine/verdict.go
@@ -0,0 +1,163 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+)
+
+const (
+	// freedRetention is how long the end of a verdict is remembered, so that an older copy of it isn't believed.
+	freedRetention = 10 * time.Minute
+	// maxVerdicts bounds the verdicts. The one whose last change is longest ago is evicted first.
+	maxVerdicts = 1024
+	// mergeSlack is by how much the times differ that two instances state of one change: messages take a while.
+	mergeSlack = 500 * time.Millisecond
+)
+
+// Verdict is the decision to hold back the requests that bear all of some keys.
+type Verdict struct {
+	Keys      []Key // sorted
+	Ends      int   // upstreams that ended one after the other
+	Tries     int   // requests that were sent after a hold, and whose upstreams ended
+	Since     decide.Instant
+	Until     decide.Instant // one request may be sent then
+	ChangedAt decide.Instant // of two versions of a verdict, the later one counts
+	Freed     bool           // requests with the keys are no longer held back
+}
+
+// precedes reports whether o is a later version of the verdict.
+func (v *Verdict) precedes(o Verdict) bool {
+	return v.ChangedAt <= o.ChangedAt.Add(mergeSlack) && (v.Freed != o.Freed || v.Tries != o.Tries)
+}
+
+// holdFrom sets for how long requests are held back from now on.
+func (v *Verdict) holdFrom(now decide.Instant) {
+	v.Until, v.ChangedAt = now.Add(min(firstHold<<min(v.Tries, 8), maxHold)), now
+}
+
+// verdict is a Verdict with the request that tries whether it still holds.
+type verdict struct {
+	Verdict
+	tryID   fleet.RequestID // empty: none is on its way
+	triedAt decide.Instant
+}
+
+// tryPending reports whether the next request must wait for the outcome of the one that tries whether the verdict holds.
+func (v *verdict) tryPending(now decide.Instant) bool {
+	return v.tryID != "" && now.Sub(v.triedAt) < tryInterval
+}
+
+// verdicts holds verdicts under each of their keys.
+type verdicts map[Key][]*verdict
+
+// on returns the verdicts in force that apply to requests which bear keys.
+func (vs verdicts) on(keys []Key) []*verdict {
+	if len(vs) == 0 {
+		return nil
+	}
+	var out []*verdict
+	for _, k := range keys {
+		for _, v := range vs[k] {
+			if k == v.Keys[0] && !v.Freed && containsAll(keys, v.Keys) {
+				out = append(out, v)
+			}
+		}
+	}
+	return out
+}
+
+// withAny returns the verdicts in force on any of the keys.
+func (vs verdicts) withAny(keys []Key) []*verdict {
+	var out []*verdict
+	for _, k := range keys {
+		for _, v := range vs[k] {
+			if !v.Freed && !slices.Contains(out, v) {
+				out = append(out, v)
+			}
+		}
+	}
+	return out
+}
+
+// get returns the verdict on exactly these sorted keys, nil if there is none.
+func (vs verdicts) get(keys []Key) *verdict {
+	if len(keys) == 0 {
+		return nil
+	}
+	for _, v := range vs[keys[0]] {
+		if slices.Equal(v.Keys, keys) {
+			return v
+		}
+	}
+	return nil
+}
+
+// put stores a verdict in place of the one on the same keys.
+func (vs verdicts) put(v *verdict) {
+	if old := vs.get(v.Keys); old != nil {
+		vs.remove(old)
+	} else if all := vs.all(); len(all) >= maxVerdicts {
+		vs.evict(v.ChangedAt, all)
+	}
+	for _, k := range v.Keys {
+		vs[k] = append(vs[k], v)
+	}
+}
+
+// evict removes the freed verdicts that are out of date, or else the one whose last change is longest ago.
+func (vs verdicts) evict(now decide.Instant, all []*verdict) {
+	oldest, removed := all[0], false
+	for _, v := range all {
+		if v.Freed && now.Sub(v.ChangedAt) > freedRetention {
+			vs.remove(v)
+			removed = true
+		} else if v.ChangedAt < oldest.ChangedAt {
+			oldest = v
+		}
+	}
+	if !removed {
+		vs.remove(oldest)
+	}
+}
+
+// remove removes a verdict.
+func (vs verdicts) remove(v *verdict) {
+	for _, k := range v.Keys {
+		if vs[k] = slices.DeleteFunc(vs[k], func(o *verdict) bool { return o == v }); len(vs[k]) == 0 {
+			delete(vs, k)
+		}
+	}
+}
+
+// all returns each verdict once.
+func (vs verdicts) all() []*verdict {
+	var out []*verdict
+	for k, some := range vs {
+		for _, v := range some {
+			if v.Keys[0] == k {
+				out = append(out, v)
+			}
+		}
+	}
+	return out
+}
+
+// containsAll reports whether all contains each of some keys.
+func containsAll[T comparable](all, some []T) bool {
+	for _, k := range some {
+		if !slices.Contains(all, k) {
+			return false
+		}
+	}
+	return true
+}
+
+// sortedKeys returns the keys in order, each once.
+func sortedKeys(keys []Key) []Key {
+	out := slices.Clone(keys)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,7 +25,8 @@
 	MaxOutputTokens int      // maximum length of the answer in tokens
 	LastEventID     string   // id of the event after which the stream resumes; empty: it begins at its start
 	VersionRequired bool     // only upstreams with the version that the caller names answer; others report OtherUpstream
-	Prompt          string   // what the head says of the prompt's content; the same in each repeat of a request
+	Model           string   // that is to answer
+	Prompt          string   // what the head says of the prompt's parts; the same in each repeat of a request
 	SharedParts     []string // ids of the parts of the prompt that other requests may share, in no order; empty: none, or not stated
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -86,27 +86,38 @@
 	if f := g.readBody(ctx, r); f != nil {
 		return r, f
 	}
-	r.keys = []quarantine.Key{r.contentKey()}
+	r.keys = r.quarantineKeys()
 	return r, nil
 }
 
+// quarantineKeys returns the keys by which the request is held back if it ends its upstreams: that of its content, and those of
+// the parts that its prompt shares with others.
+func (r *request) quarantineKeys() []quarantine.Key {
+	keys := make([]quarantine.Key, 0, 1+len(r.SharedParts))
+	keys = append(keys, r.contentKey())
+	for _, part := range r.SharedParts {
+		keys = append(keys, hashKey(nil, string(r.service), r.Model, part))
+	}
+	return keys
+}
+
 // contentKey returns the key of the request's content. It is the same for each attempt of the same request, whatever its
 // id, its time left and the event after which its stream resumes.
 func (r *request) contentKey() quarantine.Key {
+	return hashKey(r.body, string(r.service), string(r.workspace), r.method, string(r.head.Host()), string(r.head.RequestURI()), r.Model, r.Prompt)
+}
+
+// hashKey returns a hash of fields, which don't contain zero bytes, and of a body.
+func hashKey(body []byte, fields ...string) quarantine.Key {
 	h := xxhash.New()
-	for _, part := range []string{
-		string(r.service), string(r.workspace), r.method, string(r.head.Host()), string(r.head.RequestURI()), r.Prompt,
-	} {
-		_, _ = h.WriteString(part) // never fails
-		_, _ = h.Write(keySeparator)
+	for _, f := range fields {
+		_, _ = h.WriteString(f) // never fails
+		_, _ = h.Write([]byte{0})
 	}
-	_, _ = h.Write(r.body)
+	_, _ = h.Write(body)
 	return quarantine.Key(h.Sum64())
 }
 
-// keySeparator ends each part of a content but the body. Heads don't contain it.
-var keySeparator = []byte{0}
-
 // computeDeadline returns when the request must have ended.
 func (r *request) computeDeadline() time.Time {
 	timeout := defaultTimeout
--- a/internal/placement/convert.go
+++ b/internal/placement/convert.go
@@ -7,7 +7,6 @@
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/decide/dispatch"
-	"github.com/damaskshelf/damaskshelf/internal/decide/quarantine"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	"github.com/damaskshelf/damaskshelf/internal/gateway"
 	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
@@ -56,10 +55,7 @@
 		ID: jobID(instance, m.Id), Request: fleet.RequestID(m.Id), Instance: instance, Workspace: fleet.WorkspaceID(m.Workspace),
 		Priority: int(m.Priority), PromptTokens: int(m.Prompt), MaxOutputTokens: int(m.Output), Arrived: now.Add(-max(0, ms(m.WaitedMs))),
 		FirstEventDeadline: now.Add(ms(m.PatienceMs)), Deadline: now.Add(ms(m.DeadlineMs)),
-		MaxGap: ms(int64(m.MaxGapMs)), Attempt: int(m.Attempt), Resumed: m.Resumed, Avoid: upstreamIDs(m.Avoid),
-	}
-	for _, k := range m.Keys {
-		j.Keys = append(j.Keys, quarantine.Key(k))
+		MaxGap: ms(int64(m.MaxGapMs)), Attempt: int(m.Attempt), Resumed: m.Resumed, Avoid: upstreamIDs(m.Avoid), Keys: decodeKeys(m.Keys),
 	}
 	if m.Aimed {
 		j.FirstEventTarget = now.Add(ms(m.AimMs))
--- a/internal/placement/heldback.go
+++ b/internal/placement/heldback.go
@@ -67,8 +67,8 @@
 	return heldBackMessages(t.table, t.now())
 }
 
-// KeysHeldBack returns the number of keys whose requests are known to be held back.
-func (c *Client) KeysHeldBack() int { return int(c.heldBack.count.Load()) }
+// VerdictsInForce returns the number of verdicts by which requests are known to be held back.
+func (c *Client) VerdictsInForce() int { return int(c.heldBack.count.Load()) }
 
 // heldBackFault returns the refusal of a request that is held back for some time.
 func heldBackFault(left time.Duration) *fault.Error {
@@ -88,8 +88,12 @@
 
 // heldBackMessage converts a verdict that is sent at now.
 func heldBackMessage(v quarantine.Verdict, now decide.Instant) *pb.HeldBack {
+	keys := make([]uint64, len(v.Keys))
+	for i, k := range v.Keys {
+		keys[i] = uint64(k)
+	}
 	return &pb.HeldBack{
-		Key: uint64(v.Key), Ends: toInt32(int64(v.Ends)), Tries: toInt32(int64(v.Tries)), SinceMs: now.Sub(v.Since).Milliseconds(),
+		Keys: keys, Ends: toInt32(int64(v.Ends)), Tries: toInt32(int64(v.Tries)), SinceMs: now.Sub(v.Since).Milliseconds(),
 		LeftMs: v.Until.Sub(now).Milliseconds(), ChangedMs: now.Sub(v.ChangedAt).Milliseconds(), Freed: v.Freed,
 	}
 }
@@ -97,11 +101,20 @@
 // decodeHeldBack converts a message that arrived now.
 func decodeHeldBack(m *pb.HeldBack, now decide.Instant) quarantine.Verdict {
 	return quarantine.Verdict{
-		Key: quarantine.Key(m.Key), Ends: int(m.Ends), Tries: int(m.Tries), Since: now.Add(-ms(m.SinceMs)),
+		Keys: decodeKeys(m.Keys), Ends: int(m.Ends), Tries: int(m.Tries), Since: now.Add(-ms(m.SinceMs)),
 		Until: now.Add(ms(m.LeftMs)), ChangedAt: now.Add(-max(0, ms(m.ChangedMs))), Freed: m.Freed,
 	}
 }
 
+// decodeKeys converts the keys of a message.
+func decodeKeys(all []uint64) []quarantine.Key {
+	out := make([]quarantine.Key, len(all))
+	for i, k := range all {
+		out[i] = quarantine.Key(k)
+	}
+	return out
+}
+
 // applyHeldBack records the verdicts that an instance knows, and broadcasts those that are new here; mu is held.
 func (h *hub) applyHeldBack(now decide.Instant, all []*pb.HeldBack) {
 	var added []*pb.HeldBack
@@ -125,9 +138,9 @@
 	for _, v := range changed {
 		m.HeldBack = append(m.HeldBack, heldBackMessage(v, now))
 		if v.Freed {
-			h.log.Info("requests are no longer held back", "key", v.Key, "ends", v.Ends, "tries", v.Tries, "for_ms", now.Sub(v.Since).Milliseconds())
+			h.log.Info("requests are no longer held back", "keys", v.Keys, "ends", v.Ends, "tries", v.Tries, "for_ms", now.Sub(v.Since).Milliseconds())
 		} else {
-			h.log.Warn("requests are held back: upstreams end when they answer them", "key", v.Key, "ends", v.Ends, "tries", v.Tries,
+			h.log.Warn("requests are held back: upstreams end when they answer them", "keys", v.Keys, "ends", v.Ends, "tries", v.Tries,
 				"left_ms", v.Until.Sub(now).Milliseconds())
 		}
 	}
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -340,8 +340,8 @@
 // LimitsInForce returns the number of upstreams' rate limits that this instance treats as in force.
 func (n *Node) LimitsInForce() int { return n.parts.Placer.LimitsInForce() }
 
-// KeysHeldBack returns the number of keys whose requests this instance holds back.
-func (n *Node) KeysHeldBack() int { return n.parts.Placer.KeysHeldBack() }
+// VerdictsInForce returns the number of verdicts by which this instance holds requests back.
+func (n *Node) VerdictsInForce() int { return n.parts.Placer.VerdictsInForce() }
 
 // Name returns the instance's id.
 func (n *Node) Name() string { return string(n.self.ID) }
--- a/internal/routed/status.go
+++ b/internal/routed/status.go
@@ -55,7 +55,7 @@
 		}
 		m.Gauge("upstreams_held_off").Update(int64(p.HoldOffCount()))
 		m.Gauge("upstreams_limited").Update(int64(p.LimitsInForce()))
-		m.Gauge("keys_held_back").Update(int64(p.KeysHeldBack()))
+		m.Gauge("verdicts_held_back").Update(int64(p.VerdictsInForce()))
 		httpanswer.OK(ctx, m.Text())
 	})
 	return &statusServer{
