Plain answers are counted before they are read, so that many without an end leave memory

Cause: a plain answer was read up to 16 MiB first and counted then. It is counted in steps before it is read, without a bound up to 1 MiB, which an answer that is ready doesn't exceed here, and within the limit beyond; one whose stated length is over 16 MiB isn't read at all. For want of room nobody is blamed.

--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -81,11 +81,24 @@
 
 // readChunkedBody reads a body of unknown length.
 func (g *Gateway) readChunkedBody(stream io.Reader, r *request) ([]byte, error) {
+	body, err := readInSteps(stream, chunkedStep, g.deps.Limits.MaxBodyBytes, func(step int64) bool { return g.hold(r, step) })
+	if errors.Is(err, errTooLong) {
+		err = fasthttp.ErrBodyTooLarge
+	}
+	return body, err
+}
+
+// errTooLong reports that a body exceeds its limit.
+var errTooLong = errors.New("body is too long")
+
+// readInSteps reads a body of at most limit bytes. It calls hold before it reads more bytes than it has announced so far, first
+// with firstStep, and returns errNoRoom if hold returns false.
+func readInSteps(stream io.Reader, firstStep, limit int, hold func(step int64) bool) ([]byte, error) {
 	var body []byte
 	for {
 		if len(body) == cap(body) {
-			step := max(chunkedStep, len(body))
-			if !g.hold(r, int64(step)) {
+			step := max(firstStep, len(body))
+			if !hold(int64(step)) {
 				return nil, errNoRoom
 			}
 			grown := make([]byte, len(body), len(body)+step)
@@ -95,8 +108,8 @@
 		n, err := stream.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
-		case len(body) > g.deps.Limits.MaxBodyBytes:
-			return nil, fasthttp.ErrBodyTooLarge
+		case len(body) > limit:
+			return nil, errTooLong
 		case err == io.EOF:
 			return body, nil
 		case err != nil:
@@ -114,16 +127,39 @@
 	return true
 }
 
-// readPlainAnswer reads an answer that is buffered until it is complete. Its bytes are counted until the request ends,
-// also over the limit: an answer that is ready is delivered, and new requests are refused instead.
+// maxFreeAnswerBytes is the length up to which an answer is read even if the instance holds as many bytes as it may: an answer
+// that is ready is delivered, and new requests are refused instead. What exceeds it may be bytes without end.
+const maxFreeAnswerBytes = 1 << 20
+
+// answerStep is how many bytes of an answer of unknown length are counted first.
+const answerStep = 4 << 10
+
+// readPlainAnswer reads an answer that is buffered until it is complete. Its bytes are counted, before they are read, until the
+// request ends.
 func (l *lifecycle) readPlainAnswer() ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(watchedBody{l}, maxPlainBytes+1))
-	if err == nil && len(body) > maxPlainBytes {
-		return nil, fmt.Errorf("answer is over %d bytes", maxPlainBytes)
+	if n := l.exchange.Head.ContentLength(); n > maxPlainBytes && l.r.method != fasthttp.MethodHead {
+		return nil, fmt.Errorf("answer of %d bytes: at most %d are allowed: %w", n, maxPlainBytes, errTooLong)
 	}
-	l.g.held.add(int64(len(body)))
-	l.r.held += int64(len(body))
-	return body, err
+	held, firstStep := int64(0), answerStep
+	if n := l.exchange.Head.ContentLength(); n >= 0 {
+		firstStep = min(n+1, chunkedStep) // one more, so that the end is found without another step
+	}
+	body, err := readInSteps(watchedBody{l}, firstStep, maxPlainBytes, func(step int64) bool {
+		if held+step > maxFreeAnswerBytes && !l.g.held.acquire(step) {
+			return false
+		}
+		if held+step <= maxFreeAnswerBytes {
+			l.g.held.add(step)
+		}
+		held += step
+		return true
+	})
+	if err != nil {
+		l.g.held.add(-held)
+		return nil, err
+	}
+	l.r.held += held
+	return body, nil
 }
 
 // maxRawBody is the length in bytes up to which a plain answer's count may end before the caller has read the answer.
@@ -136,7 +172,7 @@
 		ctx.Response.SetBodyRaw(body)
 		return
 	}
-	n := int64(len(body))
+	n := int64(cap(body))
 	l.r.held -= n
 	ctx.Response.SetBodyStream(&heldBody{Reader: bytes.NewReader(body), release: func() { l.g.held.add(-n) }}, len(body))
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -80,6 +80,9 @@
 func (l *lifecycle) endBrokenAnswer(err error) *failure {
 	f := &failure{outcome: Failed, ran: fault.RunYes, cause: err, framing: l.exchange.Framing}
 	l.classify(f)
+	if errors.Is(err, errNoRoom) {
+		f.outcome, f.noRetry = Abandoned, "this instance holds as many bytes as it may"
+	}
 	l.checkPath(f, l.exchange.Via)
 	l.checkEnded(f)
 	l.closeExchange(f)
