A test of the dispatcher that assumed short steps

Cause: a hub whose last step took over 1 ms, as when it is preempted, leaves the next step to its loop (hub.run), which the test doesn't run; the product's does.

--- a/internal/placement/timeout_test.go
+++ b/internal/placement/timeout_test.go
@@ -232,6 +232,9 @@
 	for i := range 6 {
 		h.receive("e", out, &pb.FromEntry{Asks: []*pb.Ask{{Id: fmt.Sprint("r", i), Service: "s", PatienceMs: 5000, DeadlineMs: 5000}}})
 	}
+	h.mu.Lock()
+	h.step(h.now()) // receive leaves it to run if the step before took long, as beside load
+	h.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	var placed []string
