A request that failed shortly before its upstream ended may be the cause

What callers saw: a worker that resets the connection of the request that ends it 10 ms before its process ends kept ending, 49 times in 8 s. Cause: the instance's check found that the worker still accepted connections, so that its end counted for the innocent requests beside it only.

The dispatcher remembers for 2 s which requests failed on which process, and counts them once the end is known from others, or once a connection is refused.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -191,6 +191,7 @@
 	Full                         // the upstream reported that it has no capacity left
 	PathLost                     // the instance's own path to the upstream failed, while other instances reach it
 	Served                       // answered completely
+	Refused                      // the upstream refused the connection
 	UpstreamEnded                // the upstream's process ended before the answer had gone on for quarantine.ProvenAfter
 )
 
@@ -208,15 +209,21 @@
 	case Served:
 		s.quarantine.Served(now, id)
 	case UpstreamEnded:
-		s.quarantine.Ended(now, id, fleet.Process{ID: r.engine.ID, StartTime: r.engine.StartTime})
+		s.quarantine.Ended(now, id, r.engine.process())
 		faulty.recordFailure(now)
 	case Failed:
+		if !r.proven(now) {
+			s.quarantine.Failed(now, id, r.engine.process())
+		}
 		faulty.recordFailure(now)
 		if faulty != r.engine && !r.hasReservationOn(faulty) { // an engine with a reservation may only lack its ticket
 			faulty.recordHelpRefusal(now)
 		}
 	case Full:
 		faulty.fullUntil = now.Add(fullHoldoff)
+	case Refused:
+		s.quarantine.Gone(now, r.engine.process())
+		s.recordPathFailure(now, r.job, faulty, true)
 	case Unreachable:
 		s.recordPathFailure(now, r.job, faulty, true)
 	case PathLost:
--- a/internal/decide/dispatch/runs.go
+++ b/internal/decide/dispatch/runs.go
@@ -60,6 +60,9 @@
 	lastUnreachable map[fleet.DomainID]pathFailure
 }
 
+// process returns the process of the upstream that the engine stands for.
+func (e *engine) process() fleet.Process { return fleet.Process{ID: e.ID, StartTime: e.StartTime} }
+
 // addPrefill adds the prefill of a run, in even parts, to the pending time of its engines.
 func (s *State) addPrefill(r *run) {
 	s.prefilling[r] = true
--- a/internal/decide/quarantine/ends.go
+++ b/internal/decide/quarantine/ends.go
@@ -25,10 +25,8 @@
 
 // record returns the end of a process, and adds it if it is reported for the first time.
 func (es *recentEnds) record(now decide.Instant, p fleet.Process) *end {
-	for _, e := range *es {
-		if e.process == p {
-			return e
-		}
+	if e := es.find(p); e != nil {
+		return e
 	}
 	if len(*es) >= maxRecentEnds {
 		*es = slices.Delete(*es, 0, 1)
@@ -38,6 +36,16 @@
 	return e
 }
 
+// find returns the end of a process, nil if none was reported.
+func (es *recentEnds) find(p fleet.Process) *end {
+	for _, e := range *es {
+		if e.process == p {
+			return e
+		}
+	}
+	return nil
+}
+
 // byThemselves returns how many other upstreams have ended by themselves since the first of some ends.
 func (es recentEnds) byThemselves(some []*end) int {
 	n := 0
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -64,6 +64,7 @@
 	suspects map[Key]*suspect
 	answered answeredKeys
 	ended    recentEnds
+	failed   []failedRun // the latest last
 	verdicts verdicts
 	changed  []Verdict
 }
@@ -206,6 +207,12 @@
 	}
 	t.Done(id)
 	e := t.ended.record(now, upstream)
+	t.blame(now, r, e)
+	t.blameFailed(now, upstream, e)
+}
+
+// blame records that a request may be the cause of an upstream's end, unless a verdict explains it.
+func (t *Table) blame(now decide.Instant, r *run, e *end) {
 	e.explained = e.explained || t.prolong(now, r)
 	if e.explained {
 		return
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -289,6 +289,43 @@
 	is.Equal(suspects, 0)
 }
 
+// Guards against an upstream that closes the connection of the request that ends it some time before it ends: its end is known
+// from another request, or because it refuses connections.
+func TestRequestThatFailedBeforeItsUpstreamEndedIsACause(t *testing.T) {
+	is := is.New(t)
+	for _, report := range []func(p *play, u fleet.Process){
+		func(p *play, u fleet.Process) { p.Ended(p.now, p.send(p.content(), partA), u) },
+		func(p *play, u fleet.Process) { p.Gone(p.now, u) },
+	} {
+		p := newPlay()
+		p.serve(partA)
+		for range MaxEnds {
+			u := fleet.Process{ID: "u", StartTime: int64(p.sent)}
+			p.Failed(p.now, p.send(p.content(), partA, badPart), u)
+			p.pass(50 * time.Millisecond)
+			report(p, u)
+			p.pass(settleTime)
+		}
+		is.True(!p.free(badPart))
+		is.True(p.free(partA))
+	}
+}
+
+// Guards against failures that count as ends: an upstream that goes on, or that ends much later.
+func TestFailureAloneIsNoEnd(t *testing.T) {
+	is := is.New(t)
+	p := newPlay()
+	for range 3 * MaxEnds {
+		u := fleet.Process{ID: "u", StartTime: int64(p.sent)}
+		p.Failed(p.now, p.send(p.content(), partA), u)
+		p.pass(failedRetention + time.Millisecond)
+		p.Gone(p.now, u)
+		p.pass(settleTime)
+	}
+	suspects, heldBack := p.Size()
+	is.Equal(suspects+heldBack, 0)
+}
+
 // Guards against memory that grows with what callers draw.
 func TestTableIsBounded(t *testing.T) {
 	is := is.New(t)
@@ -303,6 +340,11 @@
 	}
 	is.Equal(len(p.Verdicts()), maxVerdicts)
 	is.Equal(len(p.runs)+len(p.writing), 0)
+	is.True(len(p.ended) <= maxRecentEnds)
+	for k := range Key(2 * maxFailed) {
+		p.Failed(p.now, p.send(k), fleet.Process{})
+	}
+	is.Equal(len(p.failed), maxFailed)
 }
 
 // For any order of steps: no request is sent while its key is held back, and no key is held back whose requests are answered
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -135,12 +135,13 @@
 	Abandoned                    // the caller went away or the time ran out
 	Replaced                     // another upstream has the address, or the version is not the required one
 	PathLost                     // this instance's path to the upstream failed, while other instances reach the upstream
+	Refused                      // the upstream refused the connection
 	UpstreamEnded                // the upstream's process ended before the answer had gone on for quarantine.ProvenAfter
 )
 
 // String returns the outcome as it appears in log lines.
 func (o Outcome) String() string {
-	return [...]string{"served", "unsent", "unreachable", "rejected", "failed", "left", "replaced", "path_lost", "upstream_ended"}[o]
+	return [...]string{"served", "unsent", "unreachable", "rejected", "failed", "left", "replaced", "path_lost", "refused", "upstream_ended"}[o]
 }
 
 // Placer grants upstreams to requests. Place blocks while the request waits for an upstream. It returns a *fault.Error
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -246,6 +247,9 @@
 	f := &failure{outcome: Failed, ran: fault.RunUnknown, cause: err}
 	if errors.As(err, &ce) && !ce.Sent {
 		f.ran, f.outcome = fault.RunNo, Unreachable
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			f.outcome = Refused
+		}
 		if upstream.IsShortage(err) {
 			f.outcome, f.noRetry = NotSent, "this instance can't open connections now"
 		}
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -308,6 +308,8 @@
 // dispatchOutcome converts how a request's use of its place ended.
 func dispatchOutcome(e *pb.Ended) dispatch.Outcome {
 	switch {
+	case e.UpstreamEnded && e.How == pb.Ended_UNREACHABLE:
+		return dispatch.Refused
 	case e.UpstreamEnded:
 		return dispatch.UpstreamEnded
 	case e.Served:
