--- a/test/soak/streams_test.go
+++ b/test/soak/streams_test.go
@@ -373,6 +373,9 @@
 		switch again, sound := r.sentAgain(o.id); {
 		case sound:
 			counts.twice++
+			if counts.twice <= maxLoggedWays {
+				r.t.Logf("%s was sent twice:\n%s", o.id, r.linesOf(o.id))
+			}
 		case again:
 			counts.workerSlow++
 		}
@@ -409,6 +412,30 @@
 	r.checkLogs()
 }
 
+// maxLoggedWays bounds the requests whose lines are logged.
+const maxLoggedWays = 3
+
+// linesOf returns the lines that the daemons wrote of a request.
+func (r *streamRun) linesOf(id string) string {
+	var lines []string
+	files, err := filepath.Glob(filepath.Join(filepath.Dir(r.daemons[0].logFile.Name()), "*.log"))
+	if err != nil {
+		r.t.Error(err)
+	}
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			r.t.Error(err)
+		}
+		for line := range strings.Lines(string(raw)) {
+			if strings.Contains(line, "subject="+id+" ") {
+				lines = append(lines, line)
+			}
+		}
+	}
+	return strings.Join(lines, "")
+}
+
 // checkLogs reports panics and data races in what the daemons wrote.
 func (r *streamRun) checkLogs() {
 	for _, d := range r.daemons {
