Quarantine: what is worth nothing goes, and no search grows with the square of the requests

The list of answers that have begun was searched for each one, and all requests on their way for each content that became suspect: both would delay a dispatcher at 77,000 requests a second.

--- a/internal/decide/quarantine/cause.go
+++ b/internal/decide/quarantine/cause.go
@@ -16,39 +16,27 @@
 
 // settle decides whether the end of an upstream shows the cause of this one and of earlier ones.
 func (t *Table) settle(now decide.Instant, e *end) {
-	e.settled, e.byItself = true, !t.hasUnknownPart(e)
+	e.settled = true
 	var causes [][]Key
 	for _, r := range e.requests {
-		causes = append(causes, t.causes(r, e)...)
+		causes = append(causes, t.causes(r)...)
 	}
 	for _, cause := range causes {
 		t.hold(now, cause)
 	}
 }
 
-// hasUnknownPart reports whether a request on an upstream that ended bore a part that no answered request bears.
-func (t *Table) hasUnknownPart(e *end) bool {
-	for _, r := range e.requests {
-		for _, k := range r.keys[1:] {
-			if !t.answered.has(k) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // causes returns the sets of keys of a request that explain its upstream's end and earlier ones. Keys that no answered request
 // bears explain more than others.
-func (t *Table) causes(r *run, e *end) [][]Key {
+func (t *Table) causes(r *run) [][]Key {
 	var unknown, answered [][]Key
 	for _, k := range r.keys {
 		s := t.suspects[k]
 		switch {
-		case s == nil || s.rounds < t.endsNeeded(k, s):
+		case s == nil || s.rounds < t.answered.endsNeeded(k):
 		case t.answered.has(k):
 			answered = append(answered, []Key{k})
-		case s.rounds >= maxEndsExplained || !t.explainedByOthers(k, s) && !t.explainedBeside(k, s, e):
+		case s.rounds >= maxEndsExplained || !t.explainedByOthers(k, s):
 			unknown = append(unknown, t.withSameEnds(r, s))
 		}
 	}
@@ -58,23 +46,6 @@
 	return answered
 }
 
-// explainedBeside reports whether a part of other requests on the upstream that ended explains all ends under a key. An innocent
-// request may be on the same upstreams as bad ones several times.
-func (t *Table) explainedBeside(k Key, s *suspect, e *end) bool {
-	for _, r := range e.requests {
-		if slices.Contains(r.keys, k) {
-			continue
-		}
-		for _, beside := range r.keys {
-			o := t.suspects[beside]
-			if o != nil && !o.wholeContent && !t.answered.has(beside) && containsAll(o.ends, s.ends) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // withSameEnds returns the keys of a request that no end tells apart from a suspect, and that no answered request bears. They are
 // one cause together: requests that bear only some of them may be sound.
 func (t *Table) withSameEnds(r *run, s *suspect) (same []Key) {
--- a/internal/decide/quarantine/ends.go
+++ b/internal/decide/quarantine/ends.go
@@ -16,7 +16,6 @@
 	at        decide.Instant // when it was first reported
 	explained bool           // a verdict explains it
 	settled   bool           // the reports on it are in
-	byItself  bool           // no request of the upstream bore a part that could be the cause; valid if it is settled
 	requests  []*run         // those that the upstream held and that may be the cause
 }
 
@@ -45,14 +44,3 @@
 	}
 	return nil
 }
-
-// byThemselves returns how many other upstreams have ended by themselves since the first of some ends.
-func (es recentEnds) byThemselves(some []*end) int {
-	n := 0
-	for _, e := range es {
-		if e.byItself && e.at >= some[0].at && !slices.Contains(some, e) {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	// MaxEnds is the number of upstreams that may end, one after the other, under requests with one key while no others end.
+	// MaxEnds is the number of upstreams that may end, one after the other, under requests with one key.
 	MaxEnds = 3
 	// maxEndsAnswered is the same for a key that requests bore which were answered a while ago. Others that are sent beside
 	// them may be the cause, and of those every key is usually new.
@@ -74,7 +74,8 @@
 	id        fleet.RequestID
 	keys      []Key // the first one stands for the whole content
 	startedAt decide.Instant
-	firstAt   decide.Instant // of the first event; valid if the run is in Table.writing
+	writing   bool           // the first event has arrived
+	firstAt   decide.Instant // of the first event; valid if writing is set
 	done      bool
 }
 
@@ -148,8 +149,8 @@
 
 // Began records that the first event of a request's answer arrived.
 func (t *Table) Began(now decide.Instant, id fleet.RequestID) {
-	if r := t.runs[id]; r != nil && !slices.Contains(t.writing, r) {
-		r.firstAt = now
+	if r := t.runs[id]; r != nil && !r.writing {
+		r.writing, r.firstAt = true, now
 		t.writing = append(t.writing, r)
 	}
 }
--- a/internal/decide/quarantine/suspect.go
+++ b/internal/decide/quarantine/suspect.go
@@ -41,8 +41,7 @@
 func (t *Table) charge(now decide.Instant, k Key, r *run, e *end) {
 	s := t.suspects[k]
 	if s == nil || now.Sub(s.lastEnd) > suspectRetention {
-		s = t.addSuspect(k)
-		s.wholeContent = k == r.keys[0]
+		s = t.addSuspect(k, k == r.keys[0])
 	}
 	if slices.Contains(s.ends, e) || len(s.ends) >= maxEndsKept {
 		return
@@ -53,28 +52,22 @@
 	}
 }
 
-// endsNeeded returns how many ends one after the other, under requests with a key, hold them back. The more upstreams end by
-// themselves meanwhile, the likelier it is that these did.
-func (t *Table) endsNeeded(k Key, s *suspect) int {
-	needed := MaxEnds
-	if t.answered.has(k) {
-		needed = maxEndsAnswered
-	}
-	return min(needed+t.ended.byThemselves(s.ends)/2, 2*needed)
-}
-
-// addSuspect makes a key suspect. Requests with the key that are on their way are unproven.
-func (t *Table) addSuspect(k Key) *suspect {
+// addSuspect makes a key suspect. Requests with the key that are on their way are unproven. Of a whole content there is rarely
+// another one, and a search for it among all requests would delay the dispatcher.
+func (t *Table) addSuspect(k Key, wholeContent bool) *suspect {
 	if len(t.suspects) >= maxSuspects {
 		t.evictSuspect()
 	}
-	s := &suspect{unproven: map[fleet.RequestID]bool{}}
+	s := &suspect{unproven: map[fleet.RequestID]bool{}, wholeContent: wholeContent}
+	t.suspects[k] = s
+	if wholeContent {
+		return s
+	}
 	for id, r := range t.runs {
 		if slices.Contains(r.keys, k) {
 			s.unproven[id], s.lastSent = true, max(s.lastSent, r.startedAt)
 		}
 	}
-	t.suspects[k] = s
 	return s
 }
 
@@ -110,6 +103,14 @@
 // has reports whether requests with the key were answered lately.
 func (a *answeredKeys) has(k Key) bool { return a.newer[k] || a.older[k] }
 
+// endsNeeded returns how many ends one after the other, under requests with a key, hold them back.
+func (a *answeredKeys) endsNeeded(k Key) int {
+	if a.has(k) {
+		return maxEndsAnswered
+	}
+	return MaxEnds
+}
+
 // tolerance returns the number of ends under requests with a key up to which the next one needn't wait for the outcome of the
 // one before.
 func (a *answeredKeys) tolerance(k Key) int {
--- a/internal/decide/quarantine/verdict.go
+++ b/internal/decide/quarantine/verdict.go
@@ -146,7 +146,7 @@
 }
 
 // containsAll reports whether all contains each of some keys.
-func containsAll[T comparable](all, some []T) bool {
+func containsAll(all, some []Key) bool {
 	for _, k := range some {
 		if !slices.Contains(all, k) {
 			return false
