Quarantine: a test that reports on one end are awaited

Without settleTime, which no test saw go, a shared part is held back alone if the report on a request without the bad part arrives first. The test fails without it.

--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -289,6 +289,24 @@
 	is.Equal(suspects, 0)
 }
 
+// Guards against a shared part that is held back because the report on a request without the bad part arrives first.
+func TestReportsOnOneEndAreAwaited(t *testing.T) {
+	is := is.New(t)
+	p := newPlay()
+	for range MaxEnds - 1 {
+		p.endOnce(partA, badPart)
+	}
+	sound, bad := p.send(p.content(), partA), p.send(p.content(), partA, badPart)
+	u := fleet.Process{ID: "u"}
+	p.pass(10 * time.Millisecond)
+	p.Ended(p.now, sound, u)
+	p.pass(settleTime / 2)
+	p.Ended(p.now, bad, u)
+	p.pass(settleTime)
+	is.True(p.free(partA))
+	is.True(!p.free(partA, badPart))
+}
+
 // Guards against an upstream that closes the connection of the request that ends it some time before it ends: its end is known
 // from another request, or because it refuses connections.
 func TestRequestThatFailedBeforeItsUpstreamEndedIsACause(t *testing.T) {
