Quarantine: a cause is sought among all requests on the upstream that ended

The keys that no end tells apart are those of the request with most of them. The hash of a request's content no longer allocates.

--- a/internal/decide/quarantine/cause.go
+++ b/internal/decide/quarantine/cause.go
@@ -19,7 +19,7 @@
 	e.settled = true
 	var causes [][]Key
 	for _, r := range e.requests {
-		causes = append(causes, t.causes(r)...)
+		causes = append(causes, t.causes(r, e)...)
 	}
 	for _, cause := range causes {
 		t.hold(now, cause)
@@ -28,7 +28,7 @@
 
 // causes returns the sets of keys of a request that explain its upstream's end and earlier ones. Keys that no answered request
 // bears explain more than others.
-func (t *Table) causes(r *run) [][]Key {
+func (t *Table) causes(r *run, e *end) [][]Key {
 	var unknown, answered [][]Key
 	for _, k := range r.keys {
 		s := t.suspects[k]
@@ -37,7 +37,7 @@
 		case t.answered.has(k):
 			answered = append(answered, []Key{k})
 		case s.rounds >= maxEndsExplained || !t.explainedByOthers(k, s):
-			unknown = append(unknown, t.withSameEnds(r, s))
+			unknown = append(unknown, t.withSameEnds(k, s, e))
 		}
 	}
 	if len(unknown) > 0 {
@@ -46,15 +46,24 @@
 	return answered
 }
 
-// withSameEnds returns the keys of a request that no end tells apart from a suspect, and that no answered request bears. They are
-// one cause together: requests that bear only some of them may be sound.
-func (t *Table) withSameEnds(r *run, s *suspect) (same []Key) {
-	for _, k := range r.keys {
-		if o := t.suspects[k]; o != nil && !t.answered.has(k) && slices.Equal(o.ends, s.ends) {
-			same = append(same, k)
+// withSameEnds returns the keys that no end tells apart from a suspect, and that no answered request bears, of the request on
+// an upstream which has most of them. They are one cause together: requests that bear only some of them may be sound.
+func (t *Table) withSameEnds(k Key, s *suspect, e *end) (most []Key) {
+	for _, r := range e.requests {
+		if !slices.Contains(r.keys, k) {
+			continue
+		}
+		var same []Key
+		for _, beside := range r.keys {
+			if o := t.suspects[beside]; o != nil && !t.answered.has(beside) && slices.Equal(o.ends, s.ends) {
+				same = append(same, beside)
+			}
+		}
+		if len(same) > len(most) {
+			most = same
 		}
 	}
-	return same
+	return most
 }
 
 // explainedByOthers reports whether parts that stood beside a key in fewer of its ends, several times each, explain nearly all of
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -109,10 +109,11 @@
 
 // hashKey returns a hash of fields, which don't contain zero bytes, and of a body.
 func hashKey(body []byte, fields ...string) quarantine.Key {
-	h := xxhash.New()
+	var h xxhash.Digest
+	h.Reset()
 	for _, f := range fields {
 		_, _ = h.WriteString(f) // never fails
-		_, _ = h.Write([]byte{0})
+		_, _ = h.WriteString("\x00")
 	}
 	_, _ = h.Write(body)
 	return quarantine.Key(h.Sum64())
