--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -268,6 +268,28 @@
 	is.True(!p.free(partA))
 }
 
+// Guards against answers that began before a part became bad, and that end later: they say nothing of it.
+func TestAnswerThatBeganBeforeAnEndClearsNothing(t *testing.T) {
+	is := is.New(t)
+	p := newPlay()
+	var open []fleet.RequestID
+	for range 3 * maxEndsAnswered {
+		id := p.send(p.content(), partA)
+		p.Began(p.now, id)
+		open = append(open, id)
+	}
+	p.pass(ProvenAfter / 2)
+	for i := range maxEndsAnswered {
+		is.True(p.free(partA))
+		p.end(p.content(), partA)
+		p.pass(ProvenAfter)
+		p.Served(p.now, open[i])
+	}
+	is.True(!p.free(partA))
+	p.Served(p.now, open[len(open)-1])
+	is.True(!p.free(partA))
+}
+
 // Guards against innocent requests that count as the cause because their upstream ended under another one.
 func TestEndsThatAreExplainedCountForNobodyElse(t *testing.T) {
 	is := is.New(t)
