Read once more: one shared check of an upstream, one conversion of keys, no accessor for tests

Behaviour stays as it is; no bound, check or expectation of a test has changed.

- upstream: the check whether a path is lost shared its result among callers by a map, a channel and a mutex; the new one, whether an address refuses, by singleflight.
Both go through shareCheck.
- placement: keys were converted to numbers in two loops; keyNumbers.
- quarantine: a run's id was written and never read.
Each step looked at all of the last 256 ends; only those at the end of the list can be unsettled.
- gateway: two conditions on the same bound in readPlainAnswer are one.
- routed: Node.Name existed for two tests, which asked for the dispatcher in the same words; the tests' fleet knows its names.
- Three comments reworded.

--- a/internal/decide/quarantine/ends.go
+++ b/internal/decide/quarantine/ends.go
@@ -35,6 +35,15 @@
 	return e
 }
 
+// unsettled returns the ends whose reports are not known to be in. They are the latest ones, as ends settle in their order.
+func (es recentEnds) unsettled() recentEnds {
+	first := len(es)
+	for first > 0 && !es[first-1].settled {
+		first--
+	}
+	return es[first:]
+}
+
 // find returns the end of a process, nil if none was reported.
 func (es *recentEnds) find(p fleet.Process) *end {
 	for _, e := range *es {
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -20,8 +20,8 @@
 const (
 	// MaxEnds is the number of upstreams that may end, one after the other, under requests with one key.
 	MaxEnds = 3
-	// maxEndsAnswered is the same for a key that requests bore which were answered a while ago. Others that are sent beside
-	// them may be the cause, and of those every key is usually new.
+	// maxEndsAnswered is the same for a key of requests that were answered a while ago: another key beside it is likelier to be
+	// the cause.
 	maxEndsAnswered = 2 * MaxEnds
 	// ProvenAfter is how long after the first event of its answer a request counts as one that its upstream survives. A
 	// process that ends while it begins to write needs some ms for it, and its connections close after that.
@@ -71,7 +71,6 @@
 
 // run is a request on its way.
 type run struct {
-	id        fleet.RequestID
 	keys      []Key // the first one stands for the whole content
 	startedAt decide.Instant
 	writing   bool           // the first event has arrived
@@ -136,7 +135,7 @@
 	if len(keys) == 0 {
 		return
 	}
-	r := &run{id: id, keys: bounded(keys), startedAt: now}
+	r := &run{keys: bounded(keys), startedAt: now}
 	t.runs[id] = r
 	for _, v := range t.verdicts.on(r.keys) {
 		v.tryID, v.triedAt = id, now
@@ -167,8 +166,8 @@
 		n++
 	}
 	t.writing = slices.Delete(t.writing, 0, n)
-	for _, e := range t.ended {
-		if !e.settled && now.Sub(e.at) >= settleTime {
+	for _, e := range t.ended.unsettled() {
+		if now.Sub(e.at) >= settleTime {
 			t.settle(now, e)
 		}
 	}
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -145,11 +145,10 @@
 		firstStep = min(n+1, chunkedStep) // one more, so that the end is found without another step
 	}
 	body, err := readInSteps(watchedBody{l}, firstStep, maxPlainBytes, func(step int64) bool {
-		if held+step > maxFreeAnswerBytes && !l.g.held.acquire(step) {
-			return false
-		}
 		if held+step <= maxFreeAnswerBytes {
 			l.g.held.add(step)
+		} else if !l.g.held.acquire(step) {
+			return false
 		}
 		held += step
 		return true
--- a/internal/placement/convert.go
+++ b/internal/placement/convert.go
@@ -20,7 +20,7 @@
 		Id: string(a.ID), Service: string(a.Service), Workspace: string(a.Workspace),
 		Priority: toInt32(int64(a.Priority)), Prompt: toInt32(int64(a.PromptTokens)), Output: toInt32(int64(a.MaxOutputTokens)),
 		WaitedMs: (a.Waited + since).Milliseconds(), PatienceMs: (a.FirstEventTimeout - since).Milliseconds(),
-		DeadlineMs: (a.TimeLeft - since).Milliseconds(), MaxGapMs: toInt32(a.MaxGap.Milliseconds()), Attempt: toInt32(int64(a.Attempt)), Resumed: a.Resumed,
+		DeadlineMs: (a.TimeLeft - since).Milliseconds(), MaxGapMs: toInt32(a.MaxGap.Milliseconds()), Attempt: toInt32(int64(a.Attempt)), Resumed: a.Resumed, Keys: keyNumbers(a.Keys),
 	}
 	if a.HasTarget {
 		m.Aimed, m.AimMs = true, (a.TargetLeft - since).Milliseconds()
@@ -28,9 +28,6 @@
 	for _, id := range a.Avoid {
 		m.Avoid = append(m.Avoid, string(id))
 	}
-	for _, k := range a.Keys {
-		m.Keys = append(m.Keys, uint64(k))
-	}
 	return m
 }
 
--- a/internal/placement/heldback.go
+++ b/internal/placement/heldback.go
@@ -88,12 +88,8 @@
 
 // heldBackMessage converts a verdict that is sent at now.
 func heldBackMessage(v quarantine.Verdict, now decide.Instant) *pb.HeldBack {
-	keys := make([]uint64, len(v.Keys))
-	for i, k := range v.Keys {
-		keys[i] = uint64(k)
-	}
 	return &pb.HeldBack{
-		Keys: keys, Ends: toInt32(int64(v.Ends)), Tries: toInt32(int64(v.Tries)), SinceMs: now.Sub(v.Since).Milliseconds(),
+		Keys: keyNumbers(v.Keys), Ends: toInt32(int64(v.Ends)), Tries: toInt32(int64(v.Tries)), SinceMs: now.Sub(v.Since).Milliseconds(),
 		LeftMs: v.Until.Sub(now).Milliseconds(), ChangedMs: now.Sub(v.ChangedAt).Milliseconds(), Freed: v.Freed,
 	}
 }
@@ -106,6 +102,15 @@
 	}
 }
 
+// keyNumbers converts keys to numbers for a message.
+func keyNumbers(all []quarantine.Key) []uint64 {
+	out := make([]uint64, len(all))
+	for i, k := range all {
+		out[i] = uint64(k)
+	}
+	return out
+}
+
 // decodeKeys converts the keys of a message.
 func decodeKeys(all []uint64) []quarantine.Key {
 	out := make([]quarantine.Key, len(all))
--- a/internal/placement/relay.go
+++ b/internal/placement/relay.go
@@ -179,8 +179,8 @@
 	}
 }
 
-// relayAnnouncements sends the limits, departures and requests held back of a dispatcher's message to the instances that this one relays
-// for.
+// relayAnnouncements sends what a dispatcher's message says of limits, departures and requests held back to the instances that
+// this one relays for.
 func (c *Client) relayAnnouncements(m *pb.ToEntry) {
 	if len(m.Limits)+len(m.Departures)+len(m.HeldBack) == 0 {
 		return
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -343,9 +343,6 @@
 // VerdictsInForce returns the number of verdicts by which this instance holds requests back.
 func (n *Node) VerdictsInForce() int { return n.parts.Placer.VerdictsInForce() }
 
-// Name returns the instance's id.
-func (n *Node) Name() string { return string(n.self.ID) }
-
 // Snapshot returns the instance's current snapshot of the fleet.
 func (n *Node) Snapshot() *catalog.Snapshot { return n.parts.Follower.Snapshot() }
 
--- a/internal/upstream/ended.go
+++ b/internal/upstream/ended.go
@@ -23,21 +23,24 @@
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// refusalChecks are the checks under way of whether addresses refuse connections. Many answers of one upstream break off
-// at one moment, and one check serves all of them.
-type refusalChecks struct{ group singleflight.Group }
-
 // Refuses reports whether addr refuses connections over this instance's own path. After an answer that broke off, this shows
 // that the upstream's process has ended; if addr accepts connections, only the answer broke off.
 func (c *Client) Refuses(ctx context.Context, addr string) bool {
-	result := c.pool.paths.refusals.group.DoChan(addr, func() (any, error) {
-		defer crash.Report("check for an ended upstream")
-		return c.pool.paths.refuses(addr), nil
+	p := c.pool.paths
+	return shareCheck(ctx, &p.refusalChecks, addr, p.refuses)
+}
+
+// shareCheck returns the result of check for an address, or false if ctx ends before. Calls for one address at one moment share
+// a check: many answers of one upstream break off together.
+func shareCheck(ctx context.Context, checks *singleflight.Group, addr string, check func(addr string) bool) bool {
+	result := checks.DoChan(addr, func() (any, error) {
+		defer crash.Report("check of an upstream")
+		return check(addr), nil
 	})
 	select {
 	case r := <-result:
-		refused, _ := r.Val.(bool)
-		return refused
+		ok, _ := r.Val.(bool)
+		return ok
 	case <-ctx.Done():
 		return false
 	}
--- a/internal/upstream/paths.go
+++ b/internal/upstream/paths.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/singleflight"
 
-	"github.com/damaskshelf/damaskshelf/internal/crash"
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/decide/reach"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
@@ -66,19 +66,19 @@
 	failed chan struct{} // holds a token when a path has failed, for probe
 	hedges atomic.Int64  // attempts through other instances because a direct one takes long
 
-	refusals refusalChecks
+	lostChecks    singleflight.Group // of lost, by address
+	refusalChecks singleflight.Group // of refuses, by address
 
 	mu     sync.Mutex
-	state  *reach.Paths          // guarded by mu
-	cutOff bool                  // guarded by mu: as last logged
-	checks map[string]*pathCheck // guarded by mu: those under way, by address
+	state  *reach.Paths // guarded by mu
+	cutOff bool         // guarded by mu: as last logged
 }
 
 // newPaths returns paths that all count as working, for the connections of a pool.
 func newPaths(o Options, p *pool) *paths {
 	return &paths{
 		direct: o.Dial, bypass: o.Bypass, pool: p, start: time.Now(), log: o.Log.Named("paths"), stats: o.Metrics,
-		failed: make(chan struct{}, 1), state: reach.New(), checks: map[string]*pathCheck{},
+		failed: make(chan struct{}, 1), state: reach.New(),
 	}
 }
 
@@ -200,52 +200,29 @@
 	return true
 }
 
-// pathCheck is a check under way.
-type pathCheck struct {
-	done chan struct{}
-	lost bool // valid once done is closed
-}
-
 // lost reports whether the direct path to the upstream at addr has failed while another instance reaches it. Unless that
 // is known, it opens a connection to find out.
 func (p *paths) lost(ctx context.Context, addr string) bool {
 	if p.bypass == nil {
 		return false
 	}
-	p.mu.Lock()
-	if p.state.Order(addr) == reach.ThroughOther {
-		p.mu.Unlock()
+	if p.order(addr) == reach.ThroughOther {
 		return true
 	}
-	check := p.checks[addr]
-	if check == nil {
-		check = &pathCheck{done: make(chan struct{})}
-		p.checks[addr] = check
-		go p.runCheck(addr, check)
-	}
-	p.mu.Unlock()
-	select {
-	case <-check.done:
-		return check.lost
-	case <-ctx.Done():
-		return false
-	}
+	return shareCheck(ctx, &p.lostChecks, addr, p.needsOther)
 }
 
-// runCheck connects to the upstream at addr to find out whether the direct path works.
-func (p *paths) runCheck(addr string, check *pathCheck) {
-	defer crash.Report("path check")
+// needsOther connects to the upstream at addr, and reports whether that takes another instance.
+func (p *paths) needsOther(addr string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
 	defer cancel()
 	c, err := p.dial(ctx, addr)
-	if err == nil {
-		check.lost = viaInstance(c) != ""
-		p.pool.putNew(addr, c)
+	if err != nil {
+		return false
 	}
-	p.mu.Lock()
-	delete(p.checks, addr)
-	p.mu.Unlock()
-	close(check.done)
+	lost := viaInstance(c) != ""
+	p.pool.putNew(addr, c)
+	return lost
 }
 
 // probe opens connections over failed paths from time to time, until ctx ends, to find out when they work again. Paths
