Logs: which upstreams the dispatcher saw end, under what, and how long an answer had gone on

Hypotheses 2 and 3 looked the same at the dispatcher: no line said that it had counted an end, or against whom. One line for each end now: the requests that may be the cause, whether a verdict explains it, and keys under which others ended before. The instances' after_failure lines say for how long the answer had gone on, and keys are written alike everywhere (two lines had them in decimal).

--- a/internal/decide/quarantine/cause.go
+++ b/internal/decide/quarantine/cause.go
@@ -21,6 +21,10 @@
 	for _, r := range e.requests {
 		causes = append(causes, t.causes(r, e)...)
 	}
+	if len(t.reports) >= maxRecentEnds { // nobody takes them
+		t.reports = t.reports[1:]
+	}
+	t.reports = append(t.reports, t.report(e))
 	for _, cause := range causes {
 		t.hold(now, cause)
 	}
--- a/internal/decide/quarantine/ends.go
+++ b/internal/decide/quarantine/ends.go
@@ -1,14 +1,20 @@
 package quarantine
 
 import (
+	"cmp"
+	"fmt"
 	"slices"
 
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 )
 
-// maxRecentEnds bounds the ends that are remembered.
-const maxRecentEnds = 256
+const (
+	// maxRecentEnds bounds the ends that are remembered.
+	maxRecentEnds = 256
+	// maxReported bounds the keys of one EndReport.
+	maxReported = 8
+)
 
 // end is the end of an upstream's process.
 type end struct {
@@ -44,6 +50,43 @@
 	return es[first:]
 }
 
+// EndReport describes the end of an upstream's process as it was judged, for logs.
+type EndReport struct {
+	Upstream  fleet.Process
+	Requests  int // that may be the cause
+	Explained bool
+	Repeated  []RepeatedKey
+}
+
+// RepeatedKey is a key of a request on an upstream that ended, and under which others ended before.
+type RepeatedKey struct {
+	Key  Key
+	Ends int // one after the other
+}
+
+// String returns the key and its ends as they appear in log lines.
+func (r RepeatedKey) String() string { return fmt.Sprintf("%v:%d", r.Key, r.Ends) }
+
+// report describes an end.
+func (t *Table) report(e *end) EndReport {
+	r := EndReport{Upstream: e.process, Requests: len(e.requests), Explained: e.explained}
+	for k, s := range t.suspects {
+		if s.rounds > 1 && slices.Contains(s.ends, e) {
+			r.Repeated = append(r.Repeated, RepeatedKey{k, s.rounds})
+		}
+	}
+	slices.SortFunc(r.Repeated, func(a, b RepeatedKey) int { return cmp.Or(b.Ends-a.Ends, cmp.Compare(a.Key, b.Key)) })
+	r.Repeated = r.Repeated[:min(len(r.Repeated), maxReported)]
+	return r
+}
+
+// TakeEnds returns the ends that were judged since the last call.
+func (t *Table) TakeEnds() []EndReport {
+	reports := t.reports
+	t.reports = nil
+	return reports
+}
+
 // find returns the end of a process, nil if none was reported.
 func (es *recentEnds) find(p fleet.Process) *end {
 	for _, e := range *es {
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -11,6 +11,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/decide"
@@ -46,6 +47,18 @@
 // String returns the key as it appears in log lines.
 func (k Key) String() string { return fmt.Sprintf("%016x", uint64(k)) }
 
+// Keys are several keys.
+type Keys []Key
+
+// String returns the keys as they appear in log lines.
+func (ks Keys) String() string {
+	all := make([]string, len(ks))
+	for i, k := range ks {
+		all[i] = k.String()
+	}
+	return strings.Join(all, ",")
+}
+
 // Status is what may be done with a request now.
 type Status uint8
 
@@ -67,6 +80,7 @@
 	failed   []failedRun // the latest last
 	verdicts verdicts
 	changed  []Verdict
+	reports  []EndReport
 }
 
 // run is a request on its way.
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -96,7 +96,7 @@
 // checkEnded records whether the send failed because the upstream's process has ended, and sets the outcome if the request
 // may be the cause.
 func (l *lifecycle) checkEnded(f *failure) {
-	unproven := l.firstEventAt.IsZero() || time.Since(l.firstEventAt) < quarantine.ProvenAfter
+	unproven := l.answeredFor() < quarantine.ProvenAfter
 	brokeOff := f.outcome == Failed && (upstream.BrokeOff(f.cause) || errors.Is(f.cause, errNoEvent))
 	f.ended = brokeOff && l.g.deps.Client.Refuses(l.ctx, l.grant.Upstream().Addr)
 	if f.ended && unproven {
@@ -105,6 +105,14 @@
 	}
 }
 
+// answeredFor returns how long the current send's answer has gone on, 0 if it has not begun.
+func (l *lifecycle) answeredFor() time.Duration {
+	if l.firstEventAt.IsZero() {
+		return 0
+	}
+	return time.Since(l.firstEventAt)
+}
+
 // endsPath reports whether a send can have ended with this error because the network path failed.
 func endsPath(err error) bool {
 	return errors.Is(err, errOverdue) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.ETIMEDOUT) ||
@@ -147,7 +155,8 @@
 	}
 	fields := []any{"upstream", u.ID, "at_fault", f.atFault, "outcome", f.outcome, "ran", f.ran,
 		"why", why, "attempts", l.attempts, "cause", f.cause, "framing", f.framing, "upstream_ended", f.ended,
-		"content", l.r.keys[0], "parts", strings.Join(l.r.SharedParts, ","), "part_keys", l.r.keys[1:], "took_ms", time.Since(l.sentAt).Milliseconds()}
+		"content", l.r.keys[0], "parts", strings.Join(l.r.SharedParts, ","), "part_keys", quarantine.Keys(l.r.keys[1:]), "took_ms", time.Since(l.sentAt).Milliseconds(),
+		"answered_ms", l.answeredFor().Milliseconds()}
 	l.g.deps.Explain.Record("after_failure", l.r.ID, reason, append(fields, l.watchdog.fields()...)...)
 	return retry
 }
--- a/internal/placement/heldback.go
+++ b/internal/placement/heldback.go
@@ -133,8 +133,11 @@
 	}
 }
 
-// announceHeldBack logs and broadcasts the verdicts that have changed here; mu is held.
+// announceHeldBack logs the ends of upstreams, and logs and broadcasts the verdicts that have changed here; mu is held.
 func (h *hub) announceHeldBack(now decide.Instant) {
+	for _, e := range h.quarantine.TakeEnds() {
+		h.log.Info("upstream ended", "upstream", e.Upstream.ID, "requests", e.Requests, "explained", e.Explained, "repeated", e.Repeated)
+	}
 	changed := h.quarantine.TakeChanges()
 	if len(changed) == 0 {
 		return
@@ -143,9 +146,9 @@
 	for _, v := range changed {
 		m.HeldBack = append(m.HeldBack, heldBackMessage(v, now))
 		if v.Freed {
-			h.log.Info("requests are no longer held back", "keys", v.Keys, "ends", v.Ends, "tries", v.Tries, "for_ms", now.Sub(v.Since).Milliseconds())
+			h.log.Info("requests are no longer held back", "keys", quarantine.Keys(v.Keys), "ends", v.Ends, "tries", v.Tries, "for_ms", now.Sub(v.Since).Milliseconds())
 		} else {
-			h.log.Warn("requests are held back: upstreams end when they answer them", "keys", v.Keys, "ends", v.Ends, "tries", v.Tries,
+			h.log.Warn("requests are held back: upstreams end when they answer them", "keys", quarantine.Keys(v.Keys), "ends", v.Ends, "tries", v.Tries,
 				"left_ms", v.Until.Sub(now).Milliseconds())
 		}
 	}
