--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -115,7 +115,7 @@
 
 // decide places or refuses the job. It returns false if the job has to wait.
 func (s *State) decide(now decide.Instant, j *Job) (Decision, bool) {
-	status, heldFor := s.quarantine.Check(now, j.Keys)
+	status, heldFor := s.quarantine.Check(now, j.quarantineRequest())
 	if status == quarantine.Held {
 		return Decision{Job: j, Reason: HeldBack, RetryAfter: max(minRetryAfter, heldFor)}, true
 	}
--- a/internal/decide/dispatch/runs.go
+++ b/internal/decide/dispatch/runs.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/decide"
-	"github.com/damaskshelf/damaskshelf/internal/decide/quarantine"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
 )
 
@@ -103,7 +102,7 @@
 		s.quarantine.AddBusy(1)
 	}
 	e.runs[j.ID] = r
-	s.quarantine.Start(now, j.ID, quarantine.Request{Keys: j.Keys, Resumed: j.Resumed})
+	s.quarantine.Start(now, j.ID, j.quarantineRequest())
 	if j.alone {
 		e.suspect = r
 	}
--- a/internal/decide/dispatch/suspect.go
+++ b/internal/decide/dispatch/suspect.go
@@ -11,6 +11,11 @@
 // maxAloneWait is how long a job waits for an upstream of its own. Under load there may be none.
 const maxAloneWait = quarantine.ProvenAfter
 
+// quarantineRequest returns what decides whether the job is held back.
+func (j *Job) quarantineRequest() quarantine.Request {
+	return quarantine.Request{Keys: j.Keys, Workspace: j.Workspace, Resumed: j.Resumed}
+}
+
 // setAlone records whether the job needs an upstream of its own now.
 func (j *Job) setAlone(now decide.Instant, needed bool) {
 	if needed && j.aloneSince == 0 {
--- a/internal/decide/quarantine/cause.go
+++ b/internal/decide/quarantine/cause.go
@@ -17,6 +17,8 @@
 // settle decides whether the end of an upstream shows the cause of this one and of earlier ones.
 func (t *Table) settle(now decide.Instant, e *end) {
 	e.settled = true
+	t.narrowOwners(e)
+	t.widen(now, e)
 	var causes [][]Key
 	for _, r := range e.requests {
 		causes = append(causes, t.causes(r, e)...)
@@ -97,10 +99,10 @@
 	v := &verdict{Verdict: Verdict{Keys: sortedKeys(cause), Since: now}}
 	var ends []*end
 	if s := t.suspects[cause[0]]; s != nil {
-		ends = slices.Clone(s.ends)
+		ends, v.Workspaces = slices.Clone(s.ends), s.owners.ids
 	}
 	if l := t.late[cause[0]]; l != nil {
-		v.AnsweredFor = l.answeredFor
+		v.AnsweredFor, v.Workspaces = l.answeredFor, l.owners.ids
 		for _, c := range l.ends {
 			ends = append(ends, c.end)
 		}
--- a/internal/decide/quarantine/late.go
+++ b/internal/decide/quarantine/late.go
@@ -42,6 +42,7 @@
 	endedTrials  int
 	wholeContent bool          // the key stands for the whole content of a request
 	tested       time.Duration // that these trials would have taken if their upstreams had not ended
+	owners       owners
 }
 
 // chargedEnd is an end that counts against a key.
@@ -138,6 +139,7 @@
 		return
 	}
 	s.ends = append(s.ends, chargedEnd{e, r.endedAt.Sub(r.startedAt)})
+	s.owners.narrow(e.workspaces(k))
 	if s.moments == 0 || e.at.Sub(s.lastMoment) >= sameMoment {
 		s.moments++
 		s.lastMoment = e.at
@@ -226,7 +228,7 @@
 		return
 	}
 	for _, k := range r.keys {
-		if s := t.late[k]; s != nil && s.tried {
+		if s := t.late[k]; s != nil && s.tried && s.owners.concern(r.workspace) {
 			s.trial, r.trialOf = r, append(r.trialOf, k)
 		}
 	}
@@ -234,10 +236,10 @@
 
 // checkTrials returns what may be done with a request that bears keys, as far as they are put to the test, and for how long the
 // outcome of a trial is awaited.
-func (t *Table) checkTrials(now decide.Instant, keys []Key) (status Status, left time.Duration) {
+func (t *Table) checkTrials(now decide.Instant, keys []Key, workspace fleet.WorkspaceID) (status Status, left time.Duration) {
 	for _, k := range keys {
 		s := t.late[k]
-		if s == nil || !s.tried {
+		if s == nil || !s.tried || !s.owners.concern(workspace) {
 			continue
 		}
 		if s.trial.outlives(now, s.answeredFor) {
--- a/internal/decide/quarantine/late_test.go
+++ b/internal/decide/quarantine/late_test.go
@@ -55,7 +55,7 @@
 	is.Equal(p.status(p.content(), badPart), Free)
 	p.endLate(p.content(), badPart)
 	id := p.begin(p.content(), badPart)
-	status, left := p.Check(p.now, []Key{p.content(), badPart})
+	status, left := p.Check(p.now, Request{Keys: []Key{p.content(), badPart}})
 	is.Equal(status, Wait)
 	is.True(left > lateAfter)
 	p.pass(lateAfter)
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -100,12 +100,15 @@
 	endedAt   decide.Instant // valid if done is set
 	resumed   bool           // it continues an answer
 	trialOf   []Key          // that are put to the test with it
+	workspace fleet.WorkspaceID
+	tries     []*verdict // on requests of other workspaces
 }
 
 // Request is what is known of a request that is to be sent.
 type Request struct {
-	Keys    []Key // the first one stands for the whole content
-	Resumed bool  // it continues an answer that broke off
+	Keys      []Key // the first one stands for the whole content
+	Workspace fleet.WorkspaceID
+	Resumed   bool // it continues an answer that broke off
 }
 
 // New returns an empty Table.
@@ -116,14 +119,14 @@
 // AddBusy changes the number of upstreams that have requests.
 func (t *Table) AddBusy(n int) { t.busy += n }
 
-// Check returns what may be done with a request that bears keys, of which the first one stands for its whole content. If it is
-// held back, Check also returns for how long; if it has to wait, for how long at the most.
-func (t *Table) Check(now decide.Instant, keys []Key) (Status, time.Duration) {
+// Check returns what may be done with a request. If it is held back, Check also returns for how long; if it has to wait, for how
+// long at the most.
+func (t *Table) Check(now decide.Instant, q Request) (Status, time.Duration) {
 	if len(t.suspects)+len(t.late)+len(t.verdicts) == 0 {
 		return Free, 0
 	}
-	keys = bounded(keys)
-	for _, v := range t.verdicts.on(keys) {
+	keys := bounded(q.Keys)
+	for _, v := range t.verdicts.on(keys, q.Workspace) {
 		if r := t.runs[v.tryID]; r.outlives(now, v.AnsweredFor) {
 			t.free(now, v, r.keys)
 			continue
@@ -137,13 +140,19 @@
 			return Alone, 0
 		}
 	}
-	status, left := t.checkTrials(now, keys)
+	status, left := t.checkTrials(now, keys, q.Workspace)
+	for _, v := range t.verdicts.elsewhere(&run{keys: keys, workspace: q.Workspace}) {
+		status = max(status, Alone)
+		if wait := v.awaitsOther(now); wait > 0 {
+			status, left = Wait, max(left, wait)
+		}
+	}
 	if status == Wait {
 		return status, left
 	}
 	for _, k := range keys {
 		s := t.suspects[k]
-		if s == nil || s.rounds <= t.answered.tolerance(k) {
+		if s == nil || !s.owners.concern(q.Workspace) || s.rounds <= t.answered.tolerance(k) {
 			continue
 		}
 		if s.awaitsOutcome(now) {
@@ -156,10 +165,10 @@
 	return status, 0
 }
 
-// HeldBack reports whether a verdict applies to a request that bears keys, and for how much longer nothing is to be sent; 0:
-// one request may be sent.
-func (t *Table) HeldBack(now decide.Instant, keys []Key) (left time.Duration, listed bool) {
-	for _, v := range t.verdicts.on(bounded(keys)) {
+// HeldBack reports whether a verdict applies to a workspace's request that bears keys, and for how much longer nothing is to be
+// sent; 0: one request may be sent.
+func (t *Table) HeldBack(now decide.Instant, keys []Key, workspace fleet.WorkspaceID) (left time.Duration, listed bool) {
+	for _, v := range t.verdicts.on(bounded(keys), workspace) {
 		left, listed = max(left, v.Until.Sub(now)), true
 	}
 	return max(0, left), listed
@@ -174,13 +183,14 @@
 	if len(q.Keys) == 0 {
 		return
 	}
-	r := &run{keys: bounded(q.Keys), startedAt: now, resumed: q.Resumed}
+	r := &run{keys: bounded(q.Keys), startedAt: now, resumed: q.Resumed, workspace: q.Workspace}
 	t.runs[id] = r
 	if !t.started {
 		t.started, t.firstStart = true, now
 	}
 	t.startTrial(r)
-	for _, v := range t.verdicts.on(r.keys) {
+	t.startOtherTries(now, id, r)
+	for _, v := range t.verdicts.on(r.keys, r.workspace) {
 		v.tryID, v.triedAt = id, now
 	}
 	for _, k := range r.keys {
@@ -255,11 +265,12 @@
 			s.trial = nil
 		}
 	}
-	for _, v := range t.verdicts.on(r.keys) {
+	for _, v := range t.verdicts.on(r.keys, r.workspace) {
 		if v.tryID == id {
 			v.tryID = ""
 		}
 	}
+	r.endOtherTries(id)
 }
 
 // finish is Done for a request whose upstream ended or failed it.
@@ -301,7 +312,7 @@
 // prolong prolongs the verdicts that apply to a request whose upstream ended, if it was sent to try again. It reports whether a
 // verdict explains the end.
 func (t *Table) prolong(now decide.Instant, r *run) bool {
-	applying := t.verdicts.on(r.keys)
+	applying := t.verdicts.on(r.keys, r.workspace)
 	for _, v := range applying {
 		if r.startedAt >= v.Until {
 			v.Ends++
@@ -316,13 +327,16 @@
 // clear records that a request's upstream survived the beginning of its answer.
 func (t *Table) clear(now decide.Instant, r *run) {
 	for _, k := range r.keys {
-		delete(t.suspects, k)
+		if s := t.suspects[k]; s != nil && s.owners.concern(r.workspace) {
+			delete(t.suspects, k)
+		}
 	}
 	for _, k := range r.keys[1:] { // other requests don't share the whole content
 		t.answered.add(now, k)
 	}
+	t.exempt(r, false)
 	for _, v := range t.verdicts.withAny(r.keys) {
-		if v.AnsweredFor == 0 {
+		if v.AnsweredFor == 0 && v.concerns(r.workspace) {
 			t.free(now, v, r.keys)
 		}
 	}
@@ -331,13 +345,16 @@
 // clearLate records that a request's upstream survived it to the end of its answer.
 func (t *Table) clearLate(now decide.Instant, r *run) {
 	for _, k := range r.keys {
-		delete(t.late, k)
+		if s := t.late[k]; s != nil && s.owners.concern(r.workspace) {
+			delete(t.late, k)
+		}
 	}
 	for _, k := range r.keys[1:] {
 		t.completed.add(now, k)
 	}
+	t.exempt(r, true)
 	for _, v := range t.verdicts.withAny(r.keys) {
-		if v.AnsweredFor > 0 {
+		if v.AnsweredFor > 0 && v.concerns(r.workspace) {
 			t.free(now, v, r.keys)
 		}
 	}
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -53,7 +53,7 @@
 
 // status returns what may be done with a request that bears keys. Free stands for Alone, too.
 func (p *play) status(keys ...Key) Status {
-	s, _ := p.Check(p.now, keys)
+	s, _ := p.Check(p.now, Request{Keys: keys})
 	if s == Alone {
 		return Free
 	}
--- /dev/null
+++ b/internal/decide/quarantine/scope.go
@@ -0,0 +1,126 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/damaskshelf/damaskshelf/internal/decide"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
+)
+
+// A caller states himself which parts a prompt has. So what requests of one workspace bring about is laid to that workspace only: it
+// could name another's part in requests that end upstreams for a reason of their own. A verdict on a part is for all once an
+// upstream ends under a request of another workspace that was sent to try it.
+
+// owners are the workspaces of which requests with a key were on each of the upstreams that ended under it. The zero value knows
+// of no end yet.
+type owners struct {
+	known bool
+	ids   []fleet.WorkspaceID // empty: no workspace alone explains all ends
+}
+
+// narrow records the workspaces of the requests with the key on an upstream that ended.
+func (o *owners) narrow(ids []fleet.WorkspaceID) {
+	if !o.known {
+		o.known, o.ids = true, ids
+		return
+	}
+	o.ids = slices.DeleteFunc(slices.Clone(o.ids), func(id fleet.WorkspaceID) bool { return !slices.Contains(ids, id) })
+}
+
+// concern reports whether what speaks against the key concerns a workspace's requests.
+func (o *owners) concern(id fleet.WorkspaceID) bool {
+	return !o.known || len(o.ids) == 0 || slices.Contains(o.ids, id)
+}
+
+// workspaces returns the workspaces of the requests with a key that the upstream held.
+func (e *end) workspaces(k Key) (ids []fleet.WorkspaceID) {
+	for _, all := range [][]*run{e.requests, e.answered} {
+		for _, r := range all {
+			if slices.Contains(r.keys, k) && !slices.Contains(ids, r.workspace) {
+				ids = append(ids, r.workspace)
+			}
+		}
+	}
+	return ids
+}
+
+// narrowOwners records who may be the cause of an end under each of its suspect keys.
+func (t *Table) narrowOwners(e *end) {
+	narrowed := map[Key]bool{}
+	for _, r := range e.requests {
+		for _, k := range r.keys {
+			if s := t.suspects[k]; s != nil && !narrowed[k] && slices.Contains(s.ends, e) {
+				s.owners.narrow(e.workspaces(k))
+				narrowed[k] = true
+			}
+		}
+	}
+}
+
+// concerns reports whether the verdict holds back requests of a workspace.
+func (v *Verdict) concerns(id fleet.WorkspaceID) bool {
+	return len(v.Workspaces) == 0 || slices.Contains(v.Workspaces, id)
+}
+
+// otherTry is the request of a workspace that a verdict doesn't concern which tries whether it should.
+type otherTry struct {
+	id     fleet.RequestID // empty: none is on its way
+	sentAt decide.Instant
+}
+
+// awaitsOther returns for how much longer the outcome of such a request is awaited, before the next one is sent.
+func (v *verdict) awaitsOther(now decide.Instant) time.Duration {
+	if v.other.id == "" {
+		return 0
+	}
+	return max(0, v.other.sentAt.Add(v.AnsweredFor+tryInterval).Sub(now))
+}
+
+// startOtherTries records that a request tries the verdicts on its keys that don't concern its workspace.
+func (t *Table) startOtherTries(now decide.Instant, id fleet.RequestID, r *run) {
+	for _, v := range t.verdicts.elsewhere(r) {
+		v.other = otherTry{id, now}
+		r.tries = append(r.tries, v)
+	}
+}
+
+// endOtherTries records that such a request is no longer on its way.
+func (r *run) endOtherTries(id fleet.RequestID) {
+	for _, v := range r.tries {
+		if v.other.id == id {
+			v.other.id = ""
+		}
+	}
+}
+
+// exempt records that an answered request's workspace isn't concerned by verdicts on others' requests with its keys.
+func (t *Table) exempt(r *run, late bool) {
+	for _, v := range t.verdicts.elsewhere(r) {
+		if (v.AnsweredFor > 0) == late {
+			v.exempt = append(v.exempt, r.workspace)
+		}
+	}
+}
+
+// widen extends to all workspaces the verdicts that a request on an upstream which ended has tried, if none of those whom they
+// concern had such a request there.
+func (t *Table) widen(now decide.Instant, e *end) {
+	for _, r := range slices.Concat(e.requests, e.answered) {
+		for _, v := range r.tries {
+			if t.verdicts.get(v.Keys) != v || v.Freed || slices.ContainsFunc(e.workspaces(v.Keys[0]), v.concerns) {
+				continue
+			}
+			wider := &verdict{Verdict: v.Verdict}
+			wider.Workspaces = nil
+			wider.Ends++
+			wider.holdFrom(now)
+			t.verdicts.put(wider)
+			t.changed = append(t.changed, wider.Verdict)
+			e.explained = true
+		}
+	}
+	if e.explained {
+		t.dropExplained()
+	}
+}
--- a/internal/decide/quarantine/sim_test.go
+++ b/internal/decide/quarantine/sim_test.go
@@ -150,7 +150,7 @@
 // place sends the requests that may be sent.
 func (s *sim) place() {
 	s.queue = slices.DeleteFunc(s.queue, func(r *simRequest) bool {
-		status, _ := s.table.Check(s.now, r.keys)
+		status, _ := s.table.Check(s.now, Request{Keys: r.keys})
 		if status > Alone && !s.unguarded {
 			return status == Held || s.now.Sub(r.arrived) > simPatience
 		}
@@ -163,7 +163,7 @@
 		}
 		r.alone = status == Alone
 		r.attempts++
-		_, isTry := s.table.HeldBack(s.now, r.keys)
+		_, isTry := s.table.HeldBack(s.now, r.keys, "")
 		s.table.Start(s.now, r.id, Request{Keys: r.keys, Resumed: r.resumed})
 		if r.bad != 0 && isTry {
 			s.badTries++
@@ -344,7 +344,7 @@
 			s.unguarded = unguarded
 			s.run()
 			for _, part := range []Key{1, 2} {
-				if status, _ := s.table.Check(s.now, []Key{0, part}); status == Held {
+				if status, _ := s.table.Check(s.now, Request{Keys: []Key{0, part}}); status == Held {
 					t.Errorf("seed %d: requests with part %d are held back", seed, part)
 				}
 			}
--- a/internal/decide/quarantine/suspect.go
+++ b/internal/decide/quarantine/suspect.go
@@ -30,6 +30,7 @@
 	unproven map[fleet.RequestID]bool // requests on their way whose outcome isn't known
 
 	wholeContent bool // the key stands for the whole content of a request
+	owners       owners
 }
 
 // awaitsOutcome reports whether the next request with the key must wait.
--- a/internal/decide/quarantine/verdict.go
+++ b/internal/decide/quarantine/verdict.go
@@ -28,11 +28,13 @@
 	Freed     bool           // requests with the keys are no longer held back
 	// AnsweredFor is for how long upstreams answer such requests before they end; 0: they end when they begin to.
 	AnsweredFor time.Duration
+	// Workspaces are those whose requests are held back; empty: all.
+	Workspaces []fleet.WorkspaceID
 }
 
 // precedes reports whether o is a later version of the verdict.
 func (v *Verdict) precedes(o Verdict) bool {
-	return v.ChangedAt <= o.ChangedAt.Add(mergeSlack) && (v.Freed != o.Freed || v.Tries != o.Tries)
+	return v.ChangedAt <= o.ChangedAt.Add(mergeSlack) && (v.Freed != o.Freed || v.Tries != o.Tries || len(v.Workspaces) > 0 && len(o.Workspaces) == 0)
 }
 
 // holdFrom sets for how long requests are held back from now on.
@@ -45,6 +47,8 @@
 	Verdict
 	tryID   fleet.RequestID // empty: none is on its way
 	triedAt decide.Instant
+	other   otherTry
+	exempt  []fleet.WorkspaceID // whose requests with the keys were answered since
 }
 
 // awaitsOutcome returns for how much longer the next request waits for the outcome of the one that tries whether the verdict
@@ -59,8 +63,19 @@
 // verdicts holds verdicts under each of their keys.
 type verdicts map[Key][]*verdict
 
-// on returns the verdicts in force that apply to requests which bear keys.
-func (vs verdicts) on(keys []Key) []*verdict {
+// on returns the verdicts in force that apply to a workspace's requests which bear keys.
+func (vs verdicts) on(keys []Key, workspace fleet.WorkspaceID) []*verdict {
+	return slices.DeleteFunc(vs.onAll(keys), func(v *verdict) bool { return !v.concerns(workspace) })
+}
+
+// elsewhere returns the verdicts in force that would apply to a request if it were another workspace's, and from which its
+// workspace isn't exempt.
+func (vs verdicts) elsewhere(r *run) []*verdict {
+	return slices.DeleteFunc(vs.onAll(r.keys), func(v *verdict) bool { return v.concerns(r.workspace) || slices.Contains(v.exempt, r.workspace) })
+}
+
+// onAll returns the verdicts in force on keys that are all among some.
+func (vs verdicts) onAll(keys []Key) []*verdict {
 	if len(vs) == 0 {
 		return nil
 	}
--- a/internal/placement/convert.go
+++ b/internal/placement/convert.go
@@ -67,16 +67,19 @@
 }
 
 // upstreamIDs converts strings of a message to upstream IDs.
-func upstreamIDs(all []string) []fleet.UpstreamID {
-	out := make([]fleet.UpstreamID, len(all))
+func upstreamIDs(all []string) []fleet.UpstreamID { return decodeIDs[fleet.UpstreamID](all) }
+
+// decodeIDs converts strings of a message to IDs.
+func decodeIDs[T ~string](all []string) []T {
+	out := make([]T, len(all))
 	for i, id := range all {
-		out[i] = fleet.UpstreamID(id)
+		out[i] = T(id)
 	}
 	return out
 }
 
-// idStrings converts upstream IDs to strings for a message.
-func idStrings(all []fleet.UpstreamID) []string {
+// idStrings converts IDs to strings for a message.
+func idStrings[T ~string](all []T) []string {
 	out := make([]string, len(all))
 	for i, id := range all {
 		out[i] = string(id)
--- a/internal/placement/heldback.go
+++ b/internal/placement/heldback.go
@@ -8,6 +8,7 @@
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/decide/quarantine"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
+	"github.com/damaskshelf/damaskshelf/internal/fleet"
 	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
 )
 
@@ -35,14 +36,14 @@
 // now returns the time since the table was created.
 func (t *heldBackTable) now() decide.Instant { return decide.Instant(time.Since(t.start)) }
 
-// check reports whether a verdict applies to a request that bears keys, and for how much longer nothing is to be sent.
-func (t *heldBackTable) check(keys []quarantine.Key) (left time.Duration, listed bool) {
+// check reports whether a verdict applies to a workspace's request that bears keys, and for how much longer nothing is to be sent.
+func (t *heldBackTable) check(keys []quarantine.Key, workspace fleet.WorkspaceID) (left time.Duration, listed bool) {
 	if t.count.Load() == 0 {
 		return 0, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.table.HeldBack(t.now(), keys)
+	return t.table.HeldBack(t.now(), keys, workspace)
 }
 
 // apply records the verdicts of a message.
@@ -91,7 +92,7 @@
 	return &pb.HeldBack{
 		Keys: keyNumbers(v.Keys), Ends: toInt32(int64(v.Ends)), Tries: toInt32(int64(v.Tries)), SinceMs: now.Sub(v.Since).Milliseconds(),
 		LeftMs: v.Until.Sub(now).Milliseconds(), ChangedMs: now.Sub(v.ChangedAt).Milliseconds(), Freed: v.Freed,
-		AnsweredMs: v.AnsweredFor.Milliseconds(),
+		AnsweredMs: v.AnsweredFor.Milliseconds(), Workspaces: idStrings(v.Workspaces),
 	}
 }
 
@@ -100,7 +101,7 @@
 	return quarantine.Verdict{
 		Keys: decodeKeys(m.Keys), Ends: int(m.Ends), Tries: int(m.Tries), Since: now.Add(-ms(m.SinceMs)),
 		Until: now.Add(ms(m.LeftMs)), ChangedAt: now.Add(-max(0, ms(m.ChangedMs))), Freed: m.Freed,
-		AnsweredFor: max(0, ms(m.AnsweredMs)),
+		AnsweredFor: max(0, ms(m.AnsweredMs)), Workspaces: decodeIDs[fleet.WorkspaceID](m.Workspaces),
 	}
 }
 
@@ -148,9 +149,9 @@
 	for _, v := range changed {
 		m.HeldBack = append(m.HeldBack, heldBackMessage(v, now))
 		if v.Freed {
-			h.log.Info("requests are no longer held back", "keys", quarantine.Keys(v.Keys), "ends", v.Ends, "tries", v.Tries, "for_ms", now.Sub(v.Since).Milliseconds())
+			h.log.Info("requests are no longer held back", "keys", quarantine.Keys(v.Keys), "ends", v.Ends, "workspaces", v.Workspaces, "tries", v.Tries, "for_ms", now.Sub(v.Since).Milliseconds())
 		} else {
-			h.log.Warn("requests are held back: upstreams end when they answer them", "keys", quarantine.Keys(v.Keys), "ends", v.Ends, "tries", v.Tries,
+			h.log.Warn("requests are held back: upstreams end when they answer them", "keys", quarantine.Keys(v.Keys), "workspaces", v.Workspaces, "ends", v.Ends, "tries", v.Tries,
 				"answered_ms", v.AnsweredFor.Milliseconds(), "left_ms", v.Until.Sub(now).Milliseconds())
 		}
 	}
--- a/internal/placement/requests.go
+++ b/internal/placement/requests.go
@@ -90,7 +90,7 @@
 // Place implements gateway.Placer. It waits for the dispatcher's reply, and places the request locally while no
 // dispatcher is reachable.
 func (c *Client) Place(ctx context.Context, q gateway.PlacementRequest) (gateway.Grant, error) {
-	if left, _ := c.heldBack.check(q.Keys); left > 0 {
+	if left, _ := c.heldBack.check(q.Keys, q.Workspace); left > 0 {
 		return nil, heldBackFault(left)
 	}
 	q.Avoid = c.holdoffs.addTo(q.Avoid)
@@ -122,7 +122,7 @@
 
 // placeLocally places a request by this instance's view alone. A request that only one of all instances may try is not sent.
 func (c *Client) placeLocally(ctx context.Context, q gateway.PlacementRequest) (gateway.Grant, error) {
-	if left, listed := c.heldBack.check(q.Keys); listed {
+	if left, listed := c.heldBack.check(q.Keys, q.Workspace); listed {
 		return nil, heldBackFault(max(left, tryDelay))
 	}
 	return c.local.Place(ctx, q)
