Requests that are put to the test stay so when the dispatcher changes

Callers saw more streams cut while dispatchers change: what is suspected ended with the dispatcher, and each new one needed as many ends again.

A trial is announced like a verdict (tries -1) when it begins and when it ends, so that each instance knows it and states it to the next dispatcher, which goes on with one request at a time; one more end suffices there. Whoever knows the ends themselves ignores it.

--- a/internal/decide/quarantine/cause.go
+++ b/internal/decide/quarantine/cause.go
@@ -117,16 +117,16 @@
 		}
 	}
 	v.holdFrom(now)
-	t.verdicts.put(v)
-	t.changed = append(t.changed, v.Verdict)
-	t.dropExplained()
+	t.dropExplained(now)
 	for _, k := range cause {
-		delete(t.late, k)
+		t.removeLate(now, k)
 	}
+	t.verdicts.put(v)
+	t.changed = append(t.changed, v.Verdict)
 }
 
 // dropExplained removes the ends that a verdict explains from what speaks against other keys.
-func (t *Table) dropExplained() {
+func (t *Table) dropExplained(now decide.Instant) {
 	for k, s := range t.suspects {
 		before := len(s.ends)
 		s.ends = slices.DeleteFunc(s.ends, func(e *end) bool { return e.explained })
@@ -136,8 +136,6 @@
 		}
 	}
 	for k, s := range t.late {
-		if s.dropExplained(); len(s.ends) == 0 {
-			delete(t.late, k)
-		}
+		t.dropExplainedLate(now, k, s)
 	}
 }
--- a/internal/decide/quarantine/late.go
+++ b/internal/decide/quarantine/late.go
@@ -127,7 +127,8 @@
 func (t *Table) chargeLate(now decide.Instant, k Key, r *run, e *end) {
 	s := t.late[k]
 	if s == nil || e.at.Sub(s.lastEnd) > suspectRetention {
-		s = t.addLateSuspect(k, k == r.keys[0])
+		t.removeLate(now, k)
+		s = t.addLateSuspect(now, k, k == r.keys[0])
 	}
 	s.answeredFor = max(s.answeredFor, r.answeredFor())
 	s.sentFor = max(s.sentFor, r.endedAt.Sub(r.startedAt))
@@ -209,7 +210,27 @@
 	if s.tried {
 		limit = minFreeChance
 	}
-	s.tried = s.moments >= t.completed.trialEnds(k) && chance(s.moments, t.endRate(now, s)*s.exposed.Seconds()) <= limit
+	tried := s.moments >= t.completed.trialEnds(k) && chance(s.moments, t.endRate(now, s)*s.exposed.Seconds()) <= limit
+	if tried != s.tried {
+		t.announceTrial(now, k, s, tried)
+	}
+	s.tried = tried
+}
+
+// announceTrial makes known that trials of a suspect key begin or end.
+func (t *Table) announceTrial(now decide.Instant, k Key, s *lateSuspect, begin bool) {
+	t.changed = append(t.changed, Verdict{
+		Keys: []Key{k}, Ends: s.moments, Tries: triesOnTrial, Since: now, Until: now, ChangedAt: now, Freed: !begin,
+		AnsweredFor: s.answeredFor, Workspaces: s.owners.ids,
+	})
+}
+
+// removeLate removes a suspect key.
+func (t *Table) removeLate(now decide.Instant, k Key) {
+	if s := t.late[k]; s != nil && s.tried {
+		t.announceTrial(now, k, s, false)
+	}
+	delete(t.late, k)
 }
 
 // awaitsOutcome returns for how much longer the outcome of a trial is awaited, and then the reports on its upstream's end. An
@@ -243,7 +264,7 @@
 			continue
 		}
 		if s.trial.outlives(now, s.answeredFor) {
-			delete(t.late, k)
+			t.removeLate(now, k)
 			continue
 		}
 		status = max(status, Alone)
@@ -268,20 +289,25 @@
 	return r.endedAt.Sub(r.firstAt)
 }
 
-// dropExplained removes the ends that a verdict explains. What trials have shown was shown together with them.
-func (s *lateSuspect) dropExplained() {
+// dropExplainedLate removes the ends that a verdict explains from what speaks against a key. What trials have shown was shown together with them.
+func (t *Table) dropExplainedLate(now decide.Instant, k Key, s *lateSuspect) {
 	before := len(s.ends)
 	s.ends = slices.DeleteFunc(s.ends, func(c chargedEnd) bool { return c.explained })
+	if len(s.ends) == 0 {
+		t.removeLate(now, k)
+		return
+	}
 	if len(s.ends) < before {
 		s.moments = min(s.moments, len(s.ends))
-		s.tried, s.endedTrials, s.tested = false, 0, 0
+		s.endedTrials, s.tested = 0, 0
+		t.decideTrial(now, k, s)
 	}
 }
 
 // addLateSuspect puts a key under suspicion.
-func (t *Table) addLateSuspect(k Key, wholeContent bool) *lateSuspect {
+func (t *Table) addLateSuspect(now decide.Instant, k Key, wholeContent bool) *lateSuspect {
 	if len(t.late) >= maxSuspects {
-		t.evictLate()
+		t.evictLate(now)
 	}
 	s := &lateSuspect{wholeContent: wholeContent}
 	t.late[k] = s
@@ -289,7 +315,7 @@
 }
 
 // evictLate removes an eighth of the suspects: those with the fewest ends, of these the ones whose last end is longest ago.
-func (t *Table) evictLate() {
+func (t *Table) evictLate(now decide.Instant) {
 	type ranked struct {
 		key Key
 		s   *lateSuspect
@@ -305,6 +331,6 @@
 		return int(a.s.lastEnd.Sub(b.s.lastEnd))
 	})
 	for _, r := range all[:len(all)/8] {
-		delete(t.late, r.key)
+		t.removeLate(now, r.key)
 	}
 }
--- a/internal/decide/quarantine/late_test.go
+++ b/internal/decide/quarantine/late_test.go
@@ -40,7 +40,8 @@
 		p.endLate(1)
 	}
 	is.True(p.heldBack(1))
-	is.Equal(p.TakeChanges()[0].AnsweredFor, lateAfter)
+	changes := p.TakeChanges()
+	is.Equal(changes[len(changes)-1].AnsweredFor, lateAfter)
 	p.pass(firstHold)
 	is.Equal(p.status(1), Free)
 	p.endLate(1)
@@ -150,8 +151,32 @@
 		p.endLate(p.content(), badPart)
 	}
 	for k := range Key(2 * maxSuspects) {
-		p.addLateSuspect(firstContent+k, false)
+		p.addLateSuspect(p.now, firstContent+k, false)
 	}
 	is.True(len(p.late) <= maxSuspects)
 	is.True(p.late[badPart] != nil)
 }
+
+// Guards against a next dispatcher that lets as many upstreams end again: it knows which requests are put to the test, and one
+// more end under them suffices.
+func TestTrialsOutliveTheirDispatcher(t *testing.T) {
+	is := is.New(t)
+	p, next := newPlay(), newPlay()
+	p.endLate(p.content(), badPart)
+	p.endLate(p.content(), badPart)
+	for _, v := range p.TakeChanges() {
+		is.True(v.OnTrial())
+		next.now = p.now
+		is.True(next.Merge(v))
+		is.True(!p.Merge(v)) // which knows more
+	}
+	_, heldBack := next.Size()
+	is.Equal(heldBack, 0)
+	id := next.begin(next.content(), badPart)
+	is.Equal(next.status(next.content(), badPart), Wait)
+	next.pass(lateAfter)
+	next.EndedLate(next.now, id, fleet.Process{ID: "u"})
+	is.True(next.heldBack(next.content(), badPart))
+	p.Served(p.now, p.begin(p.content(), badPart))
+	is.True(p.TakeChanges()[0].Freed)
+}
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -346,7 +346,7 @@
 func (t *Table) clearLate(now decide.Instant, r *run) {
 	for _, k := range r.keys {
 		if s := t.late[k]; s != nil && s.owners.concern(r.workspace) {
-			delete(t.late, k)
+			t.removeLate(now, k)
 		}
 	}
 	for _, k := range r.keys[1:] {
@@ -379,6 +379,9 @@
 // changed anything.
 func (t *Table) Merge(v Verdict) bool {
 	v.Keys = sortedKeys(bounded(v.Keys))
+	if v.OnTrial() && len(v.Keys) == 1 && t.late[v.Keys[0]] != nil {
+		return false // more is known here
+	}
 	if known := t.verdicts.get(v.Keys); len(v.Keys) == 0 || known != nil && !known.precedes(v) {
 		return false
 	}
@@ -399,7 +402,7 @@
 // Size returns the number of suspect keys, and of verdicts in force.
 func (t *Table) Size() (suspects, heldBack int) {
 	for _, v := range t.verdicts.all() {
-		if !v.Freed {
+		if !v.Freed && !v.OnTrial() {
 			heldBack++
 		}
 	}
--- a/internal/decide/quarantine/scope.go
+++ b/internal/decide/quarantine/scope.go
@@ -121,6 +121,6 @@
 		}
 	}
 	if e.explained {
-		t.dropExplained()
+		t.dropExplained(now)
 	}
 }
--- a/internal/decide/quarantine/sim_test.go
+++ b/internal/decide/quarantine/sim_test.go
@@ -126,7 +126,11 @@
 		if s.now.Sub(start) >= simBadFrom && s.chance(s.crashes) {
 			s.end(s.upstreams[s.rand.IntN(len(s.upstreams))])
 		}
-		s.verdicts += len(s.table.TakeChanges())
+		for _, v := range s.table.TakeChanges() {
+			if !v.OnTrial() {
+				s.verdicts++
+			}
+		}
 	}
 }
 
--- a/internal/decide/quarantine/verdict.go
+++ b/internal/decide/quarantine/verdict.go
@@ -32,6 +32,13 @@
 	Workspaces []fleet.WorkspaceID
 }
 
+// triesOnTrial marks a Verdict on requests that are put to the test: one at a time is sent, and none is held back yet. It is for
+// those who know of no end themselves, as the next dispatcher.
+const triesOnTrial = -1
+
+// OnTrial reports whether requests are put to the test, and not held back yet.
+func (v *Verdict) OnTrial() bool { return v.Tries == triesOnTrial }
+
 // precedes reports whether o is a later version of the verdict.
 func (v *Verdict) precedes(o Verdict) bool {
 	return v.ChangedAt <= o.ChangedAt.Add(mergeSlack) && (v.Freed != o.Freed || v.Tries != o.Tries || len(v.Workspaces) > 0 && len(o.Workspaces) == 0)
