Quarantine: guards that no test saw go, or get one

The tests of five others didn't see them go: an adopted stream, a trial among ends elsewhere, two trials on one upstream, trials that a verdict explains, owners beside another workspace's answers; and an upstream that held both a try and a request which the verdict is on widened it, which was a fault. The eviction's test had no ends to compare.

The refusal says 'while they answered', as upstreams end late, too.

--- a/internal/decide/quarantine/late.go
+++ b/internal/decide/quarantine/late.go
@@ -84,7 +84,7 @@
 // settleLate decides whether the end of an upstream, which nothing else explains, shows a cause among the requests that it had
 // answered for a while.
 func (t *Table) settleLate(now decide.Instant, e *end) {
-	if e.explained || t.hasRepeatedSuspect(e) {
+	if e.explained {
 		return
 	}
 	for _, r := range e.answered {
@@ -112,17 +112,6 @@
 	}
 }
 
-// hasRepeatedSuspect reports whether a request that had just begun on an upstream explains its end better: others ended under a
-// part of it before, and no request with the part was answered lately. A whole content meets two ends by its retry.
-func (t *Table) hasRepeatedSuspect(e *end) bool {
-	return slices.ContainsFunc(e.requests, func(r *run) bool {
-		return slices.ContainsFunc(r.keys, func(k Key) bool {
-			s := t.suspects[k]
-			return s != nil && s.rounds > 1 && !s.wholeContent && !t.answered.has(k) && t.late[k] == nil
-		})
-	})
-}
-
 // chargeLate counts the end of a request's upstream against one of its keys.
 func (t *Table) chargeLate(now decide.Instant, k Key, r *run, e *end) {
 	s := t.late[k]
@@ -178,18 +167,15 @@
 }
 
 // isShown reports whether trials show a key to be the cause of ends. A part of prompts takes more than a whole content, as many
-// sound requests may bear it.
+// sound requests may bear it; for a whole content one trial suffices if chance hardly explains its end.
 func (t *Table) isShown(now decide.Instant, k Key, s *lateSuspect) bool {
-	switch {
-	case s == nil || s.endedTrials == 0 || s.moments < t.completed.endsNeeded(k):
-		return false
-	case s.wholeContent && s.endedTrials > 1:
-		return true
-	case !s.wholeContent && s.endedTrials < MaxEnds:
+	if s == nil || s.endedTrials == 0 || s.moments < t.completed.endsNeeded(k) {
 		return false
 	}
-	rate := t.endRate(now, s)
-	return chance(s.endedTrials, rate*s.tested.Seconds()) <= maxChance && chance(s.moments, rate*s.exposed.Seconds()) <= maxChance
+	if !s.wholeContent {
+		return s.endedTrials >= MaxEnds
+	}
+	return s.endedTrials > 1 || chance(s.endedTrials, t.endRate(now, s)*s.tested.Seconds()) <= maxChance
 }
 
 // chance returns the probability that as many upstreams end, or more, if so many are expected.
--- a/internal/decide/quarantine/late_test.go
+++ b/internal/decide/quarantine/late_test.go
@@ -133,13 +133,65 @@
 func TestAdoptedRequestHadNotJustBegun(t *testing.T) {
 	is := is.New(t)
 	p := newPlay()
-	for range MaxEnds {
-		id := p.send(p.content(), partA)
-		p.Adopted(p.now, id)
-		p.EndedLate(p.now, id, fleet.Process{ID: fleet.UpstreamID("u" + string(id))})
+	id := p.send(p.content(), partA)
+	p.Adopted(p.now, id)
+	u := fleet.Process{ID: "u"}
+	p.Failed(p.now, id, u)
+	p.Gone(p.now, u)
+	p.pass(settleTime)
+	is.True(p.suspects[partA] == nil)
+	is.True(p.late[partA] != nil)
+}
+
+// Guards against a request that is held back after one trial while as many upstreams end without it.
+func TestOneTrialShowsNothingWhileOthersEndAsOften(t *testing.T) {
+	is := is.New(t)
+	p := newPlay()
+	p.endLate(badPart)
+	p.endLate(badPart)
+	id := p.begin(badPart)
+	for range 2 * MaxEnds {
+		p.endLate(p.content())
+	}
+	p.EndedLate(p.now, id, fleet.Process{ID: "u"})
+	p.pass(settleTime)
+	is.True(!p.heldBack(badPart))
+}
+
+// Guards against an innocent request that is held back because it was tried on the same upstream as the cause.
+func TestTwoTrialsOnOneUpstreamShowNothing(t *testing.T) {
+	is := is.New(t)
+	p := newPlay()
+	both := func() {
+		a, b := p.begin(badPart), p.begin(otherBadPart)
+		p.pass(lateAfter)
+		u := fleet.Process{ID: "u", StartTime: int64(p.sent)}
+		p.EndedLate(p.now, a, u)
+		p.EndedLate(p.now, b, u)
 		p.pass(settleTime)
 	}
-	is.True(p.suspects[partA] == nil)
+	for range MaxEnds {
+		both()
+	}
+	is.True(!p.heldBack(badPart))
+	is.True(!p.heldBack(otherBadPart))
+	p.endLate(badPart)
+	is.True(p.heldBack(badPart))
+	is.True(!p.heldBack(otherBadPart))
+}
+
+// Guards against trials that speak against a part although a verdict explains their ends.
+func TestExplainedTrialsCountForNobodyElse(t *testing.T) {
+	is := is.New(t)
+	p := newPlay()
+	for range MaxEnds {
+		p.endLate(badPart, partA)
+	}
+	is.True(p.heldBack(badPart, partA))
+	for range MaxEnds - 1 {
+		p.endLate(p.content(), partA)
+	}
+	is.True(!p.heldBack(p.content(), partA))
 }
 
 // Guards against memory that grows with what callers draw, and against one caller's parts that push out another's that are put to
@@ -151,7 +203,7 @@
 		p.endLate(p.content(), badPart)
 	}
 	for k := range Key(2 * maxSuspects) {
-		p.addLateSuspect(p.now, firstContent+k, false)
+		p.addLateSuspect(p.now, firstContent+k, false).lastEnd = p.now
 	}
 	is.True(len(p.late) <= maxSuspects)
 	is.True(p.late[badPart] != nil)
--- a/internal/decide/quarantine/scope.go
+++ b/internal/decide/quarantine/scope.go
@@ -103,12 +103,14 @@
 	}
 }
 
-// widen extends to all workspaces the verdicts that a request on an upstream which ended has tried, if none of those whom they
-// concern had such a request there.
+// widen extends to all workspaces the verdicts that a request on an upstream which ended has tried.
 func (t *Table) widen(now decide.Instant, e *end) {
+	if e.explained { // by a request that a verdict is on
+		return
+	}
 	for _, r := range slices.Concat(e.requests, e.answered) {
 		for _, v := range r.tries {
-			if t.verdicts.get(v.Keys) != v || v.Freed || slices.ContainsFunc(e.workspaces(v.Keys[0]), v.concerns) {
+			if t.verdicts.get(v.Keys) != v || v.Freed {
 				continue
 			}
 			wider := &verdict{Verdict: v.Verdict}
--- a/internal/decide/quarantine/scope_test.go
+++ b/internal/decide/quarantine/scope_test.go
@@ -49,7 +49,7 @@
 	p.endAs([]fleet.WorkspaceID{first}, partA)
 	is.Equal(p.statusOf(second, partA), Free)
 	p.Served(p.now, p.sendAs(second, partA)) // which says nothing of the first one's requests
-	for range maxEndsAnswered {
+	for range maxEndsAnswered - 2 {
 		p.endAs([]fleet.WorkspaceID{first}, partA)
 	}
 	is.Equal(p.statusOf(first, partA), Held)
@@ -104,3 +104,36 @@
 	p.pass(settleTime)
 	is.True(p.statusOf(second, badPart) != Held)
 }
+
+// Guards against a try of another workspace's that ended because one of the requests which the verdict is on was there, too.
+func TestTryBesideRequestThatVerdictIsOnWidensNothing(t *testing.T) {
+	is := is.New(t)
+	p := newPlay()
+	early := p.sendAs(first, badPart)
+	for range MaxEnds {
+		p.endAs([]fleet.WorkspaceID{first}, badPart)
+	}
+	tried := p.sendAs(second, badPart)
+	for _, id := range []fleet.RequestID{tried, early} {
+		p.Ended(p.now, id, fleet.Process{ID: "other"})
+	}
+	p.pass(settleTime)
+	is.Equal(p.statusOf("third", badPart), Alone)
+}
+
+// Guards against a workspace's answers that clear what speaks against another's requests, if upstreams end late in the answer.
+func TestAnswerOfOtherWorkspaceClearsNoLateSuspect(t *testing.T) {
+	is := is.New(t)
+	p := newPlay()
+	for range MaxEnds - 1 {
+		id := p.sendAs(first, badPart)
+		p.Began(p.now, id)
+		p.pass(lateAfter)
+		p.EndedLate(p.now, id, fleet.Process{ID: fleet.UpstreamID(id)})
+		p.pass(settleTime)
+		p.Served(p.now, p.sendAs(second, badPart))
+	}
+	is.Equal(p.late[badPart].moments, MaxEnds-1)
+	p.Served(p.now, p.sendAs(first, badPart))
+	is.True(p.late[badPart] == nil)
+}
--- a/internal/placement/heldback.go
+++ b/internal/placement/heldback.go
@@ -73,7 +73,7 @@
 
 // heldBackFault returns the refusal of a request that is held back for some time.
 func heldBackFault(left time.Duration) *fault.Error {
-	f := fault.New(fault.HeldBack, "upstreams ended, one after the other, when they began to answer such requests")
+	f := fault.New(fault.HeldBack, "upstreams ended, one after the other, while they answered such requests")
 	f.RetryAfter = left
 	return f
 }
