Quarantine: two trials on one upstream show nothing, whichever had more

A request that is tried beside the cause was held back in its place if it had been put to the test first: only those that trials had shown counted as tried together. Found by the test of trials that a verdict explains, which now fails if these go on counting. A condition that nothing saw is gone.

--- a/internal/decide/quarantine/late.go
+++ b/internal/decide/quarantine/late.go
@@ -101,7 +101,7 @@
 	}
 	var tried []*run
 	for _, r := range slices.Concat(e.answered, e.requests) {
-		if len(t.shown(now, r)) > 0 {
+		if len(r.trialOf) > 0 {
 			tried = append(tried, r)
 		}
 	}
--- a/internal/decide/quarantine/late_test.go
+++ b/internal/decide/quarantine/late_test.go
@@ -180,14 +180,23 @@
 	is.True(!p.heldBack(otherBadPart))
 }
 
-// Guards against trials that speak against a part although a verdict explains their ends.
+// Guards against trials that speak against a part although a verdict on another one explains their ends.
 func TestExplainedTrialsCountForNobodyElse(t *testing.T) {
 	is := is.New(t)
 	p := newPlay()
-	for range MaxEnds {
-		p.endLate(badPart, partA)
+	p.endLate(p.content(), partA)
+	for range MaxEnds + 1 {
+		bad, innocent := p.begin(p.content(), badPart), p.begin(p.content(), partA)
+		p.pass(lateAfter)
+		for _, id := range []fleet.RequestID{bad, innocent} {
+			p.EndedLate(p.now, id, fleet.Process{ID: "u", StartTime: int64(p.sent)})
+		}
+		p.pass(settleTime)
+	}
+	for range 2 {
+		p.endLate(p.content(), badPart)
 	}
-	is.True(p.heldBack(badPart, partA))
+	is.True(p.heldBack(p.content(), badPart))
 	for range MaxEnds - 1 {
 		p.endLate(p.content(), partA)
 	}
--- a/internal/decide/quarantine/scope.go
+++ b/internal/decide/quarantine/scope.go
@@ -110,7 +110,7 @@
 	}
 	for _, r := range slices.Concat(e.requests, e.answered) {
 		for _, v := range r.tries {
-			if t.verdicts.get(v.Keys) != v || v.Freed {
+			if t.verdicts.get(v.Keys) != v { // another one has taken its place
 				continue
 			}
 			wider := &verdict{Verdict: v.Verdict}
--- a/internal/decide/quarantine/sim_test.go
+++ b/internal/decide/quarantine/sim_test.go
@@ -76,7 +76,6 @@
 	drain     time.Duration // at the end; requests that arrive then don't count
 	count     int
 	verdicts  int
-	trace     func()
 	badTries  int // bad requests that try whether a verdict still holds
 	badSends  map[Key][]decide.Instant
 	badEnds   map[Key][]decide.Instant
