Late ends are stated to the next dispatcher by those who saw them

An end counts for little until a second one makes its keys suspect enough to be put to the test, and what happened once ended with the dispatcher; an end while an instance has no session was told to nobody.

Each instance keeps the late ends under its own requests for 30 s, 128 at the most, and states them in the first message of a session. Whoever heard of an end when it happened ignores them.

Ends of requests that an instance placed by itself, without a dispatcher, are still told to nobody.

Log lines bear keys as text: the logger wrote them in decimal again.

--- a/internal/decide/quarantine/ends.go
+++ b/internal/decide/quarantine/ends.go
@@ -22,6 +22,7 @@
 	at        decide.Instant // when it was first reported
 	explained bool           // a verdict explains it
 	settled   bool           // the reports on it are in
+	recalled  bool           // it was stated later, by Recall
 	requests  []*run         // that the upstream held, and had just begun to answer if at all
 	answered  []*run         // that it had answered for a while
 }
--- a/internal/decide/quarantine/late.go
+++ b/internal/decide/quarantine/late.go
@@ -130,12 +130,12 @@
 	}
 	s.ends = append(s.ends, chargedEnd{e, r.endedAt.Sub(r.startedAt)})
 	s.owners.narrow(e.workspaces(k))
-	if s.moments == 0 || e.at.Sub(s.lastMoment) >= sameMoment {
+	if s.moments == 0 || e.at.Sub(s.lastMoment).Abs() >= sameMoment { // recalled ends come in any order
 		s.moments++
 		s.lastMoment = e.at
 		s.exposed += r.endedAt.Sub(r.startedAt)
 	}
-	s.lastEnd = e.at
+	s.lastEnd = max(s.lastEnd, e.at)
 	t.decideTrial(now, k, s)
 }
 
--- a/internal/decide/quarantine/late_test.go
+++ b/internal/decide/quarantine/late_test.go
@@ -241,3 +241,36 @@
 	p.Served(p.now, p.begin(p.content(), badPart))
 	is.True(p.TakeChanges()[0].Freed)
 }
+
+// Guards against ends that are forgotten with the dispatcher to which they were reported, or reported to none.
+func TestRecalledEndsCount(t *testing.T) {
+	is := is.New(t)
+	p := newPlay()
+	for i := range MaxEnds - 1 {
+		at := p.now.Add(-time.Duration(i+1) * 5 * time.Second) // the latest first
+		past := PastEnd{
+			Request: Request{Keys: []Key{badPart}}, Upstream: fleet.Process{ID: "past", StartTime: int64(i)}, At: at, SentAt: at.Add(-lateAfter),
+			FirstEventAt: at.Add(-lateAfter),
+		}
+		p.Recall(past)
+		p.Recall(past) // by another session
+	}
+	p.pass(settleTime)
+	is.Equal(p.late[badPart].moments, MaxEnds-1)
+	p.endLate(badPart)
+	is.True(p.heldBack(badPart))
+}
+
+// Guards against an end that counts twice because it is stated again to the dispatcher that knows it.
+func TestEndIsNotRecalledWhereItWasReported(t *testing.T) {
+	is := is.New(t)
+	p := newPlay()
+	id := p.begin(badPart)
+	p.pass(lateAfter)
+	u := fleet.Process{ID: "u"}
+	p.EndedLate(p.now, id, u)
+	p.pass(settleTime)
+	p.Recall(PastEnd{Request: Request{Keys: []Key{partA}}, Upstream: u, At: p.now})
+	is.True(p.late[partA] == nil)
+	is.Equal(p.late[badPart].moments, 1)
+}
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -158,7 +158,7 @@
 	}
 	fields := []any{"upstream", u.ID, "at_fault", f.atFault, "outcome", f.outcome, "ran", f.ran,
 		"why", why, "attempts", l.attempts, "cause", f.cause, "framing", f.framing, "upstream_ended", f.ended,
-		"content", l.r.keys[0], "parts", strings.Join(l.r.SharedParts, ","), "part_keys", quarantine.Keys(l.r.keys[1:]), "took_ms", time.Since(l.sentAt).Milliseconds(),
+		"content", l.r.keys[0], "parts", strings.Join(l.r.SharedParts, ","), "part_keys", quarantine.Keys(l.r.keys[1:]).String(), "took_ms", time.Since(l.sentAt).Milliseconds(),
 		"answered_ms", l.answeredFor().Milliseconds()}
 	l.g.deps.Explain.Record("after_failure", l.r.ID, reason, append(fields, l.watchdog.fields()...)...)
 	return retry
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -72,6 +72,7 @@
 	session               *session                             // guarded by mu; nil: none
 	waiting               map[fleet.RequestID]*waitingRequest  // guarded by mu
 	running               map[fleet.RequestID]*dispatchedGrant // guarded by mu
+	pastEnds              []pastEnd                            // guarded by mu: the latest last
 	backoffs              map[fleet.InstanceID]backoff         // guarded by mu
 	relayed               map[fleet.InstanceID]*remoteSink     // guarded by mu: instances that this one relays for
 	demoted               chan struct{}                        // guarded by mu: closed, and replaced, when this instance attaches to another one
@@ -251,6 +252,7 @@
 	m := &pb.FromEntry{
 		Entry: string(c.self), Domain: string(c.domain), Process: c.process, Session: c.sessionCount, Proofs: proofMessages(proofs), Limits: c.limits.messages(c.snapshot()),
 		Departures: departureMessages(c.follower.Departures()), HeldBack: c.heldBack.messages(),
+		PastEnds: c.pastEndMessages(now),
 	}
 	for _, r := range c.running {
 		m.Running = append(m.Running, r.message(now))
--- a/internal/placement/grant.go
+++ b/internal/placement/grant.go
@@ -20,7 +20,9 @@
 	reservations  []gateway.Reservation
 	reason        string
 	answerTimeout time.Duration
-	decoding      bool // guarded by c.mu: the first event has arrived
+	grantedAt     time.Time
+	decoding      bool      // guarded by c.mu: the first event has arrived
+	firstEventAt  time.Time // guarded by c.mu; valid if decoding is set
 }
 
 func (g *dispatchedGrant) Upstream() *catalog.Upstream         { return g.upstream }
@@ -33,7 +35,7 @@
 // RecordFirstEvent implements gateway.Grant. It reports the first event to the dispatcher.
 func (g *dispatchedGrant) RecordFirstEvent() {
 	g.c.mu.Lock()
-	g.decoding = true
+	g.decoding, g.firstEventAt = true, time.Now()
 	g.c.mu.Unlock()
 	g.c.sendToDispatcher(&pb.FromEntry{Began: []string{string(g.ask.ID)}})
 }
@@ -50,6 +52,9 @@
 	if g.c.running[g.ask.ID] == g {
 		delete(g.c.running, g.ask.ID)
 	}
+	if o == gateway.UpstreamEndedLate {
+		g.c.recordPastEnd(g, time.Now())
+	}
 	g.c.mu.Unlock()
 	g.c.sendToDispatcher(&pb.FromEntry{Ended: []*pb.Ended{{
 		Id: string(g.ask.ID), How: wireOutcomes[o], AtFault: string(atFault), Served: o == gateway.Served, UpstreamEnded: o == gateway.UpstreamEnded || o == gateway.Refused,
--- a/internal/placement/heldback.go
+++ b/internal/placement/heldback.go
@@ -150,12 +150,12 @@
 		m.HeldBack = append(m.HeldBack, heldBackMessage(v, now))
 		switch {
 		case v.OnTrial():
-			h.log.Info("requests are put to the test: upstreams ended under them", "keys", quarantine.Keys(v.Keys), "workspaces", v.Workspaces, "ends", v.Ends,
+			h.log.Info("requests are put to the test: upstreams ended under them", "keys", quarantine.Keys(v.Keys).String(), "workspaces", v.Workspaces, "ends", v.Ends,
 				"answered_ms", v.AnsweredFor.Milliseconds(), "done", v.Freed)
 		case v.Freed:
-			h.log.Info("requests are no longer held back", "keys", quarantine.Keys(v.Keys), "ends", v.Ends, "workspaces", v.Workspaces, "tries", v.Tries, "for_ms", now.Sub(v.Since).Milliseconds())
+			h.log.Info("requests are no longer held back", "keys", quarantine.Keys(v.Keys).String(), "ends", v.Ends, "workspaces", v.Workspaces, "tries", v.Tries, "for_ms", now.Sub(v.Since).Milliseconds())
 		default:
-			h.log.Warn("requests are held back: upstreams end when they answer them", "keys", quarantine.Keys(v.Keys), "workspaces", v.Workspaces, "ends", v.Ends, "tries", v.Tries,
+			h.log.Warn("requests are held back: upstreams end when they answer them", "keys", quarantine.Keys(v.Keys).String(), "workspaces", v.Workspaces, "ends", v.Ends, "tries", v.Tries,
 				"answered_ms", v.AnsweredFor.Milliseconds(), "left_ms", v.Until.Sub(now).Milliseconds())
 		}
 	}
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -222,6 +222,7 @@
 func (h *hub) apply(now decide.Instant, instance fleet.InstanceID, m *pb.FromEntry) {
 	h.applyDepartures(now, m.Departures)
 	h.applyHeldBack(now, m.HeldBack)
+	h.applyPastEnds(now, instance, m.PastEnds)
 	for _, r := range m.Running {
 		if r.Ask == nil {
 			h.log.Error("running request can't be taken over: its message lacks the field ask", "entry", instance, "upstream", r.Upstream)
--- a/internal/placement/requests.go
+++ b/internal/placement/requests.go
@@ -183,7 +183,7 @@
 		c.sendToDispatcher(&pb.FromEntry{Withdrawn: []string{string(w.ask.ID)}})
 		return c.placeLocally(ctx, w.ask)
 	}
-	g := &dispatchedGrant{c: c, ask: w.ask, askedAt: w.askedAt, upstream: u, reason: r.place.Reason, answerTimeout: max(0, ms(r.place.OverdueMs))}
+	g := &dispatchedGrant{c: c, ask: w.ask, askedAt: w.askedAt, grantedAt: time.Now(), upstream: u, reason: r.place.Reason, answerTimeout: max(0, ms(r.place.OverdueMs))}
 	for _, id := range r.place.Helpers {
 		if h := snap.Upstream(fleet.UpstreamID(id)); h != nil && snap.AcceptsWork(h) {
 			g.helpers = append(g.helpers, h.ID)
--- a/internal/placement/session.go
+++ b/internal/placement/session.go
@@ -398,6 +398,7 @@
 		all.Limits = append(all.Limits, m.Limits...)
 		all.Departures = append(all.Departures, m.Departures...)
 		all.HeldBack = append(all.HeldBack, m.HeldBack...)
+		all.PastEnds = append(all.PastEnds, m.PastEnds...)
 		if len(m.Reads) > 0 {
 			all.Reads = m.Reads
 		}
