A trial counts once, however late the reports on its upstream's end come in

A part of prompts could be held back after one trial instead of three: each report that came in after an end was settled, as from an instance that is slow to notice, charged the requests on that upstream anew. Found by reading; the test fails before (held back after one trial and three late reports).

--- a/internal/decide/quarantine/late.go
+++ b/internal/decide/quarantine/late.go
@@ -87,20 +87,9 @@
 	if e.explained {
 		return
 	}
-	for _, r := range e.answered {
-		for _, k := range r.keys {
-			t.chargeLate(now, k, r, e)
-		}
-	}
-	for _, r := range e.requests { // a resumed answer may end its upstream at once
-		for _, k := range r.keys {
-			if t.late[k] != nil {
-				t.chargeLate(now, k, r, e)
-			}
-		}
-	}
 	var tried []*run
 	for _, r := range slices.Concat(e.answered, e.requests) {
+		t.chargeLateRun(now, r, e)
 		if len(r.trialOf) > 0 {
 			tried = append(tried, r)
 		}
@@ -112,6 +101,20 @@
 	}
 }
 
+// chargeLateRun counts the end of a request's upstream against its keys, once: reports may come in after the end was settled.
+func (t *Table) chargeLateRun(now decide.Instant, r *run, e *end) {
+	if r.charged {
+		return
+	}
+	r.charged = true
+	justBegun := slices.Contains(e.requests, r) // as a resumed answer that ends its upstream at once
+	for _, k := range r.keys {
+		if !justBegun || t.late[k] != nil {
+			t.chargeLate(now, k, r, e)
+		}
+	}
+}
+
 // chargeLate counts the end of a request's upstream against one of its keys.
 func (t *Table) chargeLate(now decide.Instant, k Key, r *run, e *end) {
 	s := t.late[k]
@@ -141,7 +144,7 @@
 
 // endRate returns how often an upstream ended lately under no request with a suspect key, a second.
 func (t *Table) endRate(now decide.Instant, s *lateSuspect) float64 {
-	window := min(rateWindow, now.Sub(t.firstStart))
+	window := max(time.Second, min(rateWindow, now.Sub(t.firstStart)))
 	n, without := 0, window*time.Duration(max(1, t.busy-1)) // time of upstreams without such requests
 	for _, e := range t.ended {
 		if now.Sub(e.at) <= window && e.settled && !e.explained && !s.bears(e) {
--- a/internal/decide/quarantine/late_test.go
+++ b/internal/decide/quarantine/late_test.go
@@ -274,3 +274,21 @@
 	is.True(p.late[partA] == nil)
 	is.Equal(p.late[badPart].moments, 1)
 }
+
+// Guards against a trial that counts again with each report on its upstream's end that comes in late.
+func TestTrialCountsOnce(t *testing.T) {
+	is := is.New(t)
+	p := newPlay()
+	p.endLate(p.content(), badPart)
+	p.endLate(p.content(), badPart)
+	u := fleet.Process{ID: "u"}
+	trial, others := p.begin(p.content(), badPart), []fleet.RequestID{p.begin(p.content()), p.begin(p.content()), p.begin(p.content())}
+	p.pass(lateAfter)
+	p.EndedLate(p.now, trial, u)
+	for _, id := range others {
+		p.pass(settleTime)
+		p.EndedLate(p.now, id, u)
+	}
+	is.True(!p.heldBack(p.content(), badPart))
+	is.Equal(p.late[badPart].endedTrials, 1)
+}
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -100,6 +100,7 @@
 	endedAt   decide.Instant // valid if done is set
 	resumed   bool           // it continues an answer
 	trialOf   []Key          // that are put to the test with it
+	charged   bool           // its upstream's end counts against its keys, if it came late in an answer
 	workspace fleet.WorkspaceID
 	tries     []*verdict // on requests of other workspaces
 }
