Read once more: one record of an end, one kind of try, one way to put a verdict in force

No behaviour changes; the tests keep their assertions. - Ended and EndedLate were twins but for whom they blame: recordEnd. - A verdict's own try and that of another workspace were the same two fields with the same wait: type try, verdict.awaits. Check no longer makes up a run to ask for the verdicts elsewhere. - A verdict was stored and made known in four places: enact.

--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -117,7 +117,7 @@
 func (s *State) decide(now decide.Instant, j *Job) (Decision, bool) {
 	status, heldFor := s.quarantine.Check(now, j.quarantineRequest())
 	if status == quarantine.Held {
-		return Decision{Job: j, Reason: HeldBack, RetryAfter: max(minRetryAfter, heldFor)}, true
+		return holdBack(j, heldFor), true
 	}
 	if now.Add(s.minPrefill(j)+s.params.Margin) > j.FirstEventDeadline {
 		return s.refuse(j, TooLate), true
@@ -127,7 +127,7 @@
 	}
 	if j.awaiting = status == quarantine.Wait; j.awaiting {
 		if now.Add(heldFor) > j.FirstEventDeadline {
-			return Decision{Job: j, Reason: HeldBack, RetryAfter: max(minRetryAfter, heldFor)}, true
+			return holdBack(j, heldFor), true
 		}
 		return Decision{}, false
 	}
--- a/internal/decide/dispatch/suspect.go
+++ b/internal/decide/dispatch/suspect.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/decide/quarantine"
 )
@@ -16,6 +18,12 @@
 	return quarantine.Request{Keys: j.Keys, Workspace: j.Workspace, Resumed: j.Resumed}
 }
 
+// holdBack returns the decision that refuses the job because upstreams end when they answer such jobs. Nothing more is known for
+// some time.
+func holdBack(j *Job, left time.Duration) Decision {
+	return Decision{Job: j, Reason: HeldBack, RetryAfter: max(minRetryAfter, left)}
+}
+
 // setAlone records whether the job needs an upstream of its own now.
 func (j *Job) setAlone(now decide.Instant, needed bool) {
 	if needed && j.aloneSince == 0 {
--- a/internal/decide/quarantine/cause.go
+++ b/internal/decide/quarantine/cause.go
@@ -27,10 +27,7 @@
 		t.hold(now, cause)
 	}
 	t.settleLate(now, e)
-	if len(t.reports) >= maxRecentEnds { // nobody takes them
-		t.reports = t.reports[1:]
-	}
-	t.reports = append(t.reports, t.report(e))
+	t.addReport(e)
 }
 
 // causes returns the sets of keys of a request that explain its upstream's end and earlier ones. Keys that no answered request
@@ -121,8 +118,7 @@
 	for _, k := range cause {
 		t.removeLate(now, k)
 	}
-	t.verdicts.put(v)
-	t.changed = append(t.changed, v.Verdict)
+	t.enact(v)
 }
 
 // dropExplained removes the ends that a verdict explains from what speaks against other keys.
--- a/internal/decide/quarantine/ends.go
+++ b/internal/decide/quarantine/ends.go
@@ -88,6 +88,14 @@
 	return r
 }
 
+// addReport keeps the report on an end until it is taken. Only the latest are kept, as nobody may take them.
+func (t *Table) addReport(e *end) {
+	if len(t.reports) >= maxRecentEnds {
+		t.reports = t.reports[1:]
+	}
+	t.reports = append(t.reports, t.report(e))
+}
+
 // TakeEnds returns the ends that were judged since the last call.
 func (t *Table) TakeEnds() []EndReport {
 	reports := t.reports
--- a/internal/decide/quarantine/late.go
+++ b/internal/decide/quarantine/late.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -15,34 +16,41 @@
 // cause if the upstreams of trials end far more often than the others do meanwhile.
 
 const (
-	// maxTrialChance is the probability up to which ends under requests with a key aren't put down to chance before trials.
+	// maxTrialChance is the probability, of as many ends by chance, up to which requests with a key are put to the test.
 	maxTrialChance = 0.05
-	// minFreeChance is the probability above which they are, once there are trials.
+	// minFreeChance is the probability above which they no longer are.
 	minFreeChance = 0.3
-	// maxChance is the probability up to which the ends of trials aren't put down to chance.
+	// maxChance is the probability, of as many ended trials by chance, up to which one trial shows a cause.
 	maxChance = 0.02
+	// maxEndsTogether is the number of ends, at different moments, from which a key counts as a cause although another request was
+	// tried on the same upstream.
+	maxEndsTogether = 2 * MaxEnds
 	// rateWindow is the time in which the ends of other upstreams are counted.
 	rateWindow = 10 * time.Second
+	// evictedShare is the divisor of the suspects that are removed together when there are too many: to rank them takes a while.
+	evictedShare = 8
 	// sameMoment is the time within which ends count as one, as when a failure domain loses power.
 	sameMoment = 300 * time.Millisecond
 )
 
 // lateSuspect is a key of requests whose upstreams ended after they had been answered for a while.
 type lateSuspect struct {
-	ends         []chargedEnd
-	moments      int // of ends
-	lastMoment   decide.Instant
-	lastEnd      decide.Instant
-	answeredFor  time.Duration  // the longest answer that an end cut off
-	sentFor      time.Duration  // the longest time from the send of a request to the end of its upstream
-	tried        bool           // requests with the key are sent one at a time
-	trial        *run           // the latest trial, while it is on its way
-	trialFailed  decide.Instant // when the latest trial failed
-	exposed      time.Duration  // that its upstreams took to end
-	endedTrials  int
-	wholeContent bool          // the key stands for the whole content of a request
-	tested       time.Duration // that these trials would have taken if their upstreams had not ended
+	wholeContent bool // the key stands for the whole content of a request
 	owners       owners
+
+	ends        []chargedEnd
+	lastEnd     decide.Instant
+	moments     int            // at which upstreams ended; ends at one moment count once
+	lastMoment  decide.Instant // the latest one counted
+	exposed     time.Duration  // sum over the moments, from the send of a request to the end of its upstream
+	answeredFor time.Duration  // the longest answer that an end cut off
+	sentFor     time.Duration  // the longest time from the send of a request to the end of its upstream
+
+	tried       bool           // requests with the key are put to the test
+	trial       *run           // the latest trial, while it is on its way
+	trialFailed decide.Instant // when the latest trial failed
+	endedTrials int            // trials whose upstreams ended
+	tested      time.Duration  // that these trials would have taken if their upstreams had not ended
 }
 
 // chargedEnd is an end that counts against a key.
@@ -58,14 +66,7 @@
 
 // EndedLate records that the upstream of a request ended after the request was proven, and before its answer was complete.
 func (t *Table) EndedLate(now decide.Instant, id fleet.RequestID, upstream fleet.Process) {
-	r := t.runs[id]
-	if r == nil {
-		return
-	}
-	t.finish(now, id)
-	e := t.ended.record(now, upstream)
-	t.blameLate(now, r, e)
-	t.blameFailed(now, upstream, e)
+	t.recordEnd(now, id, upstream, t.blameLate)
 }
 
 // blameLate records that a request which was answered for a while may be the cause of an upstream's end, unless a verdict
@@ -95,7 +96,7 @@
 		}
 	}
 	for _, r := range tried {
-		if shown := t.shown(now, r); len(shown) > 0 && (len(tried) == 1 || t.late[shown[0]].moments >= 2*MaxEnds) {
+		if shown := t.shown(now, r); len(shown) > 0 && (len(tried) == 1 || t.late[shown[0]].moments >= maxEndsTogether) {
 			t.hold(now, shown)
 		}
 	}
@@ -238,7 +239,7 @@
 		return
 	}
 	for _, k := range r.keys {
-		if s := t.late[k]; s != nil && s.tried && s.owners.concern(r.workspace) {
+		if s := t.late[k]; s != nil && s.tried && s.owners.concerns(r.workspace) {
 			s.trial, r.trialOf = r, append(r.trialOf, k)
 		}
 	}
@@ -249,7 +250,7 @@
 func (t *Table) checkTrials(now decide.Instant, keys []Key, workspace fleet.WorkspaceID) (status Status, left time.Duration) {
 	for _, k := range keys {
 		s := t.late[k]
-		if s == nil || !s.tried || !s.owners.concern(workspace) {
+		if s == nil || !s.tried || !s.owners.concerns(workspace) {
 			continue
 		}
 		if s.trial.outlives(now, s.answeredFor) {
@@ -278,7 +279,8 @@
 	return r.endedAt.Sub(r.firstAt)
 }
 
-// dropExplainedLate removes the ends that a verdict explains from what speaks against a key. What trials have shown was shown together with them.
+// dropExplainedLate removes the ends that a verdict explains from what speaks against a key, and what trials have shown: it may
+// rest on those ends.
 func (t *Table) dropExplainedLate(now decide.Instant, k Key, s *lateSuspect) {
 	before := len(s.ends)
 	s.ends = slices.DeleteFunc(s.ends, func(c chargedEnd) bool { return c.explained })
@@ -303,7 +305,7 @@
 	return s
 }
 
-// evictLate removes an eighth of the suspects: those with the fewest ends, of these the ones whose last end is longest ago.
+// evictLate removes a part of the suspects: those with the fewest ends, of these the ones whose last end is longest ago.
 func (t *Table) evictLate(now decide.Instant) {
 	type ranked struct {
 		key Key
@@ -314,12 +316,9 @@
 		all = append(all, ranked{k, s})
 	}
 	slices.SortFunc(all, func(a, b ranked) int {
-		if a.s.moments != b.s.moments {
-			return a.s.moments - b.s.moments
-		}
-		return int(a.s.lastEnd.Sub(b.s.lastEnd))
+		return cmp.Or(cmp.Compare(a.s.moments, b.s.moments), cmp.Compare(a.s.lastEnd, b.s.lastEnd))
 	})
-	for _, r := range all[:len(all)/8] {
+	for _, r := range all[:len(all)/evictedShare] {
 		t.removeLate(now, r.key)
 	}
 }
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -128,23 +128,22 @@
 	}
 	keys := bounded(q.Keys)
 	for _, v := range t.verdicts.on(keys, q.Workspace) {
-		if r := t.runs[v.tryID]; r.outlives(now, v.AnsweredFor) {
+		if r := t.runs[v.try.id]; r.outlives(now, v.AnsweredFor) {
 			t.free(now, v, r.keys)
 			continue
 		}
-		switch left := v.Until.Sub(now); {
-		case left > 0:
+		if left := v.Until.Sub(now); left > 0 {
 			return Held, left
-		case v.awaitsOutcome(now) > 0:
-			return Wait, v.awaitsOutcome(now)
-		default:
-			return Alone, 0
 		}
+		if wait := v.awaits(now, v.try); wait > 0 {
+			return Wait, wait
+		}
+		return Alone, 0
 	}
 	status, left := t.checkTrials(now, keys, q.Workspace)
-	for _, v := range t.verdicts.elsewhere(&run{keys: keys, workspace: q.Workspace}) {
+	for _, v := range t.verdicts.elsewhere(keys, q.Workspace) {
 		status = max(status, Alone)
-		if wait := v.awaitsOther(now); wait > 0 {
+		if wait := v.awaits(now, v.otherTry); wait > 0 {
 			status, left = Wait, max(left, wait)
 		}
 	}
@@ -153,7 +152,7 @@
 	}
 	for _, k := range keys {
 		s := t.suspects[k]
-		if s == nil || !s.owners.concern(q.Workspace) || s.rounds <= t.answered.tolerance(k) {
+		if s == nil || !s.owners.concerns(q.Workspace) || s.rounds <= t.answered.tolerance(k) {
 			continue
 		}
 		if s.awaitsOutcome(now) {
@@ -192,7 +191,7 @@
 	t.startTrial(r)
 	t.startOtherTries(now, id, r)
 	for _, v := range t.verdicts.on(r.keys, r.workspace) {
-		v.tryID, v.triedAt = id, now
+		v.try = try{id, now}
 	}
 	for _, k := range r.keys {
 		if s := t.suspects[k]; s != nil {
@@ -267,11 +266,11 @@
 		}
 	}
 	for _, v := range t.verdicts.on(r.keys, r.workspace) {
-		if v.tryID == id {
-			v.tryID = ""
-		}
+		v.try.end(id)
+	}
+	for _, v := range r.tries {
+		v.otherTry.end(id)
 	}
-	r.endOtherTries(id)
 }
 
 // finish is Done for a request whose upstream ended or failed it.
@@ -288,13 +287,18 @@
 
 // Ended records that the upstream of a request ended before the request was proven.
 func (t *Table) Ended(now decide.Instant, id fleet.RequestID, upstream fleet.Process) {
+	t.recordEnd(now, id, upstream, t.blame)
+}
+
+// recordEnd records the end of a request's upstream, and blames the request for it.
+func (t *Table) recordEnd(now decide.Instant, id fleet.RequestID, upstream fleet.Process, blame func(decide.Instant, *run, *end)) {
 	r := t.runs[id]
 	if r == nil {
 		return
 	}
 	t.finish(now, id)
 	e := t.ended.record(now, upstream)
-	t.blame(now, r, e)
+	blame(now, r, e)
 	t.blameFailed(now, upstream, e)
 }
 
@@ -328,7 +332,7 @@
 // clear records that a request's upstream survived the beginning of its answer.
 func (t *Table) clear(now decide.Instant, r *run) {
 	for _, k := range r.keys {
-		if s := t.suspects[k]; s != nil && s.owners.concern(r.workspace) {
+		if s := t.suspects[k]; s != nil && s.owners.concerns(r.workspace) {
 			delete(t.suspects, k)
 		}
 	}
@@ -346,7 +350,7 @@
 // clearLate records that a request's upstream survived it to the end of its answer.
 func (t *Table) clearLate(now decide.Instant, r *run) {
 	for _, k := range r.keys {
-		if s := t.late[k]; s != nil && s.owners.concern(r.workspace) {
+		if s := t.late[k]; s != nil && s.owners.concerns(r.workspace) {
 			t.removeLate(now, k)
 		}
 	}
@@ -365,17 +369,21 @@
 func (t *Table) free(now decide.Instant, v *verdict, refuted []Key) {
 	freed := &verdict{Verdict: v.Verdict}
 	freed.Freed, freed.ChangedAt = true, now
-	t.verdicts.put(freed)
-	t.changed = append(t.changed, freed.Verdict)
+	t.enact(freed)
 	rest := slices.DeleteFunc(slices.Clone(v.Keys), func(k Key) bool { return slices.Contains(refuted, k) })
 	if len(rest) > 0 {
 		narrower := &verdict{Verdict: v.Verdict}
 		narrower.Keys, narrower.ChangedAt = rest, now
-		t.verdicts.put(narrower)
-		t.changed = append(t.changed, narrower.Verdict)
+		t.enact(narrower)
 	}
 }
 
+// enact puts a verdict that was reached here in force, and makes it known.
+func (t *Table) enact(v *verdict) {
+	t.verdicts.put(v)
+	t.changed = append(t.changed, v.Verdict)
+}
+
 // Merge records a verdict that was reached elsewhere, unless a later one on the same keys is known. It reports whether it
 // changed anything.
 func (t *Table) Merge(v Verdict) bool {
--- a/internal/decide/quarantine/scope.go
+++ b/internal/decide/quarantine/scope.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
@@ -28,8 +27,8 @@
 	o.ids = slices.DeleteFunc(slices.Clone(o.ids), func(id fleet.WorkspaceID) bool { return !slices.Contains(ids, id) })
 }
 
-// concern reports whether what speaks against the key concerns a workspace's requests.
-func (o *owners) concern(id fleet.WorkspaceID) bool {
+// concerns reports whether what speaks against the key concerns a workspace's requests.
+func (o *owners) concerns(id fleet.WorkspaceID) bool {
 	return !o.known || len(o.ids) == 0 || slices.Contains(o.ids, id)
 }
 
@@ -63,40 +62,17 @@
 	return len(v.Workspaces) == 0 || slices.Contains(v.Workspaces, id)
 }
 
-// otherTry is the request of a workspace that a verdict doesn't concern which tries whether it should.
-type otherTry struct {
-	id     fleet.RequestID // empty: none is on its way
-	sentAt decide.Instant
-}
-
-// awaitsOther returns for how much longer the outcome of such a request is awaited, before the next one is sent.
-func (v *verdict) awaitsOther(now decide.Instant) time.Duration {
-	if v.other.id == "" {
-		return 0
-	}
-	return max(0, v.other.sentAt.Add(v.AnsweredFor+tryInterval).Sub(now))
-}
-
 // startOtherTries records that a request tries the verdicts on its keys that don't concern its workspace.
 func (t *Table) startOtherTries(now decide.Instant, id fleet.RequestID, r *run) {
-	for _, v := range t.verdicts.elsewhere(r) {
-		v.other = otherTry{id, now}
+	for _, v := range t.verdicts.elsewhere(r.keys, r.workspace) {
+		v.otherTry = try{id, now}
 		r.tries = append(r.tries, v)
 	}
 }
 
-// endOtherTries records that such a request is no longer on its way.
-func (r *run) endOtherTries(id fleet.RequestID) {
-	for _, v := range r.tries {
-		if v.other.id == id {
-			v.other.id = ""
-		}
-	}
-}
-
 // exempt records that an answered request's workspace isn't concerned by verdicts on others' requests with its keys.
 func (t *Table) exempt(r *run, late bool) {
-	for _, v := range t.verdicts.elsewhere(r) {
+	for _, v := range t.verdicts.elsewhere(r.keys, r.workspace) {
 		if (v.AnsweredFor > 0) == late {
 			v.exempt = append(v.exempt, r.workspace)
 		}
@@ -117,8 +93,7 @@
 			wider.Workspaces = nil
 			wider.Ends++
 			wider.holdFrom(now)
-			t.verdicts.put(wider)
-			t.changed = append(t.changed, wider.Verdict)
+			t.enact(wider)
 			e.explained = true
 		}
 	}
--- a/internal/decide/quarantine/verdict.go
+++ b/internal/decide/quarantine/verdict.go
@@ -49,22 +49,33 @@
 	v.Until, v.ChangedAt = now.Add(min(firstHold<<min(v.Tries, 8), maxHold)), now
 }
 
-// verdict is a Verdict with the request that tries whether it still holds.
+// verdict is a Verdict with the requests that try it.
 type verdict struct {
 	Verdict
-	tryID   fleet.RequestID // empty: none is on its way
-	triedAt decide.Instant
-	other   otherTry
-	exempt  []fleet.WorkspaceID // whose requests with the keys were answered since
+	try      try                 // whether it still holds
+	otherTry try                 // whether it should concern a workspace that it doesn't
+	exempt   []fleet.WorkspaceID // whose requests with the keys were answered since
 }
 
-// awaitsOutcome returns for how much longer the next request waits for the outcome of the one that tries whether the verdict
-// holds.
-func (v *verdict) awaitsOutcome(now decide.Instant) time.Duration {
-	if v.tryID == "" {
+// try is a request that tries a verdict.
+type try struct {
+	id     fleet.RequestID // empty: none is on its way
+	sentAt decide.Instant
+}
+
+// end records that a request is no longer on its way.
+func (t *try) end(id fleet.RequestID) {
+	if t.id == id {
+		t.id = ""
+	}
+}
+
+// awaits returns for how much longer the next request waits for the outcome of a try.
+func (v *verdict) awaits(now decide.Instant, t try) time.Duration {
+	if t.id == "" {
 		return 0
 	}
-	return max(0, v.triedAt.Add(v.AnsweredFor+tryInterval).Sub(now))
+	return max(0, t.sentAt.Add(v.AnsweredFor+tryInterval).Sub(now))
 }
 
 // verdicts holds verdicts under each of their keys.
@@ -75,10 +86,10 @@
 	return slices.DeleteFunc(vs.onAll(keys), func(v *verdict) bool { return !v.concerns(workspace) })
 }
 
-// elsewhere returns the verdicts in force that would apply to a request if it were another workspace's, and from which its
-// workspace isn't exempt.
-func (vs verdicts) elsewhere(r *run) []*verdict {
-	return slices.DeleteFunc(vs.onAll(r.keys), func(v *verdict) bool { return v.concerns(r.workspace) || slices.Contains(v.exempt, r.workspace) })
+// elsewhere returns the verdicts in force that would apply to a workspace's requests which bear keys if they were another's, and
+// from which the workspace isn't exempt.
+func (vs verdicts) elsewhere(keys []Key, workspace fleet.WorkspaceID) []*verdict {
+	return slices.DeleteFunc(vs.onAll(keys), func(v *verdict) bool { return v.concerns(workspace) || slices.Contains(v.exempt, workspace) })
 }
 
 // onAll returns the verdicts in force on keys that are all among some.
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -95,7 +95,7 @@
 
 // checkEnded records whether the send failed because the upstream's process has ended, of which the request may be the cause.
 func (l *lifecycle) checkEnded(f *failure) {
-	answeredFor := l.answeredFor()
+	answeredFor := l.answeredFor() // the check below takes time
 	brokeOff := f.outcome == Failed && (upstream.BrokeOff(f.cause) || errors.Is(f.cause, errNoEvent))
 	f.ended = brokeOff && l.g.deps.Client.Refuses(l.ctx, l.grant.Upstream().Addr)
 	if !f.ended {
