The line of an answer that a stop cuts says whether an upstream had the request

What operators saw: a stop that ends with 'stop_failed' and a line with bytes and times for each cut answer, and nothing that tells a request that waited for a place for the whole stop from one whose upstream was at work. A request read on a connection that the instance has closed left no line at all.

Now the line has the stage (waiting, sent, answered, writing), since when, the upstream, earlier attempts and when the last event came; the dropped request has a line and a counter.

--- a/internal/entry/callerconn/answer.go
+++ b/internal/entry/callerconn/answer.go
@@ -7,6 +7,7 @@
 
 // Answer describes an answer that isn't written to its caller yet.
 type Answer struct {
+	Conn         *Conn     // of the caller
 	Request      string    // id of the request; empty: not known
 	Began        time.Time // when Begin was called
 	BodyBytes    int       // length of the answer's body; below 0: not known
@@ -51,7 +52,7 @@
 		return false
 	}
 	c.pending = &pendingAnswer{
-		Answer:        Answer{Request: request, Began: time.Now(), BodyBytes: unknownLength},
+		Answer:        Answer{Conn: c, Request: request, Began: time.Now(), BodyBytes: unknownLength},
 		writtenBefore: c.written.Load(), onWritten: onWritten,
 	}
 	return true
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -68,6 +68,7 @@
 	watchdog        *watchdog     // of the current send; nil: none was started
 	prepaid         *nextSend     // what the watchdog has obtained for the next send; nil: nothing
 	ran             fault.Run     // whether any send may have run
+	progress        progress
 }
 
 // dispatch sends the request to upstreams until one answers, and leaves the exchange in l.exchange with its head
@@ -77,6 +78,7 @@
 		if !l.awaitTrust() {
 			return l.refusal(fault.StaleInstance, "this instance was paused and is catching up")
 		}
+		l.progress.set(StageWaiting, l.lastUpstream(), l.attempts)
 		grant, err := l.place(l.r.placementRequest(time.Now(), l.lastEventAt, l.attempts+1, l.avoid))
 		if err != nil {
 			return l.placementFault(err)
@@ -176,6 +178,7 @@
 	l.g.deps.Explain.Record("dispatch", l.r.ID, decide.Reason(l.grant.Reason()), "upstream", u.ID, "attempt", l.attempts+1, "class", l.r.class(), "prompt", l.r.PromptTokens,
 		"helpers", len(helpers), "holders", len(l.grant.Reservations()), "waited_ms", l.sentAt.Sub(l.r.arrived).Milliseconds(), "config", l.r.configVersion,
 		"entry_revision", objects.FormatVersion(u.Revision))
+	l.progress.set(StageSent, u.ID, l.attempts)
 	sendCtx := l.startWatchdog()
 	x, err := l.g.deps.Client.Forward(sendCtx, upstream.ForwardRequest{
 		Addr: u.Addr, Head: head, Body: l.r.body, HasLength: l.r.hasLength, NewConnection: l.r.route.Kind == catalog.NonIdempotent,
@@ -274,9 +277,18 @@
 // recordFirstEvent records that the current send's answer, or its first event, arrived.
 func (l *lifecycle) recordFirstEvent() {
 	l.firstEventAt = time.Now()
+	l.progress.set(StageAnswered, l.grant.Upstream().ID, l.attempts-1)
 	l.grant.RecordFirstEvent()
 }
 
+// lastUpstream returns the upstream of the last grant, "" if there was none.
+func (l *lifecycle) lastUpstream() fleet.UpstreamID {
+	if l.grant == nil {
+		return ""
+	}
+	return l.grant.Upstream().ID
+}
+
 // recordWay records that the request went through another instance; via is empty if it did not.
 func (l *lifecycle) recordWay(via fleet.InstanceID) {
 	if via == "" {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -8,7 +8,6 @@
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/entry/callerconn"
 	"github.com/damaskshelf/damaskshelf/internal/fault"
-	"github.com/damaskshelf/damaskshelf/internal/fleet"
 )
 
 // copyAnswerHead copies status and headers of an upstream's answer, except for headers that concern its connection
@@ -70,11 +69,7 @@
 
 // recordAnswer writes the last log line of a request.
 func (l *lifecycle) recordAnswer(reason decide.Reason, fields ...any) {
-	u := fleet.UpstreamID("")
-	if l.grant != nil {
-		u = l.grant.Upstream().ID
-	}
-	line := append(l.r.logFields(), "upstream", u, "attempts", l.attempts,
+	line := append(l.r.logFields(), "upstream", l.lastUpstream(), "attempts", l.attempts,
 		"took_ms", time.Since(l.r.arrived).Milliseconds(), "left_ms", time.Until(l.r.deadline).Milliseconds())
 	if l.r.isStream() {
 		line = append(line, "first_ms", l.firstEventDelay.Milliseconds(), "pause_ms", l.longestPause.Milliseconds())
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -77,6 +77,7 @@
 	accepting      *accept.Listener
 	listener       *callerconn.Listener
 	idle           callerconn.IdleConns
+	inFlight       lifecycles
 	serveErr       chan error // result of the HTTP server
 	listeningSince time.Time  // zero: not listening yet
 	log            hclog.Logger
@@ -142,9 +143,6 @@
 // Accepting reports whether callers' connections can be accepted now.
 func (g *Gateway) Accepting() bool { return !g.accepting.Failing() }
 
-// Unwritten returns the answers that haven't left this instance yet.
-func (g *Gateway) Unwritten() []callerconn.Answer { return g.listener.Unwritten() }
-
 // closeIdleConn closes a connection without a request to make room for another one, and returns false if there is none.
 func (g *Gateway) closeIdleConn() bool {
 	closed := g.idle.CloseOldest()
@@ -178,6 +176,9 @@
 	}
 	r, f := g.readRequest(ctx, g.awaitSnapshot(), arrived)
 	if !g.deps.Gate.CountUntilAnswered(ctx.Conn(), r.ID) {
+		g.deps.Metrics.Counter("requests_on_closed_connections").Inc(1)
+		g.log.Warn("request dropped: this instance has closed its connection", "request", r.ID, "ready", g.deps.Gate.Ready(),
+			"read_ms", time.Since(arrived).Milliseconds())
 		g.releaseHeld(r)
 		httpanswer.Cut(ctx) // nobody receives an answer
 		return
@@ -252,7 +253,10 @@
 		unwatch = c.Watch(func() { cancel(errCallerGone) })
 	}
 	l := &lifecycle{g: g, r: r, ctx: requestCtx}
+	l.progress.set(StageWaiting, "", 0)
+	remove := g.inFlight.add(ctx.Conn(), &l.progress)
 	return l, func() {
+		remove()
 		l.stopWatchdog() // still running after a panic
 		l.returnPrepaid()
 		unwatch()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -142,6 +142,7 @@
 		l.longestPause = max(l.longestPause, now.Sub(l.lastEventAt))
 	}
 	l.lastEventAt = now
+	l.progress.recordEvent(now)
 	l.watchdog.onEvent(now, resumable)
 }
 
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -300,9 +300,14 @@
 	if waitErr == nil {
 		return
 	}
-	for _, a := range n.parts.Gateway.Unwritten() {
+	for _, a := range n.parts.Gateway.Pending() {
+		lastEventMs := int64(-1) // none
+		if !a.LastEvent.IsZero() {
+			lastEventMs = time.Since(a.LastEvent).Milliseconds()
+		}
 		n.parts.Log.Warn("answer cut off by the end of the stop", "request", a.Request, "took_ms", time.Since(a.Began).Milliseconds(),
-			"written_bytes", a.WrittenBytes, "body_bytes", a.BodyBytes)
+			"written_bytes", a.WrittenBytes, "body_bytes", a.BodyBytes, "stage", a.Stage, "stage_ms", time.Since(a.Since).Milliseconds(),
+			"upstream", a.Upstream, "attempts_before", a.Attempts, "last_event_ms", lastEventMs)
 	}
 }
 
