A planned stop answers what is left at its end

What callers saw: a connection that closes without an answer, 7.5 s after SIGTERM, for requests that waited for a place all that time and for plain requests whose upstream was still at work. Cause: at the end of the grace an instance closed its connections and ended. The verb that ends requests with an explicit answer (Abort) was used on SIGINT only; the other assembly (internal/node) uses it at its stop's limit. Why it works: requests hold a context that ends with the cause errStopped, from which each wait (for a place, for an upstream's answer, for an event) returns, and the answer follows from whether any send may have run: 503 'stopping' only where none has, else 502 'stopped'.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -59,6 +59,7 @@
 	HeldBack                     // upstreams end when they answer the request
 	NoMemory                     // no group of engines has enough free memory
 	Stopping                     // this instance is stopping
+	Stopped                      // the instance's stop ended before the answer was complete
 	NotReady                     // this instance has no configuration yet
 	StaleInstance                // this instance was paused or isolated and is catching up
 	UpstreamBusy                 // the upstream reported that it did not start the request
@@ -123,6 +124,7 @@
 	HeldBack:         {"held_back", 503, notRun, 30 * time.Second},
 	NoMemory:         {"no_memory", 503, notRun, 2 * time.Second},
 	Stopping:         {"stopping", 503, notRun, otherInstanceDelay},
+	Stopped:          {"stopped", 502, mayHaveRun, otherInstanceDelay},
 	NotReady:         {"not_ready", 503, notRun, startupDelay},
 	StaleInstance:    {"stale_instance", 503, notRun, time.Second},
 	UpstreamBusy:     {"upstream_busy", 503, notRun, time.Second},
--- a/internal/gateway/failure.go
+++ b/internal/gateway/failure.go
@@ -37,7 +37,7 @@
 // keeps that run outcome.
 func (l *lifecycle) placementFault(err error) *fault.Error {
 	f := fault.From(err)
-	if l.ctx.Err() != nil && f.Kind != fault.Infeasible {
+	if l.ctx.Err() != nil && (f.Kind != fault.Infeasible || l.isStopped()) {
 		return l.timeoutFault()
 	}
 	if l.ran == fault.RunNo {
@@ -46,8 +46,17 @@
 	return fault.NewWithRun(fault.UpstreamFailed, l.ran, "no other upstream: %v", f)
 }
 
-// timeoutFault returns the answer for a request whose caller went away or whose time ran out.
+// isStopped reports whether the request was ended by the end of this instance's stop.
+func (l *lifecycle) isStopped() bool { return errors.Is(context.Cause(l.ctx), errStopped) }
+
+// timeoutFault returns the answer for a request whose caller went away, or whose time or whose instance's stop ended.
 func (l *lifecycle) timeoutFault() *fault.Error {
+	switch {
+	case l.isStopped() && l.ran == fault.RunNo:
+		return fault.New(fault.Stopping, "%v", errStopped)
+	case l.isStopped():
+		return fault.NewWithRun(fault.Stopped, l.ran, "%v", errStopped)
+	}
 	if errors.Is(context.Cause(l.ctx), errCallerGone) {
 		return fault.NewWithRun(fault.CallerGone, l.ran, "%v", errCallerGone)
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -28,6 +28,7 @@
 var (
 	errCallerGone  = errors.New("caller closed its connection, or its sending half")
 	errBudgetSpent = errors.New("retry budget is spent")
+	errStopped     = errors.New("the stop of this instance has ended")
 )
 
 // RetryBudget is the instance's share of the retries that the fleet may make.
@@ -83,7 +84,7 @@
 	log            hclog.Logger
 	held           heldBytes
 	requestsCtx    context.Context // parent of every request's context
-	cancelRequests context.CancelFunc
+	cancelRequests context.CancelCauseFunc
 }
 
 // New returns a Gateway that is not listening yet.
@@ -92,7 +93,7 @@
 		deps: d, log: d.Log.Named("gateway"), serveErr: make(chan error, 1),
 		held: heldBytes{limit: d.Limits.MaxHeldBytes, gauge: d.Metrics.Gauge("bytes_held")},
 	}
-	g.requestsCtx, g.cancelRequests = context.WithCancel(context.Background())
+	g.requestsCtx, g.cancelRequests = context.WithCancelCause(context.Background())
 	g.http = &fasthttp.Server{
 		Handler:               httpanswer.Explicit(g.serve, g.onUnanswered),
 		ErrorHandler:          g.refuseUnread,
@@ -163,8 +164,8 @@
 	return <-g.serveErr
 }
 
-// Abort ends every request in flight with an explicit error.
-func (g *Gateway) Abort() { g.cancelRequests() }
+// Abort ends every request in flight: with an error answer, or, if a part of a stream is with the caller, by breaking it off.
+func (g *Gateway) Abort() { g.cancelRequests(errStopped) }
 
 // serve handles one request. A stream continues after it returns: the HTTP server reads it until Close.
 func (g *Gateway) serve(ctx *fasthttp.RequestCtx) {
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -285,8 +285,12 @@
 	p.Gate.RefuseNew()
 	p.Log.Info("refusing new requests", "in_flight", p.Gate.InFlight(), "idle_closed", p.Gateway.CloseIdle())
 	err := p.Gate.AwaitIdle(drainCtx)
-	n.logCutAnswers(err)
-	closeCtx, cancelClose := context.WithTimeout(context.Background(), margin/2)
+	closeTimeout := margin / 2
+	if err != nil {
+		n.endPending(margin / 2)
+		closeTimeout = margin / 4
+	}
+	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
 	err = errors.Join(err, shutdownAll(closeCtx, p.Gateway.Shutdown, p.Status.shutdown))
 	n.stopBackground()
@@ -295,11 +299,20 @@
 	return err
 }
 
-// logCutAnswers logs the answers that haven't left the instance when the wait for them ended with an error.
-func (n *Node) logCutAnswers(waitErr error) {
-	if waitErr == nil {
-		return
+// endPending ends the requests that are in flight at the end of the grace period, and waits until their error answers have
+// left the instance.
+func (n *Node) endPending(timeout time.Duration) {
+	n.logPending()
+	n.Abort()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if err := n.parts.Gate.AwaitIdle(ctx); err != nil {
+		n.parts.Log.Warn("answers have not left the instance", "in_flight", n.parts.Gate.InFlight(), "error", err)
 	}
+}
+
+// logPending logs the answers that haven't left the instance.
+func (n *Node) logPending() {
 	for _, a := range n.parts.Gateway.Pending() {
 		lastEventMs := int64(-1) // none
 		if !a.LastEvent.IsZero() {
