The dispatcher knows when a stopping instance ends

Cause: from SIGTERM on the end is known, and nobody who decides used it: the forecast of a start, the choice of a place and the wait in the queue asked only for the caller's patience. Now an instance tells its dispatcher, and each next one, how long it still serves (FromEntry.ends_ms). A job of such an instance is refused (instance_ends: 503 stopping, not run, 20 ms) as soon as its forecast start and the mean time of its kind's answers don't fit before that. A resumed stream goes on as long as it can begin. An instance without a dispatcher asks the model in the same way. Ruled out: refusing by the longest answer instead of the mean one.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -31,6 +31,7 @@
 	lastAnswer    map[link]decide.Instant // time of the last answer, or first event of one, over the link
 	lastIndirect  map[link]decide.Instant // the same of answers that came through another instance
 	instances     map[fleet.InstanceID]*instancePaths
+	instanceEnds  map[fleet.InstanceID]decide.Instant // of the instances that are stopping
 	quarantine    *quarantine.Table
 	returns       *returns.Table // promises to refused callers; used under ByForecast
 
@@ -75,7 +76,7 @@
 		model: model, params: p, engines: map[fleet.UpstreamID]*engine{}, runs: map[fleet.RequestID]*run{},
 		prefilling: map[*run]bool{}, quarantine: quarantine.New(), returns: returns.New(promptKinds),
 		lastAnswer: map[link]decide.Instant{}, lastIndirect: map[link]decide.Instant{},
-		instances: map[fleet.InstanceID]*instancePaths{}, probeLinks: map[link]bool{},
+		instances: map[fleet.InstanceID]*instancePaths{}, instanceEnds: map[fleet.InstanceID]decide.Instant{}, probeLinks: map[link]bool{},
 	}
 	s.setShares()
 	return s
@@ -311,6 +312,7 @@
 		}
 	}
 	delete(s.instances, instance)
+	delete(s.instanceEnds, instance)
 }
 
 // Waiting returns the number of jobs that wait, including those of callers that returned early.
--- a/internal/decide/dispatch/job.go
+++ b/internal/decide/dispatch/job.go
@@ -91,10 +91,12 @@
 	RateLimited decide.Reason = "rate_limited"
 	HeldBack    decide.Reason = "held_back" // upstreams end when they answer such jobs
 	TooEarly    decide.Reason = "too_early" // the caller was refused and returned sooner than it was told to
+	// InstanceEnds: the instance is stopping, and its process ends before the answer would be complete.
+	InstanceEnds decide.Reason = "instance_ends"
 )
 
 // Reasons lists every reason of this package.
-var Reasons = []decide.Reason{Packed, Spread, SingleEngine, LeastWork, TooLate, TooLarge, NoSlack, NoUpstream, QueueFull, RateLimited, HeldBack, TooEarly}
+var Reasons = []decide.Reason{Packed, Spread, SingleEngine, LeastWork, TooLate, TooLarge, NoSlack, NoUpstream, QueueFull, RateLimited, HeldBack, TooEarly, InstanceEnds}
 
 // Admission selects how long a job waits that can't be placed at once.
 type Admission uint8
--- a/internal/losses/cause.go
+++ b/internal/losses/cause.go
@@ -33,7 +33,7 @@
 	StreamCut           Cause = "stream_cut"            // the stream was interrupted and could not be resumed
 	DeadlineExceeded    Cause = "time_up"               // the caller's or the route's deadline passed first
 	CallerGone          Cause = "caller_gone"           // the caller disconnected before the end of the answer
-	InstanceEnded       Cause = "instance_ended"        // the instance ended without answering
+	InstanceEnded       Cause = "instance_ended"        // the instance ended before the answer was complete
 	Other               Cause = "other"                 // a fault that the fleet is not expected to return
 )
 
@@ -74,14 +74,14 @@
 // refusalCauses maps the reason of a refusal, the log field "detail", to its cause.
 var refusalCauses = map[string]Cause{
 	"too_late": RefusedTooLate, "no_slack": RefusedNoSlack, "too_large": RefusedTooLarge, "queue_full": RefusedQueueFull,
-	"rate_limited": RefusedLimit, "held_back": RefusedHeldBack, "too_early": RefusedTooEarly,
+	"rate_limited": RefusedLimit, "held_back": RefusedHeldBack, "too_early": RefusedTooEarly, "instance_ends": RefusedStopping,
 }
 
 // faultCauses maps the kind of a fault to its cause, for the kinds that determine the cause by themselves.
 var faultCauses = map[string]Cause{
 	"held_back": RefusedHeldBack, "no_upstream": RefusedNoUpstream, "stopping": RefusedStopping, "not_ready": RefusedStarting, "stale_instance": RefusedStarting, "instance_full": RefusedInstanceFull,
 	"upstream_failed": UpstreamFailed, "upstream_busy": UpstreamFailed, "incomplete_answer": StreamCut,
-	"deadline_exceeded": DeadlineExceeded, "caller_gone": CallerGone,
+	"stopped": InstanceEnded, "deadline_exceeded": DeadlineExceeded, "caller_gone": CallerGone,
 }
 
 // callerFaults are the kinds of faults that callers are responsible for, such as a request that is invalid or not
--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -75,6 +75,7 @@
 	pastEnds              []pastEnd                            // guarded by mu: the latest last
 	backoffs              map[fleet.InstanceID]backoff         // guarded by mu
 	relayed               map[fleet.InstanceID]*remoteSink     // guarded by mu: instances that this one relays for
+	endsAt                time.Time                            // guarded by mu: when this instance's stop ends; zero: it isn't stopping
 	demoted               chan struct{}                        // guarded by mu: closed, and replaced, when this instance attaches to another one
 	lastRelaySearch       time.Time                            // guarded by mu: when a relay to a preceding dispatcher was last searched for
 	requestedAt           map[string]time.Time                 // guarded by mu: when each kind was last requested
@@ -252,7 +253,7 @@
 	m := &pb.FromEntry{
 		Entry: string(c.self), Domain: string(c.domain), Process: c.process, Session: c.sessionCount, Proofs: proofMessages(proofs), Limits: c.limits.messages(c.snapshot()),
 		Departures: departureMessages(c.follower.Departures()), HeldBack: c.heldBack.messages(),
-		PastEnds: c.pastEndMessages(now),
+		PastEnds: c.pastEndMessages(now), EndsMs: c.endsMs(now),
 	}
 	for _, r := range c.running {
 		m.Running = append(m.Running, r.message(now))
--- a/internal/placement/hub.go
+++ b/internal/placement/hub.go
@@ -57,6 +57,7 @@
 	firstAttached       decide.Instant                          // guarded by mu: when the first instance attached
 	readers             readers.Selector                        // guarded by mu
 	duties              map[fleet.InstanceID]pb.ToEntry_Duty    // guarded by mu: as last sent
+	ends                map[fleet.InstanceID]decide.Instant     // guarded by mu: of the instances that are stopping
 	announcedDepartures map[fleet.Process]bool                  // guarded by mu: departures already broadcast
 	overload            overload                                // guarded by mu
 	overloadReports     map[catalog.ServiceName]*overloadReport // guarded by mu
@@ -73,7 +74,7 @@
 	return &hub{
 		self: self, follower: f, snapshot: f.Snapshot, log: log.Named("dispatcher"), start: time.Now(),
 		services: map[catalog.ServiceName]*dispatch.State{}, sinks: map[fleet.InstanceID]sink{}, absentSince: map[fleet.InstanceID]decide.Instant{},
-		announcedDepartures: map[fleet.Process]bool{}, stepRequests: make(chan struct{}, 1),
+		ends: map[fleet.InstanceID]decide.Instant{}, announcedDepartures: map[fleet.Process]bool{}, stepRequests: make(chan struct{}, 1),
 		fullCopies: newFullCopyCache(), limits: newLimitTable(log.Named("dispatcher")),
 		quarantine: quarantine.New(), overloadReports: map[catalog.ServiceName]*overloadReport{}, metrics: metrics.New(),
 		sessions: map[fleet.InstanceID]sessionNumber{}, domains: map[fleet.InstanceID]fleet.DomainID{}, duties: map[fleet.InstanceID]pb.ToEntry_Duty{},
@@ -121,6 +122,7 @@
 		Departures: departureMessages(h.follower.Departures()), HeldBack: heldBackMessages(h.quarantine, now),
 	})
 	delete(h.duties, instance)
+	delete(h.ends, instance)
 	h.chooseReaders()
 	h.refresh(now)
 	h.setLimits(now) // this dispatcher's share of the limits has grown
@@ -139,6 +141,7 @@
 	delete(h.sinks, instance)
 	delete(h.sessions, instance)
 	delete(h.domains, instance)
+	delete(h.ends, instance)
 	h.log.Info("instance detached", "entry", instance, "cause", cause, "attached", len(h.sinks))
 	h.chooseReaders()
 	for _, st := range h.services {
@@ -224,6 +227,7 @@
 
 // apply applies the parts of a message, then runs a step or schedules one; mu is held.
 func (h *hub) apply(now decide.Instant, instance fleet.InstanceID, m *pb.FromEntry) {
+	h.applyEnd(now, instance, m.EndsMs)
 	h.applyDepartures(now, m.Departures)
 	h.applyHeldBack(now, m.HeldBack)
 	h.applyPastEnds(now, instance, m.PastEnds)
@@ -267,7 +271,7 @@
 // changesStates reports whether a message changes what can be placed. Heartbeats don't, and a step for each of them
 // would examine all engines ten times a second for each instance while any request waits.
 func changesStates(m *pb.FromEntry) bool {
-	return len(m.Running)+len(m.Indirect)+len(m.Began)+len(m.Ended)+len(m.Withdrawn)+len(m.Asks)+len(m.Limits)+len(m.Departures) > 0
+	return m.EndsMs > 0 || len(m.Running)+len(m.Indirect)+len(m.Began)+len(m.Ended)+len(m.Withdrawn)+len(m.Asks)+len(m.Limits)+len(m.Departures) > 0
 }
 
 // wake schedules a step.
--- a/internal/placement/requests.go
+++ b/internal/placement/requests.go
@@ -96,8 +96,8 @@
 	q.Avoid = c.holdoffs.addTo(q.Avoid)
 	c.mu.Lock()
 	q.ID = c.unusedID(q.ID)
-	w := &waitingRequest{ask: q, askedAt: time.Now(), reply: make(chan reply, 1)}
 	s := c.session
+	w := &waitingRequest{ask: q, askedAt: time.Now(), reply: make(chan reply, 1)}
 	c.waiting[q.ID] = w
 	c.mu.Unlock()
 	if s != nil {
@@ -125,6 +125,9 @@
 	if left, listed := c.heldBack.check(q.Keys, q.Workspace); listed {
 		return nil, heldBackFault(max(left, tryDelay))
 	}
+	if c.endsTooSoon(&q, time.Now()) {
+		return nil, fault.New(fault.Stopping, "this instance ends before the answer would be complete")
+	}
 	return c.local.Place(ctx, q)
 }
 
@@ -159,7 +162,8 @@
 
 // faultKinds maps the reasons of refusals that don't come from the request itself to kinds of faults.
 var faultKinds = map[decide.Reason]fault.Kind{
-	dispatch.NoUpstream: fault.NoUpstream, dispatch.RateLimited: fault.UpstreamLimit, dispatch.HeldBack: fault.HeldBack,
+	dispatch.InstanceEnds: fault.Stopping,
+	dispatch.NoUpstream:   fault.NoUpstream, dispatch.RateLimited: fault.UpstreamLimit, dispatch.HeldBack: fault.HeldBack,
 }
 
 // grantFromReply returns the grant or error that the dispatcher's reply stands for. It places the request locally if
--- a/internal/placement/services.go
+++ b/internal/placement/services.go
@@ -24,6 +24,9 @@
 		st = dispatch.New(nil, dispatch.DefaultParams())
 		st.SetOrderKey(string(h.self))
 		st.SetQuarantine(h.quarantine)
+		for instance, at := range h.ends {
+			st.SetInstanceEnd(instance, at)
+		}
 		h.services[name] = st
 		h.loadService(h.now(), name, st)
 	}
--- a/internal/placement/session.go
+++ b/internal/placement/session.go
@@ -402,6 +402,9 @@
 		if len(m.Reads) > 0 {
 			all.Reads = m.Reads
 		}
+		if m.EndsMs > 0 {
+			all.EndsMs = m.EndsMs
+		}
 	}
 	return all
 }
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -276,10 +276,12 @@
 	p := n.parts
 	stopSettings := n.settings.Load().Routed.Stop
 	margin := min(closeMargin, time.Duration(stopSettings.Grace)/4)
-	drainCtx, cancel := context.WithTimeout(context.Background(), time.Duration(stopSettings.Grace)-margin)
+	end := time.Now().Add(time.Duration(stopSettings.Grace) - margin)
+	drainCtx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	p.Log.Info("stopping", "in_flight", p.Gate.InFlight())
 	p.Gate.MarkUnready()
+	p.Placer.SetEnd(end)
 	n.runInBackground("leaving", func(context.Context) { n.leave(drainCtx) })
 	wait.For(drainCtx, time.Duration(stopSettings.BalancerLag))
 	p.Gate.RefuseNew()
