Requests that lose their dispatcher at a stopping instance aren't put on full engines

Cause: when all members have left the list there is no dispatcher, and each instance then places what waits by its own view, at once and all of it: up to 16 long prompts on engines that it counted as idle and that were full. Now a request that a dispatcher has let wait is refused (503 stopping, not run) when its stopping instance has none any more. New requests in the lag are placed as before.

--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -259,6 +259,7 @@
 		m.Running = append(m.Running, r.message(now))
 	}
 	for _, w := range c.waiting {
+		w.asked = true
 		m.Asks = append(m.Asks, askMessage(&w.ask, w.askedAt, now))
 	}
 	return m
@@ -316,6 +317,7 @@
 		}
 	}
 	for _, w := range c.waiting {
+		w.asked = true
 		m.Asks = append(m.Asks, askMessage(&w.ask, w.askedAt, now))
 	}
 	return m
--- a/internal/placement/requests.go
+++ b/internal/placement/requests.go
@@ -17,6 +17,7 @@
 type waitingRequest struct {
 	ask     gateway.PlacementRequest
 	askedAt time.Time
+	asked   bool       // guarded by Client.mu: a dispatcher was asked, and has let the request wait
 	reply   chan reply // buffered, with room for one
 }
 
@@ -97,7 +98,7 @@
 	c.mu.Lock()
 	q.ID = c.unusedID(q.ID)
 	s := c.session
-	w := &waitingRequest{ask: q, askedAt: time.Now(), reply: make(chan reply, 1)}
+	w := &waitingRequest{ask: q, askedAt: time.Now(), asked: s != nil, reply: make(chan reply, 1)}
 	c.waiting[q.ID] = w
 	c.mu.Unlock()
 	if s != nil {
@@ -178,6 +179,9 @@
 		return nil, f
 	}
 	if r.place == nil {
+		if c.stopsWithout(w) {
+			return nil, fault.New(fault.Stopping, "no dispatcher while this instance is stopping")
+		}
 		return c.placeLocally(ctx, w.ask)
 	}
 	snap := c.snapshot()
