A planned stop waits for requests that callers are still sending

What callers saw: a connection that closes 0.25 s after a stop found nothing in flight, while they were sending a body to it; the stop then failed with 'shut callers' listener down: context deadline exceeded' and no line that names the request. Cause: a request is counted as in flight only once its body is whole. Between the two counts there is no gap: a request is counted before it stops being 'read'.

--- a/internal/entry/callerconn/answer.go
+++ b/internal/entry/callerconn/answer.go
@@ -51,6 +51,7 @@
 	if c.closed {
 		return false
 	}
+	c.reading.Store(false)
 	c.pending = &pendingAnswer{
 		Answer:        Answer{Conn: c, Request: request, Began: time.Now(), BodyBytes: unknownLength},
 		writtenBefore: c.written.Load(), onWritten: onWritten,
@@ -90,6 +91,19 @@
 	return a, true
 }
 
+// Reading returns the number of connections on which a part of a request was read whose answer hasn't begun.
+func (l *Listener) Reading() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for c := range l.open {
+		if c.reading.Load() {
+			n++
+		}
+	}
+	return n
+}
+
 // Unwritten returns the answers that were begun on the listener's connections and aren't written yet.
 func (l *Listener) Unwritten() []Answer {
 	l.mu.Lock()
--- a/internal/entry/callerconn/callerconn.go
+++ b/internal/entry/callerconn/callerconn.go
@@ -76,6 +76,7 @@
 	onClose      func() // called once, by the first Close
 	closeOnce    sync.Once
 	written      atomic.Int64 // bytes
+	reading      atomic.Bool  // a part of a request was read, and its answer hasn't begun
 
 	mu      sync.Mutex
 	peeked  []byte         // guarded by mu: bytes that a Watch read, to be returned by Read
--- a/internal/entry/callerconn/idle.go
+++ b/internal/entry/callerconn/idle.go
@@ -29,8 +29,11 @@
 // OnStateChange adds a connection that is new or becomes idle, whose pending answer has ended, and removes any other. It
 // is the ConnState of a fasthttp.Server.
 func (i *IdleConns) OnStateChange(c net.Conn, s fasthttp.ConnState) {
-	if answered, ok := c.(*Conn); ok && s == fasthttp.StateIdle {
-		answered.endAnswer(false) // the server has written the answer
+	if caller, ok := c.(*Conn); ok {
+		caller.reading.Store(s == fasthttp.StateActive)
+		if s == fasthttp.StateIdle {
+			caller.endAnswer(false) // the server has written the answer
+		}
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -144,6 +144,9 @@
 // Accepting reports whether callers' connections can be accepted now.
 func (g *Gateway) Accepting() bool { return !g.accepting.Failing() }
 
+// Reading returns the number of requests that callers are still sending.
+func (g *Gateway) Reading() int { return g.listener.Reading() }
+
 // closeIdleConn closes a connection without a request to make room for another one, and returns false if there is none.
 func (g *Gateway) closeIdleConn() bool {
 	closed := g.idle.CloseOldest()
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -286,7 +286,7 @@
 	wait.For(drainCtx, time.Duration(stopSettings.BalancerLag))
 	p.Gate.RefuseNew()
 	p.Log.Info("refusing new requests", "in_flight", p.Gate.InFlight(), "idle_closed", p.Gateway.CloseIdle())
-	err := p.Gate.AwaitIdle(drainCtx)
+	err := n.awaitAnswered(drainCtx, end)
 	closeTimeout := margin / 2
 	if err != nil {
 		n.endPending(margin / 2)
@@ -301,6 +301,25 @@
 	return err
 }
 
+// readPollInterval is how often a stop checks whether callers are still sending requests.
+const readPollInterval = 5 * time.Millisecond
+
+// awaitAnswered waits until no request is in flight and none is being sent, or returns ctx's error when it ends at the time
+// end. A request that is being sent is refused once it is complete; the read timeout bounds how long that takes.
+func (n *Node) awaitAnswered(ctx context.Context, end time.Time) error {
+	for {
+		if err := n.parts.Gate.AwaitIdle(ctx); err != nil {
+			return err
+		}
+		if !wait.Until(ctx, end, readPollInterval, func() bool { return n.parts.Gateway.Reading() == 0 }) {
+			return context.DeadlineExceeded
+		}
+		if n.parts.Gate.InFlight() == 0 {
+			return nil
+		}
+	}
+}
+
 // endPending ends the requests that are in flight at the end of the grace period, and waits until their error answers have
 // left the instance.
 func (n *Node) endPending(timeout time.Duration) {
@@ -313,8 +332,11 @@
 	}
 }
 
-// logPending logs the answers that haven't left the instance.
+// logPending logs the answers that haven't left the instance, and how many requests are still being sent.
 func (n *Node) logPending() {
+	if reading := n.parts.Gateway.Reading(); reading > 0 {
+		n.parts.Log.Warn("callers are still sending requests at the end of the stop", "requests", reading)
+	}
 	for _, a := range n.parts.Gateway.Pending() {
 		lastEventMs := int64(-1) // none
 		if !a.LastEvent.IsZero() {
