A stopping instance opens no new tunnels for others

What callers of another instance would see: an answer that breaks off in the middle although their own instance isn't stopping, as the one that carries it ends. Cause: tunnels were admitted until new requests are refused, 2.5 s after SIGTERM, as if the load balancer sent them. Another instance chooses itself whom it asks, and finds one that stays. The case 'not ready' of TestTunnelIsRefused failed before.

--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -84,7 +84,7 @@
 		return pb.FromUpstream_NOT_ALLOWED
 	case s.open.Load() >= s.deps.Max:
 		return pb.FromUpstream_BUSY
-	case s.deps.Gate.Enter() != nil:
+	case !s.deps.Gate.Ready(), s.deps.Gate.Enter() != nil: // the end of a stop would cut the tunnel
 		return pb.FromUpstream_STOPPING
 	}
 	s.deps.Metrics.Gauge("tunnels_open").Update(s.open.Add(1))
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -215,10 +215,11 @@
 		"unknown": func(w *world) {
 			w.snapshot.Store(w.snapshot.Load().WithUpstreams(nil, 2))
 		},
-		"held off": func(w *world) { w.heldOff.Store(true) },
-		"paused":   func(w *world) { w.untrusted.Store(true) },
-		"stopping": func(w *world) { w.gate.RefuseNew() },
-		"dead":     func(w *world) { _ = w.upstream.Close() },
+		"held off":  func(w *world) { w.heldOff.Store(true) },
+		"paused":    func(w *world) { w.untrusted.Store(true) },
+		"not ready": func(w *world) { w.gate.MarkUnready() },
+		"stopping":  func(w *world) { w.gate.RefuseNew() },
+		"dead":      func(w *world) { _ = w.upstream.Close() },
 		"busy": func(w *world) {
 			for range w.max {
 				w.mustDial()
