--- a/test/soak/streams_test.go
+++ b/test/soak/streams_test.go
@@ -58,6 +58,7 @@
 	stop     chan struct{}
 	callers  sync.WaitGroup
 	replies  sync.WaitGroup // of workers
+	lifeMu   sync.Mutex     // held while a daemon starts again
 	configMu sync.Mutex
 	version  int // guarded by configMu
 
