Heads that end in the middle: tested at every byte, none counts as an answer

No product code is changed. The old test excused every answer that ends with its connection, so a head cut before its Content-Length could have passed: it excuses the body only now, which is stricter.

--- a/internal/upstream/cut_test.go
+++ b/internal/upstream/cut_test.go
@@ -59,8 +59,18 @@
 	return x.Framing, err
 }
 
-// Guards against an answer that is taken for complete although its bytes stopped early, in order. Only one that ends with
-// its connection can't show that.
+// bodyStart returns the offset of an answer's body, after its head and an interim answer before it.
+func bodyStart(raw string) int {
+	const headEnd = "\r\n\r\n"
+	start := 0
+	if strings.HasPrefix(raw, "HTTP/1.1 100") {
+		start = strings.Index(raw, headEnd) + len(headEnd)
+	}
+	return start + strings.Index(raw[start:], headEnd) + len(headEnd)
+}
+
+// Guards against an answer that is taken for complete although its bytes stopped early, in order. Only the body of one that
+// ends with its connection can't show that: a head that stops early must not pass for the head of such an answer.
 func TestAnswersCutAnywhereAreNotComplete(t *testing.T) {
 	for name, raw := range answers {
 		t.Run(name, func(t *testing.T) {
@@ -69,9 +79,13 @@
 			is.NoErr(err)
 			for n := range len(raw) {
 				framing, err := forward(serveBytes(t, raw[:n]).addr())
-				if err == nil && framing != upstream.FramingConnection {
+				if err == nil && (framing != upstream.FramingConnection || n < bodyStart(raw)) {
 					t.Errorf("%q counts as complete", raw[:n])
 				}
+				lineFeeds := strings.ReplaceAll(raw[:n], "\r\n", "\n")
+				if _, err := forward(serveBytes(t, lineFeeds).addr()); err == nil && n < bodyStart(raw) {
+					t.Errorf("%q counts as complete", lineFeeds)
+				}
 			}
 		})
 	}
