An answer leaves before the caller's next request is served

What a caller saw that sends its next request early: no answer to the first one until the second is answered, seconds later for a long prompt; and neither if the instance ended meanwhile, though the stop's count took the first answer for written. Cause: the HTTP library keeps an answer in its buffer while another request lies in the reader's, until that is handled. Why it works: the library flushes an answer whose handler has set a write deadline of its own; callers' connections set the deadline of each write anyway. The operators' listener has a write timeout of the server's, which that would replace, and keeps its ways. Evidence: TestAnswerLeavesBeforeTheNextRequestIsServed, 1.2 s before, at once now.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -120,6 +120,7 @@
 			httpanswer.Cut(ctx) // nobody receives an answer
 			return
 		}
+		httpanswer.LeaveAtOnce(ctx)
 		next(ctx)
 	}
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -174,6 +174,7 @@
 func (g *Gateway) serve(ctx *fasthttp.RequestCtx) {
 	defer g.recoverPanic(ctx)
 	arrived := time.Now()
+	httpanswer.LeaveAtOnce(ctx)
 	if !g.deps.Gate.Ready() {
 		// Callers of a stopping instance, including the balancer, open a new connection for their next request.
 		ctx.SetConnectionClose()
