A stopping instance without a dispatcher refuses only what can't begin

The own view has no mean of recent answers, as a dispatcher has: it refuses only what has no first event before the end. Evidence: TestOwnViewRefusesWhatCantBeginInTime, whose second half failed before.

--- a/internal/placement/ending.go
+++ b/internal/placement/ending.go
@@ -40,7 +40,7 @@
 	return max(1, c.endsAt.Sub(now).Milliseconds())
 }
 
-// endsTooSoon reports whether this instance ends before a request that it places by its own view can have a complete answer.
+// endsTooSoon reports whether this instance ends before a request that it places by its own view can have its first event.
 func (c *Client) endsTooSoon(q *gateway.PlacementRequest, now time.Time) bool {
 	c.mu.Lock()
 	end := c.endsAt
@@ -48,11 +48,12 @@
 	if end.IsZero() || q.Resumed {
 		return false
 	}
-	return now.Add(c.idleAnswerTime(q)).After(end)
+	return now.Add(c.idleFirstEventTime(q)).After(end)
 }
 
-// idleAnswerTime returns the time in which one idle engine answers a request, 0 if the request's service has no engines.
-func (c *Client) idleAnswerTime(q *gateway.PlacementRequest) time.Duration {
+// idleFirstEventTime returns the time from the start of a request to its first event on an idle engine, 0 if its service has no
+// engines.
+func (c *Client) idleFirstEventTime(q *gateway.PlacementRequest) time.Duration {
 	config := c.snapshot().Config
 	if config == nil {
 		return 0
@@ -65,7 +66,7 @@
 	if model == nil {
 		return 0
 	}
-	return time.Duration(model.IdleAnswerMs(q.PromptTokens, q.MaxOutputTokens) * float64(time.Millisecond))
+	return time.Duration(model.IdleFirstEventMs(q.PromptTokens) * float64(time.Millisecond))
 }
 
 // applyEnd records when an instance that is stopping ends; mu is held. endsMs is 0 if its message says nothing of it.
--- a/internal/placement/requests.go
+++ b/internal/placement/requests.go
@@ -127,7 +127,7 @@
 		return nil, heldBackFault(max(left, tryDelay))
 	}
 	if c.endsTooSoon(&q, time.Now()) {
-		return nil, fault.New(fault.Stopping, "this instance ends before the answer would be complete")
+		return nil, fault.New(fault.Stopping, "this instance ends before the first event")
 	}
 	return c.local.Place(ctx, q)
 }
