--- a/internal/placement/ending_test.go
+++ b/internal/placement/ending_test.go
@@ -9,6 +9,18 @@
 	"github.com/damaskshelf/damaskshelf/internal/gateway"
 )
 
+// Guards against a dispatcher that takes a stopping instance for one that stays: its session begins just as the instance is told
+// to stop, after its first message.
+func TestNextDispatcherLearnsTheEndOfTheInstance(t *testing.T) {
+	is := is.New(t)
+	c := newPeerClient()
+	first := c.firstMessage()
+	is.Equal(first.EndsMs, int64(0))
+	c.SetEnd(time.Now().Add(5 * time.Second))
+	is.True(c.changesSince(first).EndsMs > 4000)
+	is.True(c.firstMessage().EndsMs > 4000)
+}
+
 // Guards against a request that a stopping instance without a dispatcher sends to an engine although its first event comes only
 // after the instance's end.
 func TestOwnViewRefusesWhatCantBeginInTime(t *testing.T) {
