Names: refuseAtEnd, stopsWithoutDispatcher

Renamed: dispatch.leave to refuseAtEnd (leave is also what an instance does with its entry), placement.stopsWithout to stopsWithoutDispatcher. No behaviour is changed.

--- a/internal/decide/dispatch/admission.go
+++ b/internal/decide/dispatch/admission.go
@@ -18,7 +18,7 @@
 	need := s.amountsFor(j)
 	startMs := s.startMs(now, j.kind, need, false)
 	if startMs < maxMs && s.endsTooSoon(now, j, startMs) {
-		return leave(j), true
+		return refuseAtEnd(j), true
 	}
 	if !j.Resumed && (j.late || s.lateAt(now, j, startMs)) {
 		startMs = s.startMs(now, j.kind, need, true)
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -135,7 +135,7 @@
 		return s.refuse(j, TooLate), true
 	}
 	if s.endsTooSoon(now, j, 0) {
-		return leave(j), true
+		return refuseAtEnd(j), true
 	}
 	if !s.hasCandidate(j) {
 		return s.refuse(j, NoUpstream), true
@@ -221,8 +221,8 @@
 	return Decision{Job: j, Reason: reason, RetryAfter: s.retryAfter()}
 }
 
-// leave returns the decision that refuses a job whose instance ends too soon. Its caller may ask another instance at once.
-func leave(j *Job) Decision { return Decision{Job: j, Reason: InstanceEnds} }
+// refuseAtEnd returns the decision that refuses a job whose instance ends too soon. Its caller may ask another instance at once.
+func refuseAtEnd(j *Job) Decision { return Decision{Job: j, Reason: InstanceEnds} }
 
 // retryAfter returns the time in which the engines complete the prefill of all queued and placed jobs, bounded by
 // minRetryAfter and maxRetryAfter.
--- a/internal/placement/ending.go
+++ b/internal/placement/ending.go
@@ -23,10 +23,10 @@
 	}
 }
 
-// stopsWithout reports whether a request that has lost its dispatcher is refused because this instance is stopping. No upstream
+// stopsWithoutDispatcher reports whether a request that has lost its dispatcher is refused because this instance is stopping. No upstream
 // had room for it: instances that each place what waits by their own views fill engines that have none, and their process ends
 // before such an engine begins.
-func (c *Client) stopsWithout(w *waitingRequest) bool {
+func (c *Client) stopsWithoutDispatcher(w *waitingRequest) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return !c.endsAt.IsZero() && w.asked
--- a/internal/placement/requests.go
+++ b/internal/placement/requests.go
@@ -179,7 +179,7 @@
 		return nil, f
 	}
 	if r.place == nil {
-		if c.stopsWithout(w) {
+		if c.stopsWithoutDispatcher(w) {
 			return nil, fault.New(fault.Stopping, "no dispatcher while this instance is stopping")
 		}
 		return c.placeLocally(ctx, w.ask)
