Soak: one loop of calls, one record of arrivals

The callers of the stops in series had copied the loop that keeps a connection (23 lines), the record of an arrival at a worker, and a third way to read a daemon's log. streamRun.call serves both kinds of callers, recordSend both replies, and logSince reads the logs; random numbers are drawn in the same order. No check is changed.

--- a/test/soak/stops_test.go
+++ b/test/soak/stops_test.go
@@ -1,15 +1,12 @@
 package soak_test
 
 import (
-	"bufio"
 	"flag"
 	"fmt"
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -23,9 +20,11 @@
 
 // Under these callers places are short, and many streams outlast the grace of a stop.
 const (
-	stopCallers   = 40 // at each daemon
-	maxLongEvents = 160
-	stopTimeout   = 8 * time.Second // from SIGTERM to the end of a process: the grace and what the machine adds
+	stopCallers    = 40 // at each daemon
+	minLongEvents  = 20
+	maxLongEvents  = 160
+	tokensPerEvent = 46              // of the engines that PutConfig writes
+	stopTimeout    = 8 * time.Second // from SIGTERM to the end of a process: the grace and what the machine adds
 )
 
 // Guards against requests that stopping daemons leave without an answer while places are short: those that wait until the
@@ -66,9 +65,7 @@
 	}
 	r.replies.Add(1)
 	defer r.replies.Done()
-	r.mu.Lock()
-	r.sends[a.AttemptID()] = append(r.sends[a.AttemptID()], &sendRecord{arrivedAt: time.Now()})
-	r.mu.Unlock()
+	r.recordSend(a)
 	h := fnv.New64a()
 	_, _ = io.WriteString(h, a.AttemptID())
 	time.Sleep(time.Duration(h.Sum64() % uint64(maxSlowWork)))
@@ -112,48 +109,23 @@
 	stopping.Wait()
 }
 
-// runStopCaller sends streams of very unlike lengths and slow plain requests, each to any daemon, until stop is closed. It keeps
-// a connection as long as its daemon does.
+// runStopCaller sends streams of very unlike lengths and slow plain requests until stop is closed, each connection's to any
+// daemon.
 func (r *streamRun) runStopCaller(number uint64) {
 	random := rand.New(rand.NewPCG(*firstSeed, 5000+number))
-	var conn net.Conn
-	var in *bufio.Reader
-	for i := 0; ; i++ {
-		select {
-		case <-r.stop:
-			if conn != nil {
-				_ = conn.Close()
-			}
-			return
-		case <-time.After(time.Duration(random.IntN(300)) * time.Millisecond):
-		}
-		if conn == nil {
-			var err error
-			if conn, err = net.DialTimeout("tcp", r.daemons[random.IntN(len(r.daemons))].callerAddr, time.Second); err != nil {
-				conn = nil
-				continue
-			}
-			in = bufio.NewReader(conn)
-		}
+	choose := func() *daemon { return r.daemons[random.IntN(len(r.daemons))] }
+	r.call(random, 300, choose, func(i int) (standin.Call, string) {
 		call := standin.Call{
 			Method: http.MethodPost, Host: host, AttemptID: fmt.Sprintf("stop-%d-%d", number, i), Timeout: streamTimeout, Body: "hi",
 			Path: slowPath,
 		}
-		want := "ok"
-		if random.IntN(2) == 0 {
-			events := 20 + random.IntN(maxLongEvents-19)
-			call.Path, want = fmt.Sprintf("/stream/%d", events), standin.AllEvents(1, events)
-			call.PromptTokens, call.MaxOutputTokens = 4000, 46*maxLongEvents
-		}
-		o, keep := callOnce(conn, in, call, want)
-		r.mu.Lock()
-		r.outcomes = append(r.outcomes, o)
-		r.mu.Unlock()
-		if !keep {
-			_ = conn.Close()
-			conn = nil
+		if random.IntN(2) != 0 {
+			return call, "ok"
 		}
-	}
+		events := minLongEvents + random.IntN(maxLongEvents-minLongEvents+1)
+		call.Path, call.PromptTokens, call.MaxOutputTokens = fmt.Sprintf("/stream/%d", events), 4000, tokensPerEvent*maxLongEvents
+		return call, standin.AllEvents(1, events)
+	})
 }
 
 // checkStops reports each request that ended without an answer, unless its upstream was still at work at the end of a stop and
@@ -199,11 +171,7 @@
 func (r *streamRun) allLogs() string {
 	var all strings.Builder
 	for _, d := range r.daemons {
-		raw, err := os.ReadFile(d.logFile.Name())
-		if err != nil {
-			r.t.Error(err)
-		}
-		all.Write(raw)
+		all.WriteString(d.logSince(r.t, 0))
 	}
 	return all.String()
 }
--- a/test/soak/streams_test.go
+++ b/test/soak/streams_test.go
@@ -222,17 +222,23 @@
 	return true, sends[0].isSound(sends[1])
 }
 
-// reply answers a request in place of a worker, whole. A stream's path ends with the number of its events.
-func (r *streamRun) reply(c *standin.WorkerConn, a standin.Arrival) bool {
-	r.replies.Add(1)
-	defer r.replies.Done()
+// recordSend records an arrival at a worker.
+func (r *streamRun) recordSend(a standin.Arrival) *sendRecord {
 	record := &sendRecord{arrivedAt: time.Now()}
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.sends[a.AttemptID()] = append(r.sends[a.AttemptID()], record)
 	if a.Resumes() {
 		r.resumes++
 	}
-	r.mu.Unlock()
+	return record
+}
+
+// reply answers a request in place of a worker, whole. A stream's path ends with the number of its events.
+func (r *streamRun) reply(c *standin.WorkerConn, a standin.Arrival) bool {
+	r.replies.Add(1)
+	defer r.replies.Done()
+	record := r.recordSend(a)
 	events := 1
 	reply := standin.Reply(func(c *standin.WorkerConn, a standin.Arrival) bool {
 		time.Sleep(eventInterval)
@@ -259,9 +265,28 @@
 	}
 }
 
-// runCaller sends requests in sequence until stop is closed.
+// runCaller sends requests to a daemon in sequence until stop is closed.
 func (r *streamRun) runCaller(d *daemon, name string, number uint64) {
 	random := rand.New(rand.NewPCG(*firstSeed, 100+number))
+	r.call(random, 100, func() *daemon { return d }, func(i int) (standin.Call, string) {
+		call := standin.Call{Method: http.MethodPost, Host: host, AttemptID: fmt.Sprintf("%s-%d", name, i), Timeout: streamTimeout, Body: "hi"}
+		events := minEvents + random.IntN(maxEvents-minEvents+1)
+		if !strings.HasPrefix(name, "stream") {
+			call.Path = "/quick/x"
+			return call, "ok"
+		}
+		call.PromptTokens, call.MaxOutputTokens = 4000, 200
+		if call.Path = fmt.Sprintf("/stream/%d", events); number%2 == 0 {
+			call.Path, call.APIKey = fmt.Sprintf("/keyed/%d", events), apiKey
+		}
+		return call, standin.AllEvents(1, events)
+	})
+}
+
+// call makes calls in sequence until stop is closed, with pauses of less than maxPauseMs between them. next returns a call and
+// the body of its whole answer. The connection is kept as long as its daemon does; choose returns the daemon of the next one.
+func (r *streamRun) call(random *rand.Rand, maxPauseMs int, choose func() *daemon, next func(i int) (standin.Call, string)) {
+	var d *daemon
 	var conn net.Conn
 	var in *bufio.Reader
 	for i := 0; ; i++ {
@@ -271,9 +296,10 @@
 				_ = conn.Close()
 			}
 			return
-		case <-time.After(time.Duration(random.IntN(100)) * time.Millisecond):
+		case <-time.After(time.Duration(random.IntN(maxPauseMs)) * time.Millisecond):
 		}
 		if conn == nil {
+			d = choose()
 			var err error
 			if conn, err = net.DialTimeout("tcp", d.callerAddr, time.Second); err != nil {
 				conn = nil
@@ -281,17 +307,7 @@
 			}
 			in = bufio.NewReader(conn)
 		}
-		call := standin.Call{Method: http.MethodPost, Host: host, AttemptID: fmt.Sprintf("%s-%d", name, i), Timeout: streamTimeout, Body: "hi"}
-		want := "ok"
-		if events := minEvents + random.IntN(maxEvents-minEvents+1); strings.HasPrefix(name, "stream") {
-			want = standin.AllEvents(1, events)
-			call.PromptTokens, call.MaxOutputTokens = 4000, 200
-			if call.Path = fmt.Sprintf("/stream/%d", events); number%2 == 0 {
-				call.Path, call.APIKey = fmt.Sprintf("/keyed/%d", events), apiKey
-			}
-		} else {
-			call.Path = "/quick/x"
-		}
+		call, want := next(i)
 		o, keep := callOnce(conn, in, call, want)
 		o.daemon = d.name
 		r.mu.Lock()
@@ -440,13 +456,10 @@
 // checkLogs reports panics and data races in what the daemons wrote.
 func (r *streamRun) checkLogs() {
 	for _, d := range r.daemons {
-		raw, err := os.ReadFile(d.logFile.Name())
-		if err != nil {
-			r.t.Error(err)
-		}
+		log := d.logSince(r.t, 0)
 		for _, sign := range []string{"panic:", "DATA RACE", "fatal error:"} {
-			if i := strings.Index(string(raw), sign); i >= 0 {
-				r.t.Errorf("%s wrote\n%s", d.name, raw[i:min(len(raw), i+3000)])
+			if i := strings.Index(log, sign); i >= 0 {
+				r.t.Errorf("%s wrote\n%s", d.name, log[i:min(len(log), i+3000)])
 			}
 		}
 	}
