dispatch: the passes of an answer are computed in one place

IdleFirstEvent returns a duration, so that its caller converts nothing. Values are the same, but for a negative number of tokens in a peer's message, which counts as 0 everywhere, as it did in decodeMs.

--- a/internal/decide/dispatch/ending.go
+++ b/internal/decide/dispatch/ending.go
@@ -34,14 +34,3 @@
 	}
 	return s.model.IdleAnswerMs(j.PromptTokens, j.MaxOutputTokens)
 }
-
-// IdleFirstEventMs returns the time in ms in which one idle engine prefills a prompt and makes the first event of its answer.
-func (m *Model) IdleFirstEventMs(promptTokens int) float64 {
-	return boundedMs(m.prefillMs(promptTokens) + m.passMs(1, promptTokens))
-}
-
-// IdleAnswerMs returns the time in ms in which one idle engine prefills a prompt and decodes the longest answer to it.
-func (m *Model) IdleAnswerMs(promptTokens, maxOutputTokens int) float64 {
-	passes := float64(maxOutputTokens) / float64(max(1, m.StepsPerPass))
-	return boundedMs(m.prefillMs(promptTokens) + passes*m.passMs(1, promptTokens+maxOutputTokens))
-}
--- a/internal/decide/dispatch/history.go
+++ b/internal/decide/dispatch/history.go
@@ -60,8 +60,7 @@
 	}
 	s.expose(now)
 	r.kind, r.counted = min(s.kindOf(r.job), longPrompt), true // few runs are oversized: they count as long
-	passes := float64(r.job.MaxOutputTokens) / float64(max(1, s.model.StepsPerPass))
-	planned := boundedMs(r.plannedMs + passes*s.model.passMs(len(r.engine.runs), r.engine.contextTokens))
+	planned := boundedMs(r.plannedMs + s.model.passes(r.job.MaxOutputTokens)*s.model.passMs(len(r.engine.runs), r.engine.contextTokens))
 	s.history.plannedRuns[r.kind].Add(now, planned, 1, endWindow)
 	s.history.running[r.kind]++
 	r.engine.addLong(r, 1)
--- a/internal/decide/dispatch/model.go
+++ b/internal/decide/dispatch/model.go
@@ -58,6 +58,21 @@
 	return boundedMs(float64(m.StepsPerPass) * step)
 }
 
+// passes returns the number of passes that decode so many tokens.
+func (m *Model) passes(outputTokens int) float64 {
+	return float64(max(0, outputTokens)) / float64(max(1, m.StepsPerPass))
+}
+
+// IdleFirstEvent returns the time in which one idle engine prefills a prompt and makes the first event of its answer.
+func (m *Model) IdleFirstEvent(promptTokens int) time.Duration {
+	return fromMs(m.prefillMs(promptTokens) + m.passMs(1, promptTokens))
+}
+
+// IdleAnswerMs returns the time in ms in which one idle engine prefills a prompt and decodes the longest answer to it.
+func (m *Model) IdleAnswerMs(promptTokens, maxOutputTokens int) float64 {
+	return boundedMs(m.prefillMs(promptTokens) + m.passes(maxOutputTokens)*m.passMs(1, promptTokens+maxOutputTokens))
+}
+
 // boundedMs limits a time in ms to the range from 0 to maxMs. One that is not a number becomes maxMs.
 func boundedMs(ms float64) float64 {
 	if !(ms < maxMs) {
--- a/internal/decide/dispatch/slowdown.go
+++ b/internal/decide/dispatch/slowdown.go
@@ -173,8 +173,7 @@
 // decodeMs returns the time of the longest answer to the job, in ms, on an engine with this many streams and tokens of
 // their contexts. Each step of a pass decodes a token.
 func (s *State) decodeMs(j *Job, streams, contextTokens int) float64 {
-	events := math.Ceil(float64(max(0, j.MaxOutputTokens)) / float64(max(1, s.model.StepsPerPass)))
-	return boundedMs(events * s.model.passMs(streams, contextTokens))
+	return boundedMs(math.Ceil(s.model.passes(j.MaxOutputTokens)) * s.model.passMs(streams, contextTokens))
 }
 
 // mayTry reports whether the engine may receive another run as far as its speed is concerned: one that was slow, or is
