placement: a test that sees the guard of waiting requests in each run; shorter chain of checks

The guard that a stopping instance without a dispatcher doesn't place what waited was seen only by a play that depends on when the list of members empties: two runs of three. TestRequestThatWaitedIsNotPlacedByStoppingInstance fails in each of three runs without it. Comments are wrapped anew; no behaviour is changed.

--- a/internal/placement/client.go
+++ b/internal/placement/client.go
@@ -288,9 +288,8 @@
 	}
 }
 
-// changesSince returns the changes to requests, and the departures, since a session's first message, and when a stopping
-// instance ends; mu is held.
-// Limits are not included, because they are reported again each second.
+// changesSince returns the changes to requests, and the departures, since a session's first message, and when this instance's
+// stop ends; mu is held. Limits are not included, because they are reported again each second.
 func (c *Client) changesSince(first *pb.FromEntry) *pb.FromEntry {
 	now := time.Now()
 	m := &pb.FromEntry{Departures: c.departuresSince(first), EndsMs: c.endsMs(now)}
--- a/internal/placement/ending.go
+++ b/internal/placement/ending.go
@@ -23,9 +23,9 @@
 	}
 }
 
-// stopsWithoutDispatcher reports whether a request that has lost its dispatcher is refused because this instance is stopping. No upstream
-// had room for it: instances that each place what waits by their own views fill engines that have none, and their process ends
-// before such an engine begins.
+// stopsWithoutDispatcher reports whether a request that has lost its dispatcher is refused because this instance is stopping.
+// No upstream had room for it: instances that each place what waits by their own views fill engines that have none, and their
+// process ends before such an engine begins.
 func (c *Client) stopsWithoutDispatcher(w *waitingRequest) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -55,18 +55,14 @@
 // engines.
 func (c *Client) idleFirstEventTime(q *gateway.PlacementRequest) time.Duration {
 	config := c.snapshot().Config
-	if config == nil {
+	if config == nil || config.Service(q.Service) == nil {
 		return 0
 	}
-	s := config.Service(q.Service)
-	if s == nil {
-		return 0
-	}
-	model := dispatchModel(s)
+	model := dispatchModel(config.Service(q.Service))
 	if model == nil {
 		return 0
 	}
-	return time.Duration(model.IdleFirstEventMs(q.PromptTokens) * float64(time.Millisecond))
+	return model.IdleFirstEvent(q.PromptTokens)
 }
 
 // applyEnd records when an instance that is stopping ends; mu is held. endsMs is 0 if its message says nothing of it.
--- a/internal/placement/ending_test.go
+++ b/internal/placement/ending_test.go
@@ -6,7 +6,9 @@
 
 	"github.com/matryer/is"
 
+	"github.com/damaskshelf/damaskshelf/internal/fault"
 	"github.com/damaskshelf/damaskshelf/internal/gateway"
+	pb "github.com/damaskshelf/damaskshelf/internal/placement/placementpb"
 )
 
 // Guards against a dispatcher that takes a stopping instance for one that stays: its session begins just as the instance is told
@@ -34,3 +36,35 @@
 	q = gateway.PlacementRequest{Service: "plain"}
 	is.True(!c.endsTooSoon(&q, time.Now()))
 }
+
+// Guards against full engines that get all that waits at a stopping instance when it loses its dispatcher.
+func TestRequestThatWaitedIsNotPlacedByStoppingInstance(t *testing.T) {
+	for name, stopping := range map[string]bool{"stays": false, "stops": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newPeerClient()
+			c.session = &session{peerID: "entry-2", send: func(*pb.FromEntry) {}}
+			placed := make(chan error, 1)
+			go func() {
+				_, err := c.Place(t.Context(), gateway.PlacementRequest{ID: "r", Service: "plain", TimeLeft: time.Minute})
+				placed <- err
+			}()
+			waitUntil(t, "the request waits", func() bool {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				return c.waiting["r"] != nil
+			})
+			if stopping {
+				c.SetEnd(time.Now().Add(time.Minute))
+			}
+			c.releaseWaiting()
+			err := <-placed
+			if !stopping {
+				is.NoErr(err) // by its own view, as without a stop
+				return
+			}
+			is.Equal(fault.From(err).Kind, fault.Stopping)
+			is.Equal(fault.From(err).Run, fault.RunNo)
+		})
+	}
+}
