The progress of a request lies beside its pending answer

A second registry, by connection and under a lock that all requests share, held what callerconn has a record for already: the pending answer bears it now. Found by reading the change. The stop's wait takes its end from its context alone.

--- a/internal/entry/callerconn/answer.go
+++ b/internal/entry/callerconn/answer.go
@@ -7,11 +7,11 @@
 
 // Answer describes an answer that isn't written to its caller yet.
 type Answer struct {
-	Conn         *Conn     // of the caller
 	Request      string    // id of the request; empty: not known
 	Began        time.Time // when Begin was called
 	BodyBytes    int       // length of the answer's body; below 0: not known
 	WrittenBytes int64     // bytes of the answer, its head included, that the operating system has accepted
+	Detail       any       // what SetDetail recorded; nil: nothing
 }
 
 // unknownLength is the length of the body of an answer that isn't complete yet.
@@ -44,6 +44,14 @@
 	}
 }
 
+// SetDetail records what else its handler tells of the answer that Begin has begun on a connection. It is kept until the answer is
+// written, so it should not hold the request.
+func SetDetail(nc net.Conn, detail any) {
+	if c, ok := nc.(*Conn); ok {
+		c.setDetail(detail)
+	}
+}
+
 // begin records a pending answer. It returns false if the connection is closed.
 func (c *Conn) begin(request string, onWritten func()) bool {
 	c.mu.Lock()
@@ -53,7 +61,7 @@
 	}
 	c.reading.Store(false)
 	c.pending = &pendingAnswer{
-		Answer:        Answer{Conn: c, Request: request, Began: time.Now(), BodyBytes: unknownLength},
+		Answer:        Answer{Request: request, Began: time.Now(), BodyBytes: unknownLength},
 		writtenBefore: c.written.Load(), onWritten: onWritten,
 	}
 	return true
@@ -68,6 +76,15 @@
 	}
 }
 
+// setDetail records a detail of the pending answer.
+func (c *Conn) setDetail(detail any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending != nil {
+		c.pending.Detail = detail
+	}
+}
+
 // endAnswer ends the pending answer, if there is one. closed means that the connection can't take another one.
 func (c *Conn) endAnswer(closed bool) {
 	c.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -120,7 +120,7 @@
 			httpanswer.Cut(ctx) // nobody receives an answer
 			return
 		}
-		httpanswer.LeaveAtOnce(ctx)
+		httpanswer.FlushWhenComplete(ctx)
 		next(ctx)
 	}
 }
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net"
 	"sync"
 	"time"
 
@@ -37,6 +36,13 @@
 	p.stage, p.since, p.upstream, p.attempts = stage, time.Now(), upstream, attempts
 }
 
+// handlerDone records that the handler has returned, so that only the caller's reading is left.
+func (p *progress) handlerDone() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stage, p.since = StageWriting, time.Now()
+}
+
 // recordEvent records that an event of a stream arrived.
 func (p *progress) recordEvent(now time.Time) {
 	p.mu.Lock()
@@ -54,47 +60,19 @@
 	LastEvent time.Time        // when the last event of a stream arrived; zero: none has
 }
 
-// lifecycles are the requests that handlers answer, by connection. The zero value is empty. It is safe for concurrent use.
-type lifecycles struct {
-	mu     sync.Mutex
-	byConn map[net.Conn]*progress // guarded by mu
-}
-
-// add adds the request of a connection. The caller must call remove once.
-func (l *lifecycles) add(c net.Conn, p *progress) (remove func()) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.byConn == nil {
-		l.byConn = map[net.Conn]*progress{}
-	}
-	l.byConn[c] = p
-	return func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		delete(l.byConn, c)
-	}
-}
-
-// of returns the progress of a connection's request, nil if its handler has returned.
-func (l *lifecycles) of(c net.Conn) *progress {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.byConn[c]
-}
-
 // Pending returns the answers that haven't left this instance yet.
 func (g *Gateway) Pending() []PendingAnswer {
 	var all []PendingAnswer
 	for _, a := range g.listener.Unwritten() {
-		all = append(all, g.pendingAnswer(a))
+		all = append(all, pendingAnswer(a))
 	}
 	return all
 }
 
 // pendingAnswer adds to an answer how far its request has come.
-func (g *Gateway) pendingAnswer(a callerconn.Answer) PendingAnswer {
-	p := g.inFlight.of(a.Conn)
-	if p == nil {
+func pendingAnswer(a callerconn.Answer) PendingAnswer {
+	p, ok := a.Detail.(*progress)
+	if !ok { // refused before it was admitted
 		return PendingAnswer{Answer: a, Stage: StageWriting, Since: a.Began}
 	}
 	p.mu.Lock()
--- a/internal/gateway/lifecycle.go
+++ b/internal/gateway/lifecycle.go
@@ -68,7 +68,7 @@
 	watchdog        *watchdog     // of the current send; nil: none was started
 	prepaid         *nextSend     // what the watchdog has obtained for the next send; nil: nothing
 	ran             fault.Run     // whether any send may have run
-	progress        progress
+	progress        *progress
 }
 
 // dispatch sends the request to upstreams until one answers, and leaves the exchange in l.exchange with its head
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -78,7 +78,6 @@
 	accepting      *accept.Listener
 	listener       *callerconn.Listener
 	idle           callerconn.IdleConns
-	inFlight       lifecycles
 	serveErr       chan error // result of the HTTP server
 	listeningSince time.Time  // zero: not listening yet
 	log            hclog.Logger
@@ -174,7 +173,7 @@
 func (g *Gateway) serve(ctx *fasthttp.RequestCtx) {
 	defer g.recoverPanic(ctx)
 	arrived := time.Now()
-	httpanswer.LeaveAtOnce(ctx)
+	httpanswer.FlushWhenComplete(ctx)
 	if !g.deps.Gate.Ready() {
 		// Callers of a stopping instance, including the balancer, open a new connection for their next request.
 		ctx.SetConnectionClose()
@@ -257,11 +256,11 @@
 	if c, ok := ctx.Conn().(*callerconn.Conn); ok {
 		unwatch = c.Watch(func() { cancel(errCallerGone) })
 	}
-	l := &lifecycle{g: g, r: r, ctx: requestCtx}
+	l := &lifecycle{g: g, r: r, ctx: requestCtx, progress: &progress{}}
 	l.progress.set(StageWaiting, "", 0)
-	remove := g.inFlight.add(ctx.Conn(), &l.progress)
+	callerconn.SetDetail(ctx.Conn(), l.progress)
 	return l, func() {
-		remove()
+		l.progress.handlerDone()
 		l.stopWatchdog() // still running after a panic
 		l.returnPrepaid()
 		unwatch()
--- a/internal/httpanswer/httpanswer.go
+++ b/internal/httpanswer/httpanswer.go
@@ -35,10 +35,10 @@
 // NoContent answers with success and no body.
 func NoContent(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(fasthttp.StatusNoContent) }
 
-// LeaveAtOnce makes the server write the answer as soon as it is complete. Otherwise it keeps the answer until it has handled the
+// FlushWhenComplete makes the server write the answer as soon as it is complete. Otherwise it keeps the answer until it has handled the
 // caller's next request, if that has come already. The server's own write timeout doesn't apply to the answer: the connection
 // has to set a deadline with each write, as a callerconn.Conn does.
-func LeaveAtOnce(ctx *fasthttp.RequestCtx) {
+func FlushWhenComplete(ctx *fasthttp.RequestCtx) {
 	// The server flushes an answer whose handler has set a deadline. It fails on a closed connection only.
 	_ = ctx.SetWriteDeadline(time.Time{})
 }
--- a/internal/routed/routed.go
+++ b/internal/routed/routed.go
@@ -286,7 +286,7 @@
 	wait.For(drainCtx, time.Duration(stopSettings.BalancerLag))
 	p.Gate.RefuseNew()
 	p.Log.Info("refusing new requests", "in_flight", p.Gate.InFlight(), "idle_closed", p.Gateway.CloseIdle())
-	err := n.awaitAnswered(drainCtx, end)
+	err := n.awaitAnswered(drainCtx)
 	closeTimeout := margin / 2
 	if err != nil {
 		n.endPending(margin / 2)
@@ -304,15 +304,17 @@
 // readPollInterval is how often a stop checks whether callers are still sending requests.
 const readPollInterval = 5 * time.Millisecond
 
-// awaitAnswered waits until no request is in flight and none is being sent, or returns ctx's error when it ends at the time
-// end. A request that is being sent is refused once it is complete; the read timeout bounds how long that takes.
-func (n *Node) awaitAnswered(ctx context.Context, end time.Time) error {
+// awaitAnswered waits until no request is in flight and none is being sent. It returns ctx's error if ctx ends before. A request
+// that is being sent is refused once it is complete; the read timeout bounds how long that takes.
+func (n *Node) awaitAnswered(ctx context.Context) error {
 	for {
 		if err := n.parts.Gate.AwaitIdle(ctx); err != nil {
 			return err
 		}
-		if !wait.Until(ctx, end, readPollInterval, func() bool { return n.parts.Gateway.Reading() == 0 }) {
-			return context.DeadlineExceeded
+		for n.parts.Gateway.Reading() > 0 {
+			if !wait.For(ctx, readPollInterval) {
+				return ctx.Err()
+			}
 		}
 		if n.parts.Gate.InFlight() == 0 {
 			return nil
