A stopping instance without a dispatcher places nothing that waited, on both ways

Cause: two ways lead to the own view, the release of all that waits and each request's own timer, 0.1 s after it asked. The guard stood on the first only, a check added beside the mechanism. Both go through placeWithoutDispatcher now. Its logs show 'least_own_work' at waited_ms=112, right after 'dispatcher lost'. A third case of TestRequestThatWaitedIsNotPlacedByStoppingInstance brings the order about and failed before.

--- a/internal/placement/ending_test.go
+++ b/internal/placement/ending_test.go
@@ -39,32 +39,47 @@
 
 // Guards against full engines that get all that waits at a stopping instance when it loses its dispatcher.
 func TestRequestThatWaitedIsNotPlacedByStoppingInstance(t *testing.T) {
-	for name, stopping := range map[string]bool{"stays": false, "stops": true} {
+	for name, c := range map[string]struct {
+		stopping bool
+		release  func(c *Client)
+	}{
+		"stays":                                  {release: (*Client).releaseWaiting},
+		"stops, and releases what waits":         {stopping: true, release: (*Client).releaseWaiting},
+		"stops, and the request's own time ends": {stopping: true, release: (*Client).dropSession},
+	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			c := newPeerClient()
-			c.session = &session{peerID: "entry-2", send: func(*pb.FromEntry) {}}
+			client := newPeerClient()
+			client.session = &session{peerID: "entry-2", send: func(*pb.FromEntry) {}}
 			placed := make(chan error, 1)
 			go func() {
-				_, err := c.Place(t.Context(), gateway.PlacementRequest{ID: "r", Service: "plain", TimeLeft: time.Minute})
+				_, err := client.Place(t.Context(), gateway.PlacementRequest{ID: "r", Service: "plain", TimeLeft: time.Minute})
 				placed <- err
 			}()
 			waitUntil(t, "the request waits", func() bool {
-				c.mu.Lock()
-				defer c.mu.Unlock()
-				return c.waiting["r"] != nil
+				client.mu.Lock()
+				defer client.mu.Unlock()
+				return client.waiting["r"] != nil
 			})
-			if stopping {
-				c.SetEnd(time.Now().Add(time.Minute))
+			if c.stopping {
+				client.SetEnd(time.Now().Add(time.Minute))
 			}
-			c.releaseWaiting()
+			c.release(client)
 			err := <-placed
-			if !stopping {
+			if !c.stopping {
 				is.NoErr(err) // by its own view, as without a stop
 				return
 			}
+			is.True(err != nil)
 			is.Equal(fault.From(err).Kind, fault.Stopping)
 			is.Equal(fault.From(err).Run, fault.RunNo)
 		})
 	}
 }
+
+// dropSession ends the session of a client that doesn't run.
+func (c *Client) dropSession() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.session = nil
+}
--- a/internal/placement/requests.go
+++ b/internal/placement/requests.go
@@ -112,7 +112,7 @@
 			return c.grantFromReply(ctx, w, r)
 		case <-sessionTimer.C:
 			if c.withdrawIfNoSession(w) {
-				return c.placeLocally(ctx, q)
+				return c.placeWithoutDispatcher(ctx, w)
 			}
 		case <-ctx.Done():
 			c.withdrawRequest(q.ID)
@@ -121,6 +121,14 @@
 	}
 }
 
+// placeWithoutDispatcher places a request that no dispatcher will answer.
+func (c *Client) placeWithoutDispatcher(ctx context.Context, w *waitingRequest) (gateway.Grant, error) {
+	if c.stopsWithoutDispatcher(w) {
+		return nil, fault.New(fault.Stopping, "no dispatcher while this instance is stopping")
+	}
+	return c.placeLocally(ctx, w.ask)
+}
+
 // placeLocally places a request by this instance's view alone. A request that only one of all instances may try is not sent.
 func (c *Client) placeLocally(ctx context.Context, q gateway.PlacementRequest) (gateway.Grant, error) {
 	if left, listed := c.heldBack.check(q.Keys, q.Workspace); listed {
@@ -179,10 +187,7 @@
 		return nil, f
 	}
 	if r.place == nil {
-		if c.stopsWithoutDispatcher(w) {
-			return nil, fault.New(fault.Stopping, "no dispatcher while this instance is stopping")
-		}
-		return c.placeLocally(ctx, w.ask)
+		return c.placeWithoutDispatcher(ctx, w)
 	}
 	snap := c.snapshot()
 	u := snap.Upstream(fleet.UpstreamID(r.place.Upstream))
