An early answer that is reset while the upload is written isn't whole

What callers saw: a worker answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the system reports a reset once, to the first call on the connection that meets it. Here that was the write of the upload, which failed; the exchange went on to read, because an upstream may answer before it has read the body. The read then found what had arrived and after it an end in order (0 bytes), which is how an answer without a length ends. In a tunnel the writing goroutine of the other instance took the reset in the same way, and the reading one reported an end in order.

Why the fix works: a connection to an upstream remembers a write that failed because the connection broke, and its read returns an error in place of the end. A reset that follows an end in order is reported as EPIPE, and then the answer is whole. The read ends a write in progress and waits for it, so that the two goroutines of a tunnel can't miss each other. All direct connections are dialed in one place: answers of each kind, orders, tunnels and checks have the guard. Calls other than forwarded requests, and the calls to the store, give up at a failed write and were not affected.

--- a/internal/upstream/idle.go
+++ b/internal/upstream/idle.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"errors"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -25,7 +26,7 @@
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false, false
+		return errors.Is(err, errors.ErrUnsupported), false
 	}
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
--- a/internal/upstream/paths.go
+++ b/internal/upstream/paths.go
@@ -77,7 +77,7 @@
 // newPaths returns paths that all count as working, for the connections of a pool.
 func newPaths(o Options, p *pool) *paths {
 	return &paths{
-		direct: o.Dial, bypass: o.Bypass, pool: p, start: time.Now(), log: o.Log.Named("paths"), stats: o.Metrics,
+		direct: dialOrderly(o.Dial), bypass: o.Bypass, pool: p, start: time.Now(), log: o.Log.Named("paths"), stats: o.Metrics,
 		failed: make(chan struct{}, 1), state: reach.New(),
 	}
 }
