An answer with a broken name of a field is no answer

What callers saw: a worker in trouble sent an answer in whose head the name of a field held a blank. The caller got it as an answer with its seal, with that line passed on (X No-te, Content -Length), or with a body that was not the worker's: three of five bytes after "Content-Length : 3", the sizes of the chunks as body after "Transfer Encoding: chunked", all up to the end of the connection after a length whose line begins with a blank.

Cause: heads of answers were read by the HTTP library's lenient rules. It takes names with blanks, drops the blanks before a colon, joins a line that begins with a blank to the one before it, and ignores a coding in an answer of HTTP/1.0 or 1.2. Only the status was checked before it.

Why the fix works: internal/httphead checks each head of an upstream's answer before the library reads it: the status as before, a valid name (httpguts) with a colon right after it in each line, no continued line (RFC 9112 leaves a gateway the choice to refuse it: here its first word may be the name of a length), and no coding unless the version is 1.1. Forwarded requests, engine calls, calls of plain services, orders and health checks read heads in two places, both pass the check. It also looks at the answer behind an interim one, which the second place didn't do for a status of 000. More than 16 empty lines before an answer are refused.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/damaskshelf/damaskshelf/internal/decide/stream"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/httphead"
 	"github.com/damaskshelf/damaskshelf/internal/metrics"
 	"github.com/damaskshelf/damaskshelf/internal/upstream/wire"
 )
@@ -174,7 +175,7 @@
 	if err := x.conn.writer.Flush(); err != nil {
 		return fmt.Errorf("write request: %w", err)
 	}
-	if err := checkStatusLine(x.conn.reader); err != nil {
+	if err := httphead.CheckResponse(x.conn.reader); err != nil {
 		return fmt.Errorf("read response: %w", err)
 	}
 	x.resp.StreamBody = true
--- a/internal/upstream/forward.go
+++ b/internal/upstream/forward.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
+	"github.com/damaskshelf/damaskshelf/internal/httphead"
 )
 
 const (
@@ -154,7 +155,7 @@
 
 // readHead reads the head of an answer.
 func (x *Exchange) readHead() error {
-	if err := checkStatusLine(x.conn.reader); err != nil {
+	if err := httphead.CheckResponse(x.conn.reader); err != nil {
 		return err
 	}
 	x.Head.SetNoDefaultContentType(true)
