Answers of the store, and those to the operators' tool, need a sound head too

What callers would see: an answer of the store whose status is 000, or whose head is broken in another way, counts as a success: a write that nobody has made counts as done, a list or a watch is believed. damaskctl reports success on an answer without a status. Nobody has reported it. For requests the case of 000 was handled before.

Cause: the guard against 000 stood in the readers of upstreams' answers only. The store's client and damaskctl use the client of the HTTP library, which reads answers by its own lenient rules and takes 000 for 200.

Why the fix works: the connections of both clients are httphead.Conn, which hands a response to the library only after its head has passed the check that upstreams' answers pass. It refuses a request on a connection on which bytes of no request are left; the library dropped some of them and read others as the next answer.

--- a/cmd/damaskctl/client.go
+++ b/cmd/damaskctl/client.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"strings"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/damaskshelf/damaskshelf/internal/fault"
+	"github.com/damaskshelf/damaskshelf/internal/httphead"
 	"github.com/damaskshelf/damaskshelf/internal/operate"
 )
 
@@ -128,6 +130,7 @@
 		req.SetBody(data)
 	}
 	client := fasthttp.Client{
+		Dial:                dial,
 		MaxResponseBodySize: maxAnswerBytes,
 		RetryIfErr:          func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}
@@ -137,6 +140,15 @@
 	return decodeAnswer(resp, out)
 }
 
+// dial connects to an instance. The connection accepts no response with a malformed head.
+func dial(addr string) (net.Conn, error) {
+	c, err := fasthttp.Dial(addr)
+	if err != nil {
+		return nil, err
+	}
+	return httphead.NewConn(c), nil
+}
+
 // authorize adds the operators' token to the request if a token file is set.
 func (t *target) authorize(req *fasthttp.Request) error {
 	if t.tokenFile == "" {
--- a/cmd/damaskctl/session_test.go
+++ b/cmd/damaskctl/session_test.go
@@ -237,6 +237,26 @@
 	is.True(strings.Contains(out, "the outcome is unknown"))
 }
 
+// Guards against a command that reports success after an answer without a status, which the HTTP library takes for 200.
+func TestAnswerWithoutStatusIsNoSuccess(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = c.Read(make([]byte, 4096))
+		_, _ = c.Write([]byte("HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}"))
+	}()
+	out, status := runCommand(t, "status", "-addr", l.Addr().String())
+	is.Equal(status, exitUnreachable)
+	is.True(strings.Contains(out, "malformed response"))
+}
+
 // The token is sent as a bearer token. An error response is printed with its kind, whether the request ran, and the
 // delay before a retry.
 func TestTokenIsSentAndErrorResponseIsPrinted(t *testing.T) {
--- a/internal/httphead/httphead_test.go
+++ b/internal/httphead/httphead_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"net"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -59,3 +60,55 @@
 	r := bufio.NewReader(io.MultiReader(strings.NewReader("HTTP/1.1 200 OK\r\nA"), iotest.ErrReader(io.ErrNoProgress)))
 	is.True(errors.Is(httphead.CheckResponse(r), io.ErrNoProgress))
 }
+
+// Guards against a response whose head isn't checked because its connection was used before.
+func TestConnChecksEachResponse(t *testing.T) {
+	is := is.New(t)
+	const sound, request = "HTTP/1.1 200 OK\r\n\r\n", "GET / HTTP/1.1\r\n\r\n"
+	near, far := net.Pipe()
+	defer func() { _ = near.Close() }()
+	answers := make(chan string, 1)
+	go func() {
+		requests := make([]byte, len(request))
+		for answer := range answers {
+			_, _ = io.ReadFull(far, requests)
+			_, _ = io.WriteString(far, answer)
+		}
+	}()
+	c, buffer := httphead.NewConn(near), make([]byte, 100)
+	exchange := func(answer string) (string, error) {
+		answers <- answer
+		if _, err := io.WriteString(c, request); err != nil {
+			return "", err
+		}
+		n, err := c.Read(buffer)
+		return string(buffer[:n]), err
+	}
+	got, err := exchange(sound)
+	is.NoErr(err)
+	is.Equal(got, sound)
+	got, err = exchange("HTTP/1.1 000 OK\r\n\r\n")
+	is.NoErr(err)
+	is.Equal(got, "H")
+	_, err = c.Read(buffer)
+	is.True(errors.Is(err, httphead.ErrMalformed))
+	close(answers)
+}
+
+// Guards against bytes after a response that count as the next one.
+func TestConnRefusesRequestAfterUnsolicitedBytes(t *testing.T) {
+	is := is.New(t)
+	near, far := net.Pipe()
+	defer func() { _ = near.Close() }()
+	go func() {
+		_, _ = far.Read(make([]byte, 1))
+		_, _ = io.WriteString(far, "HTTP/1.1 204 No\r\n\r\nextra")
+	}()
+	c := httphead.NewConn(near)
+	_, err := io.WriteString(c, "x")
+	is.NoErr(err)
+	_, err = io.ReadFull(c, make([]byte, len("HTTP/1.1 204 No\r\n\r\n")))
+	is.NoErr(err)
+	_, err = io.WriteString(c, "x")
+	is.True(err != nil)
+}
--- a/internal/objects/call/dial.go
+++ b/internal/objects/call/dial.go
@@ -5,6 +5,8 @@
 	"sync"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/damaskshelf/damaskshelf/internal/httphead"
 )
 
 // connTracker tracks the open connections. The library can't cancel a call that waits, such as a watch. Closing the
@@ -35,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &trackedConn{Conn: raw, owner: c}
+	t := &trackedConn{Conn: httphead.NewConn(raw), owner: c}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
--- a/internal/upstream/jsoncall_test.go
+++ b/internal/upstream/jsoncall_test.go
@@ -74,3 +74,19 @@
 		})
 	}
 }
+
+// Guards against an order that counts as accepted because of an answer without a status, or with another broken head, also behind
+// an interim one.
+func TestBrokenAnswerToCallIsAnError(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 103 E\r\n\r\nHTTP/1.1 000 OK", "HTTP/1.1 200 OK\r\nX No-te: 1"} {
+		is := is.New(t)
+		e := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			readRequest(r)
+			_, _ = io.WriteString(c, head+"\r\nContent-Length: 2\r\n\r\n{}")
+		})
+		c := upstream.New()
+		defer c.Close()
+		err := c.CallJSON(t.Context(), upstream.JSONCall{Addr: e.addr(), Method: fasthttp.MethodPost, Path: "/x", Timeout: time.Second})
+		is.True(err != nil)
+	}
+}
