Answers without end that grow side by side are bounded together

What callers would see: faulty workers send bytes without end, each in an answer or an event that stays within its own bound.

Cause: an answer of up to 1 MB was read and counted whatever the instance held already, so that an answer that is ready is delivered to callers while others' long prompts fill it; and the bytes of an event that is not complete, up to 1 MB each, weren't counted at all. Nothing bounded the sum. The play of one answer at a time, and the one of 60 answers on four workers with four places each, couldn't show it.

Why the fix works: the first 32 kB of each answer are read in any case, so that ordinary answers don't suffer from faulty ones; up to 1 MB an answer may grow while the instance holds at most one and a half times what it may, beyond that only within the bound. The buffer of an event counts in the same way until its stream ends. What doesn't fit fails at once with the reason, as before.

--- a/api/routed.go
+++ b/api/routed.go
@@ -64,7 +64,8 @@
 	ReadTimeout    Duration `json:"read_timeout,omitempty"`
 	IdleTimeout    Duration `json:"idle_timeout,omitempty"`
 	// MaxHeldBytes bounds the bodies that the instance holds for callers and upstreams at one time; 0: a quarter of
-	// MemoryMB, or no bound if that isn't configured either.
+	// MemoryMB, or no bound if that isn't configured either. Answers of up to 1 MiB may take half as much in addition, and the
+	// first 32 KiB of each answer are always read.
 	MaxHeldBytes float64 `json:"max_held_bytes,omitempty"`
 	// MemoryMB is the memory of the process in MiB, above which the platform ends it; 0: not specified.
 	MemoryMB float64 `json:"memory_mb,omitempty"`
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -35,6 +35,7 @@
 // again from its start.
 type eventReader struct {
 	r       io.Reader
+	held    answerBytes // counts what buf takes beyond firstEventBytes
 	buf     []byte
 	start   int   // offset in buf of the first byte that next has not returned yet
 	scanned int   // offset in buf of the first byte that findEvent has not examined yet
@@ -45,11 +46,17 @@
 	readErr error // error or io.EOF of the last read; nil while r may have more
 }
 
-// newEventReader returns an eventReader that reads from r.
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{r: r, buf: make([]byte, 0, 4<<10)}
+// firstEventBytes is the size of the buffer for the first events, in bytes. Most events are far shorter.
+const firstEventBytes = 4 << 10
+
+// newEventReader returns an eventReader that reads from r. The bytes of long events are counted as held until close is called.
+func newEventReader(r io.Reader, total *heldBytes) *eventReader {
+	return &eventReader{r: r, held: answerBytes{total: total}, buf: make([]byte, 0, firstEventBytes)}
 }
 
+// close ends the count of held bytes.
+func (e *eventReader) close() { e.held.release() }
+
 // next returns the next complete event. It returns io.EOF after the end of a stream that ends between two events, and
 // errPartialEvent for one that ends inside an event.
 func (e *eventReader) next() (event, error) {
@@ -136,6 +143,9 @@
 		if len(e.buf) >= maxEventBytes {
 			return errEventTooLong
 		}
+		if !e.held.acquire(int64(cap(e.buf))) {
+			return errNoRoom
+		}
 		grown := make([]byte, len(e.buf), 2*cap(e.buf))
 		copy(grown, e.buf)
 		e.buf = grown
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -38,7 +38,7 @@
 
 // readEvents returns the bytes of all events that r yields, and the error that ended them.
 func readEvents(r io.Reader) (out []byte, err error) {
-	e := newEventReader(r)
+	e := newEventReader(r, &newHoldingGateway(0, 0).held)
 	for {
 		next, err := e.next()
 		if err != nil {
@@ -99,7 +99,7 @@
 			time.Sleep(time.Second) // the upstream is silent
 			_ = w.CloseWithError(errors.New("nothing more"))
 		}()
-		e, err := newEventReader(iotest.OneByteReader(r)).next()
+		e, err := newEventReader(iotest.OneByteReader(r), &newHoldingGateway(0, 0).held).next()
 		is.NoErr(err)
 		is.Equal(strings.TrimRight(string(e.raw), "\r\n"), strings.TrimRight(raw, "\r\n"))
 		is.Equal(e.id, int64(7))
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -25,8 +25,11 @@
 }
 
 // acquire counts n bytes if they fit under the limit, and reports whether they do.
-func (h *heldBytes) acquire(n int64) bool {
-	if total := h.held.Add(n); h.limit > 0 && total > h.limit {
+func (h *heldBytes) acquire(n int64) bool { return h.acquireUpTo(h.limit, n) }
+
+// acquireUpTo counts n bytes if they fit under another limit, and reports whether they do. A limit of 0 is no bound.
+func (h *heldBytes) acquireUpTo(limit, n int64) bool {
+	if total := h.held.Add(n); limit > 0 && total > limit {
 		h.held.Add(-n)
 		return false
 	}
@@ -127,9 +130,44 @@
 	return true
 }
 
-// maxFreeAnswerBytes is the length up to which an answer is read even if the instance holds as many bytes as it may: an answer
-// that is ready is delivered, and new requests are refused instead. What exceeds it may be bytes without end.
-const maxFreeAnswerBytes = 1 << 20
+// The lengths up to which an answer is read although the instance holds as many bytes as it may: an answer that is ready is
+// delivered, and new requests are refused instead. What goes on may be bytes without end, and many such answers together must not
+// take the process's memory.
+const (
+	maxSmallAnswerBytes = 32 << 10 // in any case
+	maxFreeAnswerBytes  = 1 << 20  // while the instance holds at most answerShare times as many bytes as it may
+	answerShare         = 1.5
+)
+
+// answerBytes counts the bytes that an instance holds of one answer. The zero value counts nothing.
+type answerBytes struct {
+	total *heldBytes
+	held  int64
+}
+
+// acquire counts n more bytes if they fit, and reports whether they do.
+func (a *answerBytes) acquire(n int64) bool {
+	switch held := a.held + n; {
+	case held <= maxSmallAnswerBytes:
+		a.total.add(n)
+	case held <= maxFreeAnswerBytes:
+		if !a.total.acquireUpTo(int64(answerShare*float64(a.total.limit)), n) {
+			return false
+		}
+	case !a.total.acquire(n):
+		return false
+	}
+	a.held += n
+	return true
+}
+
+// release ends the count.
+func (a *answerBytes) release() {
+	if a.held > 0 {
+		a.total.add(-a.held)
+		a.held = 0
+	}
+}
 
 // answerStep is how many bytes of an answer of unknown length are counted first.
 const answerStep = 4 << 10
@@ -140,24 +178,17 @@
 	if n := l.exchange.Head.ContentLength(); n > maxPlainBytes && l.r.method != fasthttp.MethodHead {
 		return nil, fmt.Errorf("answer of %d bytes: at most %d are allowed: %w", n, maxPlainBytes, errTooLong)
 	}
-	held, firstStep := int64(0), answerStep
+	firstStep := answerStep
 	if n := l.exchange.Head.ContentLength(); n >= 0 {
 		firstStep = min(n+1, chunkedStep) // one more, so that the end is found without another step
 	}
-	body, err := readInSteps(watchedBody{l}, firstStep, maxPlainBytes, func(step int64) bool {
-		if held+step <= maxFreeAnswerBytes {
-			l.g.held.add(step)
-		} else if !l.g.held.acquire(step) {
-			return false
-		}
-		held += step
-		return true
-	})
+	held := answerBytes{total: &l.g.held}
+	body, err := readInSteps(watchedBody{l}, firstStep, maxPlainBytes, held.acquire)
 	if err != nil {
-		l.g.held.add(-held)
+		held.release()
 		return nil, err
 	}
-	l.r.held += held
+	l.r.held += held.held
 	return body, nil
 }
 
--- a/internal/gateway/held_test.go
+++ b/internal/gateway/held_test.go
@@ -79,3 +79,37 @@
 		is.True(f != nil && f.Kind == fault.Internal)
 	}
 }
+
+// Guards against an answer that takes the process's memory, and against a short one that isn't read because long ones take all that
+// the instance may hold.
+func TestAnswersAreBoundedTogether(t *testing.T) {
+	is := is.New(t)
+	const limit = 4 << 20
+	g := newHoldingGateway(limit, 0)
+	g.held.add(limit)
+	long := answerBytes{total: &g.held}
+	is.True(long.acquire(maxFreeAnswerBytes)) // an answer that is ready is delivered
+	is.True(!long.acquire(1))
+	other := answerBytes{total: &g.held}
+	is.True(other.acquire(maxFreeAnswerBytes))
+	third := answerBytes{total: &g.held}
+	is.True(!third.acquire(maxFreeAnswerBytes))
+	is.True(third.acquire(maxSmallAnswerBytes))
+	for _, a := range []*answerBytes{&long, &other, &third} {
+		a.release()
+		a.release() // has no effect
+	}
+	is.Equal(g.held.held.Load(), int64(limit))
+}
+
+// Guards against a count of a stream's bytes that goes on after the stream: new requests would be refused for good.
+func TestLongEventsAreCountedWhileTheyAreKept(t *testing.T) {
+	is := is.New(t)
+	g := newHoldingGateway(0, 0)
+	e := newEventReader(strings.NewReader("data: "+strings.Repeat("x", 100<<10)), &g.held)
+	_, err := e.next()
+	is.True(err != nil)
+	is.True(g.held.held.Load() >= 100<<10)
+	e.close()
+	is.Equal(g.held.held.Load(), int64(0))
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -39,9 +39,10 @@
 			}
 			return false, f
 		}
-		s := &streamBody{l: l, events: newEventReader(watchedBody{l}), done: done, lastID: parseLastEventID(l.r.LastEventID)}
+		s := &streamBody{l: l, events: l.newEventReader(), done: done, lastID: parseLastEventID(l.r.LastEventID)}
 		first, err := s.readEvent()
 		if err != nil && err != io.EOF {
+			s.events.close()
 			f := l.endBrokenAnswer(err)
 			if !l.decideRetry(f) {
 				return false, l.finalFault(f)
@@ -89,6 +90,9 @@
 	return f
 }
 
+// newEventReader returns a reader of the events of the open answer.
+func (l *lifecycle) newEventReader() *eventReader { return newEventReader(watchedBody{l}, &l.g.held) }
+
 // parseLastEventID returns the number of the event after which a stream resumes, or -1 if the stream begins at its
 // start.
 func parseLastEventID(v string) int64 {
@@ -232,7 +236,8 @@
 			return false
 		}
 		l.recordFirstEvent()
-		s.events = newEventReader(watchedBody{l})
+		s.events.close()
+		s.events = l.newEventReader()
 		return true
 	}
 }
@@ -243,6 +248,7 @@
 		return nil
 	}
 	s.closed = true
+	s.events.close()
 	l := s.l
 	switch {
 	case s.endErr == io.EOF && len(s.buffered) == 0:
