Answers without end to small calls are bounded together

Cause: the bound was that of one answer; a buffer that doubles takes twice as much.

Why the fix works: what the answers of a client's small calls take while they are read is counted before it is allocated, beyond the first 64 kB of each, and bounded at 32 MB. An answer that doesn't fit is an error, as one over its own bound is; ordinary ones are far below 64 kB and don't depend on the others.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/damaskshelf/damaskshelf/internal/decide/stream"
 	"github.com/damaskshelf/damaskshelf/internal/fleet"
@@ -52,7 +53,8 @@
 
 // Client calls upstreams. It is safe for concurrent use.
 type Client struct {
-	pool *pool
+	pool      *pool
+	bodyBytes *semaphore.Weighted // bytes of small answers that are being read
 }
 
 // Options configure a Client. Zero fields have defaults.
@@ -79,14 +81,14 @@
 	}
 	p := newPool()
 	p.paths = newPaths(o, p)
-	return &Client{pool: p}
+	return &Client{pool: p, bodyBytes: semaphore.NewWeighted(maxSmallBodiesBytes)}
 }
 
 // withoutIdle returns a client over the same paths without idle connections.
 func (c *Client) withoutIdle() *Client {
 	p := newPool()
 	p.paths = c.pool.paths
-	return &Client{pool: p}
+	return &Client{pool: p, bodyBytes: c.bodyBytes}
 }
 
 // ProbePaths probes failed paths to upstreams until ctx ends. known reports whether an upstream has an address.
@@ -251,8 +253,14 @@
 	return verdict
 }
 
-// maxSmallBodyBytes bounds the answers of small calls, and error bodies.
-const maxSmallBodyBytes = 8 << 20
+const (
+	// maxSmallBodyBytes bounds the answers of small calls, and error bodies.
+	maxSmallBodyBytes = 8 << 20
+	// maxSmallBodiesBytes bounds what such answers take together while they are read, beyond the first freeBodyBytes of each.
+	// Engines that send bytes without end would otherwise take the process's memory.
+	maxSmallBodiesBytes = 32 << 20
+	freeBodyBytes       = 64 << 10
+)
 
 // answerError returns the CallError for an error answer with err as its cause. It doesn't finish the exchange.
 func (x *httpExchange) answerError(err error) *CallError {
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -26,16 +26,36 @@
 	if bodyStream == nil {
 		return x.resp.Body(), nil
 	}
-	body, err := io.ReadAll(io.LimitReader(bodyStream, maxSmallBodyBytes+1))
-	if err != nil {
-		return nil, fmt.Errorf("read answer: %w", err)
-	}
-	if len(body) > maxSmallBodyBytes {
-		return nil, fmt.Errorf("answer is over %d bytes", maxSmallBodyBytes)
+	var held int64
+	defer func() { x.client.bodyBytes.Release(held) }()
+	body := make([]byte, 0, firstBodyBytes)
+	for {
+		if len(body) == cap(body) {
+			step := int64(cap(body))
+			if cap(body) >= freeBodyBytes {
+				if !x.client.bodyBytes.TryAcquire(step) {
+					return nil, fmt.Errorf("answer of over %d bytes: answers take %d bytes already", len(body), maxSmallBodiesBytes)
+				}
+				held += step
+			}
+			body = append(make([]byte, 0, len(body)+int(step)), body...)
+		}
+		n, err := bodyStream.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > maxSmallBodyBytes:
+			return nil, fmt.Errorf("answer is over %d bytes", maxSmallBodyBytes)
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return nil, fmt.Errorf("read answer: %w", err)
+		}
 	}
-	return body, nil
 }
 
+// firstBodyBytes is the size of the first buffer of a small answer, in bytes.
+const firstBodyBytes = 512
+
 // pathWithID returns path with its {id} replaced by the escaped id.
 func pathWithID(path, id string) string {
 	return strings.Replace(path, "{id}", url.PathEscape(id), 1)
--- a/internal/upstream/jsoncall_test.go
+++ b/internal/upstream/jsoncall_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
+	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -90,3 +93,49 @@
 		is.True(err != nil)
 	}
 }
+
+// Guards against an instance that ends for lack of memory because many engines answer its small calls with bytes without end.
+func TestAnswersToCallsWithoutEndLeaveMemory(t *testing.T) {
+	const calls, memoryLimit = 60, 200 << 20 // bytes of heap, with the stand-ins' part
+	block := bytes.Repeat([]byte("x"), 64<<10)
+	e := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+		for ; err == nil; time.Sleep(time.Millisecond) {
+			_, err = c.Write(block)
+		}
+	})
+	c := upstream.New()
+	defer c.Close()
+	runtime.GC()
+	var before, now runtime.MemStats
+	runtime.ReadMemStats(&before)
+	var open sync.WaitGroup
+	for range calls {
+		open.Go(func() {
+			err := c.CallJSON(t.Context(), upstream.JSONCall{Addr: e.addr(), Method: fasthttp.MethodPost, Path: "/x", Timeout: time.Second})
+			if err == nil {
+				t.Error("bytes without end count as an answer")
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		open.Wait()
+		close(done)
+	}()
+	peak := uint64(0)
+	for running := true; running; {
+		select {
+		case <-done:
+			running = false
+		case <-time.After(2 * time.Millisecond):
+		}
+		runtime.ReadMemStats(&now)
+		peak = max(peak, now.HeapAlloc-min(before.HeapAlloc, now.HeapAlloc))
+	}
+	t.Logf("%d MB at the most", peak>>20)
+	if peak >= memoryLimit {
+		t.Errorf("%d MB of heap, allowed are %d", peak>>20, memoryLimit>>20)
+	}
+}
