One odd entry in the store takes none of the others with it

The own interface's list of objects, and its instance list, failed in the same way (also by a number too large).

The instance list is decoded entry by entry.

--- a/internal/objects/client/client.go
+++ b/internal/objects/client/client.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/url"
@@ -71,7 +70,7 @@
 func decodeRead(u string, a call.Response, out any) error {
 	switch a.Status {
 	case fasthttp.StatusOK:
-		if err := json.Unmarshal(a.Body, out); err != nil {
+		if err := call.Decode(a.Body, out); err != nil {
 			return fmt.Errorf("decode answer of %s: %w", u, err)
 		}
 		return nil
@@ -156,7 +155,7 @@
 	switch a.Status {
 	case fasthttp.StatusOK, fasthttp.StatusCreated:
 		var w wire.WriteResult
-		if err := json.Unmarshal(a.Body, &w); err != nil {
+		if err := call.Decode(a.Body, &w); err != nil {
 			return 0, fmt.Errorf("decode answer to write of %s: %w", key, err)
 		}
 		return w.Version, nil
@@ -164,7 +163,7 @@
 		return 0, objects.ErrNotFound
 	case fasthttp.StatusConflict:
 		var w wire.Conflict
-		if err := json.Unmarshal(a.Body, &w); err != nil {
+		if err := call.Decode(a.Body, &w); err != nil {
 			return 0, fmt.Errorf("decode conflict of %s: %w", key, err)
 		}
 		return 0, &objects.ConflictError{Key: key, Current: w.Current, WriteID: w.WriteID}
--- a/internal/objects/client/client_test.go
+++ b/internal/objects/client/client_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -44,3 +47,27 @@
 	is.Equal(changed.Instances[0].State, wire.StateLeaving)
 	is.Equal(first.Instances[0].State, wire.StateLive) // the list of the earlier read is not modified
 }
+
+// Guards against an instance list, or a list of objects, that is lost whole because of one odd entry.
+func TestOddEntryLeavesTheOthers(t *testing.T) {
+	is := is.New(t)
+	deep := strings.Repeat("[", 12_000) + strings.Repeat("]", 12_000)
+	bodies := map[string]string{
+		"/instances": `{"version":7,"instances":[{"id":"odd","memory_tokens":1e400},{"id":5},"x",` + deep + `,{"id":"deep","more":` + deep + `},{"id":"e1","addr":"a"}]}`,
+		"/objects/k": `{"version":7,"objects":[{"kind":"k","name":"odd","version":5,"value":` + deep + `},{"kind":"k","name":"a","version":6,"value":1}]}`,
+	}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, bodies[r.URL.Path]) }))
+	defer s.Close()
+	addr := strings.TrimPrefix(s.URL, "http://")
+	c := client.New(client.Addresses{Instances: addr, Objects: addr})
+	defer c.Close()
+	list, err := c.Instances(t.Context())
+	is.NoErr(err)
+	is.Equal(list.Version, uint64(7))
+	is.Equal(len(list.Instances), 2) // its unknown field is ignored
+	is.Equal(list.Instances[1], wire.Instance{ID: "e1", Addr: "a"})
+	stored, err := c.List(t.Context(), "k")
+	is.NoErr(err)
+	is.Equal(len(stored.Objects), 2)
+	is.Equal(string(stored.Objects[1].Value), "1")
+}
--- a/internal/objects/wire/wire.go
+++ b/internal/objects/wire/wire.go
@@ -84,3 +84,22 @@
 	Version   uint64     `json:"version"`
 	Instances []Instance `json:"instances"`
 }
+
+// UnmarshalJSON implements json.Unmarshaler. It leaves out entries that can't be decoded, so that they don't hide the others.
+func (l *InstanceList) UnmarshalJSON(data []byte) error {
+	var raw struct {
+		Version   uint64            `json:"version"`
+		Instances []json.RawMessage `json:"instances"`
+	}
+	if err := json.Unmarshal(data, &raw); err != nil {
+		return err
+	}
+	*l = InstanceList{Version: raw.Version}
+	for _, entry := range raw.Instances {
+		var i Instance
+		if json.Unmarshal(entry, &i) == nil {
+			l.Instances = append(l.Instances, i)
+		}
+	}
+	return nil
+}
