The instance list's odd entries are logged; plainer words in httphead

The list names why, and the follower logs it once a version. Comments and one message of httphead use the terms of the field (field name, obs-fold). No other change.

--- a/internal/follow/calls.go
+++ b/internal/follow/calls.go
@@ -123,7 +123,7 @@
 // pollList reads the instance list until ctx ends.
 func (f *Follower) pollList(ctx context.Context) {
 	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	failures, instanceCount := 0, 1
+	failures, instanceCount, logged := 0, 1, uint64(0)
 	for ctx.Err() == nil {
 		l, err := f.deps.Instances.Instances(ctx)
 		if err != nil {
@@ -137,6 +137,10 @@
 		if failures > 0 {
 			f.deps.Log.Info("instance list back", "version", l.Version)
 		}
+		if len(l.LeftOut) > 0 && l.Version != logged {
+			logged = l.Version
+			f.deps.Log.Warn("entries of the instance list can't be decoded", "version", l.Version, "entries", len(l.LeftOut), "error", l.LeftOut[0])
+		}
 		failures, instanceCount = 0, f.applyList(l)
 		wait.For(ctx, storebudget.ReadInterval(len(l.Instances)*listRowBytes, f.deps.ListInterval, listBytesPerSecond))
 	}
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -1,6 +1,6 @@
-// Package httphead checks the heads of HTTP responses that are read by a lenient parser. The HTTP library takes the status 000 for
-// 200, passes names of fields on that hold blanks, and knows a length or a coding only by its exact name: a broken head would
-// count as a success, with another body than the one that was sent.
+// Package httphead checks the heads of HTTP responses before a lenient parser reads them. The HTTP library takes the status 000 for
+// 200 and accepts field names that hold blanks, among them broken names of Content-Length and Transfer-Encoding. A malformed response
+// would count as a success, with another body than the one that was sent.
 package httphead
 
 import (
@@ -20,8 +20,8 @@
 const (
 	statusLineStart = len("HTTP/1.1 200") // the shortest beginning of a response that shows its status
 	versionLen      = len("HTTP/1.1")
-	maxEmptyLines   = 16 // line ends that are skipped before a status line
-	maxQuoted       = 64 // bytes of a malformed line that an error quotes
+	maxEmptyLines   = 16 // that are skipped before a status line
+	maxQuoted       = 64 // bytes of an invalid field name that an error quotes
 )
 
 // CheckResponse waits for the head of the next response on r, and for those of interim responses before it, and leaves them unread.
@@ -82,12 +82,12 @@
 // isDigit reports whether b is a decimal digit.
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
-// fieldName returns the name of the field in a line, or an error unless the line begins with a valid name and a colon. A line that
-// continues the one before it is not valid either: its first word may be the name of a field.
+// fieldName returns the field name in a line, or an error unless the line begins with a valid one and a colon. A line that continues
+// the one before it (obs-fold) is not valid either: its first word may be a field name.
 func fieldName(line []byte) (string, error) {
 	name, _, found := bytes.Cut(line, []byte(":"))
 	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
-		return "", fmt.Errorf("%w: invalid name of a field %q", ErrMalformed, name[:min(len(name), maxQuoted)])
+		return "", fmt.Errorf("%w: invalid field name %q", ErrMalformed, name[:min(len(name), maxQuoted)])
 	}
 	return string(name), nil
 }
--- a/internal/objects/client/client_test.go
+++ b/internal/objects/client/client_test.go
@@ -65,6 +65,7 @@
 	is.NoErr(err)
 	is.Equal(list.Version, uint64(7))
 	is.Equal(len(list.Instances), 2) // its unknown field is ignored
+	is.Equal(len(list.LeftOut), 4)
 	is.Equal(list.Instances[1], wire.Instance{ID: "e1", Addr: "a"})
 	stored, err := c.List(t.Context(), "k")
 	is.NoErr(err)
--- a/internal/objects/wire/wire.go
+++ b/internal/objects/wire/wire.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strconv"
 )
 
@@ -83,6 +84,7 @@
 type InstanceList struct {
 	Version   uint64     `json:"version"`
 	Instances []Instance `json:"instances"`
+	LeftOut   []error    `json:"-"` // why entries couldn't be decoded
 }
 
 // UnmarshalJSON implements json.Unmarshaler. It leaves out entries that can't be decoded, so that they don't hide the others.
@@ -95,11 +97,13 @@
 		return err
 	}
 	*l = InstanceList{Version: raw.Version}
-	for _, entry := range raw.Instances {
+	for n, entry := range raw.Instances {
 		var i Instance
-		if json.Unmarshal(entry, &i) == nil {
-			l.Instances = append(l.Instances, i)
+		if err := json.Unmarshal(entry, &i); err != nil {
+			l.LeftOut = append(l.LeftOut, fmt.Errorf("entry %d of the instance list: %w", n, err))
+			continue
 		}
+		l.Instances = append(l.Instances, i)
 	}
 	return nil
 }
