An early answer through another instance is read although the upload can't be finished

What callers would see: a worker answers a long upload early and in full, and then doesn't read on. Directly the answer arrives after 2.3 s, when the write has failed; through another instance the request ends at its deadline with 504.

Cause: once the tunnel takes no more of the request, the goroutine that sends it returned. The writer of the request, which reads only after the write, then waited for good at the pipe behind it, and the answer with it.

Why the fix works: what can't be sent any more is read from the pipe and dropped, as the other instance does with its upstream, so that the write ends, and the answer, or the way in which the connection ended, is read.

--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -51,7 +51,9 @@
 			return
 		}
 		if err := c.stream.Send(&pb.ToUpstream{Data: buffer[:n]}); err != nil {
-			return // copyFromTunnel closes the pipe
+			// The answer may be here already, and is read only after the write. copyFromTunnel closes the pipe.
+			_, _ = io.Copy(io.Discard, c.far)
+			return
 		}
 	}
 }
