A verdict isn't freed by an answer that was sent before it

A stream that was sent while the part was still sound frees the verdict on it when it is answered to its end, up to 6.4 s later; six more workers end until the next one. It takes a verdict with AnsweredFor set, which one on early ends has as soon as one of the ended workers had answered another request with the part for a while. Whether one had depends on the moment at which the part becomes bad; hence a test that is red now and then. In a log of such a play: held back at 27.137, answered_ms=6369, no longer held back at 27.221.

Why it works: only a request sent since the verdict shows something about what is sent now, and such a one is sent as a try. Weighed and left: the same for keys under suspicion.

--- a/internal/decide/quarantine/late_test.go
+++ b/internal/decide/quarantine/late_test.go
@@ -129,6 +129,31 @@
 	is.True(p.free(partA))
 }
 
+// Guards against an answer that began before a part became bad, and that frees it when it ends: one of the upstreams that ended had
+// answered another such request for a while.
+func TestAnswerThatBeganBeforeVerdictDoesNotFree(t *testing.T) {
+	is := is.New(t)
+	p := newPlay()
+	cut, older := p.begin(p.content(), badPart), p.begin(p.content(), badPart)
+	p.pass(ProvenAfter)
+	for n := range maxEndsAnswered {
+		bad := p.send(p.content(), badPart)
+		u := fleet.Process{ID: fleet.UpstreamID("u" + string(bad))}
+		p.pass(10 * time.Millisecond)
+		p.Ended(p.now, bad, u)
+		if n == 0 {
+			p.EndedLate(p.now, cut, u)
+		}
+		p.pass(settleTime)
+	}
+	is.True(p.heldBack(p.content(), badPart))
+	p.Served(p.now, older)
+	is.True(p.heldBack(p.content(), badPart))
+	p.pass(firstHold)
+	p.Served(p.now, p.send(p.content(), badPart))
+	is.Equal(p.status(p.content(), badPart), Free)
+}
+
 // Guards against innocent streams that count as just begun because a new dispatcher doesn't know for how long they had gone on.
 func TestAdoptedRequestHadNotJustBegun(t *testing.T) {
 	is := is.New(t)
--- a/internal/decide/quarantine/latesim_test.go
+++ b/internal/decide/quarantine/latesim_test.go
@@ -22,6 +22,13 @@
 	}
 }
 
+// answeredBefore is a part of long streams that becomes bad: streams that were sent before go on, and are answered to their end.
+func answeredBefore(badAfter time.Duration) simStream {
+	return simStream{
+		perSecond: 8, parts: []Key{sharedPart, simBad}, bad: simBad, badAfter: badAfter, lasts: 12 * time.Second, soundFor: simBadFrom, group: "bad",
+	}
+}
+
 // Guards against requests that end their upstreams late in the answer and aren't found among sound ones that are answered for
 // seconds, or that take those with them.
 func TestLateCausesAreFoundInAnyMix(t *testing.T) {
@@ -44,6 +51,7 @@
 		part.perSecond = 1
 		plays[fmt.Sprint("rarely, after ", after)] = play{0, part, 5, 3}
 	}
+	plays["part that was answered before, after 400ms"] = play{0, answeredBefore(400 * time.Millisecond), 5, 3}
 	for name, c := range plays {
 		for seed := range uint64(simSeeds) {
 			s := newSim(seed, c.crashes, append(longStreams(), c.bad)...)
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -359,7 +359,7 @@
 	}
 	t.exempt(r, true)
 	for _, v := range t.verdicts.withAny(r.keys) {
-		if v.AnsweredFor > 0 && v.concerns(r.workspace) {
+		if v.AnsweredFor > 0 && r.sentSince(v) && v.concerns(r.workspace) {
 			t.free(now, v, r.keys)
 		}
 	}
--- a/internal/decide/quarantine/sim_test.go
+++ b/internal/decide/quarantine/sim_test.go
@@ -14,6 +14,7 @@
 // The simulation plays a fleet in steps of virtual time. Its upstreams hold several requests each; one that begins to answer a
 // request with a bad part ends, and another one stands in its place later.
 const (
+	simStart     = decide.Instant(time.Hour)
 	simStep      = 10 * time.Millisecond
 	simLength    = 20 * time.Second
 	simBadFrom   = 2 * time.Second // bad requests come, and upstreams end by themselves, from then on
@@ -58,6 +59,7 @@
 	content   Key           // of all its requests; 0: no two are alike
 	badAfter  time.Duration // how long upstreams answer bad requests before they end
 	lasts     time.Duration // how long answers take at the most, and half of it at least; 0: up to 1.5 s
+	soundFor  time.Duration // requests that are sent before are sound, in spite of bad
 }
 
 // sim is a simulation.
@@ -86,7 +88,7 @@
 // newSim returns a simulation of streams.
 func newSim(seed uint64, crashes float64, streams ...simStream) *sim {
 	s := &sim{
-		length: simLength, rand: rand.New(rand.NewPCG(seed, 0)), table: New(), now: decide.Instant(time.Hour), streams: streams, crashes: crashes,
+		length: simLength, rand: rand.New(rand.NewPCG(seed, 0)), table: New(), now: simStart, streams: streams, crashes: crashes,
 		badSends: map[Key][]decide.Instant{}, badEnds: map[Key][]decide.Instant{}, sent: map[string]int{}, served: map[string]int{},
 	}
 	for range simUpstreams {
@@ -164,6 +166,9 @@
 		if u == nil || !s.mayTake(u, status) {
 			return false
 		}
+		if r.bad = r.stream.bad; s.now.Sub(simStart) < r.stream.soundFor {
+			r.bad = 0
+		}
 		r.alone = status == Alone
 		r.attempts++
 		_, isTry := s.table.HeldBack(s.now, r.keys, "")
@@ -175,7 +180,7 @@
 		}
 		r.writing, r.began = false, s.now.Add(s.between(40*time.Millisecond, 200*time.Millisecond))
 		switch st := r.stream; {
-		case st.badAfter > 0:
+		case r.bad != 0 && st.badAfter > 0:
 			r.ends = r.began.Add(st.badAfter + time.Second)
 		case st.lasts > 0:
 			r.ends = r.began.Add(s.between(st.lasts/2, st.lasts))
--- a/internal/decide/quarantine/verdict.go
+++ b/internal/decide/quarantine/verdict.go
@@ -44,6 +44,10 @@
 	return v.ChangedAt <= o.ChangedAt.Add(mergeSlack) && (v.Freed != o.Freed || v.Tries != o.Tries || len(v.Workspaces) > 0 && len(o.Workspaces) == 0)
 }
 
+// sentSince reports whether a request was sent since a verdict was reached. The answer to an earlier one refutes nothing: what
+// requests bear may have become bad since it was sent.
+func (r *run) sentSince(v *verdict) bool { return r.startedAt >= v.Since }
+
 // holdFrom sets for how long requests are held back from now on.
 func (v *Verdict) holdFrom(now decide.Instant) {
 	v.Until, v.ChangedAt = now.Add(min(firstHold<<min(v.Tries, 8), maxHold)), now
