A verdict isn't freed by a stream that another dispatcher sent

What callers would see: requests that end upstreams are held back, the dispatcher changes, and a stream that was sent before the verdict frees it at the next dispatcher; more upstreams end.

Cause: an adopted request counts as sent when it is adopted, which is after the verdict. It freed the verdict when it was answered to its end, and, as it also counted as the verdict's try, when its answer had gone on for longer than those of the requests that ended upstreams.

Evidence: TestAdoptedRequestDoesNotFreeVerdict, four forms, fails without the condition.

Why it works: the table knows which requests it adopted, and none of them refutes a verdict. They still count as tries that are awaited.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -296,10 +296,10 @@
 	}
 	r := s.startRun(now, j, s.engineFor(upstream), engines, reserved)
 	r.adopted = true
+	s.quarantine.Adopted(now, j.ID, decoding)
 	if decoding {
 		s.removePrefill(r)
 		r.decoding = true
-		s.quarantine.Adopted(now, j.ID)
 	}
 }
 
--- a/internal/decide/quarantine/late_test.go
+++ b/internal/decide/quarantine/late_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -154,12 +155,40 @@
 	is.Equal(p.status(p.content(), badPart), Free)
 }
 
+// Guards against a verdict that the next dispatcher frees for a stream which was sent before the verdict was reached.
+func TestAdoptedRequestDoesNotFreeVerdict(t *testing.T) {
+	for name, answer := range map[string]func(p *play, id fleet.RequestID){
+		"goes on":     func(p *play, _ fleet.RequestID) { p.pass(2 * lateAfter) },
+		"is complete": func(p *play, id fleet.RequestID) { p.Served(p.now, id) },
+	} {
+		for _, writing := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, writing=%t", name, writing), func(t *testing.T) {
+				is := is.New(t)
+				p, next := newPlay(), newPlay()
+				for range MaxEnds {
+					p.endLate(badPart)
+				}
+				next.now = p.now
+				for _, v := range p.Verdicts() {
+					next.Merge(v)
+				}
+				is.True(next.heldBack(badPart))
+				older := next.send(badPart)
+				next.Adopted(next.now, older, writing)
+				next.Began(next.now, older)
+				answer(next, older)
+				is.True(next.heldBack(badPart))
+			})
+		}
+	}
+}
+
 // Guards against innocent streams that count as just begun because a new dispatcher doesn't know for how long they had gone on.
 func TestAdoptedRequestHadNotJustBegun(t *testing.T) {
 	is := is.New(t)
 	p := newPlay()
 	id := p.send(p.content(), partA)
-	p.Adopted(p.now, id)
+	p.Adopted(p.now, id, true)
 	u := fleet.Process{ID: "u"}
 	p.Failed(p.now, id, u)
 	p.Gone(p.now, u)
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -99,6 +99,7 @@
 	done      bool
 	endedAt   decide.Instant // valid if done is set
 	resumed   bool           // it continues an answer
+	adopted   bool           // another dispatcher sent it, it isn't known when
 	trialOf   []Key          // that are put to the test with it
 	charged   bool           // its upstream's end counts against its keys, if it came late in an answer
 	workspace fleet.WorkspaceID
@@ -128,7 +129,7 @@
 	}
 	keys := bounded(q.Keys)
 	for _, v := range t.verdicts.on(keys, q.Workspace) {
-		if r := t.runs[v.try.id]; r.outlives(now, v.AnsweredFor) {
+		if r := t.runs[v.try.id]; r.outlives(now, v.AnsweredFor) && r.mayRefute(v) {
 			t.free(now, v, r.keys)
 			continue
 		}
@@ -208,9 +209,14 @@
 	}
 }
 
-// Adopted records that the first event of a request's answer arrived before the request was known here.
-func (t *Table) Adopted(now decide.Instant, id fleet.RequestID) {
-	if r := t.runs[id]; r != nil {
+// Adopted records that a request was sent before it was known here, and whether the first event of its answer had arrived.
+func (t *Table) Adopted(now decide.Instant, id fleet.RequestID, writing bool) {
+	r := t.runs[id]
+	if r == nil {
+		return
+	}
+	r.adopted = true
+	if writing {
 		r.writing, r.proven, r.firstAt = true, true, now
 	}
 }
@@ -359,7 +365,7 @@
 	}
 	t.exempt(r, true)
 	for _, v := range t.verdicts.withAny(r.keys) {
-		if v.AnsweredFor > 0 && r.sentSince(v) && v.concerns(r.workspace) {
+		if v.AnsweredFor > 0 && r.mayRefute(v) && v.concerns(r.workspace) {
 			t.free(now, v, r.keys)
 		}
 	}
--- a/internal/decide/quarantine/scope.go
+++ b/internal/decide/quarantine/scope.go
@@ -73,7 +73,7 @@
 // exempt records that an answered request's workspace isn't concerned by verdicts on others' requests with its keys.
 func (t *Table) exempt(r *run, late bool) {
 	for _, v := range t.verdicts.elsewhere(r.keys, r.workspace) {
-		if (v.AnsweredFor > 0) == late && (!late || r.sentSince(v)) {
+		if (v.AnsweredFor > 0) == late && (!late || r.mayRefute(v)) {
 			v.exempt = append(v.exempt, r.workspace)
 		}
 	}
--- a/internal/decide/quarantine/verdict.go
+++ b/internal/decide/quarantine/verdict.go
@@ -44,9 +44,11 @@
 	return v.ChangedAt <= o.ChangedAt.Add(mergeSlack) && (v.Freed != o.Freed || v.Tries != o.Tries || len(v.Workspaces) > 0 && len(o.Workspaces) == 0)
 }
 
-// sentSince reports whether a request was sent since a verdict was reached. The answer to an earlier one refutes nothing: what
-// requests bear may have become bad since it was sent.
-func (r *run) sentSince(v *verdict) bool { return r.startedAt >= v.Since }
+// mayRefute reports whether the answer to a request may refute a verdict: requests are held back until one that was sent since is
+// answered. What an earlier one bears may have become bad after it was sent.
+func (r *run) mayRefute(v *verdict) bool {
+	return v.OnTrial() || !r.adopted && r.startedAt >= v.Since
+}
 
 // holdFrom sets for how long requests are held back from now on.
 func (v *Verdict) holdFrom(now decide.Instant) {
