--- a/internal/decide/quarantine/verdict.go
+++ b/internal/decide/quarantine/verdict.go
@@ -44,8 +44,8 @@
 	return v.ChangedAt <= o.ChangedAt.Add(mergeSlack) && (v.Freed != o.Freed || v.Tries != o.Tries || len(v.Workspaces) > 0 && len(o.Workspaces) == 0)
 }
 
-// mayRefute reports whether the answer to a request may refute a verdict: requests are held back until one that was sent since is
-// answered. What an earlier one bears may have become bad after it was sent.
+// mayRefute reports whether the answer to a request may refute a verdict. A part of prompts may become bad after a request was sent, so
+// only one that was sent since the verdict refutes it; of an adopted one that isn't known. Any answer clears keys on trial.
 func (r *run) mayRefute(v *verdict) bool {
 	return v.OnTrial() || !r.adopted && r.startedAt >= v.Since
 }
