--- a/internal/routed/budget.go
+++ b/internal/routed/budget.go
@@ -4,10 +4,13 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/damaskshelf/damaskshelf/api"
 	"github.com/damaskshelf/damaskshelf/internal/catalog"
 	"github.com/damaskshelf/damaskshelf/internal/decide"
 	"github.com/damaskshelf/damaskshelf/internal/decide/retry"
+	"github.com/damaskshelf/damaskshelf/internal/metrics"
 	"github.com/damaskshelf/damaskshelf/internal/watch"
 )
 
@@ -18,23 +21,31 @@
 
 // budgets holds this instance's shares of the fleet's retry limits, by service. It is safe for concurrent use.
 type budgets struct {
-	members func() int // number of instances that the limits are divided by
+	members func() int // number of instances that are listed now
 	start   time.Time
+	log     hclog.Logger
+	metrics *metrics.Registry
 
-	mu     sync.Mutex
-	rules  api.Retries                          // guarded by mu
-	shares map[catalog.ServiceName]*retry.Share // guarded by mu
+	mu        sync.Mutex
+	rules     api.Retries                          // guarded by mu
+	shares    map[catalog.ServiceName]*retry.Share // guarded by mu
+	dividedBy int                                  // guarded by mu: number of instances that the limits were last divided by
 }
 
 // newBudgets returns budgets under the rules of the settings. It divides the limits by the number of instances that f
 // lists.
-func newBudgets(s api.Settings, f *watch.Follower) *budgets {
-	return newBudgetsWithRules(s.Routed.Retries, func() int { return len(f.Snapshot().Members) })
+func newBudgets(s api.Settings, f *watch.Follower, m *metrics.Registry, log hclog.Logger) *budgets {
+	b := newBudgetsWithRules(s.Routed.Retries, func() int { return len(f.Snapshot().Members) })
+	b.metrics, b.log = m, log
+	return b
 }
 
 // newBudgetsWithRules returns budgets under the given rules.
 func newBudgetsWithRules(rules api.Retries, members func() int) *budgets {
-	return &budgets{rules: rules, members: members, start: time.Now(), shares: map[catalog.ServiceName]*retry.Share{}}
+	return &budgets{
+		rules: rules, members: members, start: time.Now(), log: hclog.NewNullLogger(), metrics: metrics.New(),
+		shares: map[catalog.ServiceName]*retry.Share{},
+	}
 }
 
 // setRules changes the rules for all services.
@@ -54,10 +65,21 @@
 		share = &retry.Share{}
 		b.shares[s] = share
 	}
-	share.SetLimits(*b.rules.Ratio*allocatedShare, *b.rules.Slack*allocatedShare/float64(max(1, b.members())))
+	share.SetLimits(*b.rules.Ratio*allocatedShare, *b.rules.Slack*allocatedShare/float64(max(1, b.divisor())))
 	return share
 }
 
+// divisor returns the number of instances that the limits are divided by, and logs its changes. The caller holds mu.
+func (b *budgets) divisor() int {
+	n := b.members()
+	if n != b.dividedBy {
+		b.log.Info("retry limit is divided", "instances", n, "before", b.dividedBy)
+		b.dividedBy = n
+		b.metrics.Gauge("retry_limit_instances").Update(int64(n))
+	}
+	return n
+}
+
 // RecordRequest implements gateway.RetryBudget.
 func (b *budgets) RecordRequest(s catalog.ServiceName) {
 	b.mu.Lock()
@@ -69,7 +91,9 @@
 func (b *budgets) Allows(s catalog.ServiceName) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.shareOf(s).Allows(b.now())
+	ok := b.shareOf(s).Allows(b.now())
+	b.countRefused(ok)
+	return ok
 }
 
 // Take implements gateway.RetryBudget.
@@ -77,5 +101,17 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	share, now := b.shareOf(s), b.now()
-	return func() { share.Return(now) }, share.Take(now)
+	ok = share.Take(now)
+	b.countRefused(ok)
+	if ok {
+		b.metrics.Counter("retries").Inc(1)
+	}
+	return func() { share.Return(now) }, ok
+}
+
+// countRefused counts a retry that the budget refuses.
+func (b *budgets) countRefused(ok bool) {
+	if !ok {
+		b.metrics.Counter("retries_refused").Inc(1)
+	}
 }
--- a/internal/routed/reload_test.go
+++ b/internal/routed/reload_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/metrics"
 	"github.com/damaskshelf/damaskshelf/internal/placement"
 	"github.com/damaskshelf/damaskshelf/internal/watch"
 )
@@ -29,7 +30,7 @@
 	s := overloadSettings("")
 	f := watch.New(watch.Deps{Log: hclog.NewNullLogger()})
 	n := newListeningNode()
-	n.parts.Log, n.parts.Placer, n.parts.Budgets = log, placement.NewClient("i1", "a", f, log), newBudgets(s, f)
+	n.parts.Log, n.parts.Placer, n.parts.Budgets = log, placement.NewClient("i1", "a", f, log), newBudgets(s, f, metrics.New(), log)
 	n.settings.Store(&s)
 	n.Reload(overloadSettings(api.AdmissionForecast))
 	is.True(strings.Contains(out.String(), "admission=forecast"))
