--- a/test/soak/streams_test.go
+++ b/test/soak/streams_test.go
@@ -86,6 +86,12 @@
 // newStreamRun starts a store and workers, and creates daemons, in three failure domains. If l is not nil, the daemons
 // reach the store and each other through proxies that are added to it.
 func newStreamRun(t *testing.T, l *links) *streamRun {
+	t.Helper()
+	return newStreamRunWith(t, l, retrySlackShare**fleetSize)
+}
+
+// newStreamRunWith is newStreamRun with the slack of the retry budget of all daemons together.
+func newStreamRunWith(t *testing.T, l *links, retrySlack int) *streamRun {
 	t.Helper()
 	r := &streamRun{t: t, rand: rand.New(rand.NewPCG(*firstSeed, 4)), stop: make(chan struct{}), sends: map[string][]*sendRecord{}}
 	var err error
@@ -125,7 +131,7 @@
 		if l != nil {
 			storeAddr, advertise = via(&l.store, storeAddr), func(peers string) string { return via(&l.peers, peers) }
 		}
-		o := daemonOptions{domain: domains[i%len(domains)], retrySlack: retrySlackShare * *fleetSize}
+		o := daemonOptions{domain: domains[i%len(domains)], retrySlack: retrySlack}
 		r.daemons = append(r.daemons, newDaemonWith(t, dir, fmt.Sprintf("entry-%d", i), storeAddr, advertise, o))
 	}
 	return r
