A new process doesn't spend the retries of the one before it again

What callers and users saw: in ten seconds a service got up to 333 sends beyond the first of a request where 185 were allowed, while instances were killed or stopped and started again.

Cause: an instance counts what it has spent of the fleet's retry budget in the memory of its process. The next process under its name begins with an empty count and a whole share, though the users' window still holds what was spent before. Nine killed in turn spend 3.7 shares each in a window. Ruled out as well: pauses of all together (130 of 185).

Change: in its first window an instance has 0.15 of the slack's share in place of 0.7. If the process before it was killed (its entry was still in the store), or that isn't known yet, even this grows from zero with its age, so that any number of lives spends no more than one. Its part by ratio stays: it comes from the process' own requests. Why it holds: 0.7 of a life that ran for a window, and 0.15 for all short ones after kills or for each of two planned restarts, is 1 at most.

In virtual time the fleets of TestRetrySharesStayWithinFleetLimit restart now, too; without the mend 1,912 retries of 414.

Tried first: nothing at the start at all. 7 tests of platform/ that expect a retry of a new fleet failed, rightly.

--- a/internal/routed/budget.go
+++ b/internal/routed/budget.go
@@ -19,6 +19,11 @@
 // joins or leaves, the others divide the limit by different numbers of members.
 const allocatedShare = 0.7
 
+// startingShare is the part of the fleet's slack that instances add up to in their first Window, in which retries of the process
+// before may still count. With allocatedShare it stays within the limit if each instance is killed any number of times in a
+// Window, or stopped and started twice.
+const startingShare = 0.15
+
 // budgets holds this instance's shares of the fleet's retry limits, by service. It is safe for concurrent use.
 type budgets struct {
 	members func() int // number of instances that are listed now
@@ -29,6 +34,7 @@
 	mu        sync.Mutex
 	rules     api.Retries                          // guarded by mu
 	shares    map[catalog.ServiceName]*retry.Share // guarded by mu
+	noneLost  bool                                 // guarded by mu: no process before this one was killed lately
 	dividedBy int                                  // guarded by mu: number of instances that the limits were last divided by
 }
 
@@ -65,11 +71,31 @@
 		share = &retry.Share{}
 		b.shares[s] = share
 	}
-	share.SetLimits(*b.rules.Ratio*allocatedShare, *b.rules.Slack*allocatedShare/float64(max(1, b.divisor())))
+	share.SetLimits(*b.rules.Ratio*allocatedShare, *b.rules.Slack*b.slackShare()/float64(max(1, b.divisor())))
 	return share
 }
 
-// divisor returns the number of instances that the limits are divided by, and logs its changes. The caller holds mu.
+// joined records whether the process before this one ended without a planned stop, so that it was in the middle of something.
+func (b *budgets) joined(formerKilled bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.noneLost = !formerKilled
+}
+
+// slackShare returns the part of the fleet's slack that all instances would add up to if they were like this one. While it isn't
+// known that no process was killed, it grows from zero, so that it is the same in however many lives it is spent.
+func (b *budgets) slackShare() float64 {
+	switch age := time.Duration(b.now()); {
+	case age >= retry.Window:
+		return allocatedShare
+	case b.noneLost:
+		return startingShare
+	default:
+		return startingShare * age.Seconds() / retry.Window.Seconds()
+	}
+}
+
+// divisor returns the number of instances that the slack is divided by, and logs its changes. The caller holds mu.
 func (b *budgets) divisor() int {
 	n := b.members()
 	if n != b.dividedBy {
--- a/internal/routed/budget_test.go
+++ b/internal/routed/budget_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/damaskshelf/damaskshelf/api"
+	"github.com/damaskshelf/damaskshelf/internal/decide/retry"
 	"github.com/damaskshelf/damaskshelf/internal/fixedseed"
 )
 
@@ -36,7 +37,7 @@
 func TestEachInstanceOfLargeFleetHasARetry(t *testing.T) {
 	for _, instances := range []int{7, 91, 195, 930} {
 		is := is.New(t)
-		b := newBudgetsWithRules(retries(0.2, 460), func() int { return instances })
+		b := newSettledBudgets(retries(0.2, 460), func() int { return instances })
 		for range 8 { // requests that one of 930 instances receives in a window
 			b.RecordRequest("s")
 		}
@@ -49,7 +50,7 @@
 func TestRetryShareFollowsRequestsOfInstance(t *testing.T) {
 	is := is.New(t)
 	allowed := func(requests int) (n int) {
-		b := newBudgetsWithRules(retries(0.2, 460), func() int { return 195 })
+		b := newSettledBudgets(retries(0.2, 460), func() int { return 195 })
 		for range requests {
 			b.RecordRequest("s")
 		}
@@ -66,7 +67,7 @@
 // Guards against a process that doesn't start, or never retries, because a deployment sets an unusual retry rule.
 func TestExtremeRetryRulesWork(t *testing.T) {
 	for _, rule := range []struct{ ratio, slack float64 }{{0, 0}, {0.2, 38.333333333333336}, {1e300, 1e300}, {0, 0.001}} {
-		b := newBudgetsWithRules(retries(rule.ratio, rule.slack), func() int { return 1 })
+		b := newSettledBudgets(retries(rule.ratio, rule.slack), func() int { return 1 })
 		b.RecordRequest("s")
 		if got, want := take(b), rule.slack > 2; got != want {
 			t.Errorf("ratio %g, slack %g: a retry is allowed: %t", rule.ratio, rule.slack, got)
@@ -74,11 +75,18 @@
 	}
 }
 
+// newSettledBudgets returns the budgets of an instance that has run for a window.
+func newSettledBudgets(rules api.Retries, members func() int) *budgets {
+	b := newBudgetsWithRules(rules, members)
+	b.start = b.start.Add(-retry.Window)
+	return b
+}
+
 // retries returns a retry rule.
 func retries(ratio, slack float64) api.Retries { return api.Retries{Ratio: &ratio, Slack: &slack} }
 
-// checkRetryShares simulates a fleet in steps of 50 ms while one instance joins and one leaves, and checks the retries
-// of every window against the limit.
+// checkRetryShares simulates a fleet in steps of 50 ms while one instance joins, one leaves and processes start anew, after a
+// kill or a planned stop, and checks the retries of every window against the limit.
 func checkRetryShares(t *testing.T, r *rapid.T, instances, steps int) {
 	const (
 		window = 10 * time.Second
@@ -89,17 +97,29 @@
 	)
 	joins := rapid.IntRange(0, steps-1).Draw(r, "one joins at step")
 	leaves := rapid.IntRange(0, steps-1).Draw(r, "one leaves at step")
+	killed := rapid.Bool().Draw(r, "processes are killed")
+	restartEvery := rapid.SampledFrom([]int{1, 3, 20, 100, steps}).Draw(r, "steps between restarts")
+	if !killed {
+		restartEvery = max(restartEvery, int(window/step)/(2*instances)+1) // each instance is stopped twice in a window
+	}
 	load := rapid.SliceOfN(rapid.IntRange(0, 3), 40, 40).Draw(r, "requests a step")
 	retriesWanted := rapid.SliceOfN(rapid.IntRange(0, 8), 40, 40).Draw(r, "retries wanted a step")
 	synctest.Test(t, func(t *testing.T) {
 		knownMembers, joining := instances, 1 // joining: 1 until the others list the last instance, which lists itself at once
+		start := func(n int) *budgets {
+			return newBudgetsWithRules(retries(ratio, slack), func() int {
+				if n == instances {
+					return knownMembers + joining
+				}
+				return knownMembers
+			})
+		}
 		var all []*budgets
 		for n := range instances + 1 {
-			members := func() int { return knownMembers }
-			if n == instances {
-				members = func() int { return knownMembers + joining }
+			all = append(all, start(n))
+			if n < instances {
+				all[n].start = all[n].start.Add(-retry.Window)
 			}
-			all = append(all, newBudgetsWithRules(retries(ratio, slack), members))
 		}
 		requests, retries := make([]int, steps), make([]int, steps)
 		for i := range steps {
@@ -109,6 +129,15 @@
 			if time.Duration(i-leaves)*step == lag {
 				knownMembers--
 			}
+			if i == joins {
+				all[instances] = start(instances)
+				all[instances].joined(false)
+			}
+			if i%restartEvery == restartEvery-1 {
+				n := i / restartEvery % instances
+				all[n] = start(n)
+				all[n].joined(killed)
+			}
 			for n, b := range all {
 				if n == instances && i < joins || n == 0 && i >= leaves {
 					continue
--- a/internal/routed/membership.go
+++ b/internal/routed/membership.go
@@ -31,6 +31,7 @@
 	p := n.parts
 	joined := watch.Join(ctx, p.Adapter.Store, n.self, p.Log)
 	watch.LogFormerLife(joined.Replaced, p.Log)
+	p.Budgets.joined(joined.Replaced != 0)
 	for wait.For(ctx, membershipCheckInterval/2+rand.N(membershipCheckInterval)) {
 		if !p.Gate.Ready() {
 			return // leaving
