The retry budget is divided by the most instances of the last ten seconds

What users saw: up to 519 sends beyond the first of a request in ten seconds where 187 were allowed, while the instances' entries were missing from the store; with one after the other stopped, the share of the rest grew each time.

Cause: each instance divides the fleet's slack by the instances that it lists at the moment. Those that aren't listed have spent retries that still count in the window, and may run on: they write their entries again, or end what they have. An instance that lists nobody divided by one: each of nine took everything. The log has it: 'retry limit is divided: instances=0 before=9' at all nine, and 9 to 8 and back 222 times where they stopped in turn.

Change: the divisor is the largest number of instances listed in the last window (retry.Peak); while none is known there is no slack, only the part by the instance's own requests. Between two uses the number is taken to have kept its value, so that a drop in a quiet time counts as of now.

--- a/internal/routed/budget.go
+++ b/internal/routed/budget.go
@@ -35,6 +35,7 @@
 	rules     api.Retries                          // guarded by mu
 	shares    map[catalog.ServiceName]*retry.Share // guarded by mu
 	noneLost  bool                                 // guarded by mu: no process before this one was killed lately
+	listed    retry.Peak                           // guarded by mu: number of instances listed in the last window
 	dividedBy int                                  // guarded by mu: number of instances that the limits were last divided by
 }
 
@@ -71,7 +72,11 @@
 		share = &retry.Share{}
 		b.shares[s] = share
 	}
-	share.SetLimits(*b.rules.Ratio*allocatedShare, *b.rules.Slack*b.slackShare()/float64(max(1, b.divisor())))
+	slack := 0.0
+	if n := b.divisor(); n > 0 {
+		slack = *b.rules.Slack * b.slackShare() / float64(n)
+	}
+	share.SetLimits(*b.rules.Ratio*allocatedShare, slack)
 	return share
 }
 
@@ -95,9 +100,10 @@
 	}
 }
 
-// divisor returns the number of instances that the slack is divided by, and logs its changes. The caller holds mu.
+// divisor returns the number of instances that the slack is divided by, and logs its changes; 0: no instance is known. What an
+// instance that isn't listed any more has spent counts for a Window more, and it may still run. The caller holds mu.
 func (b *budgets) divisor() int {
-	n := b.members()
+	n := b.listed.Observe(b.now(), b.members())
 	if n != b.dividedBy {
 		b.log.Info("retry limit is divided", "instances", n, "before", b.dividedBy)
 		b.dividedBy = n
--- a/internal/routed/budget_test.go
+++ b/internal/routed/budget_test.go
@@ -98,20 +98,31 @@
 	joins := rapid.IntRange(0, steps-1).Draw(r, "one joins at step")
 	leaves := rapid.IntRange(0, steps-1).Draw(r, "one leaves at step")
 	killed := rapid.Bool().Draw(r, "processes are killed")
-	restartEvery := rapid.SampledFrom([]int{1, 3, 20, 100, steps}).Draw(r, "steps between restarts")
+	restartEvery, unlistedFor := rapid.SampledFrom([]int{1, 3, 20, 100, steps}).Draw(r, "steps between restarts"), 0
 	if !killed {
 		restartEvery = max(restartEvery, int(window/step)/(2*instances)+1) // each instance is stopped twice in a window
+		unlistedFor = rapid.IntRange(0, 40).Draw(r, "steps for which a stopped instance isn't listed")
 	}
 	load := rapid.SliceOfN(rapid.IntRange(0, 3), 40, 40).Draw(r, "requests a step")
 	retriesWanted := rapid.SliceOfN(rapid.IntRange(0, 8), 40, 40).Draw(r, "retries wanted a step")
 	synctest.Test(t, func(t *testing.T) {
 		knownMembers, joining := instances, 1 // joining: 1 until the others list the last instance, which lists itself at once
+		listedAgain := make([]int, instances) // step from which an instance is listed again
+		unlisted := func(step int) (n int) {
+			for _, from := range listedAgain {
+				if step < from {
+					n++
+				}
+			}
+			return n
+		}
+		now := 0
 		start := func(n int) *budgets {
 			return newBudgetsWithRules(retries(ratio, slack), func() int {
 				if n == instances {
-					return knownMembers + joining
+					return knownMembers + joining - unlisted(now)
 				}
-				return knownMembers
+				return knownMembers - unlisted(now)
 			})
 		}
 		var all []*budgets
@@ -123,6 +134,7 @@
 		}
 		requests, retries := make([]int, steps), make([]int, steps)
 		for i := range steps {
+			now = i
 			if time.Duration(i-joins)*step == lag {
 				knownMembers, joining = knownMembers+1, 0
 			}
@@ -135,7 +147,7 @@
 			}
 			if i%restartEvery == restartEvery-1 {
 				n := i / restartEvery % instances
-				all[n] = start(n)
+				all[n], listedAgain[n] = start(n), i+unlistedFor
 				all[n].joined(killed)
 			}
 			for n, b := range all {
