An instance that starts may retry a fifth of its own requests, not 0.14

The mend of the restarts costs callers retries.

Cause: in a life of 3 s an instance sees 13 requests of a service, and 0.14 of that is one retry. The 0.14 is 0.7 of the rule's ratio; the rest is for differences between the instances. The part by ratio is of this process's own requests, though, which no other life spends, so that an instance that starts may have all of it: two in the same life.

--- a/internal/routed/budget.go
+++ b/internal/routed/budget.go
@@ -34,7 +34,7 @@
 	mu        sync.Mutex
 	rules     api.Retries                          // guarded by mu
 	shares    map[catalog.ServiceName]*retry.Share // guarded by mu
-	noneLost  bool                                 // guarded by mu: no process before this one was killed lately
+	clean     bool                                 // guarded by mu: the process before this one is known not to have been killed
 	listed    retry.Peak                           // guarded by mu: number of instances listed in the last window
 	dividedBy int                                  // guarded by mu: number of instances that the limits were last divided by
 }
@@ -72,32 +72,34 @@
 		share = &retry.Share{}
 		b.shares[s] = share
 	}
-	slack := 0.0
-	if n := b.divisor(); n > 0 {
-		slack = *b.rules.Slack * b.slackShare() / float64(n)
-	}
-	share.SetLimits(*b.rules.Ratio*allocatedShare, slack)
+	ratio, slack := b.allocation()
+	share.SetLimits(*b.rules.Ratio*ratio, *b.rules.Slack*slack)
 	return share
 }
 
-// joined records whether the process before this one ended without a planned stop, so that it was in the middle of something.
+// joined records whether the process before this one was killed, which is known once this one has joined the fleet.
 func (b *budgets) joined(formerKilled bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.noneLost = !formerKilled
+	b.clean = !formerKilled
 }
 
-// slackShare returns the part of the fleet's slack that all instances would add up to if they were like this one. While it isn't
-// known that no process was killed, it grows from zero, so that it is the same in however many lives it is spent.
-func (b *budgets) slackShare() float64 {
+// allocation returns the parts of the rule's ratio and slack that this instance may use now. What the processes before it spent
+// is taken from the slack alone, as the ratio is of this process's own requests. The starting slack of a process whose predecessor
+// may have been killed grows from zero, so that any number of short lives spends it once. The caller holds mu.
+func (b *budgets) allocation() (ratio, slack float64) {
+	ratio, slack = 1, startingShare
 	switch age := time.Duration(b.now()); {
 	case age >= retry.Window:
-		return allocatedShare
-	case b.noneLost:
-		return startingShare
-	default:
-		return startingShare * age.Seconds() / retry.Window.Seconds()
+		ratio, slack = allocatedShare, allocatedShare
+	case !b.clean:
+		slack *= age.Seconds() / retry.Window.Seconds()
+	}
+	n := b.divisor()
+	if n == 0 {
+		return ratio, 0
 	}
+	return ratio, slack / float64(n)
 }
 
 // divisor returns the number of instances that the slack is divided by, and logs its changes; 0: no instance is known. What an
--- a/internal/routed/budget_test.go
+++ b/internal/routed/budget_test.go
@@ -54,16 +54,34 @@
 		for range requests {
 			b.RecordRequest("s")
 		}
-		for take(b) {
-			n++
-		}
-		return n
+		return takeAll(b)
 	}
 	is.Equal(allowed(0), 1)    // 0.7 x 460 / 195 = 1.65
 	is.Equal(allowed(20), 4)   // and 0.14 x 20 = 2.8
 	is.Equal(allowed(400), 57) // and 0.14 x 400 = 56
 }
 
+// Guards against an instance that can't retry for its callers until it has run for a window.
+func TestInstanceThatStartsHasRetries(t *testing.T) {
+	for _, c := range []struct {
+		killed                           bool
+		atOnce, later, afterFiveOfItsOwn int // retries: at the start, 7 s later, and then after five requests
+	}{{false, 1, 0, 1}, {true, 0, 1, 1}} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			b := newBudgetsWithRules(retries(0.2, 106), func() int { return 9 })
+			b.joined(c.killed)
+			is.Equal(takeAll(b), c.atOnce)
+			time.Sleep(7 * time.Second)
+			is.Equal(takeAll(b), c.later)
+			for range 5 {
+				b.RecordRequest("s")
+			}
+			is.Equal(takeAll(b), c.afterFiveOfItsOwn)
+		})
+	}
+}
+
 // Guards against a process that doesn't start, or never retries, because a deployment sets an unusual retry rule.
 func TestExtremeRetryRulesWork(t *testing.T) {
 	for _, rule := range []struct{ ratio, slack float64 }{{0, 0}, {0.2, 38.333333333333336}, {1e300, 1e300}, {0, 0.001}} {
@@ -75,6 +93,14 @@
 	}
 }
 
+// takeAll takes all retries that are permitted now, and returns their number.
+func takeAll(b *budgets) (n int) {
+	for take(b) {
+		n++
+	}
+	return n
+}
+
 // newSettledBudgets returns the budgets of an instance that has run for a window.
 func newSettledBudgets(rules api.Retries, members func() int) *budgets {
 	b := newBudgetsWithRules(rules, members)
