Own interface: the least retries are divided by the most instances of the last ten seconds, too

The same cause as on the users' machines, found by looking for it: ten retries in ten seconds that the whole fleet may always make were divided by the instances that are listed at the moment, though what the others spent still counts.

--- a/internal/entry/again/again.go
+++ b/internal/entry/again/again.go
@@ -21,6 +21,9 @@
 	overall       *retry.Budget // of all requests of the instance
 	workspaces    sync.Map      // fleet.WorkspaceID to *retry.Budget
 	upstreams     sync.Map      // fleet.UpstreamID to *retry.Budget
+
+	mu     sync.Mutex
+	listed retry.Peak // guarded by mu: number of instances in the last window
 }
 
 // New returns a Retrier. instanceCount returns the number of instances of the fleet.
@@ -40,6 +43,13 @@
 // now returns the monotonic time since the Retrier was made.
 func (r *Retrier) now() decide.Instant { return decide.Instant(time.Since(r.start)) }
 
+// mostInstances returns the largest number of instances of the last window: what those that are gone have spent still counts.
+func (r *Retrier) mostInstances() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.listed.Observe(r.now(), r.instanceCount())
+}
+
 // budgets returns the budgets that a retry consumes for a workspace after a failure of an upstream.
 func (r *Retrier) budgets(w fleet.WorkspaceID, u fleet.UpstreamID) retry.Budgets {
 	return retry.Budgets{
@@ -66,7 +76,7 @@
 // AwaitRetry waits until a request may be dispatched again after a failed dispatch to u, and returns true. If the request
 // must not be retried, it returns false as soon as that is known. It also returns the reason for that decision.
 func (r *Retrier) AwaitRetry(ctx context.Context, f retry.Failure, w fleet.WorkspaceID, u fleet.UpstreamID) (bool, decide.Reason) {
-	r.overall.SetMinRetries(retry.InstanceMinRetries(r.instanceCount()))
+	r.overall.SetMinRetries(retry.InstanceMinRetries(r.mostInstances()))
 	b := r.budgets(w, u)
 	for {
 		verdict := r.params.Decide(f, b, jitterSource{}, r.now())
