A retry for a silent send counts when that send is ended, not when its place is asked for

When many sends fall silent at one moment, their watchdogs take retries and ask for places, which come seconds later where there is no room: up to the caller's tolerance for a stream, to its deadline for a plain request. The sends then arrive in a window in which the budget has forgotten them, or soon does, and allows as many more.

Now the retry is given back and taken anew when the place is granted, just before the send is ended. If the budget doesn't allow it any more, the silent send goes on, as it does without a place. The test: a place granted after 1 s counts at 1 s (at 0 s before), and one that isn't allowed any more ends no send and leaves nothing taken.

--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -124,7 +124,7 @@
 	w.stopAsk()
 	w.stopAsk = nil
 	now := time.Now()
-	if err == nil && stillSilent && !w.stopped {
+	if err == nil && stillSilent && !w.stopped && w.renew(next) {
 		w.next = next
 		w.expire(now)
 		return
@@ -136,6 +136,18 @@
 	}
 }
 
+// renew takes the retry again at the time at which its send follows. The place may have been granted seconds later, and the budget
+// counts by time. It reports whether the budget still allows it.
+func (w *watchdog) renew(next *nextSend) bool {
+	next.giveBack()
+	giveBack, ok := w.take()
+	if !ok {
+		giveBack = func() {}
+	}
+	next.giveBack = giveBack
+	return ok
+}
+
 // endQuestion ends the question for another place, if one is open. mu is held.
 func (w *watchdog) endQuestion() {
 	if w.stopAsk != nil {
--- a/internal/gateway/watchdog_test.go
+++ b/internal/gateway/watchdog_test.go
@@ -103,6 +103,38 @@
 	})
 }
 
+// Guards against more retries in a window than the budget allows: those that waited long for their places would count before
+// their sends. One that the budget doesn't allow any more doesn't end its send.
+func TestRetryCountsWhenItsSendFollows(t *testing.T) {
+	for _, stillAllowed := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			taken := &ledger{}
+			w, ctx := silentWatchdog(taken, nil)
+			take, begun, last := w.take, time.Now(), time.Time{}
+			w.take = func() (func(), bool) {
+				if last = time.Now(); last.After(begun) && !stillAllowed {
+					return nil, false
+				}
+				return take()
+			}
+			w.check()
+			time.Sleep(2 * time.Second)
+			is.Equal(last.Sub(begun), time.Second) // when the place was granted
+			is.Equal(w.hasExpired(), stillAllowed)
+			is.Equal(ctx.Err() != nil, stillAllowed)
+			retries, grants := taken.held()
+			held := 0
+			if stillAllowed {
+				held = 1
+			}
+			is.Equal(retries, held)
+			is.Equal(grants, held)
+			w.stop()
+		})
+	}
+}
+
 // Guards against retry budget that is lost when a request ends without its watchdog having been stopped, as after a panic, and
 // when a second send that never reached its upstream is found silent.
 func TestRetriesOfRequestThatEndsAreGivenBack(t *testing.T) {
