--- a/internal/routed/budget.go
+++ b/internal/routed/budget.go
@@ -14,9 +14,9 @@
 	"github.com/damaskshelf/damaskshelf/internal/watch"
 )
 
-// allocatedShare is the part of the fleet's retry limit that the shares of all instances add up to. The rest covers
-// differences between the instances: a request is counted only by the instance that received it, and while an instance
-// joins or leaves, the others divide the limit by different numbers of members.
+// allocatedShare is the part of the fleet's retry limit that the shares of all instances add up to once they have run for a
+// Window. The rest covers instances that start, and differences between the instances: a request is counted only by the instance
+// that received it, and while an instance joins, the others divide the slack by fewer members.
 const allocatedShare = 0.7
 
 // startingShare is the part of the fleet's slack that instances add up to in their first Window, in which retries of the process
