--- a/internal/routed/budget_test.go
+++ b/internal/routed/budget_test.go
@@ -93,6 +93,14 @@
 	}
 }
 
+// The limit of a simulated fleet, and the steps of its simulation.
+const (
+	simRatio       = 0.2
+	simSlack       = 100
+	simStep        = 50 * time.Millisecond
+	stepsPerWindow = int(10 * time.Second / simStep)
+)
+
 // takeAll takes all retries that are permitted now, and returns their number.
 func takeAll(b *budgets) (n int) {
 	for take(b) {
@@ -114,41 +122,30 @@
 // checkRetryShares simulates a fleet in steps of 50 ms while one instance joins, one leaves and processes start anew, after a
 // kill or a planned stop, and checks the retries of every window against the limit.
 func checkRetryShares(t *testing.T, r *rapid.T, instances, steps int) {
-	const (
-		window = 10 * time.Second
-		step   = 50 * time.Millisecond
-		lag    = 3 * time.Second // until the instances list a change of the members
-		ratio  = 0.2
-		slack  = 100
-	)
+	const lag = 3 * time.Second // until the instances list a change of the members
 	joins := rapid.IntRange(0, steps-1).Draw(r, "one joins at step")
 	leaves := rapid.IntRange(0, steps-1).Draw(r, "one leaves at step")
-	killed := rapid.Bool().Draw(r, "processes are killed")
-	restartEvery, unlistedFor := rapid.SampledFrom([]int{1, 3, 20, 100, steps}).Draw(r, "steps between restarts"), 0
-	if !killed {
-		restartEvery = max(restartEvery, int(window/step)/(2*instances)+1) // each instance is stopped twice in a window
-		unlistedFor = rapid.IntRange(0, 40).Draw(r, "steps for which a stopped instance isn't listed")
-	}
+	restart := drawRestarts(r, instances, steps)
 	load := rapid.SliceOfN(rapid.IntRange(0, 3), 40, 40).Draw(r, "requests a step")
 	retriesWanted := rapid.SliceOfN(rapid.IntRange(0, 8), 40, 40).Draw(r, "retries wanted a step")
 	synctest.Test(t, func(t *testing.T) {
 		knownMembers, joining := instances, 1 // joining: 1 until the others list the last instance, which lists itself at once
 		listedAgain := make([]int, instances) // step from which an instance is listed again
-		unlisted := func(step int) (n int) {
+		now := 0                              // step
+		unlisted := func() (n int) {
 			for _, from := range listedAgain {
-				if step < from {
+				if now < from {
 					n++
 				}
 			}
 			return n
 		}
-		now := 0
 		start := func(n int) *budgets {
-			return newBudgetsWithRules(retries(ratio, slack), func() int {
+			return newBudgetsWithRules(retries(simRatio, simSlack), func() int {
 				if n == instances {
-					return knownMembers + joining - unlisted(now)
+					return knownMembers + joining - unlisted()
 				}
-				return knownMembers - unlisted(now)
+				return knownMembers - unlisted()
 			})
 		}
 		var all []*budgets
@@ -161,20 +158,20 @@
 		requests, retries := make([]int, steps), make([]int, steps)
 		for i := range steps {
 			now = i
-			if time.Duration(i-joins)*step == lag {
+			if time.Duration(i-joins)*simStep == lag {
 				knownMembers, joining = knownMembers+1, 0
 			}
-			if time.Duration(i-leaves)*step == lag {
+			if time.Duration(i-leaves)*simStep == lag {
 				knownMembers--
 			}
 			if i == joins {
 				all[instances] = start(instances)
 				all[instances].joined(false)
 			}
-			if i%restartEvery == restartEvery-1 {
-				n := i / restartEvery % instances
-				all[n], listedAgain[n] = start(n), i+unlistedFor
-				all[n].joined(killed)
+			if i%restart.every == restart.every-1 {
+				n := i / restart.every % instances
+				all[n], listedAgain[n] = start(n), i+restart.unlistedFor
+				all[n].joined(restart.killed)
 			}
 			for n, b := range all {
 				if n == instances && i < joins || n == 0 && i >= leaves {
@@ -190,21 +187,46 @@
 					}
 				}
 			}
-			time.Sleep(step)
+			time.Sleep(simStep)
 		}
-		inWindow := int(window / step)
-		for from := 0; from+inWindow <= steps; from++ {
-			requestCount, retryCount := sum(requests[from:from+inWindow]), sum(retries[from:from+inWindow])
-			for _, earlier := range []int{from - inWindow, from - inWindow/2} { // the rule counts requests of these windows too
-				if earlier >= 0 {
-					requestCount = max(requestCount, sum(requests[earlier:earlier+inWindow]))
-				}
-			}
-			if limit := ratio*float64(requestCount) + slack; float64(retryCount) > limit {
-				t.Fatalf("%d retries of %d requests in ten seconds, allowed %.0f", retryCount, requestCount, limit)
+		checkWindows(t, requests, retries)
+	})
+}
+
+// restarts are the restarts of a simulated fleet's processes, one instance after the other.
+type restarts struct {
+	killed      bool
+	every       int // steps between two restarts
+	unlistedFor int // steps for which an instance that was stopped isn't listed
+}
+
+// drawRestarts draws restarts by kills at any rate, or planned ones of each instance at most twice in a window.
+func drawRestarts(r *rapid.T, instances, steps int) restarts {
+	drawn := restarts{
+		killed: rapid.Bool().Draw(r, "processes are killed"),
+		every:  rapid.SampledFrom([]int{1, 3, 20, 100, steps}).Draw(r, "steps between restarts"),
+	}
+	if !drawn.killed {
+		drawn.every = max(drawn.every, stepsPerWindow/(2*instances)+1)
+		drawn.unlistedFor = rapid.IntRange(0, 40).Draw(r, "steps for which a stopped instance isn't listed")
+	}
+	return drawn
+}
+
+// checkWindows checks the retries of every window against the limit. requests and retries are those of each step.
+func checkWindows(t *testing.T, requests, retries []int) {
+	t.Helper()
+	for from := 0; from+stepsPerWindow <= len(requests); from++ {
+		requestCount, retryCount := sum(requests[from:from+stepsPerWindow]), sum(retries[from:from+stepsPerWindow])
+		for _, earlier := range []int{from - stepsPerWindow, from - stepsPerWindow/2} { // the rule counts requests of these windows too
+			if earlier >= 0 {
+				requestCount = max(requestCount, sum(requests[earlier:earlier+stepsPerWindow]))
 			}
 		}
-	})
+		if limit := simRatio*float64(requestCount) + simSlack; float64(retryCount) > limit {
+			t.Fatalf("%d retries of %d requests in ten seconds, allowed %.0f", retryCount, requestCount, limit)
+		}
+	}
 }
 
 // sum returns the sum of all numbers.
