--- a/internal/gateway/watchdog_test.go
+++ b/internal/gateway/watchdog_test.go
@@ -120,6 +120,7 @@
 			}
 			w.check()
 			time.Sleep(2 * time.Second)
+			synctest.Wait()
 			is.Equal(last.Sub(begun), time.Second) // when the place was granted
 			is.Equal(w.hasExpired(), stillAllowed)
 			is.Equal(ctx.Err() != nil, stillAllowed)
