Review case 5: a stopping instance resets a connection on which the next request came early, and its answer is cut (LOST)

An answer after SIGTERM says Connection: close, and the server closes as soon as the operating system has taken it. If the next request lies unread, that close is a reset, and what was not sent yet is lost.

--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -22,7 +22,8 @@
 type play func(w *world, trouble bool) (broken []string, err error)
 
 var plays = map[string]play{
-	"order-bom": playOrder,
+	"order-bom":  playOrder,
+	"stop-early": playStop,
 }
 
 func main() {
