--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -24,6 +24,7 @@
 var plays = map[string]play{
 	"order-bom":  playOrder,
 	"stop-early": playStop,
+	"revision":   playRevision,
 }
 
 func main() {
--- a/review/_rig2/worker.go
+++ b/review/_rig2/worker.go
@@ -24,10 +24,12 @@
 	record            *record
 	reply             reply
 	listener          net.Listener
+	born              time.Time
 
 	mu      sync.Mutex
 	conns   map[net.Conn]bool // guarded by mu
 	running int               // guarded by mu: requests
+	all     []arrival         // guarded by mu: that it ran
 }
 
 func newWorker(id, service, zone string, r *record, reply reply) (*worker, error) {
@@ -35,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{id: id, service: service, zone: zone, record: r, reply: reply, listener: l, conns: map[net.Conn]bool{}}
+	w := &worker{id: id, service: service, zone: zone, record: r, reply: reply, listener: l, born: time.Now(), conns: map[net.Conn]bool{}}
 	go w.accept()
 	return w, nil
 }
@@ -99,17 +101,23 @@
 			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", a.attempt, w.id)
 			continue
 		}
-		w.count(1)
+		w.mu.Lock()
+		w.running++
+		w.all = append(w.all, a)
+		w.mu.Unlock()
 		w.record.printf("%s runs %s %s, Tenant %q, Last-Event-Id %q", w.id, a.attempt, a.path, a.tenant, a.lastEvent)
 		w.reply(w, c, a)
-		w.count(-1)
+		w.mu.Lock()
+		w.running--
+		w.mu.Unlock()
 	}
 }
 
-func (w *worker) count(n int) {
+// ran returns the requests that it ran.
+func (w *worker) ran() []arrival {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.running += n
+	return append([]arrival(nil), w.all...)
 }
 
 // writeHead writes the head of a success; lines are further lines of it.
--- a/review/_rig2/world.go
+++ b/review/_rig2/world.go
@@ -36,6 +36,7 @@
 	daemon    string
 	dir       string
 	store     *standin.Store
+	storeAddr string // at which instances reach the store
 	instances []*instance
 	workers   []*worker
 	nextPort  int
@@ -47,8 +48,11 @@
 		return nil, err
 	}
 	w := &world{record: r, daemon: daemon, dir: dir, nextPort: 22_000 + os.Getpid()%400*10}
-	w.store, err = standin.NewStore()
-	return w, err
+	if w.store, err = standin.NewStore(); err != nil {
+		return nil, err
+	}
+	w.storeAddr = w.store.Addr()
+	return w, nil
 }
 
 // close ends all that the world has started.
@@ -79,11 +83,16 @@
 		return nil, err
 	}
 	w.workers = append(w.workers, k)
+	w.beat(k, 0)
+	return k, nil
+}
+
+// beat writes a worker's entry.
+func (w *world) beat(k *worker, sequence int) {
 	w.store.Put("servers", k.id, map[string]any{
-		"service": service, "address": k.addr(), "zone": zone, "version": "v1", "slots": 16, "state": "ready", "cold_left_ms": 0, "sequence": 0,
-		"born": time.Now().UnixMilli(),
+		"service": k.service, "address": k.addr(), "zone": k.zone, "version": "v1", "slots": 16, "state": "ready", "cold_left_ms": 0, "sequence": sequence,
+		"born": k.born.UnixMilli(),
 	})
-	return k, nil
 }
 
 // startInstances starts one instance in each zone and waits until all are ready.
@@ -146,7 +155,7 @@
 		"routed": map[string]any{
 			"listen":     map[string]any{"callers": addrs[0], "ready": addrs[1], "peers": addrs[2], "metrics": addrs[3]},
 			"ready_path": "/-/ready", "cpu_share": 0.4, "link_mbps": 1000.0, "regions": regions,
-			"store":    map[string]any{"address": w.store.Addr(), "config_within": "2000ms"},
+			"store":    map[string]any{"address": w.storeAddr, "config_within": "2000ms"},
 			"limits":   map[string]any{"max_header_bytes": 20480, "memory_mb": 284, "max_descriptors": 4100},
 			"retries":  map[string]any{"ratio": 0.2, "slack": 106},
 			"overload": map[string]any{"admission": "forecast"},
